--- /dev/null
+++ b/configuration/Objects.cpp
@@ -0,0 +1,151 @@
+#include "configuration/Objects.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr std::size_t DigestLength = 64;
+constexpr NumberBounds WeightBounds{.Least = 1, .Most = 1000};
+constexpr NumberBounds ConnectionBounds{.Least = 1, .Most = 10'000};
+constexpr NumberBounds SlotBounds{.Least = 1, .Most = 1000};
+
+template <typename Id>
+std::vector<Id> namesFrom(const std::vector<std::string> &Texts) {
+  std::vector<Id> Names;
+  for (const std::string &Text : Texts)
+    Names.push_back(Id{Text});
+  return Names;
+}
+
+template <typename Id>
+boost::json::array arrayOf(const std::vector<Id> &Names) {
+  boost::json::array List;
+  for (const Id &Entry : Names)
+    List.emplace_back(Entry.Value);
+  return List;
+}
+
+DatabaseMember readMember(YamlReader &Reader) {
+  DatabaseMember Member{
+      .Id = UpstreamId{Reader.name("upstream")},
+      .Where = Reader.endpoint("address"),
+      .Zone = ZoneId{Reader.name("availability_zone")},
+      .Leaving = Reader.flag("leaving", false),
+  };
+  Reader.finish();
+  return Member;
+}
+
+void checkMembersDiffer(YamlReader &Reader, const Database &Checked) {
+  for (std::size_t Left = 0; Left < Checked.Members.size(); ++Left)
+    for (std::size_t Right = 0; Right < Left; ++Right)
+      if (Checked.Members[Left].Id == Checked.Members[Right].Id ||
+          Checked.Members[Left].Where == Checked.Members[Right].Where)
+        Reader.problem("members",
+                       "two members share an upstream name or address",
+                       "give each member its own");
+}
+
+} // namespace
+
+Brand readBrand(YamlReader &Reader) {
+  Brand Object{.Id = BrandId{Reader.name("name")}, .Host = Reader.name("host")};
+  Reader.finish();
+  return Object;
+}
+
+ClientAccount readClientAccount(YamlReader &Reader) {
+  ClientAccount Object{
+      .Id = ClientAccountId{Reader.name("name")},
+      .Owner = BrandId{Reader.name("brand")},
+      .CredentialDigest = Reader.text("credential_digest"),
+      .Services = namesFrom<ServiceId>(Reader.texts("services")),
+      .Weight =
+          static_cast<std::uint32_t>(Reader.number("weight", WeightBounds, 1)),
+  };
+  if (Object.CredentialDigest.size() != DigestLength)
+    Reader.problem("credential_digest", "not a SHA-256 digest",
+                   "write the 64 hexadecimal digits of the credential's "
+                   "SHA-256");
+  Reader.finish();
+  return Object;
+}
+
+DatabaseService readDatabaseService(YamlReader &Reader) {
+  DatabaseService Object{
+      .Id = ServiceId{Reader.name("name")},
+      .Owner = BrandId{Reader.name("brand")},
+      .Databases = namesFrom<DatabaseId>(Reader.texts("databases")),
+  };
+  if (Object.Databases.empty())
+    Reader.problem("databases", "empty", "name at least one database");
+  Reader.finish();
+  return Object;
+}
+
+Database readDatabase(YamlReader &Reader) {
+  Database Object{
+      .Id = DatabaseId{Reader.name("name")},
+      .ConnectionLimit = static_cast<std::uint32_t>(
+          Reader.number("connection_limit", ConnectionBounds)),
+      .Slots = static_cast<std::uint32_t>(Reader.number("slots", SlotBounds)),
+      .PromotionAllowed = Reader.flag("promotion_allowed", true),
+      .Members = {},
+  };
+  for (YamlReader &Member : Reader.mappings("members"))
+    Object.Members.push_back(readMember(Member));
+  if (Object.Members.empty())
+    Reader.problem("members", "empty", "name at least one member");
+  checkMembersDiffer(Reader, Object);
+  Reader.finish();
+  return Object;
+}
+
+std::string toJson(const Brand &Object) {
+  boost::json::object Json;
+  Json["name"] = Object.Id.Value;
+  Json["host"] = Object.Host;
+  return boost::json::serialize(Json);
+}
+
+std::string toJson(const ClientAccount &Object) {
+  boost::json::object Json;
+  Json["name"] = Object.Id.Value;
+  Json["brand"] = Object.Owner.Value;
+  Json["credential_digest"] = Object.CredentialDigest;
+  Json["services"] = arrayOf(Object.Services);
+  Json["weight"] = Object.Weight;
+  return boost::json::serialize(Json);
+}
+
+std::string toJson(const DatabaseService &Object) {
+  boost::json::object Json;
+  Json["name"] = Object.Id.Value;
+  Json["brand"] = Object.Owner.Value;
+  Json["databases"] = arrayOf(Object.Databases);
+  return boost::json::serialize(Json);
+}
+
+std::string toJson(const Database &Object) {
+  boost::json::array Members;
+  for (const DatabaseMember &Member : Object.Members) {
+    boost::json::object Entry;
+    Entry["upstream"] = Member.Id.Value;
+    Entry["address"] = toString(Member.Where);
+    Entry["availability_zone"] = Member.Zone.Value;
+    Entry["leaving"] = Member.Leaving;
+    Members.push_back(std::move(Entry));
+  }
+  boost::json::object Json;
+  Json["name"] = Object.Id.Value;
+  Json["connection_limit"] = Object.ConnectionLimit;
+  Json["slots"] = Object.Slots;
+  Json["promotion_allowed"] = Object.PromotionAllowed;
+  Json["members"] = std::move(Members);
+  return boost::json::serialize(Json);
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/core/DecisionLog.h
@@ -0,0 +1,39 @@
+// One structured line for each routing or placement decision.
+#pragma once
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+namespace turmericpitch {
+
+/// A decision as key=value pairs with stable field names. Not thread-safe.
+class DecisionLine {
+public:
+  /// Kind is the decision's stable name, as in "route".
+  explicit DecisionLine(std::string_view Kind);
+
+  /// Appends a field. Values with spaces, quotes or '=' are quoted.
+  DecisionLine &field(std::string_view Key, std::string_view Value);
+  template <std::integral T>
+  DecisionLine &field(std::string_view Key, T Value) {
+    return this->field(Key, std::string_view(std::to_string(Value)));
+  }
+
+  [[nodiscard]] const std::string &text() const { return this->Text; }
+
+private:
+  std::string Text;
+};
+
+/// Writes the line to the decision log. Thread-safe.
+void writeDecision(const DecisionLine &Line);
+/// Writes an informational line for operators. Thread-safe.
+void writeInfo(std::string_view Text);
+/// Writes a warning line for operators. Thread-safe.
+void writeWarning(std::string_view Text);
+/// Sends all log lines to the file, or drops them if Path is empty; by
+/// default they go to standard error. Call before starting threads.
+void sendLogTo(const std::string &Path);
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/BlockingClient.cpp
@@ -0,0 +1,39 @@
+#include "drivers/BlockingClient.h"
+
+#include "drivers/HttpConnection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+Awaitable<Outcome<HttpReply>> callOnce(Executor On, Endpoint To,
+                                       HttpRequest Request, Duration Limit) {
+  auto Opened = co_await HttpConnection::open(On, To, Limit);
+  if (!Opened)
+    co_return Opened.error();
+  std::shared_ptr<HttpConnection> Connection = Opened.value();
+  co_return co_await Connection->exchange(std::move(Request), Limit);
+}
+
+} // namespace
+
+Outcome<HttpReply> callAndWait(const Endpoint &To, HttpRequest Request,
+                               Duration Limit) {
+  asio::io_context Context;
+  std::optional<Outcome<HttpReply>> Reply;
+  Executor On = Context.get_executor();
+  auto Work = [&]() -> Awaitable<void> {
+    Reply = co_await callOnce(On, To, Request, Limit);
+  };
+  asio::co_spawn(On, Work, asio::detached);
+  Context.run();
+  return *Reply;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/BlockingClient.h
@@ -0,0 +1,13 @@
+// One-off HTTP calls for command lines and demos.
+#pragma once
+
+#include "drivers/Http.h"
+
+namespace turmericpitch {
+
+/// Sends one request on a connection of its own and blocks the calling
+/// thread. Thread-safe. Errors: Unavailable, NotRun or OutcomeUnknown.
+Outcome<HttpReply> callAndWait(const Endpoint &To, HttpRequest Request,
+                               Duration Limit = std::chrono::seconds(10));
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/Http.h
@@ -0,0 +1,46 @@
+// HTTP messages as the rest of the program sees them.
+#pragma once
+
+#include "core/Endpoint.h"
+#include "core/Error.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace turmericpitch {
+
+template <typename T> using Awaitable = boost::asio::awaitable<T>;
+using Executor = boost::asio::any_io_executor;
+
+/// A request as received or to be sent.
+struct HttpRequest {
+  std::string Method = "POST";
+  std::string Target;
+  /// The Host header.
+  std::string Host;
+  /// The Authorization header; may be empty.
+  std::string Authorization;
+  std::string Body;
+};
+
+/// A reply as received or to be sent.
+struct HttpReply {
+  unsigned Status = 200;
+  std::string Body;
+  std::string ContentType = "application/json";
+  /// Sent as Retry-After, rounded up to seconds.
+  std::optional<Duration> RetryAfter = std::nullopt;
+  /// If set, the body is streamed: each call gives the next piece, nothing
+  /// ends it. Body is then ignored.
+  std::function<Awaitable<std::optional<std::string>>()> NextPiece = nullptr;
+};
+
+/// The HTTP status that fits an error. Thread-safe.
+unsigned httpStatusOf(ErrorKind Kind);
+/// The reply that reports an error. Thread-safe.
+HttpReply replyWith(const Error &Failure);
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/HttpServer.h
@@ -0,0 +1,54 @@
+// Serves HTTP/1.1 on one address.
+#pragma once
+
+#include "drivers/Http.h"
+
+namespace turmericpitch {
+
+/// Handles the requests of one connection, one at a time. What it captures
+/// lives as long as the connection.
+using HttpHandler = std::function<Awaitable<HttpReply>(HttpRequest)>;
+/// Makes the handler of a new connection.
+using HttpHandlerFactory = std::function<HttpHandler()>;
+
+/// Limits of one server.
+struct HttpServerOptions {
+  Endpoint Listen;
+  /// Largest body taken, bytes.
+  std::size_t MaximumBody = 1024 * 1024;
+  /// Largest header taken, bytes.
+  std::uint32_t MaximumHeader = 16 * 1024;
+  /// How long a connection may stay silent between requests.
+  Duration IdleLimit = std::chrono::minutes(10);
+  /// Connections held at once; further ones are closed.
+  std::size_t MaximumConnections = 20'000;
+};
+
+/// A server. Thread-safe. Destruction closes it.
+class HttpServer {
+public:
+  HttpServer(Executor On, HttpServerOptions Options,
+             HttpHandlerFactory MakeHandler);
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
+
+  /// Listens and begins to accept. Errors: Unavailable if the address can't
+  /// be bound.
+  Status start();
+  /// Takes no further connections; each open one ends after the reply to its
+  /// request in flight.
+  void drain();
+  /// Closes everything at once.
+  void close();
+
+  /// Requests read whole whose replies are not yet written.
+  [[nodiscard]] std::size_t requestsInFlight() const;
+  [[nodiscard]] std::size_t connections() const;
+
+private:
+  struct State;
+  std::shared_ptr<State> Shared;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/Json.cpp
@@ -0,0 +1,128 @@
+#include "drivers/Json.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr std::size_t MaximumDepth = 16;
+constexpr std::uint64_t MaximumMilliseconds = 1000ULL * 3600 * 24 * 365;
+
+Error badJson(std::string Message) {
+  return {.Kind = ErrorKind::BadRequest,
+          .Message = std::move(Message),
+          .Remedy = "send one JSON object with the documented fields"};
+}
+
+} // namespace
+
+Result<boost::json::object> parseJsonObject(std::string_view Text) {
+  boost::json::parse_options Options;
+  Options.max_depth = MaximumDepth;
+  boost::json::error_code Failure;
+  boost::json::value Value = boost::json::parse(Text, Failure, {}, Options);
+  if (Failure)
+    return boost::leaf::new_error(
+        badJson("malformed JSON: " + Failure.message()));
+  if (!Value.is_object())
+    return boost::leaf::new_error(badJson("not a JSON object"));
+  return std::move(Value.as_object());
+}
+
+const boost::json::value *JsonReader::find(std::string_view Key) {
+  this->KnownKeys.emplace_back(Key);
+  const boost::json::value *Value = this->Object.if_contains(Key);
+  return Value && Value->is_null() ? nullptr : Value;
+}
+
+bool JsonReader::has(std::string_view Key) const {
+  return this->Object.if_contains(Key) != nullptr;
+}
+
+void JsonReader::problem(std::string_view Key, std::string_view Text) {
+  this->Problems += this->Problems.empty() ? "" : "; ";
+  this->Problems += std::string(Key) + ": " + std::string(Text);
+}
+
+std::string JsonReader::text(std::string_view Key,
+                             std::optional<std::string> Default) {
+  const boost::json::value *Value = this->find(Key);
+  if (Value && Value->is_string())
+    return std::string(Value->as_string());
+  if (Value || !Default)
+    this->problem(Key, Value ? "write it as text" : "missing text");
+  return Default.value_or("");
+}
+
+std::uint64_t JsonReader::number(std::string_view Key,
+                                 std::optional<std::uint64_t> Default) {
+  const boost::json::value *Value = this->find(Key);
+  if (Value && Value->is_uint64())
+    return Value->as_uint64();
+  if (Value && Value->is_int64() && Value->as_int64() >= 0)
+    return static_cast<std::uint64_t>(Value->as_int64());
+  if (Value || !Default)
+    this->problem(Key, Value ? "write it as a whole number from 0"
+                             : "missing whole number");
+  return Default.value_or(0);
+}
+
+bool JsonReader::flag(std::string_view Key, std::optional<bool> Default) {
+  const boost::json::value *Value = this->find(Key);
+  if (Value && Value->is_bool())
+    return Value->as_bool();
+  if (Value || !Default)
+    this->problem(Key, "write true or false");
+  return Default.value_or(false);
+}
+
+std::vector<std::string> JsonReader::texts(std::string_view Key) {
+  std::vector<std::string> Values;
+  const boost::json::array *List = this->array(Key);
+  if (!List)
+    return Values;
+  for (const boost::json::value &Item : *List) {
+    if (Item.is_string())
+      Values.emplace_back(Item.as_string());
+    else
+      this->problem(Key, "write each item as text");
+  }
+  return Values;
+}
+
+std::optional<Duration> JsonReader::milliseconds(std::string_view Key) {
+  if (!this->find(Key))
+    return std::nullopt;
+  std::uint64_t Count = this->number(Key);
+  if (Count > MaximumMilliseconds)
+    this->problem(Key, "write at most a year of milliseconds");
+  return std::chrono::milliseconds(std::min(Count, MaximumMilliseconds));
+}
+
+const boost::json::object *JsonReader::object(std::string_view Key) {
+  const boost::json::value *Value = this->find(Key);
+  if (Value && !Value->is_object())
+    this->problem(Key, "write it as an object");
+  return Value ? Value->if_object() : nullptr;
+}
+
+const boost::json::array *JsonReader::array(std::string_view Key) {
+  const boost::json::value *Value = this->find(Key);
+  if (Value && !Value->is_array())
+    this->problem(Key, "write it as a list");
+  return Value ? Value->if_array() : nullptr;
+}
+
+Result<void> JsonReader::finish() {
+  if (!this->UnknownAllowed)
+    for (const auto &Entry : this->Object)
+      if (std::find(this->KnownKeys.begin(), this->KnownKeys.end(),
+                    Entry.key()) == this->KnownKeys.end())
+        this->problem(std::string(Entry.key()), "unknown field, remove it");
+  if (!this->Problems.empty())
+    return boost::leaf::new_error(badJson(this->Problems));
+  return {};
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/Json.h
@@ -0,0 +1,55 @@
+// Checked reading of JSON objects, over Boost.JSON.
+#pragma once
+
+#include "core/Error.h"
+#include "core/Time.h"
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmericpitch {
+
+/// Parses text into an object. Thread-safe.
+/// Errors: BadRequest if it isn't one JSON object or nests too deeply.
+Result<boost::json::object> parseJsonObject(std::string_view Text);
+
+/// Reads the fields of one JSON object, keeping every problem. Fields that
+/// nothing read are problems too, unless allowUnknown() was called.
+/// Not thread-safe.
+class JsonReader {
+public:
+  explicit JsonReader(const boost::json::object &Object) : Object(Object) {}
+
+  std::string text(std::string_view Key,
+                   std::optional<std::string> Default = std::nullopt);
+  std::uint64_t number(std::string_view Key,
+                       std::optional<std::uint64_t> Default = std::nullopt);
+  bool flag(std::string_view Key, std::optional<bool> Default = std::nullopt);
+  std::vector<std::string> texts(std::string_view Key);
+  /// A whole number of milliseconds, or nothing if the key is absent.
+  std::optional<Duration> milliseconds(std::string_view Key);
+  /// A nested object, or nullptr if absent.
+  const boost::json::object *object(std::string_view Key);
+  /// A nested array, or nullptr if absent.
+  const boost::json::array *array(std::string_view Key);
+  [[nodiscard]] bool has(std::string_view Key) const;
+
+  void allowUnknown() { this->UnknownAllowed = true; }
+  /// Errors: BadRequest naming each problem and remedy.
+  Result<void> finish();
+
+private:
+  const boost::json::value *find(std::string_view Key);
+  void problem(std::string_view Key, std::string_view Text);
+
+  const boost::json::object &Object;
+  std::vector<std::string> KnownKeys;
+  std::string Problems;
+  bool UnknownAllowed = false;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/MemberClient.h
@@ -0,0 +1,32 @@
+// One connection to a database member.
+#pragma once
+
+#include "core/Member.h"
+#include "drivers/HttpConnection.h"
+
+namespace turmericpitch {
+
+/// One connection; carries one request at a time. Thread-safe.
+class MemberConnection {
+public:
+  /// Connects. Errors: Unavailable.
+  static Awaitable<Outcome<std::shared_ptr<MemberConnection>>>
+  open(Executor On, Endpoint To, Duration Limit);
+
+  explicit MemberConnection(std::shared_ptr<HttpConnection> Http, Endpoint To)
+      : Http(std::move(Http)), To(std::move(To)) {}
+
+  /// Errors: the member's own error; NotRun if nothing was sent;
+  /// OutcomeUnknown if no answer, or another request's answer, came. Then
+  /// the connection is closed.
+  Awaitable<Outcome<MemberAnswer>> call(MemberRequest Request, Duration Limit);
+
+  [[nodiscard]] bool usable() const { return this->Http->usable(); }
+  void close() { this->Http->close(); }
+
+private:
+  std::shared_ptr<HttpConnection> Http;
+  Endpoint To;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/MemberCodec.cpp
@@ -0,0 +1,336 @@
+#include "drivers/MemberCodec.h"
+
+namespace turmericpitch {
+
+namespace {
+
+using boost::json::object;
+
+template <typename Tag>
+void putOptional(object &Json, std::string_view Key,
+                 const std::optional<Name<Tag>> &Text) {
+  if (Text)
+    Json[Key] = Text->Value;
+}
+
+std::string serialized(const object &Json) {
+  return boost::json::serialize(Json);
+}
+
+/// An optional name; absent and empty read as none.
+template <typename Id>
+std::optional<Id> optionalName(JsonReader &Reader, std::string_view Key) {
+  std::string Text = Reader.text(Key, "");
+  if (Text.empty())
+    return std::nullopt;
+  return Id{Text};
+}
+
+EncodedMemberRequest encode(const StatusRequest &) {
+  return {.Target = "/status", .Body = "{}"};
+}
+
+EncodedMemberRequest encode(const WaitRequest &Request) {
+  object Json;
+  Json["entry"] = toJsonObject(Request.Entry);
+  Json["limit_us"] = Request.Limit.count();
+  Json["until_applied"] = Request.UntilApplied;
+  return {.Target = "/wait", .Body = serialized(Json)};
+}
+
+EncodedMemberRequest encode(const ExecuteRequest &Request) {
+  object Json;
+  Json["request_id"] = Request.Id.Value;
+  Json["statement"] = Request.Statement;
+  Json["write"] = Request.Write;
+  if (Request.Expected)
+    Json["expected_term"] = Request.Expected->Value;
+  Json["at_least"] = toJsonObject(Request.AtLeast);
+  putOptional(Json, "idempotency_key", Request.Key);
+  putOptional(Json, "transaction", Request.Transaction);
+  return {.Target = "/execute", .Body = serialized(Json)};
+}
+
+EncodedMemberRequest encode(const BeginRequest &Request) {
+  object Json;
+  Json["request_id"] = Request.Id.Value;
+  Json["transaction"] = Request.Transaction.Value;
+  Json["expected_term"] = Request.Expected.Value;
+  return {.Target = "/begin", .Body = serialized(Json)};
+}
+
+EncodedMemberRequest encode(const CommitRequest &Request) {
+  object Json;
+  Json["request_id"] = Request.Id.Value;
+  Json["transaction"] = Request.Transaction.Value;
+  putOptional(Json, "idempotency_key", Request.Key);
+  return {.Target = "/commit", .Body = serialized(Json)};
+}
+
+EncodedMemberRequest encode(const RollbackRequest &Request) {
+  object Json;
+  Json["transaction"] = Request.Transaction.Value;
+  return {.Target = "/rollback", .Body = serialized(Json)};
+}
+
+EncodedMemberRequest encode(const SealRequest &Request) {
+  object Json;
+  Json["next_term"] = Request.Next.Value;
+  Json["attempt"] = Request.Attempt;
+  return {.Target = "/seal", .Body = serialized(Json)};
+}
+
+EncodedMemberRequest encode(const PromoteRequest &Request) {
+  object Json;
+  Json["next_term"] = Request.Next.Value;
+  Json["attempt"] = Request.Attempt;
+  Json["chosen_at"] = toJsonObject(Request.ChosenAt);
+  return {.Target = "/promote", .Body = serialized(Json)};
+}
+
+EncodedMemberRequest encode(const FollowRequest &Request) {
+  object Json;
+  Json["next_term"] = Request.Next.Value;
+  Json["primary"] = Request.Primary.Value;
+  return {.Target = "/follow", .Body = serialized(Json)};
+}
+
+MemberRequest readExecute(JsonReader &Reader) {
+  ExecuteRequest Request;
+  Request.Id = RequestId{Reader.text("request_id")};
+  Request.Statement = Reader.text("statement");
+  Request.Write = Reader.flag("write", false);
+  if (Reader.has("expected_term"))
+    Request.Expected = Term{Reader.number("expected_term")};
+  Request.AtLeast = readTermPosition(Reader.object("at_least"));
+  Request.Key = optionalName<IdempotencyKey>(Reader, "idempotency_key");
+  Request.Transaction = optionalName<TransactionId>(Reader, "transaction");
+  return Request;
+}
+
+MemberRequest readWait(JsonReader &Reader) {
+  WaitRequest Request;
+  Request.Entry = readTermPosition(Reader.object("entry"));
+  Request.Limit =
+      Duration(static_cast<Duration::rep>(Reader.number("limit_us")));
+  Request.UntilApplied = Reader.flag("until_applied", false);
+  return Request;
+}
+
+MemberRequest readBegin(JsonReader &Reader) {
+  BeginRequest Request;
+  Request.Id = RequestId{Reader.text("request_id")};
+  Request.Transaction = TransactionId{Reader.text("transaction")};
+  Request.Expected = Term{Reader.number("expected_term")};
+  return Request;
+}
+
+MemberRequest readCommit(JsonReader &Reader) {
+  CommitRequest Request;
+  Request.Id = RequestId{Reader.text("request_id")};
+  Request.Transaction = TransactionId{Reader.text("transaction")};
+  Request.Key = optionalName<IdempotencyKey>(Reader, "idempotency_key");
+  return Request;
+}
+
+MemberRequest readSeal(JsonReader &Reader) {
+  SealRequest Request;
+  Request.Next = Term{Reader.number("next_term")};
+  Request.Attempt = Reader.text("attempt");
+  return Request;
+}
+
+MemberRequest readPromote(JsonReader &Reader) {
+  PromoteRequest Request;
+  Request.Next = Term{Reader.number("next_term")};
+  Request.Attempt = Reader.text("attempt");
+  Request.ChosenAt = readTermPosition(Reader.object("chosen_at"));
+  return Request;
+}
+
+MemberRequest readFollow(JsonReader &Reader) {
+  FollowRequest Request;
+  Request.Next = Term{Reader.number("next_term")};
+  Request.Primary = UpstreamId{Reader.text("primary")};
+  return Request;
+}
+
+/// An error as a value, beside the error of decoding it.
+struct DecodedError {
+  Error Value;
+};
+
+object statusToJson(const MemberStatus &Status) {
+  object Json;
+  Json["upstream"] = Status.Id.Value;
+  Json["role"] = toString(Status.Role);
+  Json["term"] = Status.Accepted.Value;
+  Json["received"] = toJsonObject(Status.Received);
+  Json["applied"] = Status.Applied.Value;
+  Json["history"] = toJsonArray(Status.History);
+  return Json;
+}
+
+Result<MemberStatus> readStatus(const object &Json) {
+  JsonReader Reader(Json);
+  Reader.allowUnknown();
+  MemberStatus Status;
+  Status.Id = UpstreamId{Reader.text("upstream")};
+  Status.Role = Reader.text("role") == toString(MemberRole::Primary)
+                    ? MemberRole::Primary
+                    : MemberRole::Replica;
+  Status.Accepted = Term{Reader.number("term")};
+  Status.Received = readTermPosition(Reader.object("received"));
+  Status.Applied = LogPosition{Reader.number("applied")};
+  Status.History = readTermHistory(Reader.array("history"));
+  BOOST_LEAF_CHECK(Reader.finish());
+  return Status;
+}
+
+} // namespace
+
+object toJsonObject(const TermPosition &Entry) {
+  object Json;
+  Json["term"] = Entry.WrittenIn.Value;
+  Json["position"] = Entry.Position.Value;
+  return Json;
+}
+
+TermPosition readTermPosition(const object *Object) {
+  if (!Object)
+    return {};
+  JsonReader Reader(*Object);
+  return {.WrittenIn = Term{Reader.number("term", 0)},
+          .Position = LogPosition{Reader.number("position", 0)}};
+}
+
+boost::json::array toJsonArray(const TermHistory &History) {
+  boost::json::array Array;
+  for (const TermStart &Start : History.starts()) {
+    object Json;
+    Json["term"] = Start.Began.Value;
+    Json["after"] = Start.After.Value;
+    Array.push_back(std::move(Json));
+  }
+  return Array;
+}
+
+TermHistory readTermHistory(const boost::json::array *Array) {
+  std::vector<TermStart> Starts;
+  if (!Array)
+    return {};
+  for (const boost::json::value &Item : *Array) {
+    if (!Item.is_object())
+      continue;
+    JsonReader Reader(Item.as_object());
+    TermStart Start{.Began = Term{Reader.number("term", 0)},
+                    .After = LogPosition{Reader.number("after", 0)}};
+    bool Ascending = Starts.empty() || (Starts.back().Began < Start.Began &&
+                                        Starts.back().After <= Start.After);
+    if (Ascending)
+      Starts.push_back(Start);
+  }
+  return TermHistory(std::move(Starts));
+}
+
+EncodedMemberRequest encodeMemberRequest(const MemberRequest &Request) {
+  return std::visit([](const auto &Each) { return encode(Each); }, Request);
+}
+
+Result<MemberRequest> decodeMemberRequest(std::string_view Target,
+                                          std::string_view Body) {
+  BOOST_LEAF_AUTO(Json, parseJsonObject(Body));
+  JsonReader Reader(Json);
+  std::optional<MemberRequest> Request;
+  if (Target == "/status")
+    Request = StatusRequest{};
+  else if (Target == "/wait")
+    Request = readWait(Reader);
+  else if (Target == "/execute")
+    Request = readExecute(Reader);
+  else if (Target == "/begin")
+    Request = readBegin(Reader);
+  else if (Target == "/commit")
+    Request = readCommit(Reader);
+  else if (Target == "/rollback")
+    Request = RollbackRequest{TransactionId{Reader.text("transaction")}};
+  else if (Target == "/seal")
+    Request = readSeal(Reader);
+  else if (Target == "/promote")
+    Request = readPromote(Reader);
+  else if (Target == "/follow")
+    Request = readFollow(Reader);
+  if (!Request)
+    return boost::leaf::new_error(
+        Error{.Kind = ErrorKind::BadRequest,
+              .Message = "unknown member request " + std::string(Target),
+              .Remedy = "use a documented member request"});
+  BOOST_LEAF_CHECK(Reader.finish());
+  return std::move(*Request);
+}
+
+std::string encodeMemberAnswer(const MemberAnswer &Answer) {
+  object Json;
+  Json["request_id"] = Answer.Id.Value;
+  Json["status"] = statusToJson(Answer.Status);
+  boost::json::array Rows;
+  for (const std::string &Row : Answer.Rows)
+    Rows.emplace_back(Row);
+  Json["rows"] = std::move(Rows);
+  if (Answer.Written)
+    Json["written"] = toJsonObject(*Answer.Written);
+  Json["repeated"] = Answer.Repeated;
+  return serialized(Json);
+}
+
+Result<MemberAnswer> decodeMemberAnswer(std::string_view Body) {
+  BOOST_LEAF_AUTO(Json, parseJsonObject(Body));
+  JsonReader Reader(Json);
+  Reader.allowUnknown();
+  MemberAnswer Answer;
+  Answer.Id = RequestId{Reader.text("request_id", "")};
+  Answer.Rows = Reader.texts("rows");
+  if (const object *Written = Reader.object("written"))
+    Answer.Written = readTermPosition(Written);
+  Answer.Repeated = Reader.flag("repeated", false);
+  const object *Status = Reader.object("status");
+  BOOST_LEAF_CHECK(Reader.finish());
+  if (Status) {
+    BOOST_LEAF_ASSIGN(Answer.Status, readStatus(*Status));
+  }
+  return Answer;
+}
+
+std::string encodeError(const Error &Failure) {
+  object Json;
+  Json["error"] = toString(Failure.Kind);
+  Json["message"] = Failure.Message;
+  Json["remedy"] = Failure.Remedy;
+  if (Failure.RetryAfter)
+    Json["retry_after_ms"] =
+        std::chrono::ceil<std::chrono::milliseconds>(*Failure.RetryAfter)
+            .count();
+  return serialized(Json);
+}
+
+Error decodeError(std::string_view Body) {
+  auto Decoded = keepOutcome([&]() -> Result<DecodedError> {
+    BOOST_LEAF_AUTO(Json, parseJsonObject(Body));
+    JsonReader Reader(Json);
+    Reader.allowUnknown();
+    auto Kind = errorKindFromString(Reader.text("error"));
+    Error Failure{.Kind = Kind.value_or(ErrorKind::OutcomeUnknown),
+                  .Message = Reader.text("message", ""),
+                  .Remedy = Reader.text("remedy", ""),
+                  .RetryAfter = Reader.milliseconds("retry_after_ms")};
+    BOOST_LEAF_CHECK(Reader.finish());
+    return DecodedError{Failure};
+  });
+  if (Decoded)
+    return Decoded.value().Value;
+  return {.Kind = ErrorKind::OutcomeUnknown,
+          .Message = "unreadable answer",
+          .Remedy = "look whether it ran before sending it again"};
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/OperatorApi.cpp
@@ -0,0 +1,136 @@
+#include "drivers/OperatorApi.h"
+
+#include "core/DecisionLog.h"
+#include "core/Digest.h"
+#include "drivers/MemberCodec.h"
+
+#include <charconv>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr std::string_view Bearer = "Bearer ";
+constexpr std::string_view TicketsTarget = "/v1/tickets";
+constexpr std::string_view StatusTarget = "/v1/status";
+constexpr unsigned NotFound = 404;
+
+HttpReply replyWithJson(const boost::json::object &Json) {
+  HttpReply Reply;
+  Reply.Body = boost::json::serialize(Json);
+  return Reply;
+}
+
+boost::json::object describe(const DatabaseView &View) {
+  boost::json::object Json;
+  Json["term"] = View.newestTerm().Value;
+  const MemberView *Primary = View.primary();
+  Json["primary"] = Primary ? Primary->Configured.Id.Value : "";
+  boost::json::array Members;
+  for (const MemberView &Member : View.Members) {
+    boost::json::object Entry;
+    Entry["upstream"] = Member.Configured.Id.Value;
+    Entry["known"] = Member.Last.has_value();
+    Entry["failures"] = Member.FailuresInRow;
+    if (Member.Last)
+      Entry["applied"] = Member.Last->Applied.Value;
+    Members.push_back(std::move(Entry));
+  }
+  Json["members"] = std::move(Members);
+  return Json;
+}
+
+} // namespace
+
+OperatorApi::OperatorApi(OperatorApiOptions Options,
+                         std::shared_ptr<ConfigurationController> Configuration,
+                         std::shared_ptr<UpstreamController> Upstreams,
+                         std::shared_ptr<PlatformClient> Platform)
+    : Options(std::move(Options)), Configuration(std::move(Configuration)),
+      Upstreams(std::move(Upstreams)), Platform(std::move(Platform)) {}
+
+Awaitable<HttpReply> OperatorApi::handle(HttpRequest Request) {
+  std::string_view Credential = Request.Authorization;
+  bool Known = Credential.starts_with(Bearer) &&
+               equalInConstantTime(sha256Hex(Credential.substr(Bearer.size())),
+                                   this->Options.CredentialDigest);
+  if (!Known)
+    co_return replyWith({.Kind = ErrorKind::Forbidden,
+                         .Message = "unknown operator credential",
+                         .Remedy = "send Authorization: Bearer with the "
+                                   "operators' credential"});
+  std::string_view Target = Request.Target;
+  if (Request.Method == "POST" && Target == TicketsTarget)
+    co_return co_await this->submitTicket(std::move(Request.Body));
+  if (Request.Method == "GET" && Target == StatusTarget)
+    co_return this->showStatus();
+  if (Request.Method == "GET" && Target.starts_with(TicketsTarget) &&
+      Target.size() > TicketsTarget.size() + 1)
+    co_return this->showTicket(Target.substr(TicketsTarget.size() + 1));
+  HttpReply Reply = replyWith({.Kind = ErrorKind::BadRequest,
+                               .Message = "unknown path or method",
+                               .Remedy = "use /v1/tickets or /v1/status"});
+  Reply.Status = NotFound;
+  co_return Reply;
+}
+
+Awaitable<HttpReply> OperatorApi::submitTicket(std::string Body) {
+  auto Parsed = keepOutcome([&] { return parseTicket(Body, "ticket"); });
+  if (!Parsed)
+    co_return replyWith(Parsed.error());
+  TicketNumber Number = Parsed.value().Id;
+  TicketAcceptance Acceptance(std::move(Parsed.value()));
+  AcceptanceAction Action = Acceptance.begin();
+  while (auto *Call = std::get_if<CallPlatform>(&Action)) {
+    KeyValueRequest Request = std::move(Call->Request);
+    auto Answer = co_await this->Platform->call(std::move(Request));
+    Action = Acceptance.onAnswer(Answer);
+  }
+  const Outcome<Revision> &Accepted = std::get<AcceptanceDone>(Action).Accepted;
+  DecisionLine Line("accept_ticket");
+  Line.field("ticket", Number.Value)
+      .field("outcome",
+             Accepted ? "accepted" : toString(Accepted.error().Kind));
+  writeDecision(Line);
+  if (!Accepted)
+    co_return replyWith(Accepted.error());
+  boost::json::object Json;
+  Json["ticket"] = Number.Value;
+  Json["accepted"] = true;
+  Json["revision"] = Accepted.value().Value;
+  co_return replyWithJson(Json);
+}
+
+HttpReply OperatorApi::showTicket(std::string_view Number) const {
+  std::uint64_t Wanted = 0;
+  const char *End = Number.data() + Number.size();
+  auto [Stop, Problem] = std::from_chars(Number.data(), End, Wanted);
+  if (Problem != std::errc{} || Stop != End)
+    return replyWith({.Kind = ErrorKind::BadRequest,
+                      .Message = "not a ticket number",
+                      .Remedy = "give the ticket's number"});
+  SharedConfiguration Current = this->Configuration->current();
+  boost::json::object Json;
+  Json["ticket"] = Wanted;
+  Json["instance"] = this->Options.Self.Value;
+  Json["newest_in_force"] = Current ? Current->newestTicket().Value : 0;
+  Json["in_force"] = Current && Current->newestTicket().Value >= Wanted;
+  return replyWithJson(Json);
+}
+
+HttpReply OperatorApi::showStatus() const {
+  boost::json::object Json;
+  Json["instance"] = this->Options.Self.Value;
+  SharedConfiguration Current = this->Configuration->current();
+  Json["newest_in_force"] = Current ? Current->newestTicket().Value : 0;
+  boost::json::object Databases;
+  if (Current)
+    for (const auto &[Id, Each] : Current->databases())
+      if (auto View = this->Upstreams->view(Id))
+        Databases[Id.Value] = describe(*View);
+  Json["databases"] = std::move(Databases);
+  Json["platform_calls"] = this->Platform->calls();
+  return replyWithJson(Json);
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/OperatorApi.h
@@ -0,0 +1,41 @@
+// The operators' HTTP/JSON interface.
+#pragma once
+
+#include "configuration/ConfigurationController.h"
+#include "drivers/HttpServer.h"
+#include "drivers/PlatformClient.h"
+#include "routing/UpstreamView.h"
+
+namespace turmericpitch {
+
+struct OperatorApiOptions {
+  InstanceId Self;
+  /// SHA-256 of the operators' bearer credential, in hexadecimal.
+  std::string CredentialDigest;
+};
+
+/// POST /v1/tickets          accepts a change ticket (YAML or JSON)
+/// GET  /v1/tickets/{number} whether it is in force here
+/// GET  /v1/status           what this instance knows
+/// Thread-safe.
+class OperatorApi {
+public:
+  OperatorApi(OperatorApiOptions Options,
+              std::shared_ptr<ConfigurationController> Configuration,
+              std::shared_ptr<UpstreamController> Upstreams,
+              std::shared_ptr<PlatformClient> Platform);
+
+  Awaitable<HttpReply> handle(HttpRequest Request);
+
+private:
+  Awaitable<HttpReply> submitTicket(std::string Body);
+  HttpReply showTicket(std::string_view Number) const;
+  HttpReply showStatus() const;
+
+  OperatorApiOptions Options;
+  std::shared_ptr<ConfigurationController> Configuration;
+  std::shared_ptr<UpstreamController> Upstreams;
+  std::shared_ptr<PlatformClient> Platform;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/PlatformClient.h
@@ -0,0 +1,49 @@
+// The platform's key-value service over the etcd v3 JSON gateway.
+#pragma once
+
+#include "core/KeyValue.h"
+#include "drivers/HttpConnection.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace turmericpitch {
+
+struct PlatformClientOptions {
+  Endpoint Platform;
+  /// Limit for one call.
+  Duration CallLimit = std::chrono::seconds(2);
+  Duration ConnectLimit = std::chrono::seconds(1);
+  /// A silent watch is renewed after this long.
+  Duration WatchSilenceLimit = std::chrono::minutes(10);
+};
+
+/// Calls and watches. Thread-safe.
+class PlatformClient {
+public:
+  PlatformClient(Executor On, PlatformClientOptions Options);
+
+  /// Errors: Unavailable if the call was not taken, OutcomeUnknown if its
+  /// answer was lost.
+  Awaitable<Outcome<KeyValueAnswer>> call(KeyValueRequest Request);
+
+  /// Hands each batch after a revision to OnBatch, until that returns false.
+  /// Errors: Unavailable when the watch ended otherwise.
+  Awaitable<Status> watch(std::string Prefix, Revision After,
+                          std::function<bool(const WatchBatch &)> OnBatch);
+
+  /// Calls made since the start, each watch counted once.
+  [[nodiscard]] std::uint64_t calls() const { return this->Calls; }
+
+private:
+  std::shared_ptr<HttpConnection> takeIdle();
+  void giveBack(std::shared_ptr<HttpConnection> Connection);
+
+  Executor On;
+  PlatformClientOptions Options;
+  std::atomic<std::uint64_t> Calls = 0;
+  std::mutex Guard;
+  std::vector<std::shared_ptr<HttpConnection>> Idle;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/PrimaryKeeper.cpp
@@ -0,0 +1,197 @@
+#include "drivers/PrimaryKeeper.h"
+
+#include "core/DecisionLog.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+#include <set>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration PromotionLimit = std::chrono::seconds(2);
+
+const DatabaseMember *memberOf(const Database &Target, const UpstreamId &Id) {
+  auto Found =
+      std::find_if(Target.Members.begin(), Target.Members.end(),
+                   [&](const DatabaseMember &M) { return M.Id == Id; });
+  return Found == Target.Members.end() ? nullptr : &*Found;
+}
+
+void logStep(const Database &Target, const Promotion &Attempt) {
+  writeDecision(DecisionLine("promote")
+                    .field("database", Target.Id.Value)
+                    .field("term", Attempt.term().Value)
+                    .field("step", toString(Attempt.step()))
+                    .field("upstream", Attempt.heir().Value));
+}
+
+/// Outcomes that arrive while a promotion runs.
+struct PromotionInbox {
+  struct Arrival {
+    UpstreamId From;
+    Outcome<MemberAnswer> Answer;
+  };
+  std::mutex Guard;
+  std::vector<Arrival> Arrived;
+  ChangeSignal Changed;
+};
+
+} // namespace
+
+PrimaryKeeper::PrimaryKeeper(Executor On, PrimaryKeeperOptions Options,
+                             std::shared_ptr<MemberPool> Control,
+                             std::shared_ptr<UpstreamController> Upstreams)
+    : On(std::move(On)), Options(std::move(Options)),
+      Control(std::move(Control)), Upstreams(std::move(Upstreams)) {}
+
+void PrimaryKeeper::onConfigured(const std::vector<Database> &Databases) {
+  std::set<DatabaseId> Wanted;
+  std::lock_guard Lock(this->Guard);
+  for (const Database &Target : Databases) {
+    Wanted.insert(Target.Id);
+    auto Found = this->Loops.find(Target.Id);
+    if (Found != this->Loops.end() && Found->second.Target == Target)
+      continue;
+    if (Found != this->Loops.end())
+      *Found->second.Ended = true;
+    auto Ended = std::make_shared<std::atomic<bool>>(false);
+    this->Loops.insert_or_assign(Target.Id,
+                                 Loop{.Target = Target, .Ended = Ended});
+    auto Self = this->shared_from_this();
+    asio::co_spawn(
+        asio::make_strand(this->On),
+        [Self, Target, Ended]() -> Awaitable<void> {
+          co_await Self->keep(Target, Ended);
+        },
+        asio::detached);
+  }
+  for (auto At = this->Loops.begin(); At != this->Loops.end();) {
+    if (Wanted.contains(At->first)) {
+      ++At;
+      continue;
+    }
+    *At->second.Ended = true;
+    At = this->Loops.erase(At);
+  }
+}
+
+void PrimaryKeeper::stop() {
+  std::lock_guard Lock(this->Guard);
+  for (auto &[Id, Each] : this->Loops)
+    *Each.Ended = true;
+}
+
+Awaitable<void> PrimaryKeeper::keep(Database Target,
+                                    std::shared_ptr<std::atomic<bool>> Ended) {
+  LossDetector Detector(this->Options.Detector);
+  while (!*Ended) {
+    for (const DatabaseMember &Member : Target.Members)
+      this->probe(Target.Id, Member);
+    co_await sleepFor(this->Options.ProbeInterval);
+    SharedDatabaseView View = this->Upstreams->view(Target.Id);
+    if (!View || *Ended)
+      continue;
+    bool Lost =
+        Detector.look(*View, this->Time.now()) == PrimaryVerdict::Promote;
+    if (Lost && Target.PromotionAllowed)
+      co_await this->promote(Target, View->newestTerm());
+  }
+}
+
+Awaitable<Outcome<MemberAnswer>> PrimaryKeeper::call(DatabaseId Id,
+                                                     DatabaseMember Member,
+                                                     MemberRequest Request) {
+  TimePoint AskedAt = this->Time.now();
+  auto Leased =
+      co_await this->Control->acquire(Member.Where, this->Options.ProbeLimit);
+  if (!Leased) {
+    this->Upstreams->onFailure(Id, Member.Id, this->Time.now());
+    co_return Leased.error();
+  }
+  auto Answer = co_await (*Leased.value())
+                    ->call(std::move(Request), this->Options.ProbeLimit);
+  if (Answer)
+    this->Upstreams->onStatus(Id, Answer.value().Status, AskedAt);
+  else if (Answer.error().Kind != ErrorKind::Superseded)
+    this->Upstreams->onFailure(Id, Member.Id, this->Time.now());
+  co_return Answer;
+}
+
+void PrimaryKeeper::probe(const DatabaseId &Id, const DatabaseMember &Member) {
+  auto Self = this->shared_from_this();
+  auto Ask = [Self, Id, Member]() -> Awaitable<void> {
+    MemberRequest Request = StatusRequest{};
+    auto Answer = co_await Self->call(Id, Member, std::move(Request));
+    if (!Answer)
+      co_return;
+    // A member that missed a promotion is told whom to follow.
+    SharedDatabaseView View = Self->Upstreams->view(Id);
+    const MemberView *Primary = View ? View->primary() : nullptr;
+    bool Astray =
+        Primary && Answer.value().Status.Accepted < Primary->Last->Accepted;
+    if (!Astray)
+      co_return;
+    MemberRequest Follow = FollowRequest{.Next = Primary->Last->Accepted,
+                                         .Primary = Primary->Configured.Id};
+    writeDecision(DecisionLine("follow")
+                      .field("database", Id.Value)
+                      .field("upstream", Member.Id.Value)
+                      .field("primary", Primary->Configured.Id.Value));
+    co_await Self->call(Id, Member, std::move(Follow));
+  };
+  asio::co_spawn(asio::make_strand(this->On), Ask, asio::detached);
+}
+
+Awaitable<void> PrimaryKeeper::promote(const Database &Target, Term Newest) {
+  std::string Attempt = this->Options.Detector.Self.Value + "-" +
+                        this->Options.StartId + "-" +
+                        std::to_string(this->Attempts++);
+  Promotion Running(Target, Term{Newest.Value + 1}, Attempt);
+  auto Inbox = std::make_shared<PromotionInbox>();
+  auto Self = this->shared_from_this();
+  auto Send = [&](std::vector<MemberCall> Calls) {
+    for (MemberCall &Call : Calls) {
+      const DatabaseMember *Member = memberOf(Target, Call.Target);
+      if (!Member)
+        continue;
+      auto Ask = [Self, Inbox, Id = Target.Id, To = *Member,
+                  Request = Call.Request]() -> Awaitable<void> {
+        auto Answer = co_await Self->call(Id, To, Request);
+        {
+          std::lock_guard Lock(Inbox->Guard);
+          Inbox->Arrived.push_back({.From = To.Id, .Answer = Answer});
+        }
+        Inbox->Changed.notify();
+      };
+      asio::co_spawn(asio::make_strand(Self->On), Ask, asio::detached);
+    }
+  };
+  logStep(Target, Running);
+  Send(Running.begin());
+  TimePoint Until = this->Time.now() + PromotionLimit;
+  while (Running.step() != PromotionStep::Done &&
+         Running.step() != PromotionStep::Failed) {
+    std::uint64_t Seen = Inbox->Changed.generation();
+    std::vector<PromotionInbox::Arrival> Arrived;
+    {
+      std::lock_guard Lock(Inbox->Guard);
+      Arrived.swap(Inbox->Arrived);
+    }
+    for (const auto &Each : Arrived)
+      Send(Running.onOutcome(Each.From, Each.Answer));
+    TimePoint Now = this->Time.now();
+    if (Now >= Until)
+      break;
+    if (Arrived.empty())
+      co_await Inbox->Changed.wait(Seen, Until - Now);
+  }
+  logStep(Target, Running);
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/StatementRunner.cpp
@@ -0,0 +1,153 @@
+#include "drivers/StatementRunner.h"
+
+#include "core/DecisionLog.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+void logRoute(const RequestContext &Context, const RunAtMember &Action) {
+  DecisionLine Line("route");
+  Line.field("request", Context.Request.Id.Value)
+      .field("account", Context.Account->Id.Value)
+      .field("database", Context.Request.Target.Value)
+      .field("kind", Context.Request.Write ? "write" : "read")
+      .field("upstream", Action.Where.Target.Value)
+      .field("reason", toString(Action.Where.Reason));
+  writeDecision(Line);
+}
+
+/// The shared count of replicas that confirm one write.
+struct Confirmation {
+  std::mutex Guard;
+  std::size_t Held = 0;
+  std::size_t Asked = 0;
+  std::size_t Answered = 0;
+  ChangeSignal Changed;
+};
+
+} // namespace
+
+StatementRunner::StatementRunner(std::shared_ptr<MemberPool> Statements,
+                                 std::shared_ptr<MemberPool> Control,
+                                 std::shared_ptr<UpstreamController> Upstreams,
+                                 RoutingOptions Options)
+    : Statements(std::move(Statements)), Control(std::move(Control)),
+      Upstreams(std::move(Upstreams)), Options(std::move(Options)) {}
+
+Awaitable<Outcome<StatementAnswer>>
+StatementRunner::run(RequestContext Context) {
+  DatabaseId Id = Context.Request.Target;
+  StatementFlow Flow(std::move(Context), this->Options, this->NextSeed++);
+  StatementAction Action = Flow.begin(this->Time.now());
+  while (true) {
+    if (auto *Finish = std::get_if<FinishStatement>(&Action))
+      co_return std::move(Finish->Answer);
+    if (auto *Run = std::get_if<RunAtMember>(&Action)) {
+      logRoute(Flow.context(), *Run);
+      auto Answer = co_await this->runAtMember(Id, *Run);
+      Action = Flow.onMemberOutcome(Answer, this->Upstreams->view(Id),
+                                    this->Time.now());
+    } else if (auto *Confirm = std::get_if<ConfirmWrite>(&Action)) {
+      bool Held = co_await this->confirm(Id, *Confirm);
+      Action = Flow.onConfirmed(Held, this->Time.now());
+    } else {
+      co_await sleepFor(std::get<AwaitView>(Action).Limit);
+      Action = Flow.onView(this->Upstreams->view(Id), this->Time.now());
+    }
+  }
+}
+
+void StatementRunner::note(const DatabaseId &Id, const UpstreamId &Member,
+                           const Outcome<MemberAnswer> &Answer,
+                           TimePoint AskedAt) {
+  if (Answer)
+    this->Upstreams->onStatus(Id, Answer.value().Status, AskedAt);
+  else if (Answer.error().Kind == ErrorKind::OutcomeUnknown ||
+           Answer.error().Kind == ErrorKind::Unavailable)
+    this->Upstreams->onFailure(Id, Member, this->Time.now());
+}
+
+Awaitable<Outcome<MemberAnswer>>
+StatementRunner::runAtMember(DatabaseId Id, RunAtMember Wanted) {
+  TimePoint AskedAt = this->Time.now();
+  if (Wanted.WaitLimit > Duration{0}) {
+    auto Waiter =
+        co_await this->Control->acquire(Wanted.Where.Where, Wanted.WaitLimit);
+    if (!Waiter)
+      co_return Waiter.error();
+    MemberRequest Wait = WaitRequest{.Entry = Wanted.Request.AtLeast,
+                                     .Limit = Wanted.WaitLimit,
+                                     .UntilApplied = true};
+    auto Waited =
+        co_await (*Waiter.value())->call(Wait, Wanted.WaitLimit + Wanted.Limit);
+    this->note(Id, Wanted.Where.Target, Waited, AskedAt);
+    if (!Waited)
+      co_return Waited;
+  }
+  auto Leased =
+      co_await this->Statements->acquire(Wanted.Where.Where, Wanted.Limit);
+  if (!Leased)
+    co_return Leased.error();
+  AskedAt = this->Time.now();
+  MemberRequest Request = Wanted.Request;
+  auto Answer = co_await (*Leased.value())->call(Request, Wanted.Limit);
+  this->note(Id, Wanted.Where.Target, Answer, AskedAt);
+  co_return Answer;
+}
+
+Awaitable<bool> StatementRunner::confirm(DatabaseId Id, ConfirmWrite Wanted) {
+  auto On = co_await asio::this_coro::executor;
+  auto Shared = std::make_shared<Confirmation>();
+  Shared->Asked = Wanted.Replicas.size();
+  for (const DatabaseMember &Replica : Wanted.Replicas) {
+    auto Ask = [this, Shared, Replica, Id, Wanted]() -> Awaitable<void> {
+      TimePoint AskedAt = this->Time.now();
+      auto Leased =
+          co_await this->Control->acquire(Replica.Where, Wanted.Limit);
+      bool Held = false;
+      if (Leased) {
+        MemberRequest Wait = WaitRequest{.Entry = Wanted.Written,
+                                         .Limit = Wanted.Limit,
+                                         .UntilApplied = false};
+        auto Answer = co_await (*Leased.value())->call(Wait, Wanted.Limit);
+        this->note(Id, Replica.Id, Answer, AskedAt);
+        Held = Answer &&
+               Answer.value().Status.Accepted == Wanted.WrittenUnder &&
+               Answer.value().Status.History.holds(
+                   Wanted.Written, Answer.value().Status.Received.Position);
+      }
+      {
+        std::lock_guard Lock(Shared->Guard);
+        ++Shared->Answered;
+        if (Held)
+          ++Shared->Held;
+      }
+      Shared->Changed.notify();
+    };
+    asio::co_spawn(On, Ask, asio::detached);
+  }
+  TimePoint Until = this->Time.now() + Wanted.Limit;
+  while (true) {
+    std::uint64_t Seen = Shared->Changed.generation();
+    {
+      std::lock_guard Lock(Shared->Guard);
+      if (Shared->Held >= Wanted.Needed)
+        co_return true;
+      if (Shared->Answered == Shared->Asked)
+        co_return false;
+    }
+    TimePoint Now = this->Time.now();
+    if (Now >= Until)
+      co_return false;
+    co_await Shared->Changed.wait(Seen, Until - Now);
+  }
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/StatementRunner.h
@@ -0,0 +1,42 @@
+// Carries out what a statement's flow decides.
+#pragma once
+
+#include "drivers/MemberPool.h"
+#include "routing/StatementFlow.h"
+
+#include <atomic>
+
+namespace turmericpitch {
+
+/// Thread-safe; one for each daemon.
+class StatementRunner {
+public:
+  /// Statements: connections for callers' work. Control: connections that
+  /// members count apart.
+  StatementRunner(std::shared_ptr<MemberPool> Statements,
+                  std::shared_ptr<MemberPool> Control,
+                  std::shared_ptr<UpstreamController> Upstreams,
+                  RoutingOptions Options);
+
+  /// Runs a statement that has passed the filter chain.
+  Awaitable<Outcome<StatementAnswer>> run(RequestContext Context);
+
+  /// Asks replicas in parallel whether they hold an entry; true once enough
+  /// do so in the term it was written under.
+  Awaitable<bool> confirm(DatabaseId Id, ConfirmWrite Wanted);
+
+private:
+  Awaitable<Outcome<MemberAnswer>> runAtMember(DatabaseId Id,
+                                               RunAtMember Wanted);
+  void note(const DatabaseId &Id, const UpstreamId &Member,
+            const Outcome<MemberAnswer> &Answer, TimePoint AskedAt);
+
+  std::shared_ptr<MemberPool> Statements;
+  std::shared_ptr<MemberPool> Control;
+  std::shared_ptr<UpstreamController> Upstreams;
+  RoutingOptions Options;
+  std::atomic<std::uint64_t> NextSeed = 1;
+  MonotonicClock Time;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/main/Commands.cpp
@@ -0,0 +1,306 @@
+#include "main/Commands.h"
+
+#include "core/DecisionLog.h"
+#include "drivers/BlockingClient.h"
+#include "main/Daemon.h"
+#include "main/Demo.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr const char *Version = "turmericpitch 0.1.0";
+constexpr unsigned HttpOk = 200;
+constexpr Duration DrainPoll = std::chrono::milliseconds(20);
+
+/// One subcommand.
+struct Command {
+  std::string_view Name;
+  std::string_view Summary;
+  std::function<int(int, const char *const *)> Run;
+};
+
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream Stream(Path);
+  if (!Stream)
+    return std::nullopt;
+  std::ostringstream Text;
+  Text << Stream.rdbuf();
+  return Text.str();
+}
+
+int reportError(const Error &Failure, int Code) {
+  std::cerr << toString(Failure.Kind) << ": " << Failure.Message
+            << "\nremedy: " << Failure.Remedy << "\n";
+  return Code;
+}
+
+/// Parses a subcommand's options; returns nothing once help was printed or
+/// the arguments were wrong, with the exit code in Code.
+std::optional<cxxopts::ParseResult> parseOptions(cxxopts::Options &Options,
+                                                 int Count,
+                                                 const char *const *Arguments,
+                                                 int &Code) {
+  Options.add_options()("help", "print this help");
+  Options.add_options()("version", "print the version");
+  try {
+    auto Parsed = Options.parse(Count, Arguments);
+    Code = ExitSuccess;
+    if (Parsed.count("help") > 0) {
+      std::cout << Options.help();
+      return std::nullopt;
+    }
+    if (Parsed.count("version") > 0) {
+      std::cout << Version << "\n";
+      return std::nullopt;
+    }
+    return Parsed;
+  } catch (const cxxopts::exceptions::exception &Failure) {
+    std::cerr << Failure.what() << "\nremedy: see --help\n";
+    Code = ExitUsage;
+    return std::nullopt;
+  }
+}
+
+Outcome<DaemonSettings> loadSettings(const std::string &Path) {
+  auto Text = readFile(Path);
+  if (!Text)
+    return Error{.Kind = ErrorKind::BadRequest,
+                 .Message = "can't read " + Path,
+                 .Remedy = "give a readable settings file"};
+  return keepOutcome([&] { return parseDaemonSettings(*Text, Path); });
+}
+
+int checkConfig(int Count, const char *const *Arguments) {
+  cxxopts::Options Options("turmericpitch check-config",
+                           "Checks a settings file");
+  Options.add_options()("settings", "settings file",
+                        cxxopts::value<std::string>());
+  Options.parse_positional({"settings"});
+  int Code = ExitSuccess;
+  auto Parsed = parseOptions(Options, Count, Arguments, Code);
+  if (!Parsed)
+    return Code;
+  if (Parsed->count("settings") == 0) {
+    std::cerr << "no settings file\nremedy: name one\n";
+    return ExitUsage;
+  }
+  auto Settings = loadSettings((*Parsed)["settings"].as<std::string>());
+  if (!Settings)
+    return reportError(Settings.error(), ExitUsage);
+  std::cout << "settings are valid\n";
+  return ExitSuccess;
+}
+
+/// Serves until the first signal, then drains; a second signal or the drain
+/// limit ends it at once.
+void serveUntilSignalled(Daemon &Running, Duration DrainLimit) {
+  boost::asio::io_context Context;
+  boost::asio::signal_set Signals(Context, SIGINT, SIGTERM);
+  boost::asio::steady_timer Poll(Context);
+  TimePoint GiveUpAt;
+  MonotonicClock Time;
+  std::function<void()> PollDrain = [&] {
+    if (Running.drained() || Time.now() >= GiveUpAt) {
+      Context.stop();
+      return;
+    }
+    Poll.expires_after(DrainPoll);
+    Poll.async_wait([&](const auto &) { PollDrain(); });
+  };
+  Signals.async_wait([&](const auto &, int) {
+    writeInfo("draining");
+    Running.beginDrain();
+    GiveUpAt = Time.now() + DrainLimit;
+    Signals.async_wait([&](const auto &, int) { Context.stop(); });
+    PollDrain();
+  });
+  Context.run();
+  Running.stop();
+}
+
+int serve(int Count, const char *const *Arguments) {
+  cxxopts::Options Options("turmericpitch serve", "Runs one instance");
+  Options.add_options()("settings", "settings file",
+                        cxxopts::value<std::string>());
+  Options.add_options()("log-file", "write the log here, not to the terminal",
+                        cxxopts::value<std::string>());
+  Options.add_options()("drain-limit-s", "longest drain, seconds",
+                        cxxopts::value<unsigned>()->default_value("30"));
+  int Code = ExitSuccess;
+  auto Parsed = parseOptions(Options, Count, Arguments, Code);
+  if (!Parsed)
+    return Code;
+  if (Parsed->count("settings") == 0) {
+    std::cerr << "no settings file\nremedy: give --settings FILE\n";
+    return ExitUsage;
+  }
+  if (Parsed->count("log-file") > 0)
+    sendLogTo((*Parsed)["log-file"].as<std::string>());
+  auto Settings = loadSettings((*Parsed)["settings"].as<std::string>());
+  if (!Settings)
+    return reportError(Settings.error(), ExitUsage);
+  Daemon Running(Settings.value());
+  Status Started = Running.start();
+  if (!Started)
+    return reportError(Started.error(), ExitUnavailable);
+  writeInfo("instance " + Settings.value().Self.Value + " serves on " +
+            toString(Settings.value().Callers));
+  serveUntilSignalled(
+      Running, std::chrono::seconds((*Parsed)["drain-limit-s"].as<unsigned>()));
+  return ExitSuccess;
+}
+
+int demo(int Count, const char *const *Arguments) {
+  cxxopts::Options Options("turmericpitch demo",
+                           "Plays the main path in one process");
+  Options.add_options()("base-port", "first of 20 loopback ports",
+                        cxxopts::value<std::uint16_t>()->default_value("7400"));
+  Options.add_options()("log-file", "write the decision log here",
+                        cxxopts::value<std::string>()->default_value(""));
+  int Code = ExitSuccess;
+  auto Parsed = parseOptions(Options, Count, Arguments, Code);
+  if (!Parsed)
+    return Code;
+  sendLogTo((*Parsed)["log-file"].as<std::string>());
+  return runDemo((*Parsed)["base-port"].as<std::uint16_t>(), std::cout)
+             ? ExitSuccess
+             : ExitRefused;
+}
+
+/// Options that every command towards operators' addresses shares.
+void addOperatorOptions(cxxopts::Options &Options) {
+  Options.add_options()(
+      "operators", "operators' address of an instance",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:7102"));
+  Options.add_options()("credential-file", "file with the credential",
+                        cxxopts::value<std::string>());
+}
+
+int callOperators(const cxxopts::ParseResult &Parsed, HttpRequest Request) {
+  auto To = parseEndpoint(Parsed["operators"].as<std::string>());
+  if (!To) {
+    std::cerr << "not an address\nremedy: give --operators IP:PORT\n";
+    return ExitUsage;
+  }
+  std::optional<std::string> Credential;
+  if (Parsed.count("credential-file") > 0)
+    Credential = readFile(Parsed["credential-file"].as<std::string>());
+  if (!Credential) {
+    std::cerr << "no credential\nremedy: give --credential-file FILE\n";
+    return ExitUsage;
+  }
+  while (Credential->ends_with('\n'))
+    Credential->pop_back();
+  Request.Host = toString(*To);
+  Request.Authorization = "Bearer " + *Credential;
+  auto Reply = callAndWait(*To, std::move(Request));
+  if (!Reply)
+    return reportError(Reply.error(), ExitUnavailable);
+  std::cout << Reply.value().Body << "\n";
+  return Reply.value().Status == HttpOk ? ExitSuccess : ExitRefused;
+}
+
+int ticket(int Count, const char *const *Arguments) {
+  cxxopts::Options Options("turmericpitch ticket",
+                           "Submits or shows a change ticket");
+  Options.add_options()("action", "submit or show",
+                        cxxopts::value<std::string>());
+  Options.add_options()("subject", "ticket file or number",
+                        cxxopts::value<std::string>());
+  Options.parse_positional({"action", "subject"});
+  Options.positional_help("submit FILE | show NUMBER");
+  addOperatorOptions(Options);
+  int Code = ExitSuccess;
+  auto Parsed = parseOptions(Options, Count, Arguments, Code);
+  if (!Parsed)
+    return Code;
+  bool Complete = Parsed->count("action") > 0 && Parsed->count("subject") > 0;
+  std::string Action =
+      Complete ? (*Parsed)["action"].as<std::string>() : std::string();
+  if (Action != "submit" && Action != "show") {
+    std::cerr << "nothing to do\nremedy: submit FILE or show NUMBER\n";
+    return ExitUsage;
+  }
+  std::string Subject = (*Parsed)["subject"].as<std::string>();
+  HttpRequest Request;
+  if (Action == "show") {
+    Request.Method = "GET";
+    Request.Target = "/v1/tickets/" + Subject;
+    return callOperators(*Parsed, std::move(Request));
+  }
+  auto Text = readFile(Subject);
+  if (!Text) {
+    std::cerr << "can't read " << Subject << "\nremedy: name a readable file\n";
+    return ExitUsage;
+  }
+  Request.Target = "/v1/tickets";
+  Request.Body = *Text;
+  return callOperators(*Parsed, std::move(Request));
+}
+
+int status(int Count, const char *const *Arguments) {
+  cxxopts::Options Options("turmericpitch status",
+                           "Shows what an instance knows");
+  addOperatorOptions(Options);
+  int Code = ExitSuccess;
+  auto Parsed = parseOptions(Options, Count, Arguments, Code);
+  if (!Parsed)
+    return Code;
+  HttpRequest Request;
+  Request.Method = "GET";
+  Request.Target = "/v1/status";
+  return callOperators(*Parsed, std::move(Request));
+}
+
+std::vector<Command> allCommands() {
+  return {{"serve", "run one instance", serve},
+          {"demo", "play the main path in one process", demo},
+          {"check-config", "check a settings file", checkConfig},
+          {"ticket", "submit or show a change ticket", ticket},
+          {"status", "show what an instance knows", status}};
+}
+
+void printUsage(std::ostream &To) {
+  To << Version << "\nusage: turmericpitch COMMAND [OPTIONS]\n\ncommands:\n";
+  for (const Command &Each : allCommands())
+    To << "  " << Each.Name << ": " << Each.Summary << "\n";
+  To << "\nexit codes: 0 done, 1 refused, 2 wrong arguments or settings, "
+        "3 unreachable\n";
+}
+
+} // namespace
+
+int runCommand(int ArgumentCount, const char *const *Arguments) {
+  if (ArgumentCount < 2) {
+    printUsage(std::cerr);
+    return ExitUsage;
+  }
+  std::string_view Name = Arguments[1];
+  if (Name == "--help") {
+    printUsage(std::cout);
+    return ExitSuccess;
+  }
+  if (Name == "--version") {
+    std::cout << Version << "\n";
+    return ExitSuccess;
+  }
+  for (const Command &Each : allCommands())
+    if (Each.Name == Name)
+      return Each.Run(ArgumentCount - 1, Arguments + 1);
+  std::cerr << "unknown command " << Name << "\n";
+  printUsage(std::cerr);
+  return ExitUsage;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/main/Daemon.cpp
@@ -0,0 +1,198 @@
+#include "main/Daemon.h"
+
+#include "drivers/CallerApi.h"
+#include "drivers/ConfigurationSync.h"
+#include "drivers/OperatorApi.h"
+#include "drivers/PrimaryKeeper.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t ControlConnections = 16;
+
+std::string makeStartId() {
+  std::random_device Device;
+  return std::to_string(Device());
+}
+
+RoutingOptions routingOptions(const DaemonSettings &Settings) {
+  RoutingOptions Options;
+  Options.Zone = Settings.Zone;
+  Options.ReplicaWait = Settings.ReplicaWait;
+  return Options;
+}
+
+PrimaryKeeperOptions keeperOptions(const DaemonSettings &Settings,
+                                   const std::string &StartId) {
+  PrimaryKeeperOptions Options;
+  Options.Detector.Self = Settings.Self;
+  Options.Detector.Instances.push_back(Settings.Self);
+  for (const PeerSettings &Peer : Settings.Peers)
+    Options.Detector.Instances.push_back(Peer.Id);
+  Options.Detector.SilenceLimit = Settings.PrimarySilenceLimit;
+  Options.Detector.RankDelay = Settings.PromoterRankDelay;
+  Options.ProbeInterval = Settings.ProbeInterval;
+  Options.ProbeLimit = Settings.ProbeLimit;
+  Options.StartId = StartId;
+  return Options;
+}
+
+/// A server whose handler is shared by all its connections.
+template <typename Api>
+std::unique_ptr<HttpServer> makeServer(Executor On, const Endpoint &Listen,
+                                       std::shared_ptr<Api> Shared) {
+  HttpServerOptions Options;
+  Options.Listen = Listen;
+  return std::make_unique<HttpServer>(On, Options, [Shared]() -> HttpHandler {
+    return [Shared](HttpRequest Request) -> Awaitable<HttpReply> {
+      return Shared->handle(std::move(Request));
+    };
+  });
+}
+
+} // namespace
+
+struct Daemon::Parts {
+  explicit Parts(DaemonSettings Settings);
+
+  void onConfigurationApplied();
+  void applyLimits(const Database &Configured);
+
+  DaemonSettings Settings;
+  std::string StartId = makeStartId();
+  asio::io_context Context;
+  asio::executor_work_guard<asio::io_context::executor_type> Work{
+      Context.get_executor()};
+  Executor On{Context.get_executor()};
+  std::shared_ptr<MemberPool> Statements;
+  std::shared_ptr<MemberPool> Control;
+  std::shared_ptr<UpstreamController> Upstreams;
+  std::shared_ptr<ConfigurationController> Configuration;
+  std::shared_ptr<PlatformClient> Platform;
+  std::shared_ptr<PrimaryKeeper> Keeper;
+  std::shared_ptr<StatementRunner> Runner;
+  std::shared_ptr<ConfigurationSync> Sync;
+  std::shared_ptr<CallerApi> Callers;
+  std::shared_ptr<OperatorApi> Operators;
+  std::unique_ptr<HttpServer> CallerServer;
+  std::unique_ptr<HttpServer> OperatorServer;
+  std::vector<std::thread> Threads;
+  std::set<DatabaseId> Known;
+};
+
+Daemon::Parts::Parts(DaemonSettings Given) : Settings(std::move(Given)) {
+  this->Statements = std::make_shared<MemberPool>(this->On, 1);
+  this->Control = std::make_shared<MemberPool>(this->On, ControlConnections);
+  this->Upstreams = std::make_shared<UpstreamController>();
+  this->Configuration = std::make_shared<ConfigurationController>();
+  PlatformClientOptions PlatformOptions;
+  PlatformOptions.Platform = this->Settings.Platform;
+  this->Platform = std::make_shared<PlatformClient>(this->On, PlatformOptions);
+  this->Keeper = std::make_shared<PrimaryKeeper>(
+      this->On, keeperOptions(this->Settings, this->StartId), this->Control,
+      this->Upstreams);
+  this->Runner = std::make_shared<StatementRunner>(
+      this->Statements, this->Control, this->Upstreams,
+      routingOptions(this->Settings));
+  this->Sync = std::make_shared<ConfigurationSync>(
+      this->Platform, this->Configuration,
+      [this] { this->onConfigurationApplied(); });
+  auto Codec =
+      std::make_shared<const SessionTokenCodec>(this->Settings.TokenKeys);
+  StatementChain Chain(AccountFilter{},
+                       DeadlineFilter{this->Settings.MaximumPatience},
+                       TokenFilter{Codec});
+  this->Callers = std::make_shared<CallerApi>(
+      CallerApiOptions{.Self = this->Settings.Self, .StartId = this->StartId},
+      this->Configuration, this->Upstreams, this->Runner, Chain, Codec);
+  this->Operators = std::make_shared<OperatorApi>(
+      OperatorApiOptions{.Self = this->Settings.Self,
+                         .CredentialDigest =
+                             this->Settings.OperatorCredentialDigest},
+      this->Configuration, this->Upstreams, this->Platform);
+  this->CallerServer =
+      makeServer(this->On, this->Settings.Callers, this->Callers);
+  this->OperatorServer =
+      makeServer(this->On, this->Settings.Operators, this->Operators);
+}
+
+void Daemon::Parts::applyLimits(const Database &Configured) {
+  std::size_t Instances = this->Settings.Peers.size() + 1;
+  std::size_t Share =
+      std::max<std::size_t>(1, Configured.ConnectionLimit / Instances);
+  for (const DatabaseMember &Member : Configured.Members)
+    this->Statements->setLimit(Member.Where, Share);
+}
+
+void Daemon::Parts::onConfigurationApplied() {
+  SharedConfiguration Current = this->Configuration->current();
+  std::vector<Database> Databases;
+  std::set<DatabaseId> Present;
+  for (const auto &[Id, Configured] : Current->databases()) {
+    Databases.push_back(Configured);
+    Present.insert(Id);
+    this->Upstreams->onConfigured(Configured);
+    this->applyLimits(Configured);
+  }
+  for (const DatabaseId &Id : this->Known)
+    if (!Present.contains(Id))
+      this->Upstreams->onRemoved(Id);
+  this->Known = std::move(Present);
+  this->Keeper->onConfigured(Databases);
+}
+
+Daemon::Daemon(DaemonSettings Settings)
+    : Own(std::make_unique<Parts>(std::move(Settings))) {}
+
+Daemon::~Daemon() { this->stop(); }
+
+Status Daemon::start() {
+  Parts &P = *this->Own;
+  for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()}) {
+    Status Started = Server->start();
+    if (!Started)
+      return Started;
+  }
+  auto Sync = P.Sync;
+  asio::co_spawn(
+      asio::make_strand(P.On),
+      [Sync]() -> Awaitable<void> { co_await Sync->run(); }, asio::detached);
+  for (std::uint32_t Index = 0; Index < P.Settings.Threads; ++Index)
+    P.Threads.emplace_back([&P] { P.Context.run(); });
+  return std::monostate{};
+}
+
+void Daemon::beginDrain() {
+  this->Own->Callers->beginDrain();
+  this->Own->CallerServer->drain();
+}
+
+bool Daemon::drained() const {
+  return this->Own->CallerServer->requestsInFlight() == 0;
+}
+
+void Daemon::stop() {
+  Parts &P = *this->Own;
+  P.Sync->stop();
+  P.Keeper->stop();
+  P.CallerServer->close();
+  P.OperatorServer->close();
+  P.Context.stop();
+  for (std::thread &Each : P.Threads)
+    Each.join();
+  P.Threads.clear();
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/main/Daemon.h
@@ -0,0 +1,33 @@
+// One instance of the system, put together from the parts.
+#pragma once
+
+#include "core/Error.h"
+#include "main/DaemonSettings.h"
+
+#include <memory>
+
+namespace turmericpitch {
+
+/// Thread-safe. Runs its own threads between start() and stop().
+class Daemon {
+public:
+  explicit Daemon(DaemonSettings Settings);
+  ~Daemon();
+  Daemon(const Daemon &) = delete;
+  Daemon &operator=(const Daemon &) = delete;
+
+  /// Errors: Unavailable if an address can't be bound.
+  Status start();
+  /// The readiness check says no; no further connections are taken.
+  void beginDrain();
+  /// Whether no request is in flight any more.
+  [[nodiscard]] bool drained() const;
+  /// Ends everything at once.
+  void stop();
+
+private:
+  struct Parts;
+  std::unique_ptr<Parts> Own;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/main/DaemonSettings.cpp
@@ -0,0 +1,102 @@
+#include "main/DaemonSettings.h"
+
+#include "core/YamlReader.h"
+
+namespace turmericpitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::size_t LeastSecretLength = 16;
+constexpr std::size_t DigestLength = 64;
+constexpr NumberBounds ThreadBounds{.Least = 1, .Most = 64};
+constexpr DurationBounds ProbeBounds{.Least = milliseconds(10),
+                                     .Most = seconds(10)};
+constexpr DurationBounds SilenceBounds{.Least = milliseconds(50),
+                                       .Most = seconds(15)};
+constexpr DurationBounds WaitBounds{.Least = Duration{0}, .Most = seconds(5)};
+constexpr DurationBounds PatienceBounds{.Least = milliseconds(10),
+                                        .Most = minutes(10)};
+
+PeerSettings readPeer(YamlReader &Reader) {
+  PeerSettings Peer{.Id = InstanceId{Reader.name("instance")},
+                    .Where = Reader.endpoint("address"),
+                    .Zone = ZoneId{Reader.name("availability_zone")}};
+  Reader.finish();
+  return Peer;
+}
+
+TokenKey readTokenKey(YamlReader &Reader) {
+  TokenKey Key{.Id = Reader.name("name"), .Secret = Reader.text("secret")};
+  if (Key.Secret.size() < LeastSecretLength)
+    Reader.problem("secret", "too short", "use at least 16 random characters");
+  Reader.finish();
+  return Key;
+}
+
+void readListen(YamlReader Reader, DaemonSettings &Settings) {
+  Settings.Callers = Reader.endpoint("callers");
+  Settings.Operators = Reader.endpoint("operators");
+  Settings.PeerListen = Reader.endpoint("peers");
+  Reader.finish();
+}
+
+void readRouting(YamlReader Reader, DaemonSettings &Settings) {
+  Settings.ReplicaWait =
+      Reader.duration("replica_wait", WaitBounds, Settings.ReplicaWait);
+  Settings.MaximumPatience = Reader.duration("maximum_deadline", PatienceBounds,
+                                             Settings.MaximumPatience);
+  Reader.finish();
+}
+
+void readFailover(YamlReader Reader, DaemonSettings &Settings) {
+  Settings.ProbeInterval =
+      Reader.duration("probe_interval", ProbeBounds, Settings.ProbeInterval);
+  Settings.ProbeLimit =
+      Reader.duration("probe_limit", ProbeBounds, Settings.ProbeLimit);
+  Settings.PrimarySilenceLimit = Reader.duration(
+      "primary_silence_limit", SilenceBounds, Settings.PrimarySilenceLimit);
+  Settings.PromoterRankDelay = Reader.duration(
+      "promoter_rank_delay", SilenceBounds, Settings.PromoterRankDelay);
+  Reader.finish();
+}
+
+} // namespace
+
+Result<DaemonSettings> parseDaemonSettings(std::string_view Text,
+                                           const std::string &File) {
+  YamlProblems Problems(File);
+  auto Root = parseYamlMapping(Text, Problems);
+  if (!Root)
+    return boost::leaf::new_error(Problems.asError());
+  YamlReader Reader(*Root, "", Problems);
+  DaemonSettings Settings;
+  Settings.Self = InstanceId{Reader.name("instance")};
+  Settings.Zone = ZoneId{Reader.name("availability_zone")};
+  readListen(Reader.mapping("listen"), Settings);
+  Settings.Platform = Reader.endpoint("platform");
+  for (YamlReader &Entry : Reader.mappings("peers"))
+    Settings.Peers.push_back(readPeer(Entry));
+  for (YamlReader &Entry : Reader.mappings("token_keys"))
+    Settings.TokenKeys.push_back(readTokenKey(Entry));
+  if (Settings.TokenKeys.empty())
+    Reader.problem("token_keys", "empty",
+                   "give at least one key; the first one signs");
+  Settings.OperatorCredentialDigest = Reader.text("operator_credential_digest");
+  if (Settings.OperatorCredentialDigest.size() != DigestLength)
+    Reader.problem("operator_credential_digest", "not a SHA-256 digest",
+                   "write the 64 hexadecimal digits");
+  Settings.Threads = static_cast<std::uint32_t>(
+      Reader.number("threads", ThreadBounds, Settings.Threads));
+  readRouting(Reader.mapping("routing"), Settings);
+  readFailover(Reader.mapping("failover"), Settings);
+  Reader.finish();
+  if (!Problems.none())
+    return boost::leaf::new_error(Problems.asError());
+  return Settings;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/main/DaemonSettings.h
@@ -0,0 +1,49 @@
+// The settings of one daemon.
+#pragma once
+
+#include "core/Endpoint.h"
+#include "core/Error.h"
+#include "core/Identifiers.h"
+#include "core/Time.h"
+#include "session/SessionToken.h"
+
+namespace turmericpitch {
+
+/// Another instance of the system.
+struct PeerSettings {
+  InstanceId Id;
+  Endpoint Where;
+  ZoneId Zone;
+
+  bool operator==(const PeerSettings &) const = default;
+};
+
+struct DaemonSettings {
+  InstanceId Self;
+  ZoneId Zone;
+  Endpoint Callers;
+  Endpoint Operators;
+  Endpoint PeerListen;
+  Endpoint Platform;
+  std::vector<PeerSettings> Peers;
+  std::vector<TokenKey> TokenKeys;
+  /// SHA-256 of the operators' bearer credential, in hexadecimal.
+  std::string OperatorCredentialDigest;
+  std::uint32_t Threads = 2;
+  Duration ReplicaWait = std::chrono::milliseconds(20);
+  Duration ProbeInterval = std::chrono::milliseconds(100);
+  Duration ProbeLimit = std::chrono::milliseconds(200);
+  Duration PrimarySilenceLimit = std::chrono::milliseconds(400);
+  Duration PromoterRankDelay = std::chrono::milliseconds(150);
+  Duration MaximumPatience = std::chrono::seconds(30);
+
+  bool operator==(const DaemonSettings &) const = default;
+};
+
+/// Reads and checks settings whole. File names the source in messages.
+/// Thread-safe. Errors: BadRequest with every problem: file, line, key and
+/// remedy.
+Result<DaemonSettings> parseDaemonSettings(std::string_view Text,
+                                           const std::string &File);
+
+} // namespace turmericpitch
--- /dev/null
+++ b/routing/Filters.cpp
@@ -0,0 +1,86 @@
+#include "routing/Filters.h"
+
+#include "core/Digest.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+Error forbidden(std::string Message, std::string Remedy) {
+  return {.Kind = ErrorKind::Forbidden,
+          .Message = std::move(Message),
+          .Remedy = std::move(Remedy)};
+}
+
+Error unknownHost() {
+  return {.Kind = ErrorKind::BadRequest,
+          .Message = "unknown host name",
+          .Remedy = "use the host name that your provider gave you"};
+}
+
+Error noConfiguration() {
+  return {.Kind = ErrorKind::NotRun,
+          .Message = "this instance has no configuration yet",
+          .Remedy = "send it again shortly",
+          .RetryAfter = std::chrono::seconds(1)};
+}
+
+template <typename T>
+bool contains(const std::vector<T> &List, const T &Entry) {
+  return std::find(List.begin(), List.end(), Entry) != List.end();
+}
+
+} // namespace
+
+Result<void> AccountFilter::apply(RequestContext &Context) const {
+  if (!Context.Configuration)
+    return boost::leaf::new_error(noConfiguration());
+  const ConfigurationSnapshot &Configuration = *Context.Configuration;
+  const StatementRequest &Request = Context.Request;
+  Context.From = Configuration.brandByHost(Request.Host);
+  if (!Context.From)
+    return boost::leaf::new_error(unknownHost());
+  Context.Account =
+      Configuration.accountByCredential(sha256Hex(Request.Credential));
+  if (!Context.Account || Context.Account->Owner != Context.From->Id)
+    return boost::leaf::new_error(
+        forbidden("unknown credential", "send Authorization: Bearer with the "
+                                        "credential of your client account"));
+  const DatabaseService *Service = Configuration.service(Request.Service);
+  bool Reachable = Service &&
+                   contains(Context.Account->Services, Request.Service) &&
+                   contains(Service->Databases, Request.Target);
+  if (!Reachable)
+    return boost::leaf::new_error(
+        forbidden("no such service or database for this client account",
+                  "use a service and database of your client account"));
+  Context.Target = Configuration.database(Request.Target);
+  return {};
+}
+
+Result<void> DeadlineFilter::apply(RequestContext &Context) const {
+  Duration Patience = Context.Request.Patience;
+  if (Patience <= Duration{0} || Patience > this->MaximumPatience)
+    return boost::leaf::new_error(Error{
+        .Kind = ErrorKind::BadRequest,
+        .Message = "deadline_ms out of range",
+        .Remedy = "use a deadline from 1 ms to " +
+                  std::to_string(
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                          this->MaximumPatience)
+                          .count()) +
+                  " ms"});
+  Context.Deadline = Context.ArrivedAt + Patience;
+  return {};
+}
+
+Result<void> TokenFilter::apply(RequestContext &Context) const {
+  BOOST_LEAF_ASSIGN(
+      Context.Token,
+      this->Codec->decode(Context.Request.TokenText, Context.Account->Id));
+  return {};
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/routing/Router.cpp
@@ -0,0 +1,123 @@
+#include "routing/Router.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr std::uint32_t FailuresTolerated = 1;
+
+bool isAvailable(const MemberView &Member, const ReadNeeds &Needs,
+                 const RoutingOptions &Options, TimePoint Now) {
+  if (!Member.Last || Member.Configured.Leaving)
+    return false;
+  bool Excluded = std::find(Needs.Excluded.begin(), Needs.Excluded.end(),
+                            Member.Configured.Id) != Needs.Excluded.end();
+  if (Excluded)
+    return false;
+  return Member.FailuresInRow <= FailuresTolerated ||
+         Now >= Member.LastFailureAt + Options.FailurePause;
+}
+
+Route routeTo(const MemberView &Member, RouteReason Reason) {
+  return {.Target = Member.Configured.Id,
+          .Where = Member.Configured.Where,
+          .Reason = Reason,
+          .WaitLimit = Duration{0}};
+}
+
+/// One of the own zone's at random, else any at random.
+const MemberView *pick(const std::vector<const MemberView *> &Candidates,
+                       const ZoneId &Zone, RandomSource &Random) {
+  std::vector<const MemberView *> Near;
+  std::copy_if(Candidates.begin(), Candidates.end(), std::back_inserter(Near),
+               [&](const MemberView *M) { return M->Configured.Zone == Zone; });
+  const auto &From = Near.empty() ? Candidates : Near;
+  if (From.empty())
+    return nullptr;
+  return From[Random.below(static_cast<std::uint32_t>(From.size()))];
+}
+
+Error staleToken() {
+  return {.Kind = ErrorKind::StaleToken,
+          .Message = "the session has seen work that a failover cut off",
+          .Remedy = "begin a new session and look what is there"};
+}
+
+} // namespace
+
+std::string_view toString(RouteReason Reason) {
+  switch (Reason) {
+  case RouteReason::ReplicaHolds:
+    return "replica_holds";
+  case RouteReason::ReplicaCatchesUp:
+    return "replica_catches_up";
+  case RouteReason::ReplicaWithinAge:
+    return "replica_within_age";
+  case RouteReason::PrimaryForWrite:
+    return "primary_for_write";
+  case RouteReason::PrimaryLast:
+    break;
+  }
+  return "primary_last";
+}
+
+std::optional<Duration> ageBound(const DatabaseView &View,
+                                 const MemberView &Member, TimePoint Now) {
+  if (!Member.Last)
+    return std::nullopt;
+  for (auto At = View.Samples.rbegin(); At != View.Samples.rend(); ++At)
+    if (Member.Last->History.holds(At->Reached, Member.Last->Applied))
+      return Now - At->At;
+  return std::nullopt;
+}
+
+Result<std::optional<Route>> chooseForRead(const DatabaseView &View,
+                                           const ReadNeeds &Needs,
+                                           const RoutingOptions &Options,
+                                           TimePoint Now,
+                                           RandomSource &Random) {
+  const MemberView *Primary = View.primary();
+  if (Primary && !Needs.MaximumAge &&
+      Primary->Last->History.cutsOff(Needs.Seen))
+    return boost::leaf::new_error(staleToken());
+  std::vector<const MemberView *> Ready;
+  std::vector<const MemberView *> Arriving;
+  for (const MemberView &Member : View.Members) {
+    if (&Member == Primary || !isAvailable(Member, Needs, Options, Now))
+      continue;
+    const MemberStatus &Known = *Member.Last;
+    if (Needs.MaximumAge) {
+      auto Age = ageBound(View, Member, Now);
+      if (Age && *Age <= *Needs.MaximumAge)
+        Ready.push_back(&Member);
+    } else if (Known.History.holds(Needs.Seen, Known.Applied)) {
+      Ready.push_back(&Member);
+    } else if (!Known.History.cutsOff(Needs.Seen)) {
+      Arriving.push_back(&Member);
+    }
+  }
+  if (const MemberView *Chosen = pick(Ready, Options.Zone, Random))
+    return std::optional<Route>(
+        routeTo(*Chosen, Needs.MaximumAge ? RouteReason::ReplicaWithinAge
+                                          : RouteReason::ReplicaHolds));
+  if (const MemberView *Chosen = pick(Arriving, Options.Zone, Random);
+      Chosen && Options.ReplicaWait > Duration{0}) {
+    Route Waiting = routeTo(*Chosen, RouteReason::ReplicaCatchesUp);
+    Waiting.WaitLimit = Options.ReplicaWait;
+    return std::optional<Route>(Waiting);
+  }
+  if (Primary && isAvailable(*Primary, Needs, Options, Now))
+    return std::optional<Route>(routeTo(*Primary, RouteReason::PrimaryLast));
+  return std::optional<Route>();
+}
+
+std::optional<Route> chooseForWrite(const DatabaseView &View) {
+  const MemberView *Primary = View.primary();
+  if (!Primary)
+    return std::nullopt;
+  return routeTo(*Primary, RouteReason::PrimaryForWrite);
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/routing/StatementFlow.cpp
@@ -0,0 +1,169 @@
+#include "routing/StatementFlow.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+/// Time left at which nothing new is begun.
+constexpr Duration LeastUsefulTime = std::chrono::milliseconds(1);
+constexpr Duration ViewPoll = std::chrono::milliseconds(20);
+
+Error noMember() {
+  return {.Kind = ErrorKind::NotRun,
+          .Message = "no member could serve the statement in time",
+          .Remedy = "send it again, with a longer deadline if a failover runs",
+          .RetryAfter = std::chrono::seconds(1)};
+}
+
+Error notConfirmed() {
+  return {.Kind = ErrorKind::OutcomeUnknown,
+          .Message = "the write ran but is not known to survive a failover",
+          .Remedy = "look whether it is there, or repeat it with the same "
+                    "idempotency key"};
+}
+
+} // namespace
+
+StatementFlow::StatementFlow(RequestContext Context, RoutingOptions Options,
+                             std::uint64_t Seed)
+    : Context(std::move(Context)), Options(std::move(Options)), Random(Seed) {}
+
+Duration StatementFlow::remaining(TimePoint Now) const {
+  return this->Context.Deadline - Now;
+}
+
+StatementAction StatementFlow::begin(TimePoint Now) { return this->route(Now); }
+
+StatementAction StatementFlow::route(TimePoint Now) {
+  if (this->remaining(Now) < LeastUsefulTime || !this->Context.View)
+    return this->refuse(noMember());
+  const StatementRequest &Request = this->Context.Request;
+  const DatabaseView &View = *this->Context.View;
+  std::optional<Route> Chosen;
+  TermPosition Seen = Request.MaximumAge
+                          ? TermPosition{}
+                          : this->Context.Token.seen(Request.Target);
+  if (Request.Write) {
+    Chosen = chooseForWrite(View);
+  } else {
+    ReadNeeds Needs{.Seen = Seen,
+                    .MaximumAge = Request.MaximumAge,
+                    .Excluded = this->Excluded};
+    auto Choice = keepOutcome([&] {
+      return chooseForRead(View, Needs, this->Options, Now, this->Random);
+    });
+    if (!Choice)
+      return this->refuse(Choice.error());
+    Chosen = Choice.value();
+  }
+  if (!Chosen)
+    return this->awaitView(Now);
+  this->Target = Chosen->Target;
+  RunAtMember Action;
+  Action.Where = *Chosen;
+  Action.Request.Id = Request.Id;
+  Action.Request.Statement = Request.Statement;
+  Action.Request.Write = Request.Write;
+  if (Request.Write) {
+    Action.Request.Expected = View.newestTerm();
+    Action.Request.Key = Request.Key;
+  }
+  Action.Request.AtLeast = Seen;
+  Action.WaitLimit = std::min(Chosen->WaitLimit, this->remaining(Now));
+  Action.Limit = this->remaining(Now);
+  return Action;
+}
+
+StatementAction StatementFlow::awaitView(TimePoint Now) {
+  if (this->remaining(Now) < LeastUsefulTime)
+    return this->refuse(noMember());
+  this->Excluded.clear();
+  return AwaitView{std::min(ViewPoll, this->remaining(Now))};
+}
+
+StatementAction StatementFlow::onView(SharedDatabaseView View, TimePoint Now) {
+  this->Context.View = std::move(View);
+  return this->route(Now);
+}
+
+StatementAction
+StatementFlow::onMemberOutcome(const Outcome<MemberAnswer> &Answer,
+                               SharedDatabaseView View, TimePoint Now) {
+  this->Context.View = std::move(View);
+  return Answer ? this->onAnswer(Answer.value(), Now)
+                : this->onError(Answer.error(), Now);
+}
+
+StatementAction StatementFlow::onAnswer(const MemberAnswer &Answer,
+                                        TimePoint Now) {
+  if (!Answer.Written || !this->Context.View)
+    return this->finish(Answer);
+  const DatabaseView &View = *this->Context.View;
+  ConfirmWrite Action;
+  Action.WrittenUnder = Answer.Status.Accepted;
+  // An entry of an earlier term is safe only under one of the present term.
+  Action.Written = Answer.Written->WrittenIn == Answer.Status.Accepted
+                       ? *Answer.Written
+                       : Answer.Status.Received;
+  for (const MemberView &Member : View.Members)
+    if (Member.Configured.Id != this->Target)
+      Action.Replicas.push_back(Member.Configured);
+  Action.Needed = View.majority() - 1;
+  Action.Limit = this->remaining(Now);
+  if (Action.Needed == 0)
+    return this->finish(Answer);
+  this->Unconfirmed = Answer;
+  return Action;
+}
+
+StatementAction StatementFlow::onConfirmed(bool Held, TimePoint Now) {
+  if (Held)
+    return this->finish(*this->Unconfirmed);
+  this->MayHaveRun = true;
+  // With a key the outcome can still be learnt from the next primary.
+  if (this->Context.Request.Key && this->remaining(Now) >= LeastUsefulTime)
+    return this->awaitView(Now);
+  return this->refuse(notConfirmed());
+}
+
+StatementAction StatementFlow::onError(const Error &Failure, TimePoint Now) {
+  const StatementRequest &Request = this->Context.Request;
+  if (Request.Write && !provesNotRun(Failure.Kind))
+    this->MayHaveRun = true;
+  bool Final = Failure.Kind == ErrorKind::BadRequest ||
+               Failure.Kind == ErrorKind::Forbidden;
+  if (Final)
+    return this->refuse(Failure);
+  bool MayRepeat = provesNotRun(Failure.Kind) || !Request.Write ||
+                   Request.Repeatable || Request.Key.has_value();
+  if (!MayRepeat)
+    return this->refuse(Failure);
+  if (Request.Write)
+    return this->awaitView(Now);
+  this->Excluded.push_back(this->Target);
+  return this->route(Now);
+}
+
+StatementAction StatementFlow::refuse(Error Failure) const {
+  // What a later attempt proves says nothing of an earlier one.
+  if (this->MayHaveRun && provesNotRun(Failure.Kind))
+    return FinishStatement{notConfirmed()};
+  return FinishStatement{std::move(Failure)};
+}
+
+StatementAction StatementFlow::finish(const MemberAnswer &Answer) {
+  StatementAnswer Result;
+  Result.Id = this->Context.Request.Id;
+  Result.Rows = Answer.Rows;
+  Result.Repeated = Answer.Repeated;
+  Result.ServedBy = Answer.Status.Role;
+  TermPosition Seen = Answer.Written.value_or(
+      Answer.Status.History.entryAt(Answer.Status.Applied));
+  Result.Token =
+      this->Context.Token.advanced(this->Context.Request.Target, Seen);
+  return FinishStatement{std::move(Result)};
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/routing/UpstreamView.cpp
@@ -0,0 +1,133 @@
+#include "routing/UpstreamView.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+MemberView *find(DatabaseView &View, const UpstreamId &Id) {
+  auto Found = std::find_if(
+      View.Members.begin(), View.Members.end(),
+      [&](const MemberView &Member) { return Member.Configured.Id == Id; });
+  return Found == View.Members.end() ? nullptr : &*Found;
+}
+
+/// Statuses may arrive out of order; a member never goes back in term, nor
+/// in what it applied within a term.
+bool isNewer(const MemberStatus &Status,
+             const std::optional<MemberStatus> &Known) {
+  if (!Known)
+    return true;
+  if (Status.Accepted != Known->Accepted)
+    return Status.Accepted > Known->Accepted;
+  if (Status.Role != Known->Role)
+    return Status.Role == MemberRole::Primary;
+  return Status.Applied >= Known->Applied;
+}
+
+void addSample(DatabaseView &View, const MemberStatus &Status,
+               TimePoint AskedAt) {
+  if (Status.Role != MemberRole::Primary ||
+      Status.Accepted != View.newestTerm())
+    return;
+  bool TooSoon =
+      !View.Samples.empty() &&
+      AskedAt < View.Samples.back().At + UpstreamController::SampleSpacing;
+  if (TooSoon)
+    return;
+  if (View.Samples.size() >= UpstreamController::MaximumSamples)
+    View.Samples.erase(View.Samples.begin());
+  View.Samples.push_back({.At = AskedAt, .Reached = Status.Received});
+}
+
+} // namespace
+
+Term DatabaseView::newestTerm() const {
+  Term Newest;
+  for (const MemberView &Member : this->Members)
+    if (Member.Last)
+      Newest = std::max(Newest, Member.Last->Accepted);
+  return Newest;
+}
+
+const MemberView *DatabaseView::primary() const {
+  Term Newest = this->newestTerm();
+  for (const MemberView &Member : this->Members)
+    if (Member.Last && Member.Last->Role == MemberRole::Primary &&
+        Member.Last->Accepted == Newest)
+      return &Member;
+  return nullptr;
+}
+
+const MemberView *DatabaseView::member(const UpstreamId &Id) const {
+  for (const MemberView &Member : this->Members)
+    if (Member.Configured.Id == Id)
+      return &Member;
+  return nullptr;
+}
+
+std::size_t DatabaseView::majority() const {
+  return this->Members.size() / 2 + 1;
+}
+
+void UpstreamController::onConfigured(const Database &Configured) {
+  this->Views.update(Configured.Id, [&](SharedDatabaseView &Slot) {
+    auto Next = std::make_shared<DatabaseView>();
+    Next->Id = Configured.Id;
+    for (const DatabaseMember &Member : Configured.Members) {
+      MemberView Fresh;
+      const MemberView *Old = Slot ? Slot->member(Member.Id) : nullptr;
+      if (Old && Old->Configured.Where == Member.Where)
+        Fresh = *Old;
+      Fresh.Configured = Member;
+      Next->Members.push_back(std::move(Fresh));
+    }
+    if (Slot)
+      Next->Samples = Slot->Samples;
+    Slot = std::move(Next);
+  });
+}
+
+void UpstreamController::onRemoved(const DatabaseId &Id) {
+  this->Views.erase(Id);
+}
+
+void UpstreamController::onStatus(const DatabaseId &Id,
+                                  const MemberStatus &Status,
+                                  TimePoint AskedAt) {
+  this->Views.update(Id, [&](SharedDatabaseView &Slot) {
+    if (!Slot || !Slot->member(Status.Id))
+      return;
+    auto Next = std::make_shared<DatabaseView>(*Slot);
+    MemberView *Member = find(*Next, Status.Id);
+    Member->FailuresInRow = 0;
+    if (isNewer(Status, Member->Last)) {
+      Member->Last = Status;
+      Member->AskedAt = AskedAt;
+    }
+    addSample(*Next, Status, AskedAt);
+    Slot = std::move(Next);
+  });
+}
+
+void UpstreamController::onFailure(const DatabaseId &Id,
+                                   const UpstreamId &Member, TimePoint Now) {
+  this->Views.update(Id, [&](SharedDatabaseView &Slot) {
+    if (!Slot || !Slot->member(Member))
+      return;
+    auto Next = std::make_shared<DatabaseView>(*Slot);
+    MemberView *Failed = find(*Next, Member);
+    ++Failed->FailuresInRow;
+    Failed->LastFailureAt = Now;
+    Slot = std::move(Next);
+  });
+}
+
+SharedDatabaseView UpstreamController::view(const DatabaseId &Id) const {
+  return this->Views.read(Id, [](const SharedDatabaseView *Slot) {
+    return Slot ? *Slot : SharedDatabaseView{};
+  });
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/session/SessionToken.cpp
@@ -0,0 +1,138 @@
+#include "session/SessionToken.h"
+
+#include "core/Digest.h"
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+#include <utility>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr std::uint8_t TokenVersion = 1;
+constexpr std::size_t SignatureLength = 32;
+
+struct TokenEntry {
+  DatabaseId Id;
+  TermPosition Seen;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Id, this->Seen);
+  }
+};
+
+struct TokenBody {
+  std::uint8_t Version = TokenVersion;
+  std::string KeyId;
+  std::vector<TokenEntry> Entries;
+
+  template <typename Archive> void serialize(Archive &Ar) {
+    Ar(this->Version, this->KeyId, this->Entries);
+  }
+};
+
+std::string signatureOf(const TokenKey &Key, const ClientAccountId &Owner,
+                        std::string_view Body) {
+  // The length keeps account names and bodies from running into each other.
+  std::string Signed = std::to_string(Owner.Value.size()) + ":" + Owner.Value;
+  Signed += Body;
+  return hmacSha256(Key.Secret, Signed);
+}
+
+Error malformed() {
+  return {.Kind = ErrorKind::BadRequest,
+          .Message = "malformed session token",
+          .Remedy = "send the token of the last answer unchanged, or none to "
+                    "begin a new session"};
+}
+
+Error forbidden() {
+  return {.Kind = ErrorKind::Forbidden,
+          .Message = "session token not valid for this client account",
+          .Remedy = "send no token to begin a new session"};
+}
+
+} // namespace
+
+SessionToken::SessionToken(std::map<DatabaseId, TermPosition> Seen)
+    : Seen(std::move(Seen)) {}
+
+TermPosition SessionToken::seen(const DatabaseId &Id) const {
+  auto Found = this->Seen.find(Id);
+  return Found == this->Seen.end() ? TermPosition{} : Found->second;
+}
+
+SessionToken SessionToken::advanced(const DatabaseId &Id,
+                                    const TermPosition &Entry) const {
+  std::map<DatabaseId, TermPosition> Later = this->Seen;
+  TermPosition &Old = Later[Id];
+  Old = std::max(Old, Entry);
+  return SessionToken(std::move(Later));
+}
+
+SessionTokenCodec::SessionTokenCodec(std::vector<TokenKey> Keys)
+    : Keys(std::move(Keys)) {}
+
+Result<std::string>
+SessionTokenCodec::encode(const SessionToken &Token,
+                          const ClientAccountId &Owner) const {
+  if (Token.all().size() > MaximumTokenDatabases)
+    return boost::leaf::new_error(
+        Error{.Kind = ErrorKind::BadRequest,
+              .Message = "session spans too many databases",
+              .Remedy = "begin a new session for the further databases"});
+  TokenBody Body;
+  Body.KeyId = this->Keys.front().Id;
+  for (const auto &[Id, Seen] : Token.all())
+    Body.Entries.push_back({.Id = Id, .Seen = Seen});
+  std::ostringstream Stream;
+  {
+    cereal::PortableBinaryOutputArchive Archive(Stream);
+    Archive(Body);
+  }
+  std::string Bytes = Stream.str();
+  return encodeBase64(signatureOf(this->Keys.front(), Owner, Bytes) + Bytes);
+}
+
+Result<SessionToken>
+SessionTokenCodec::decode(std::string_view Text,
+                          const ClientAccountId &Owner) const {
+  if (Text.empty())
+    return SessionToken{};
+  if (Text.size() > MaximumTokenSize)
+    return boost::leaf::new_error(malformed());
+  std::string Bytes = decodeBase64(Text);
+  if (Bytes.size() <= SignatureLength)
+    return boost::leaf::new_error(malformed());
+  std::string_view Signature =
+      std::string_view(Bytes).substr(0, SignatureLength);
+  std::string_view Signed = std::string_view(Bytes).substr(SignatureLength);
+  // The signature is checked before anything of the body is read.
+  bool Genuine =
+      std::any_of(this->Keys.begin(), this->Keys.end(), [&](const auto &Key) {
+        return equalInConstantTime(signatureOf(Key, Owner, Signed), Signature);
+      });
+  if (!Genuine)
+    return boost::leaf::new_error(forbidden());
+  TokenBody Body;
+  try {
+    std::istringstream Stream{std::string(Signed)};
+    cereal::PortableBinaryInputArchive Archive(Stream);
+    Archive(Body);
+  } catch (const std::exception &) {
+    return boost::leaf::new_error(malformed());
+  }
+  if (Body.Version != TokenVersion ||
+      Body.Entries.size() > MaximumTokenDatabases)
+    return boost::leaf::new_error(malformed());
+  std::map<DatabaseId, TermPosition> Seen;
+  for (TokenEntry &Entry : Body.Entries)
+    Seen[std::move(Entry.Id)] = Entry.Seen;
+  return SessionToken(std::move(Seen));
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/stand_ins/KeyValueServer.cpp
@@ -0,0 +1,159 @@
+#include "stand_ins/KeyValueServer.h"
+
+#include "drivers/MemberCodec.h"
+#include "drivers/PlatformCodec.h"
+
+#include <mutex>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr std::string_view FaultsTarget = "/stand-in/faults";
+constexpr Duration WatchPoll = std::chrono::seconds(1);
+constexpr Duration LostAnswerDelay = std::chrono::minutes(1);
+
+Result<KeyValueFaults> readFaults(const std::string &Body) {
+  BOOST_LEAF_AUTO(Json, parseJsonObject(Body));
+  JsonReader Reader(Json);
+  KeyValueFaults Faults;
+  Faults.Outage = Reader.flag("outage", false);
+  Faults.LoseWriteAnswers =
+      static_cast<std::uint32_t>(Reader.number("lose_write_answers", 0));
+  Faults.Slowness = Reader.milliseconds("slowness_ms").value_or(Duration{0});
+  BOOST_LEAF_CHECK(Reader.finish());
+  return Faults;
+}
+
+} // namespace
+
+struct KeyValueServer::State : std::enable_shared_from_this<State> {
+  explicit State(KeyValueLimits Limits) : Store(Limits) {}
+
+  Awaitable<HttpReply> handle(HttpRequest Request);
+  Awaitable<HttpReply> handleCall(const HttpRequest &Request);
+  HttpReply startWatch(const HttpRequest &Request);
+  Awaitable<std::optional<std::string>> nextPiece(std::string Prefix,
+                                                  std::shared_ptr<Revision> At);
+
+  std::mutex Guard;
+  KeyValueStore Store;
+  ChangeSignal Changed;
+  MonotonicClock Time;
+};
+
+KeyValueServer::KeyValueServer(Executor On, Endpoint Listen,
+                               KeyValueLimits Limits)
+    : Shared(std::make_shared<State>(Limits)),
+      Server(std::move(On), HttpServerOptions{.Listen = std::move(Listen)},
+             [Shared = this->Shared]() -> HttpHandler {
+               return [Shared](HttpRequest Request) -> Awaitable<HttpReply> {
+                 return Shared->handle(std::move(Request));
+               };
+             }) {}
+
+Status KeyValueServer::start() { return this->Server.start(); }
+void KeyValueServer::close() { this->Server.close(); }
+
+void KeyValueServer::setFaults(const KeyValueFaults &Faults) {
+  {
+    std::lock_guard Lock(this->Shared->Guard);
+    this->Shared->Store.faults() = Faults;
+  }
+  this->Shared->Changed.notify();
+}
+
+KeyValueCounters KeyValueServer::counters() const {
+  std::lock_guard Lock(this->Shared->Guard);
+  return this->Shared->Store.counters();
+}
+
+Awaitable<HttpReply> KeyValueServer::State::handle(HttpRequest Request) {
+  auto Self = this->shared_from_this();
+  if (Request.Target == FaultsTarget) {
+    auto Faults = keepOutcome([&] { return readFaults(Request.Body); });
+    if (!Faults)
+      co_return replyWith(Faults.error());
+    {
+      std::lock_guard Lock(this->Guard);
+      this->Store.faults() = Faults.value();
+    }
+    this->Changed.notify();
+    co_return HttpReply{.Body = "{}"};
+  }
+  if (Request.Target == WatchTarget)
+    co_return this->startWatch(Request);
+  co_return co_await this->handleCall(Request);
+}
+
+Awaitable<HttpReply>
+KeyValueServer::State::handleCall(const HttpRequest &Request) {
+  auto Decoded = keepOutcome(
+      [&] { return decodeKeyValueRequest(Request.Target, Request.Body); });
+  if (!Decoded)
+    co_return replyWith(Decoded.error());
+  Duration Slowness{0};
+  {
+    std::lock_guard Lock(this->Guard);
+    Slowness = this->Store.faults().Slowness;
+  }
+  if (Slowness > Duration{0})
+    co_await sleepFor(Slowness);
+  std::optional<Outcome<KeyValueAnswer>> Answer;
+  {
+    std::lock_guard Lock(this->Guard);
+    Answer = this->Store.call(Decoded.value(), this->Time.now());
+  }
+  this->Changed.notify();
+  if (*Answer) {
+    HttpReply Reply;
+    Reply.Body = encodeKeyValueAnswer(Decoded.value(), Answer->value());
+    co_return Reply;
+  }
+  // A lost answer is one that never comes.
+  if (Answer->error().Kind == ErrorKind::OutcomeUnknown)
+    co_await sleepFor(LostAnswerDelay);
+  co_return replyWith(Answer->error());
+}
+
+HttpReply KeyValueServer::State::startWatch(const HttpRequest &Request) {
+  auto Decoded = keepOutcome([&] { return decodeWatchRequest(Request.Body); });
+  if (!Decoded)
+    return replyWith(Decoded.error());
+  std::lock_guard Lock(this->Guard);
+  Status Admitted = this->Store.admitWatch(this->Time.now());
+  if (!Admitted)
+    return replyWith(Admitted.error());
+  auto At = std::make_shared<Revision>(Decoded.value().After);
+  auto Self = this->shared_from_this();
+  HttpReply Reply;
+  Reply.NextPiece = [Self, Prefix = Decoded.value().Prefix,
+                     At]() -> Awaitable<std::optional<std::string>> {
+    return Self->nextPiece(Prefix, At);
+  };
+  return Reply;
+}
+
+Awaitable<std::optional<std::string>>
+KeyValueServer::State::nextPiece(std::string Prefix,
+                                 std::shared_ptr<Revision> At) {
+  while (true) {
+    std::uint64_t Seen = this->Changed.generation();
+    std::string Lines;
+    {
+      std::lock_guard Lock(this->Guard);
+      if (this->Store.faults().Outage)
+        co_return std::nullopt;
+      this->Store.expireLeases(this->Time.now());
+      for (const WatchBatch &Batch : this->Store.eventsAfter(Prefix, *At)) {
+        Lines += encodeWatchBatch(Batch) + "\n";
+        *At = Batch.AsOf;
+      }
+    }
+    if (!Lines.empty())
+      co_return Lines;
+    co_await this->Changed.wait(Seen, WatchPoll);
+  }
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/stand_ins/KeyValueServer.h
@@ -0,0 +1,28 @@
+// The platform stand-in on a loopback address.
+#pragma once
+
+#include "drivers/ChangeSignal.h"
+#include "drivers/HttpServer.h"
+#include "stand_ins/KeyValueStore.h"
+
+namespace turmericpitch {
+
+/// Serves a KeyValueStore as the etcd v3 JSON gateway does, and
+/// POST /stand-in/faults to switch its faults. Thread-safe.
+class KeyValueServer {
+public:
+  KeyValueServer(Executor On, Endpoint Listen, KeyValueLimits Limits = {});
+
+  /// Errors: Unavailable if the address can't be bound.
+  Status start();
+  void close();
+  void setFaults(const KeyValueFaults &Faults);
+  [[nodiscard]] KeyValueCounters counters() const;
+
+private:
+  struct State;
+  std::shared_ptr<State> Shared;
+  HttpServer Server;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/stand_ins/KeyValueStore.cpp
@@ -0,0 +1,214 @@
+#include "stand_ins/KeyValueStore.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+Error refused(ErrorKind Kind, std::string Message) {
+  return {
+      .Kind = Kind, .Message = std::move(Message), .Remedy = "try again later"};
+}
+
+bool isWrite(const KeyValueRequest &Request) {
+  return !std::holds_alternative<RangeRequest>(Request);
+}
+
+bool tooLarge(const KeyValueRequest &Request, std::size_t Maximum) {
+  const auto *Transaction = std::get_if<TransactionRequest>(&Request);
+  if (!Transaction)
+    return false;
+  return std::any_of(Transaction->Writes.begin(), Transaction->Writes.end(),
+                     [&](const WriteOperation &Write) {
+                       const auto *Put = std::get_if<PutOperation>(&Write);
+                       return Put && Put->Value.size() > Maximum;
+                     });
+}
+
+} // namespace
+
+bool KeyValueStore::admit(RateWindow &Window, std::uint32_t PerSecond,
+                          TimePoint Now) {
+  auto Second =
+      std::chrono::duration_cast<std::chrono::seconds>(Now.time_since_epoch())
+          .count();
+  if (Window.Second != Second)
+    Window = {.Second = Second, .Used = 0};
+  if (Window.Used >= PerSecond) {
+    ++this->Counters.Refused;
+    return false;
+  }
+  ++Window.Used;
+  return true;
+}
+
+Outcome<KeyValueAnswer> KeyValueStore::call(const KeyValueRequest &Request,
+                                            TimePoint Now) {
+  if (this->Faults.Outage)
+    return refused(ErrorKind::Unavailable, "platform outage");
+  bool Write = isWrite(Request);
+  bool Admitted =
+      Write ? this->admit(this->WriteWindow, this->Limits.WritesPerSecond, Now)
+            : this->admit(this->ReadWindow, this->Limits.ReadsPerSecond, Now);
+  if (!Admitted)
+    return refused(ErrorKind::Unavailable, "platform call rate exceeded");
+  ++(Write ? this->Counters.Writes : this->Counters.Reads);
+  if (tooLarge(Request, this->Limits.MaximumValueSize))
+    return refused(ErrorKind::BadRequest, "value larger than the limit");
+  this->expireLeases(Now);
+  KeyValueAnswer Answer;
+  if (const auto *Range = std::get_if<RangeRequest>(&Request))
+    Answer = this->range(*Range);
+  else if (const auto *Change = std::get_if<TransactionRequest>(&Request))
+    Answer = this->transact(*Change);
+  else if (const auto *Grant = std::get_if<LeaseGrantRequest>(&Request))
+    Answer = this->grant(*Grant, Now);
+  else if (const auto *Alive = std::get_if<LeaseKeepAliveRequest>(&Request))
+    Answer = this->keepAlive(*Alive, Now);
+  else
+    Answer = this->revoke(std::get<LeaseRevokeRequest>(Request));
+  if (Write && this->Faults.LoseWriteAnswers > 0) {
+    --this->Faults.LoseWriteAnswers;
+    return refused(ErrorKind::OutcomeUnknown, "answer lost");
+  }
+  return Answer;
+}
+
+KeyValueAnswer KeyValueStore::range(const RangeRequest &Request) const {
+  KeyValueAnswer Answer;
+  Answer.AsOf = this->Current;
+  for (auto At = this->Values.lower_bound(Request.Key);
+       At != this->Values.end(); ++At) {
+    bool Wanted = Request.Prefix ? At->first.starts_with(Request.Key)
+                                 : At->first == Request.Key;
+    if (!Wanted)
+      break;
+    Answer.Entries.push_back({.Key = At->first,
+                              .Value = At->second.Value,
+                              .Modified = At->second.Modified});
+  }
+  return Answer;
+}
+
+KeyValueAnswer KeyValueStore::transact(const TransactionRequest &Request) {
+  KeyValueAnswer Answer;
+  Answer.Succeeded =
+      std::all_of(Request.Compares.begin(), Request.Compares.end(),
+                  [&](const ModifiedCompare &Compare) {
+                    auto Found = this->Values.find(Compare.Key);
+                    Revision Modified = Found == this->Values.end()
+                                            ? Revision{}
+                                            : Found->second.Modified;
+                    return Modified == Compare.Modified;
+                  });
+  if (Answer.Succeeded)
+    this->applyWrites(Request.Writes);
+  Answer.AsOf = this->Current;
+  return Answer;
+}
+
+void KeyValueStore::applyWrites(const std::vector<WriteOperation> &Writes) {
+  if (Writes.empty())
+    return;
+  ++this->Current.Value;
+  WatchBatch Batch;
+  Batch.AsOf = this->Current;
+  for (const WriteOperation &Write : Writes) {
+    if (const auto *Put = std::get_if<PutOperation>(&Write)) {
+      this->Values[Put->Key] = {.Value = Put->Value,
+                                .Modified = this->Current,
+                                .BoundTo = Put->Lease};
+      Batch.Events.push_back({.Entry = {.Key = Put->Key,
+                                        .Value = Put->Value,
+                                        .Modified = this->Current},
+                              .Deleted = false});
+      continue;
+    }
+    const std::string &Key = std::get<DeleteOperation>(Write).Key;
+    if (this->Values.erase(Key) > 0)
+      Batch.Events.push_back(
+          {.Entry = {.Key = Key, .Value = "", .Modified = this->Current},
+           .Deleted = true});
+  }
+  this->Log.push_back(std::move(Batch));
+}
+
+KeyValueAnswer KeyValueStore::grant(const LeaseGrantRequest &Request,
+                                    TimePoint Now) {
+  LeaseId Id{this->NextLease++};
+  this->Leases[Id] = {.TimeToLive = Request.TimeToLive,
+                      .ExpiresAt = Now + Request.TimeToLive};
+  KeyValueAnswer Answer;
+  Answer.AsOf = this->Current;
+  Answer.Lease = Id;
+  Answer.TimeToLive = Request.TimeToLive;
+  return Answer;
+}
+
+KeyValueAnswer KeyValueStore::keepAlive(const LeaseKeepAliveRequest &Request,
+                                        TimePoint Now) {
+  KeyValueAnswer Answer;
+  Answer.AsOf = this->Current;
+  Answer.Lease = Request.Lease;
+  auto Found = this->Leases.find(Request.Lease);
+  if (Found == this->Leases.end())
+    return Answer;
+  Found->second.ExpiresAt = Now + Found->second.TimeToLive;
+  Answer.TimeToLive = Found->second.TimeToLive;
+  return Answer;
+}
+
+KeyValueAnswer KeyValueStore::revoke(const LeaseRevokeRequest &Request) {
+  auto Found = this->Leases.find(Request.Lease);
+  if (Found != this->Leases.end())
+    Found->second.ExpiresAt = TimePoint::min();
+  this->expireLeases(TimePoint::min());
+  KeyValueAnswer Answer;
+  Answer.AsOf = this->Current;
+  return Answer;
+}
+
+void KeyValueStore::expireLeases(TimePoint Now) {
+  std::vector<WriteOperation> Writes;
+  for (auto At = this->Leases.begin(); At != this->Leases.end();) {
+    if (At->second.ExpiresAt > Now) {
+      ++At;
+      continue;
+    }
+    for (const auto &[Key, Stored] : this->Values)
+      if (Stored.BoundTo == At->first)
+        Writes.emplace_back(DeleteOperation{Key});
+    At = this->Leases.erase(At);
+  }
+  this->applyWrites(Writes);
+}
+
+std::vector<WatchBatch> KeyValueStore::eventsAfter(const std::string &Prefix,
+                                                   Revision After) const {
+  std::vector<WatchBatch> Batches;
+  auto First = std::partition_point(
+      this->Log.begin(), this->Log.end(),
+      [&](const WatchBatch &Batch) { return Batch.AsOf <= After; });
+  for (auto At = First; At != this->Log.end(); ++At) {
+    WatchBatch Wanted;
+    Wanted.AsOf = At->AsOf;
+    for (const WatchEvent &Event : At->Events)
+      if (Event.Entry.Key.starts_with(Prefix))
+        Wanted.Events.push_back(Event);
+    if (!Wanted.Events.empty())
+      Batches.push_back(std::move(Wanted));
+  }
+  return Batches;
+}
+
+Status KeyValueStore::admitWatch(TimePoint Now) {
+  if (this->Faults.Outage)
+    return refused(ErrorKind::Unavailable, "platform outage");
+  if (!this->admit(this->ReadWindow, this->Limits.ReadsPerSecond, Now))
+    return refused(ErrorKind::Unavailable, "platform call rate exceeded");
+  ++this->Counters.Reads;
+  return std::monostate{};
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/stand_ins/MemberStandIn.cpp
@@ -0,0 +1,456 @@
+#include "stand_ins/MemberStandIn.h"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr Term FirstTerm{1};
+constexpr std::size_t ReplicationBatchLimit = 1000;
+
+Error notRun(ErrorKind Kind, std::string Message, std::string Remedy) {
+  return {
+      .Kind = Kind, .Message = std::move(Message), .Remedy = std::move(Remedy)};
+}
+
+Error superseded(Term Accepted) {
+  return notRun(ErrorKind::Superseded,
+                "member accepts term " + std::to_string(Accepted.Value),
+                "look for the primary of the newest term");
+}
+
+Error unknownTransaction() {
+  return notRun(ErrorKind::NotRun, "no such transaction on this connection",
+                "begin the transaction again");
+}
+
+/// A statement in parts: "put key rest of the line".
+struct ParsedStatement {
+  std::string Verb;
+  std::string Key;
+  std::string Argument;
+};
+
+ParsedStatement parseStatement(const std::string &Text) {
+  ParsedStatement Parsed;
+  std::istringstream Stream(Text);
+  Stream >> Parsed.Verb >> Parsed.Key;
+  Stream >> std::ws;
+  std::getline(Stream, Parsed.Argument, '\0');
+  return Parsed;
+}
+
+std::int64_t numberOr(const std::string &Text, std::int64_t Default) {
+  std::int64_t Value = Default;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+} // namespace
+
+MemberStandIn::MemberStandIn(MemberOptions Options)
+    : Options(std::move(Options)) {}
+
+void MemberStandIn::bootstrap(const UpstreamId &Primary) {
+  this->Accepted = FirstTerm;
+  if (Primary == this->Options.Id) {
+    this->Role = MemberRole::Primary;
+    this->History =
+        this->History.extended({.Began = FirstTerm, .After = LogPosition{}});
+    return;
+  }
+  this->Following = Primary;
+}
+
+Outcome<ConnectionId> MemberStandIn::connect() {
+  if (this->Open.size() >= this->Options.ConnectionLimit)
+    return notRun(ErrorKind::Overloaded, "connection limit reached",
+                  "close a connection first");
+  ConnectionId Id{this->NextConnection++};
+  this->Open[Id] = std::nullopt;
+  return Id;
+}
+
+void MemberStandIn::disconnect(ConnectionId Connection) {
+  this->Open.erase(Connection);
+}
+
+Outcome<MemberAnswer> MemberStandIn::handle(ConnectionId Connection,
+                                            const MemberRequest &Request,
+                                            TimePoint Now) {
+  this->applyDue(Now);
+  if (const auto *Execute = std::get_if<ExecuteRequest>(&Request))
+    return this->execute(Connection, *Execute, Now);
+  if (const auto *Begin = std::get_if<BeginRequest>(&Request))
+    return this->begin(Connection, *Begin, Now);
+  if (const auto *Commit = std::get_if<CommitRequest>(&Request))
+    return this->commit(Connection, *Commit, Now);
+  if (const auto *Seal = std::get_if<SealRequest>(&Request))
+    return this->seal(*Seal, Now);
+  if (const auto *Promote = std::get_if<PromoteRequest>(&Request))
+    return this->promote(*Promote, Now);
+  if (const auto *Follow = std::get_if<FollowRequest>(&Request))
+    return this->follow(*Follow, Now);
+  if (std::holds_alternative<RollbackRequest>(Request))
+    this->Open[Connection] = std::nullopt;
+  MemberAnswer Answer;
+  Answer.Status = this->status(Now);
+  return Answer;
+}
+
+Outcome<MemberAnswer> MemberStandIn::execute(ConnectionId Connection,
+                                             const ExecuteRequest &Request,
+                                             TimePoint Now) {
+  if (Request.Expected && (*Request.Expected != this->Accepted ||
+                           this->Role != MemberRole::Primary))
+    return superseded(this->Accepted);
+  if (Request.Write && this->Role != MemberRole::Primary)
+    return superseded(this->Accepted);
+  if (!this->History.holds(Request.AtLeast, this->Applied))
+    return notRun(ErrorKind::NotRun, "entry not yet applied here",
+                  "read at another member");
+  OpenTransaction *Transaction = nullptr;
+  if (Request.Transaction) {
+    std::optional<OpenTransaction> &Slot = this->Open[Connection];
+    if (!Slot || Slot->Id != *Request.Transaction)
+      return unknownTransaction();
+    if (Slot->BegunIn != this->Accepted)
+      return superseded(this->Accepted);
+    Transaction = &*Slot;
+  }
+  if (Request.Write && !Transaction)
+    if (auto First = this->recorded(Request.Key, Request.Id, Now))
+      return *First;
+  StatementScope Scope{.Writes = {}, .Transaction = Transaction};
+  auto Rows = this->run(Request.Statement, Request.Write, Scope);
+  if (!Rows)
+    return Rows.error();
+  ++this->Ran;
+  if (Transaction || !Request.Write) {
+    MemberAnswer Answer;
+    Answer.Id = Request.Id;
+    Answer.Status = this->status(Now);
+    Answer.Rows = Rows.value();
+    if (Transaction)
+      Transaction->Rows.insert(Transaction->Rows.end(), Answer.Rows.begin(),
+                               Answer.Rows.end());
+    return Answer;
+  }
+  LogEntry Entry;
+  for (const auto &[Key, Value] : Scope.Writes)
+    Entry.Writes.push_back({.Key = Key, .Value = Value});
+  Entry.Key = Request.Key.value_or(IdempotencyKey{});
+  Entry.Rows = Rows.value();
+  return this->append(std::move(Entry), Request.Id, Now);
+}
+
+Outcome<std::vector<std::string>>
+MemberStandIn::run(const std::string &Statement, bool MayWrite,
+                   StatementScope &Scope) {
+  ParsedStatement Parsed = parseStatement(Statement);
+  std::vector<std::string> Rows;
+  if (Parsed.Verb == "get") {
+    if (auto Value = this->lookUp(Parsed.Key, Scope))
+      Rows.push_back(*Value);
+    return Rows;
+  }
+  if (Parsed.Verb == "scan") {
+    for (auto At = this->State.lower_bound(Parsed.Key);
+         At != this->State.end() && At->first.starts_with(Parsed.Key); ++At)
+      Rows.push_back(At->first + "=" + At->second.Value);
+    return Rows;
+  }
+  bool Known =
+      Parsed.Verb == "put" || Parsed.Verb == "insert" || Parsed.Verb == "add";
+  if (!Known || Parsed.Key.empty())
+    return notRun(ErrorKind::BadRequest, "unknown statement",
+                  "use get, scan, put, insert or add");
+  if (!MayWrite)
+    return notRun(ErrorKind::BadRequest, "statement writes",
+                  "declare it as a write");
+  auto &Writes = Scope.Transaction ? Scope.Transaction->Writes : Scope.Writes;
+  if (Parsed.Verb == "put") {
+    Writes[Parsed.Key] = Parsed.Argument;
+    return Rows;
+  }
+  auto Old = this->lookUp(Parsed.Key, Scope);
+  if (Parsed.Verb == "insert") {
+    if (Old)
+      return notRun(ErrorKind::BadRequest, "key exists",
+                    "use another key or put");
+    Writes[Parsed.Key] = Parsed.Argument;
+    return Rows;
+  }
+  std::int64_t Sum =
+      numberOr(Old.value_or("0"), 0) + numberOr(Parsed.Argument, 0);
+  Writes[Parsed.Key] = std::to_string(Sum);
+  Rows.push_back(std::to_string(Sum));
+  return Rows;
+}
+
+std::optional<std::string> MemberStandIn::lookUp(const std::string &Key,
+                                                 StatementScope &Scope) {
+  auto Found = this->State.find(Key);
+  if (Scope.Transaction) {
+    auto Own = Scope.Transaction->Writes.find(Key);
+    if (Own != Scope.Transaction->Writes.end())
+      return Own->second;
+    Scope.Transaction->Reads.emplace(Key, Found == this->State.end()
+                                              ? LogPosition{}
+                                              : Found->second.WrittenAt);
+  }
+  if (Found == this->State.end())
+    return std::nullopt;
+  return Found->second.Value;
+}
+
+std::optional<MemberAnswer>
+MemberStandIn::recorded(const std::optional<IdempotencyKey> &Key,
+                        const RequestId &Id, TimePoint Now) {
+  if (!Key)
+    return std::nullopt;
+  auto Found = this->Outcomes.find(*Key);
+  if (Found == this->Outcomes.end())
+    return std::nullopt;
+  const LogEntry &Entry = this->Log[Found->second.WrittenAt.Value - 1];
+  MemberAnswer Answer;
+  Answer.Id = Id;
+  Answer.Status = this->status(Now);
+  Answer.Rows = Entry.Rows;
+  Answer.Written = {.WrittenIn = Entry.WrittenIn,
+                    .Position = Found->second.WrittenAt};
+  Answer.Repeated = true;
+  return Answer;
+}
+
+MemberAnswer MemberStandIn::append(LogEntry Entry, const RequestId &Id,
+                                   TimePoint Now) {
+  Entry.WrittenIn = this->Accepted;
+  MemberAnswer Answer;
+  Answer.Id = Id;
+  Answer.Rows = Entry.Rows;
+  this->appendEntry(std::move(Entry), Now);
+  this->applyUpTo(this->lastEntry().Position);
+  Answer.Written = this->lastEntry();
+  Answer.Status = this->status(Now);
+  return Answer;
+}
+
+void MemberStandIn::appendEntry(LogEntry Entry, TimePoint VisibleAt) {
+  this->Log.push_back(std::move(Entry));
+  this->Pending.push_back(
+      {.Position = this->lastEntry().Position, .VisibleAt = VisibleAt});
+}
+
+void MemberStandIn::applyUpTo(LogPosition Position) {
+  while (this->Applied < Position) {
+    const LogEntry &Entry = this->Log[this->Applied.Value];
+    ++this->Applied.Value;
+    for (const KeyWrite &Write : Entry.Writes)
+      this->State[Write.Key] = {.Value = Write.Value,
+                                .WrittenAt = this->Applied};
+    if (!Entry.Key.Value.empty())
+      this->Outcomes.emplace(Entry.Key,
+                             RecordedOutcome{.WrittenAt = this->Applied});
+  }
+  while (!this->Pending.empty() &&
+         this->Pending.front().Position <= this->Applied)
+    this->Pending.pop_front();
+}
+
+void MemberStandIn::applyDue(TimePoint Now) {
+  while (!this->Pending.empty() && this->Pending.front().VisibleAt <= Now)
+    this->applyUpTo(this->Pending.front().Position);
+}
+
+Outcome<MemberAnswer> MemberStandIn::begin(ConnectionId Connection,
+                                           const BeginRequest &Request,
+                                           TimePoint Now) {
+  if (Request.Expected != this->Accepted || this->Role != MemberRole::Primary)
+    return superseded(this->Accepted);
+  OpenTransaction Opened;
+  Opened.Id = Request.Transaction;
+  Opened.BegunIn = this->Accepted;
+  this->Open[Connection] = std::move(Opened);
+  MemberAnswer Answer;
+  Answer.Id = Request.Id;
+  Answer.Status = this->status(Now);
+  return Answer;
+}
+
+Outcome<MemberAnswer> MemberStandIn::commit(ConnectionId Connection,
+                                            const CommitRequest &Request,
+                                            TimePoint Now) {
+  std::optional<OpenTransaction> Closed;
+  std::swap(Closed, this->Open[Connection]);
+  if (auto First = this->recorded(Request.Key, Request.Id, Now))
+    return *First;
+  if (!Closed || Closed->Id != Request.Transaction)
+    return unknownTransaction();
+  if (Closed->BegunIn != this->Accepted || this->Role != MemberRole::Primary)
+    return superseded(this->Accepted);
+  for (const auto &[Key, ReadAt] : Closed->Reads) {
+    auto Found = this->State.find(Key);
+    LogPosition Present =
+        Found == this->State.end() ? LogPosition{} : Found->second.WrittenAt;
+    if (Present != ReadAt)
+      return notRun(ErrorKind::NotRun, "conflicts with another transaction",
+                    "run the transaction again");
+  }
+  LogEntry Entry;
+  for (const auto &[Key, Value] : Closed->Writes)
+    Entry.Writes.push_back({.Key = Key, .Value = Value});
+  Entry.Key = Request.Key.value_or(IdempotencyKey{});
+  Entry.Rows = Closed->Rows;
+  return this->append(std::move(Entry), Request.Id, Now);
+}
+
+Outcome<MemberAnswer> MemberStandIn::seal(const SealRequest &Request,
+                                          TimePoint Now) {
+  bool Repeated =
+      Request.Next == this->Accepted && Request.Attempt == this->SealedBy;
+  if (Request.Next <= this->Accepted && !Repeated)
+    return superseded(this->Accepted);
+  if (!Repeated) {
+    this->Accepted = Request.Next;
+    this->SealedBy = Request.Attempt;
+    this->Role = MemberRole::Replica;
+    this->Following = {};
+  }
+  MemberAnswer Answer;
+  Answer.Status = this->status(Now);
+  return Answer;
+}
+
+Outcome<MemberAnswer> MemberStandIn::promote(const PromoteRequest &Request,
+                                             TimePoint Now) {
+  if (Request.Next != this->Accepted || Request.Attempt != this->SealedBy)
+    return superseded(this->Accepted);
+  if (this->Role != MemberRole::Primary) {
+    if (this->lastEntry() != Request.ChosenAt || !this->Following.Value.empty())
+      return superseded(this->Accepted);
+    this->applyUpTo(this->lastEntry().Position);
+    this->Role = MemberRole::Primary;
+    this->History = this->History.extended(
+        {.Began = Request.Next, .After = this->lastEntry().Position});
+    // The first entry of the new term confirms all before it once a
+    // majority holds it.
+    return this->append(LogEntry{}, RequestId{}, Now);
+  }
+  MemberAnswer Answer;
+  Answer.Status = this->status(Now);
+  return Answer;
+}
+
+Outcome<MemberAnswer> MemberStandIn::follow(const FollowRequest &Request,
+                                            TimePoint Now) {
+  if (Request.Next < this->Accepted)
+    return superseded(this->Accepted);
+  bool PrimaryHere =
+      Request.Next == this->Accepted && this->Role == MemberRole::Primary;
+  if (PrimaryHere || Request.Primary == this->Options.Id)
+    return superseded(this->Accepted);
+  if (Request.Next > this->Accepted)
+    this->SealedBy.clear();
+  this->Accepted = Request.Next;
+  this->Role = MemberRole::Replica;
+  this->Following = Request.Primary;
+  MemberAnswer Answer;
+  Answer.Status = this->status(Now);
+  return Answer;
+}
+
+bool MemberStandIn::waitIsOver(const WaitRequest &Request, TimePoint Now) {
+  this->applyDue(Now);
+  LogPosition Reached =
+      Request.UntilApplied ? this->Applied : this->lastEntry().Position;
+  return this->History.holds(Request.Entry, Reached) ||
+         this->History.cutsOff(Request.Entry) ||
+         this->Accepted > Request.Entry.WrittenIn;
+}
+
+MemberStatus MemberStandIn::status(TimePoint Now) {
+  this->applyDue(Now);
+  return {.Id = this->Options.Id,
+          .Role = this->Role,
+          .Accepted = this->Accepted,
+          .Received = this->lastEntry(),
+          .Applied = this->Applied,
+          .History = this->History};
+}
+
+std::optional<ReplicationRequest> MemberStandIn::replicationRequest() const {
+  if (this->Following.Value.empty())
+    return std::nullopt;
+  return ReplicationRequest{.Primary = this->Following,
+                            .Accepted = this->Accepted,
+                            .Received = this->lastEntry(),
+                            .History = this->History};
+}
+
+Outcome<ReplicationBatch>
+MemberStandIn::replicate(const ReplicationRequest &Request) const {
+  if (this->Role != MemberRole::Primary || Request.Accepted != this->Accepted)
+    return superseded(this->Accepted);
+  // The common prefix ends where the replica's newest shared term ends in
+  // either log.
+  // Histories of two logs agree up to some entry and nowhere after it.
+  LogPosition Common =
+      std::min(Request.Received.Position, this->lastEntry().Position);
+  while (Common.Value > 0 &&
+         this->History.entryAt(Common) != Request.History.entryAt(Common))
+    --Common.Value;
+  ReplicationBatch Batch;
+  Batch.Accepted = this->Accepted;
+  Batch.After = Common;
+  Batch.History = this->History;
+  auto First = this->Log.begin() + static_cast<std::ptrdiff_t>(Common.Value);
+  std::size_t Count =
+      std::min(ReplicationBatchLimit, this->Log.size() - Common.Value);
+  Batch.Entries.assign(First, First + static_cast<std::ptrdiff_t>(Count));
+  return Batch;
+}
+
+void MemberStandIn::onReplicated(const ReplicationBatch &Batch, TimePoint Now) {
+  if (Batch.Accepted != this->Accepted || this->Following.Value.empty() ||
+      Batch.After > this->lastEntry().Position)
+    return;
+  if (Batch.After < this->lastEntry().Position)
+    this->truncateTo(Batch.After);
+  for (const LogEntry &Entry : Batch.Entries)
+    this->appendEntry(Entry, Now + this->Options.ApplyLag);
+  // Terms that begin beyond what is held here are not yet this log's.
+  std::vector<TermStart> Starts;
+  LogPosition Reached{this->Log.size()};
+  for (const TermStart &Start : Batch.History.starts())
+    if (Start.After <= Reached)
+      Starts.push_back(Start);
+  this->History = TermHistory(std::move(Starts));
+  this->applyDue(Now);
+}
+
+void MemberStandIn::truncateTo(LogPosition Position) {
+  this->CutOff += this->Log.size() - Position.Value;
+  this->Log.resize(Position.Value);
+  std::erase_if(this->Pending, [&](const PendingApply &Waiting) {
+    return Waiting.Position > Position;
+  });
+  if (this->Applied <= Position)
+    return;
+  this->Applied = {};
+  this->State.clear();
+  this->Outcomes.clear();
+  this->applyUpTo(Position);
+}
+
+TermPosition MemberStandIn::lastEntry() const {
+  if (this->Log.empty())
+    return {};
+  return {.WrittenIn = this->Log.back().WrittenIn,
+          .Position = LogPosition{this->Log.size()}};
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/core/TermHistoryTest.cpp
@@ -0,0 +1,36 @@
+#include "core/LogPosition.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+TermHistory twoTerms() {
+  return TermHistory({{Term{1}, LogPosition{0}}, {Term{2}, LogPosition{5}}});
+}
+
+TEST(TermHistory, HoldsOnlyWhatItsTermsWrote) {
+  TermHistory History = twoTerms();
+  EXPECT_TRUE(History.holds({Term{1}, LogPosition{5}}, LogPosition{9}));
+  EXPECT_FALSE(History.holds({Term{1}, LogPosition{6}}, LogPosition{9}));
+  EXPECT_TRUE(History.holds({Term{2}, LogPosition{6}}, LogPosition{9}));
+  EXPECT_FALSE(History.holds({Term{2}, LogPosition{10}}, LogPosition{9}));
+  EXPECT_FALSE(History.holds({Term{3}, LogPosition{6}}, LogPosition{9}));
+}
+
+TEST(TermHistory, RecognisesWorkCutOffByAPromotion) {
+  TermHistory History = twoTerms();
+  EXPECT_TRUE(History.cutsOff({Term{1}, LogPosition{6}}));
+  EXPECT_FALSE(History.cutsOff({Term{1}, LogPosition{5}}));
+  EXPECT_FALSE(History.cutsOff({Term{2}, LogPosition{100}}));
+  EXPECT_FALSE(History.cutsOff({Term{3}, LogPosition{100}}));
+  EXPECT_FALSE(History.cutsOff({}));
+}
+
+TEST(TermHistory, NamesTheWriterOfAnEntry) {
+  EXPECT_EQ(twoTerms().entryAt(LogPosition{5}).WrittenIn, Term{1});
+  EXPECT_EQ(twoTerms().entryAt(LogPosition{6}).WrittenIn, Term{2});
+}
+
+} // namespace
+} // namespace turmericpitch
