--- a/core/YamlReader.cpp
+++ b/core/YamlReader.cpp
@@ -84,9 +84,9 @@
           .Remedy = "mend each line named and send the whole again"};
 }
 
-YamlReader::YamlReader(YAML::Node Node, std::string Path,
+YamlReader::YamlReader(const YAML::Node &Node, std::string Path,
                        YamlProblems &Problems)
-    : Node(std::move(Node)), Path(std::move(Path)), Problems(Problems) {}
+    : Node(Node), Path(std::move(Path)), Problems(Problems) {}
 
 std::string YamlReader::pathOf(const std::string &Key) const {
   return this->Path.empty() ? Key : this->Path + "." + Key;
--- a/core/YamlReader.h
+++ b/core/YamlReader.h
@@ -68,7 +68,7 @@
 public:
   /// Path is the mapping's own key path, empty at the root. Problems must
   /// outlive the reader.
-  YamlReader(YAML::Node Node, std::string Path, YamlProblems &Problems);
+  YamlReader(const YAML::Node &Node, std::string Path, YamlProblems &Problems);
 
   /// Text; required unless Default is given. Returns "" after a problem.
   std::string text(const std::string &Key,
--- a/drivers/HttpConnection.cpp
+++ b/drivers/HttpConnection.cpp
@@ -50,7 +50,7 @@
 } // namespace
 
 struct HttpConnection::State {
-  explicit State(Executor On) : Peer(asio::make_strand(std::move(On))) {}
+  explicit State(const Executor &On) : Peer(asio::make_strand(On)) {}
 
   beast::tcp_stream Peer;
   beast::flat_buffer Buffer;
--- a/stand_ins/MemberServer.cpp
+++ b/stand_ins/MemberServer.cpp
@@ -121,8 +121,8 @@
 } // namespace
 
 struct MemberServer::State : std::enable_shared_from_this<State> {
-  State(Executor On, MemberServerOptions Options)
-      : On(asio::make_strand(std::move(On))), Options(std::move(Options)),
+  State(const Executor &On, MemberServerOptions Options)
+      : On(asio::make_strand(On)), Options(std::move(Options)),
         Member(this->Options.Member) {
     this->Member.bootstrap(this->Options.FirstPrimary);
   }
