Add authenticated datagrams between instances

Cause: shares, configuration and membership all need one peer transport. Change: membership/PeerFrame (cereal, version byte, HMAC with rotating keys, bounded size) and drivers/PeerTransport (UDP), peer keys in the settings.

--- /dev/null
+++ b/drivers/PeerTransport.h
@@ -0,0 +1,58 @@
+// Datagrams between instances.
+#pragma once
+
+#include "core/Endpoint.h"
+#include "drivers/Http.h"
+#include "membership/PeerFrame.h"
+
+#include <functional>
+
+namespace turmericpitch {
+
+/// Counts since the start.
+struct PeerTransportCounters {
+  std::uint64_t FramesSent = 0;
+  std::uint64_t BytesSent = 0;
+  std::uint64_t FramesReceived = 0;
+  std::uint64_t BytesReceived = 0;
+  /// Malformed, of another version, or not signed by a known key.
+  std::uint64_t FramesDropped = 0;
+};
+
+/// Where a frame came from, for answers.
+struct PeerArrival {
+  PeerFrame Frame;
+  Endpoint Where;
+};
+
+/// Sends and receives authenticated frames over UDP. Thread-safe.
+class PeerTransport {
+public:
+  using Handler = std::function<void(const PeerArrival &)>;
+
+  PeerTransport(Executor On, Endpoint Listen, InstanceId Self,
+                std::vector<PeerKey> Keys);
+  ~PeerTransport();
+  PeerTransport(const PeerTransport &) = delete;
+  PeerTransport &operator=(const PeerTransport &) = delete;
+
+  /// Sets who handles a topic; called on the transport's executor, one frame
+  /// at a time. Call before start().
+  void onTopic(PeerTopic Topic, Handler Handle);
+  /// Errors: Unavailable if the address can't be bound.
+  Status start();
+  /// Sends without waiting; a frame may be lost. Frames that are too large
+  /// are dropped with a warning in the log.
+  void send(const Endpoint &To, PeerTopic Topic, std::string Payload);
+  void close();
+  /// Test switch: drops this share of outgoing frames, 0 to 1.
+  void setDropShare(double Share);
+
+  [[nodiscard]] PeerTransportCounters counters() const;
+
+private:
+  struct State;
+  std::shared_ptr<State> Shared;
+};
+
+} // namespace turmericpitch
--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "drivers/CallerApi.h"
 #include "drivers/ConfigurationSync.h"
 #include "drivers/OperatorApi.h"
+#include "drivers/PeerTransport.h"
 #include "drivers/PrimaryKeeper.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -86,6 +87,7 @@
   std::shared_ptr<ConfigurationSync> Sync;
   std::shared_ptr<CallerApi> Callers;
   std::shared_ptr<OperatorApi> Operators;
+  std::shared_ptr<PeerTransport> Peers;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> OperatorServer;
   std::vector<std::thread> Threads;
@@ -122,6 +124,9 @@
                          .CredentialDigest =
                              this->Settings.OperatorCredentialDigest},
       this->Configuration, this->Upstreams, this->Platform);
+  this->Peers = std::make_shared<PeerTransport>(
+      this->On, this->Settings.PeerListen, this->Settings.Self,
+      this->Settings.PeerKeys);
   this->CallerServer =
       makeServer(this->On, this->Settings.Callers, this->Callers);
   this->OperatorServer =
@@ -165,6 +170,9 @@
     if (!Started)
       return Started;
   }
+  Status PeersStarted = P.Peers->start();
+  if (!PeersStarted)
+    return PeersStarted;
   auto Sync = P.Sync;
   asio::co_spawn(
       asio::make_strand(P.On),
@@ -189,6 +197,7 @@
   P.Keeper->stop();
   P.CallerServer->close();
   P.OperatorServer->close();
+  P.Peers->close();
   P.Context.stop();
   for (std::thread &Each : P.Threads)
     Each.join();
--- a/main/DaemonSettings.cpp
+++ b/main/DaemonSettings.cpp
@@ -29,12 +29,21 @@
   return Peer;
 }
 
-TokenKey readTokenKey(YamlReader &Reader) {
-  TokenKey Key{.Id = Reader.name("name"), .Secret = Reader.text("secret")};
-  if (Key.Secret.size() < LeastSecretLength)
-    Reader.problem("secret", "too short", "use at least 16 random characters");
-  Reader.finish();
-  return Key;
+/// Reads a list of keys: TokenKey or PeerKey.
+template <typename Key>
+std::vector<Key> readKeys(YamlReader &Parent, const std::string &List) {
+  std::vector<Key> Keys;
+  for (YamlReader &Reader : Parent.mappings(List)) {
+    Key Read{.Id = Reader.name("name"), .Secret = Reader.text("secret")};
+    if (Read.Secret.size() < LeastSecretLength)
+      Reader.problem("secret", "too short",
+                     "use at least 16 random characters");
+    Reader.finish();
+    Keys.push_back(std::move(Read));
+  }
+  if (Keys.empty())
+    Parent.problem(List, "empty", "give at least one key; the first one signs");
+  return Keys;
 }
 
 void readListen(YamlReader Reader, DaemonSettings &Settings) {
@@ -80,11 +89,8 @@
   Settings.Platform = Reader.endpoint("platform");
   for (YamlReader &Entry : Reader.mappings("peers"))
     Settings.Peers.push_back(readPeer(Entry));
-  for (YamlReader &Entry : Reader.mappings("token_keys"))
-    Settings.TokenKeys.push_back(readTokenKey(Entry));
-  if (Settings.TokenKeys.empty())
-    Reader.problem("token_keys", "empty",
-                   "give at least one key; the first one signs");
+  Settings.TokenKeys = readKeys<TokenKey>(Reader, "token_keys");
+  Settings.PeerKeys = readKeys<PeerKey>(Reader, "peer_keys");
   Settings.OperatorCredentialDigest = Reader.text("operator_credential_digest");
   if (Settings.OperatorCredentialDigest.size() != DigestLength)
     Reader.problem("operator_credential_digest", "not a SHA-256 digest",
--- a/main/DaemonSettings.h
+++ b/main/DaemonSettings.h
@@ -5,6 +5,7 @@
 #include "core/Error.h"
 #include "core/Identifiers.h"
 #include "core/Time.h"
+#include "membership/PeerFrame.h"
 #include "session/SessionToken.h"
 
 namespace turmericpitch {
@@ -27,6 +28,8 @@
   Endpoint Platform;
   std::vector<PeerSettings> Peers;
   std::vector<TokenKey> TokenKeys;
+  /// Authenticate frames between instances; the first one signs.
+  std::vector<PeerKey> PeerKeys;
   /// SHA-256 of the operators' bearer credential, in hexadecimal.
   std::string OperatorCredentialDigest;
   std::uint32_t Threads = 2;
--- a/main/Demo.cpp
+++ b/main/Demo.cpp
@@ -133,6 +133,8 @@
        .Zone = ZoneId{Zones[Other]}});
   Settings.TokenKeys.push_back(
       {.Id = "demo", .Secret = "demo-token-secret-0001"});
+  Settings.PeerKeys.push_back(
+      {.Id = "demo", .Secret = "demo-peer-secret-00001"});
   Settings.OperatorCredentialDigest = sha256Hex(OperatorCredential);
   return Settings;
 }
--- /dev/null
+++ b/membership/PeerFrame.cpp
@@ -0,0 +1,73 @@
+#include "membership/PeerFrame.h"
+
+#include "core/Digest.h"
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <sstream>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr std::size_t SignatureLength = 32;
+constexpr std::size_t MaximumFrame = 1500;
+
+Error refused(ErrorKind Kind, std::string Message) {
+  return {.Kind = Kind,
+          .Message = std::move(Message),
+          .Remedy = "check the peers' keys and versions"};
+}
+
+} // namespace
+
+PeerFrameCodec::PeerFrameCodec(std::vector<PeerKey> Keys)
+    : Keys(std::move(Keys)) {}
+
+Result<std::string> PeerFrameCodec::encode(const PeerFrame &Frame) const {
+  if (Frame.Payload.size() > MaximumPeerPayload)
+    return boost::leaf::new_error(
+        refused(ErrorKind::BadRequest, "peer payload too large"));
+  std::ostringstream Stream;
+  {
+    cereal::PortableBinaryOutputArchive Archive(Stream);
+    Archive(PeerFrameVersion, Frame.From, Frame.Topic, Frame.Payload);
+  }
+  std::string Body = Stream.str();
+  return hmacSha256(this->Keys.front().Secret, Body) + Body;
+}
+
+Result<PeerFrame> PeerFrameCodec::decode(std::string_view Bytes) const {
+  if (Bytes.size() <= SignatureLength || Bytes.size() > MaximumFrame)
+    return boost::leaf::new_error(
+        refused(ErrorKind::BadRequest, "malformed peer frame"));
+  std::string_view Signature = Bytes.substr(0, SignatureLength);
+  std::string_view Body = Bytes.substr(SignatureLength);
+  // The signature is checked before anything of the body is read.
+  bool Genuine =
+      std::any_of(this->Keys.begin(), this->Keys.end(), [&](const PeerKey &K) {
+        return equalInConstantTime(hmacSha256(K.Secret, Body), Signature);
+      });
+  if (!Genuine)
+    return boost::leaf::new_error(
+        refused(ErrorKind::Forbidden, "peer frame not signed by a known key"));
+  try {
+    std::istringstream Stream{std::string(Body)};
+    cereal::PortableBinaryInputArchive Archive(Stream);
+    std::uint8_t Version = 0;
+    Archive(Version);
+    PeerFrame Frame;
+    if (Version == PeerFrameVersion) {
+      Archive(Frame.From, Frame.Topic, Frame.Payload);
+      return Frame;
+    }
+  } catch (const std::exception &) {
+    return boost::leaf::new_error(
+        refused(ErrorKind::BadRequest, "malformed peer frame"));
+  }
+  return boost::leaf::new_error(
+      refused(ErrorKind::BadRequest, "peer frame of another version"));
+}
+
+} // namespace turmericpitch
