Put HTTP on one byte stream, with TLS, and parse apart from sockets

Change: drivers/ByteStream (TCP or TLS, one time limit) and drivers/HttpMessages (Beast's parsers and serializers fed with bytes).

--- /dev/null
+++ b/drivers/ByteStream.cpp
@@ -0,0 +1,145 @@
+#include "drivers/ByteStream.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/error.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <variant>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+using ErrorCode = boost::system::error_code;
+using TlsStream = asio::ssl::stream<tcp::socket>;
+
+Error failed(ErrorKind Kind, const ErrorCode &Failure) {
+  return {.Kind = Kind,
+          .Message = "connection failed: " + Failure.message(),
+          .Remedy = Kind == ErrorKind::OutcomeUnknown
+                        ? "look whether it ran before sending it again"
+                        : "send it again"};
+}
+
+} // namespace
+
+struct ByteStream::State : std::enable_shared_from_this<State> {
+  explicit State(Socket Connected)
+      : Alarm(Connected.get_executor()), Channel(std::move(Connected)) {}
+  State(Socket Connected, TlsContext Tls)
+      : Tls(std::move(Tls)), Alarm(Connected.get_executor()),
+        Channel(std::in_place_type<TlsStream>, std::move(Connected),
+                *this->Tls) {}
+
+  Socket &socket() {
+    if (auto *Plain = std::get_if<Socket>(&this->Channel))
+      return *Plain;
+    return std::get<TlsStream>(this->Channel).next_layer();
+  }
+
+  // Keeps the keys alive for as long as the stream uses them.
+  TlsContext Tls;
+  asio::steady_timer Alarm;
+  std::variant<Socket, TlsStream> Channel;
+};
+
+ByteStream::ByteStream(Socket Connected, const TlsContext &Tls)
+    : Own(Tls ? std::make_shared<State>(std::move(Connected), Tls)
+              : std::make_shared<State>(std::move(Connected))) {}
+
+ByteStream::~ByteStream() {
+  this->Own->Alarm.cancel();
+  this->close();
+}
+
+Awaitable<Status> ByteStream::connect(Endpoint To) {
+  ErrorCode Failure;
+  tcp::endpoint Where(asio::ip::make_address(To.Address, Failure), To.Port);
+  auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+  if (!Failure)
+    co_await this->Own->socket().async_connect(Where, Token);
+  if (Failure)
+    co_return failed(ErrorKind::Unavailable, Failure);
+  this->Own->socket().set_option(tcp::no_delay(true), Failure);
+  co_return std::monostate{};
+}
+
+Awaitable<Status> ByteStream::acceptTls() {
+  auto *Encrypted = std::get_if<TlsStream>(&this->Own->Channel);
+  if (!Encrypted)
+    co_return std::monostate{};
+  ErrorCode Failure;
+  auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+  co_await Encrypted->async_handshake(asio::ssl::stream_base::server, Token);
+  if (Failure)
+    co_return failed(ErrorKind::Unavailable, Failure);
+  co_return std::monostate{};
+}
+
+Awaitable<Outcome<std::size_t>> ByteStream::readSome(std::span<char> Into) {
+  ErrorCode Failure;
+  auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+  auto Buffer = asio::buffer(Into.data(), Into.size());
+  std::size_t Count = 0;
+  if (auto *Plain = std::get_if<Socket>(&this->Own->Channel))
+    Count = co_await Plain->async_read_some(Buffer, Token);
+  else
+    Count = co_await std::get<TlsStream>(this->Own->Channel)
+                .async_read_some(Buffer, Token);
+  bool Ended = Failure == asio::error::eof ||
+               Failure == asio::ssl::error::stream_truncated;
+  if (Failure && !Ended)
+    co_return failed(ErrorKind::Unavailable, Failure);
+  co_return Count;
+}
+
+Awaitable<Status> ByteStream::writeAll(std::string_view Bytes) {
+  ErrorCode Failure;
+  auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+  auto Buffer = asio::buffer(Bytes.data(), Bytes.size());
+  std::size_t Count = 0;
+  if (auto *Plain = std::get_if<Socket>(&this->Own->Channel))
+    Count = co_await asio::async_write(*Plain, Buffer, Token);
+  else
+    Count = co_await asio::async_write(std::get<TlsStream>(this->Own->Channel),
+                                       Buffer, Token);
+  if (Failure)
+    co_return failed(Count == 0 ? ErrorKind::NotRun : ErrorKind::OutcomeUnknown,
+                     Failure);
+  co_return std::monostate{};
+}
+
+void ByteStream::setLimit(Duration Limit) {
+  this->Own->Alarm.expires_after(Limit);
+  this->Own->Alarm.async_wait(
+      [Weak = std::weak_ptr<State>(this->Own)](const ErrorCode &Cancelled) {
+        auto Self = Weak.lock();
+        if (Cancelled || !Self)
+          return;
+        // A limit set meanwhile takes the place of the one that ran out.
+        if (Self->Alarm.expiry() > std::chrono::steady_clock::now())
+          return;
+        ErrorCode Ignored;
+        Self->socket().close(Ignored);
+      });
+}
+
+void ByteStream::clearLimit() { this->Own->Alarm.cancel(); }
+
+void ByteStream::close() {
+  ErrorCode Ignored;
+  this->Own->socket().shutdown(tcp::socket::shutdown_both, Ignored);
+  this->Own->socket().close(Ignored);
+}
+
+Executor ByteStream::executor() const {
+  return this->Own->Alarm.get_executor();
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/ByteStream.h
@@ -0,0 +1,56 @@
+// A byte stream over TCP, with or without TLS, under a time limit.
+#pragma once
+
+#include "drivers/Http.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <span>
+#include <string_view>
+
+namespace boost::asio::ssl {
+class context;
+} // namespace boost::asio::ssl
+
+namespace turmericpitch {
+
+/// The keys and rules of one side's TLS.
+using TlsContext = std::shared_ptr<boost::asio::ssl::context>;
+
+/// One connection's bytes. Every operation runs on the socket's executor,
+/// which must be a strand. Read and write may not overlap with themselves.
+class ByteStream {
+public:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  /// Plain TCP if Tls is null.
+  explicit ByteStream(Socket Connected, const TlsContext &Tls = nullptr);
+  ~ByteStream();
+  ByteStream(const ByteStream &) = delete;
+  ByteStream &operator=(const ByteStream &) = delete;
+
+  /// Connects an unconnected socket. Errors: Unavailable.
+  Awaitable<Status> connect(Endpoint To);
+  /// Runs the server's side of the TLS handshake; nothing to do for plain
+  /// TCP. Errors: Unavailable.
+  Awaitable<Status> acceptTls();
+  /// Reads at least one byte; 0 at the end of the stream. Errors:
+  /// Unavailable.
+  Awaitable<Outcome<std::size_t>> readSome(std::span<char> Into);
+  /// Writes everything. Errors: NotRun if no byte was written, else
+  /// OutcomeUnknown.
+  Awaitable<Status> writeAll(std::string_view Bytes);
+
+  /// Closes the stream unless another limit is set before this one runs out.
+  void setLimit(Duration Limit);
+  void clearLimit();
+  /// Ends every operation under way.
+  void close();
+  [[nodiscard]] Executor executor() const;
+
+private:
+  struct State;
+  std::shared_ptr<State> Own;
+};
+
+} // namespace turmericpitch
--- a/drivers/HttpServer.cpp
+++ b/drivers/HttpServer.cpp
@@ -1,96 +1,84 @@
 #include "drivers/HttpServer.h"
 
+#include "drivers/ByteStream.h"
+#include "drivers/HttpMessages.h"
+
+#include <array>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 #include <map>
 #include <mutex>
 
 namespace turmericpitch {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 
 namespace {
 
-using Stream = beast::tcp_stream;
-using Parser = http::request_parser<http::string_body>;
 using ErrorCode = boost::system::error_code;
 
-HttpRequest takeRequest(Parser &Received) {
-  auto Message = Received.release();
-  HttpRequest Request;
-  Request.Method = std::string(Message.method_string());
-  Request.Target = std::string(Message.target());
-  Request.Host = std::string(Message[http::field::host]);
-  Request.Authorization = std::string(Message[http::field::authorization]);
-  Request.Body = std::move(Message.body());
-  return Request;
-}
+constexpr std::size_t ReadChunk = 4096;
+
+/// A connection's stream and the bytes that belong to its next request.
+struct ServedConnection {
+  ServedConnection(ByteStream::Socket Socket, const TlsContext &Tls)
+      : Stream(std::move(Socket), Tls) {}
+
+  ByteStream Stream;
+  std::string Unread;
+};
 
-http::response<http::string_body> makeResponse(HttpReply Reply,
-                                               bool KeepAlive) {
-  http::response<http::string_body> Response;
-  Response.result(Reply.Status);
-  Response.set(http::field::content_type, Reply.ContentType);
-  if (Reply.RetryAfter)
-    Response.set(http::field::retry_after,
-                 std::to_string(
-                     std::chrono::ceil<std::chrono::seconds>(*Reply.RetryAfter)
-                         .count()));
-  Response.keep_alive(KeepAlive);
-  Response.body() = std::move(Reply.Body);
-  Response.prepare_payload();
-  return Response;
+/// What reading one request came to.
+struct ReadOutcome {
+  /// The client ended the connection, or it failed.
+  bool Ended = false;
+  /// Why the request was refused before it was read whole.
+  std::optional<Error> Refused;
+};
+
+/// Reads one request into Into.
+Awaitable<ReadOutcome> readRequest(ServedConnection &From,
+                                   HttpRequestReader &Into) {
+  ReadOutcome Read;
+  std::array<char, ReadChunk> Chunk{};
+  while (true) {
+    auto Used = Into.feed(From.Unread);
+    if (!Used) {
+      Read.Refused = Used.error();
+      co_return Read;
+    }
+    From.Unread.erase(0, Used.value());
+    if (Into.done())
+      co_return Read;
+    std::span<char> Space(Chunk);
+    auto Count = co_await From.Stream.readSome(Space);
+    Read.Ended = !Count || Count.value() == 0;
+    if (Read.Ended)
+      co_return Read;
+    From.Unread.append(Chunk.data(), Count.value());
+  }
 }
 
 /// Writes a streamed reply; the connection ends with it.
-Awaitable<void> writePieces(Stream &Peer, HttpReply Reply) {
-  http::response<http::empty_body> Header;
-  Header.result(Reply.Status);
-  Header.set(http::field::content_type, Reply.ContentType);
-  Header.chunked(true);
-  Header.keep_alive(false);
-  http::response_serializer<http::empty_body> Serializer(Header);
-  ErrorCode Failure;
-  Peer.expires_never();
-  auto HeaderToken = asio::redirect_error(asio::use_awaitable, Failure);
-  co_await http::async_write_header(Peer, Serializer, HeaderToken);
-  while (!Failure) {
+Awaitable<void> writePieces(ByteStream &To, const HttpReply &Reply) {
+  To.clearLimit();
+  std::string Bytes = formatStreamBegin(Reply);
+  Status Written = co_await To.writeAll(Bytes);
+  while (Written) {
     std::optional<std::string> Piece = co_await Reply.NextPiece();
-    auto Token = asio::redirect_error(asio::use_awaitable, Failure);
-    if (!Piece) {
-      co_await asio::async_write(Peer, http::make_chunk_last(), Token);
+    Bytes = Piece ? formatStreamPiece(*Piece) : formatStreamEnd();
+    Written = co_await To.writeAll(Bytes);
+    if (!Piece)
       break;
-    }
-    auto Chunk = http::make_chunk(asio::buffer(*Piece));
-    co_await asio::async_write(Peer, Chunk, Token);
   }
 }
 
-Error tooLarge() {
-  return {.Kind = ErrorKind::BadRequest,
-          .Message = "request larger than the limit",
-          .Remedy = "send a smaller request"};
-}
-
-Error malformedHttp() {
-  return {.Kind = ErrorKind::BadRequest,
-          .Message = "malformed HTTP request",
-          .Remedy = "send HTTP/1.1"};
-}
-
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -99,10 +87,9 @@
         MakeHandler(std::move(MakeHandler)), Acceptor(asio::make_strand(On)) {}
 
   Awaitable<void> acceptLoop();
-  Awaitable<void> serve(std::shared_ptr<Stream> Peer);
-  Awaitable<bool> serveOne(Stream &Peer, beast::flat_buffer &Buffer,
-                           const HttpHandler &Handler);
-  std::uint64_t enroll(const std::shared_ptr<Stream> &Peer);
+  Awaitable<void> serve(std::shared_ptr<ServedConnection> Peer);
+  Awaitable<bool> serveOne(ServedConnection &Peer, const HttpHandler &Handler);
+  std::uint64_t enroll(const std::shared_ptr<ServedConnection> &Peer);
   void release(std::uint64_t Id);
 
   Executor On;
@@ -113,7 +100,7 @@
   std::atomic<std::size_t> InFlight = 0;
 
   mutable std::mutex Guard;
-  std::map<std::uint64_t, std::weak_ptr<Stream>> Connections;
+  std::map<std::uint64_t, std::weak_ptr<ServedConnection>> Connections;
   std::uint64_t NextId = 1;
 };
 
@@ -164,7 +151,7 @@
   std::lock_guard Lock(this->Shared->Guard);
   for (auto &[Id, Weak] : this->Shared->Connections)
     if (auto Peer = Weak.lock())
-      asio::dispatch(Peer->get_executor(), [Peer] { Peer->close(); });
+      asio::dispatch(Peer->Stream.executor(), [Peer] { Peer->Stream.close(); });
 }
 
 std::size_t HttpServer::requestsInFlight() const {
@@ -176,7 +163,8 @@
   return this->Shared->Connections.size();
 }
 
-std::uint64_t HttpServer::State::enroll(const std::shared_ptr<Stream> &Peer) {
+std::uint64_t
+HttpServer::State::enroll(const std::shared_ptr<ServedConnection> &Peer) {
   std::lock_guard Lock(this->Guard);
   if (this->Connections.size() >= this->Options.MaximumConnections)
     return 0;
@@ -199,72 +187,61 @@
     if (Failure)
       continue;
     Socket.set_option(tcp::no_delay(true), Failure);
-    auto Peer = std::make_shared<Stream>(std::move(Socket));
+    TlsContext Tls;
+    if (this->Options.CurrentTls)
+      Tls = this->Options.CurrentTls();
+    auto Peer = std::make_shared<ServedConnection>(std::move(Socket), Tls);
     asio::co_spawn(
-        Peer->get_executor(),
+        Peer->Stream.executor(),
         [Self, Peer]() -> Awaitable<void> { co_await Self->serve(Peer); },
         asio::detached);
   }
 }
 
-Awaitable<void> HttpServer::State::serve(std::shared_ptr<Stream> Peer) {
+Awaitable<void>
+HttpServer::State::serve(std::shared_ptr<ServedConnection> Peer) {
   std::uint64_t Id = this->enroll(Peer);
   if (Id == 0)
     co_return;
+  Peer->Stream.setLimit(this->Options.HandshakeLimit);
+  Status Accepted = co_await Peer->Stream.acceptTls();
+  bool Open = Accepted.hasValue();
   HttpHandler Handler = this->MakeHandler();
-  beast::flat_buffer Buffer;
-  bool Open = true;
   while (Open)
-    Open = co_await this->serveOne(*Peer, Buffer, Handler);
-  ErrorCode Ignored;
-  Peer->socket().shutdown(tcp::socket::shutdown_both, Ignored);
+    Open = co_await this->serveOne(*Peer, Handler);
+  Peer->Stream.close();
   this->release(Id);
 }
 
-Awaitable<bool> HttpServer::State::serveOne(Stream &Peer,
-                                            beast::flat_buffer &Buffer,
+Awaitable<bool> HttpServer::State::serveOne(ServedConnection &Peer,
                                             const HttpHandler &Handler) {
-  Parser Received;
-  Received.body_limit(this->Options.MaximumBody);
-  Received.header_limit(this->Options.MaximumHeader);
-  Peer.expires_after(this->Options.IdleLimit);
-  ErrorCode Failure;
-  auto ReadToken = asio::redirect_error(asio::use_awaitable, Failure);
-  co_await http::async_read(Peer, Buffer, Received, ReadToken);
-  bool TooLarge = Failure == http::error::body_limit ||
-                  Failure == http::error::header_limit;
-  bool Malformed =
-      Failure && !TooLarge &&
-      Failure.category() ==
-          http::make_error_code(http::error::bad_method).category() &&
-      Failure != http::error::end_of_stream &&
-      Failure != http::error::partial_message;
-  if (Failure && !TooLarge && !Malformed)
+  Peer.Stream.setLimit(this->Options.IdleLimit);
+  HttpRequestReader Reader(this->Options.Limits);
+  ReadOutcome Read = co_await readRequest(Peer, Reader);
+  if (Read.Ended)
     co_return false;
   ++this->InFlight;
-  Peer.expires_never();
+  Peer.Stream.clearLimit();
   HttpReply Reply;
   bool KeepAlive = false;
-  if (Failure) {
-    Reply = replyWith(TooLarge ? tooLarge() : malformedHttp());
+  if (Read.Refused) {
+    Reply = replyWith(*Read.Refused);
   } else {
-    KeepAlive = Received.get().keep_alive();
-    HttpRequest Request = takeRequest(Received);
+    KeepAlive = Reader.keepAlive();
+    HttpRequest Request = Reader.take();
     Reply = co_await Handler(std::move(Request));
   }
-  KeepAlive = KeepAlive && !this->Draining;
   if (Reply.NextPiece) {
     --this->InFlight;
-    co_await writePieces(Peer, std::move(Reply));
+    co_await writePieces(Peer.Stream, Reply);
     co_return false;
   }
-  auto Response = makeResponse(std::move(Reply), KeepAlive);
-  Peer.expires_after(this->Options.IdleLimit);
-  ErrorCode WriteFailure;
-  auto WriteToken = asio::redirect_error(asio::use_awaitable, WriteFailure);
-  co_await http::async_write(Peer, Response, WriteToken);
+  KeepAlive = KeepAlive && !this->Draining;
+  std::string Bytes = formatReply(Reply, KeepAlive);
+  Peer.Stream.setLimit(this->Options.IdleLimit);
+  Status Written = co_await Peer.Stream.writeAll(Bytes);
   --this->InFlight;
-  co_return KeepAlive && !WriteFailure;
+  co_return KeepAlive &&Written.hasValue();
 }
 
 } // namespace turmericpitch
--- a/drivers/HttpServer.h
+++ b/drivers/HttpServer.h
@@ -1,7 +1,9 @@
 // Serves HTTP/1.1 on one address.
 #pragma once
 
+#include "drivers/ByteStream.h"
 #include "drivers/Http.h"
+#include "drivers/HttpMessages.h"
 
 namespace turmericpitch {
 
@@ -14,10 +16,11 @@
 /// Limits of one server.
 struct HttpServerOptions {
   Endpoint Listen;
-  /// Largest body taken, bytes.
-  std::size_t MaximumBody = 1024 * 1024;
-  /// Largest header taken, bytes.
-  std::uint32_t MaximumHeader = 16 * 1024;
+  HttpLimits Limits{};
+  /// The TLS of new connections; not set means plain TCP. Called for each
+  /// connection, so that keys can be exchanged while serving.
+  std::function<TlsContext()> CurrentTls = nullptr;
+  Duration HandshakeLimit = std::chrono::seconds(10);
   /// How long a connection may stay silent between requests.
   Duration IdleLimit = std::chrono::minutes(10);
   /// Connections held at once; further ones are closed.
