--- /dev/null
+++ b/tools/EmbeddedFleet.h
@@ -0,0 +1,104 @@
+// A whole installation in one process: platform, members and instances.
+#pragma once
+
+#include "configuration/Objects.h"
+#include "main/Daemon.h"
+#include "stand_ins/KeyValueServer.h"
+#include "stand_ins/MemberServer.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <thread>
+
+namespace turmericpitch {
+
+/// What the installation consists of. All addresses are on loopback, ports
+/// counted up from BasePort.
+struct FleetOptions {
+  std::uint16_t BasePort = 7400;
+  std::string BrandName = "kaveri";
+  std::string BrandHost = "db.kaveri.example";
+  std::string AccountName = "sabarmati";
+  std::string ServiceName = "order-desk";
+  std::string DatabasePrefix = "bookings";
+  std::vector<std::string> Zones{"vatva", "sanand", "naroda"};
+  std::size_t Databases = 1;
+  std::size_t MembersEach = 3;
+  std::size_t Instances = 2;
+  std::uint32_t ConnectionLimit = 20;
+  std::uint32_t Slots = 3;
+  Duration ApplyLag{0};
+};
+
+/// Names one member: its database and its place in it, from 0.
+struct MemberPlace {
+  std::size_t Database = 0;
+  std::size_t Member = 0;
+};
+
+/// Starts, faults and ends the parts. Not thread-safe; the parts run on
+/// threads of their own. Destruction ends everything.
+class EmbeddedFleet {
+public:
+  explicit EmbeddedFleet(FleetOptions Options);
+  ~EmbeddedFleet();
+  EmbeddedFleet(const EmbeddedFleet &) = delete;
+  EmbeddedFleet &operator=(const EmbeddedFleet &) = delete;
+
+  /// Starts all parts. Errors: Unavailable if a port is taken.
+  Status start();
+  /// Submits the ticket that describes the installation, with the given
+  /// members marked as leaving. Errors: the instance's.
+  Status submitTicket(std::uint64_t Number,
+                      const std::vector<MemberPlace> &Leaving = {});
+  /// Blocks until every running instance has the ticket in force, at most
+  /// Limit. Returns whether it came to that.
+  bool awaitTicket(std::uint64_t Number, Duration Limit);
+
+  /// Ends a member as a crash does, for good.
+  void crashMember(const MemberPlace &Place);
+  void setMemberFaults(const MemberPlace &Place, const MemberFaults &Faults);
+  void setPlatformFaults(const KeyValueFaults &Faults);
+  /// Ends an instance as a crash does.
+  void crashInstance(std::size_t Instance);
+  /// Starts an instance that was ended. Errors: Unavailable.
+  Status startInstance(std::size_t Instance);
+  /// Lets an instance drain and end. Blocks until no request is in flight.
+  void drainInstance(std::size_t Instance);
+
+  /// Which member is primary of a database, as the members say; nothing if
+  /// none is.
+  [[nodiscard]] std::optional<std::size_t>
+  primaryOf(std::size_t Database) const;
+  [[nodiscard]] DatabaseId databaseId(std::size_t Database) const;
+  [[nodiscard]] Endpoint callersOf(std::size_t Instance) const;
+  [[nodiscard]] Endpoint operatorsOf(std::size_t Instance) const;
+  [[nodiscard]] const FleetOptions &options() const { return this->Options; }
+
+  static constexpr const char *CallerCredential = "embedded-caller-credential";
+  static constexpr const char *OperatorCredential =
+      "embedded-operator-credential";
+
+private:
+  [[nodiscard]] Endpoint port(std::size_t Offset) const;
+  [[nodiscard]] Endpoint memberEndpoint(const MemberPlace &Place) const;
+  [[nodiscard]] UpstreamId memberId(const MemberPlace &Place) const;
+  [[nodiscard]] MemberServerOptions
+  memberOptions(const MemberPlace &Place) const;
+  [[nodiscard]] DaemonSettings daemonSettings(std::size_t Instance) const;
+  [[nodiscard]] Database
+  databaseObject(std::size_t Index,
+                 const std::vector<MemberPlace> &Leaving) const;
+  MemberServer &member(const MemberPlace &Place);
+
+  FleetOptions Options;
+  boost::asio::io_context Context;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work{
+      Context.get_executor()};
+  std::vector<std::thread> Threads;
+  std::unique_ptr<KeyValueServer> Platform;
+  std::vector<std::unique_ptr<MemberServer>> Members;
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+};
+
+} // namespace turmericpitch
