Add the load tool with its checker, recorder and report

Cause: the two measures and the promises need one command that shows them on real sockets. Change: load plans in YAML with scheduled faults, open-loop arrivals, roaming sessions, a checker of the promises, JSON and HTML reports with SVG plots; tests for the checker, plans and settings.

--- a/main/Commands.cpp
+++ b/main/Commands.cpp
@@ -4,6 +4,7 @@
 #include "drivers/BlockingClient.h"
 #include "main/Daemon.h"
 #include "main/Demo.h"
+#include "tools/LoadReport.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -263,11 +264,68 @@
   return callOperators(*Parsed, std::move(Request));
 }
 
+bool writeFile(const std::string &Path, const std::string &Text) {
+  std::ofstream Stream(Path);
+  Stream << Text;
+  return Stream.good();
+}
+
+int load(int Count, const char *const *Arguments) {
+  cxxopts::Options Options("turmericpitch load",
+                           "Runs a load plan against an embedded fleet and "
+                           "checks that no promise breaks");
+  Options.add_options()("plan", "plan file", cxxopts::value<std::string>());
+  Options.add_options()("json", "write the figures here",
+                        cxxopts::value<std::string>());
+  Options.add_options()("html", "write the report with plots here",
+                        cxxopts::value<std::string>());
+  Options.add_options()("log-file", "write the decision log here",
+                        cxxopts::value<std::string>()->default_value(""));
+  Options.parse_positional({"plan"});
+  Options.positional_help("PLAN");
+  int Code = ExitSuccess;
+  auto Parsed = parseOptions(Options, Count, Arguments, Code);
+  if (!Parsed)
+    return Code;
+  std::string Path =
+      Parsed->count("plan") > 0 ? (*Parsed)["plan"].as<std::string>() : "";
+  auto Text = readFile(Path);
+  if (!Text) {
+    std::cerr << "can't read the plan '" << Path
+              << "'\nremedy: name a plan such as examples/load/*.yaml\n";
+    return ExitUsage;
+  }
+  auto Plan = keepOutcome([&] { return parseLoadPlan(*Text, Path); });
+  if (!Plan)
+    return reportError(Plan.error(), ExitUsage);
+  sendLogTo((*Parsed)["log-file"].as<std::string>());
+  LoadRun Run(Plan.value(), std::cout);
+  auto Result = Run.run();
+  if (!Result)
+    return reportError(Result.error(), ExitUnavailable);
+  std::cout << loadReportText(Run, Result.value());
+  bool Written = true;
+  if (Parsed->count("json") > 0)
+    Written = writeFile((*Parsed)["json"].as<std::string>(),
+                        loadReportJson(Run, Result.value()));
+  if (Parsed->count("html") > 0)
+    Written = writeFile((*Parsed)["html"].as<std::string>(),
+                        loadReportHtml(Run, Result.value())) &&
+              Written;
+  if (!Written) {
+    std::cerr << "can't write a report\nremedy: name a writable file\n";
+    return ExitUsage;
+  }
+  bool Kept = Result.value().Broken.empty() && Result.value().Scanned;
+  return Kept ? ExitSuccess : ExitRefused;
+}
+
 std::vector<Command> allCommands() {
   return {{"serve", "run one instance", serve},
           {"demo", "play the main path in one process", demo},
           {"check-config", "check a settings file", checkConfig},
           {"ticket", "submit or show a change ticket", ticket},
+          {"load", "run a load plan and check the promises", load},
           {"status", "show what an instance knows", status}};
 }
 
--- /dev/null
+++ b/tests/main/DaemonSettingsTest.cpp
@@ -0,0 +1,74 @@
+#include "main/DaemonSettings.h"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace turmericpitch {
+namespace {
+
+std::string quickstart() {
+  std::ifstream Stream(std::string(SOURCE_DIRECTORY) +
+                       "/examples/quickstart/entry-1.yaml");
+  std::ostringstream Text;
+  Text << Stream.rdbuf();
+  return Text.str();
+}
+
+Outcome<DaemonSettings> parse(const std::string &Text) {
+  return keepOutcome([&] { return parseDaemonSettings(Text, "entry.yaml"); });
+}
+
+TEST(DaemonSettings, ReadsTheQuickstart) {
+  auto Settings = parse(quickstart());
+  ASSERT_TRUE(Settings) << Settings.error().Message;
+  EXPECT_EQ(Settings.value().Self, InstanceId{"entry-1"});
+}
+
+struct BadSetting {
+  std::string Added;
+  std::string Expected;
+};
+
+class BadSettings : public ::testing::TestWithParam<BadSetting> {};
+
+TEST_P(BadSettings, NamesKeyAndRemedy) {
+  auto Settings = parse(quickstart() + GetParam().Added);
+  ASSERT_FALSE(Settings);
+  EXPECT_EQ(Settings.error().Kind, ErrorKind::BadRequest);
+  EXPECT_NE(Settings.error().Message.find(GetParam().Expected),
+            std::string::npos)
+      << Settings.error().Message;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Each, BadSettings,
+    ::testing::Values(
+        BadSetting{"colour: red\n", "colour: unknown key; remove it"},
+        BadSetting{"threads: many\n", "threads: wrong type"},
+        BadSetting{"threads: 0\n", "threads: out of range; use a number"},
+        BadSetting{"routing: {replica_wait: 20}\n",
+                   "routing.replica_wait: wrong unit or type"},
+        BadSetting{"failover: {probe_interval: 1h}\n",
+                   "failover.probe_interval: out of range"},
+        BadSetting{"peers: [{instance: e, address: nowhere, "
+                   "availability_zone: z}]\n",
+                   "peers[0].address: not an address"},
+        BadSetting{"threads: 2\nthreads: 3\n", "threads: key stands twice"}));
+
+TEST(DaemonSettings, NamesAllProblemsAtOnce) {
+  auto Settings = parse("instance: e\n");
+  ASSERT_FALSE(Settings);
+  for (const char *Key : {"availability_zone", "listen.callers", "platform",
+                          "token_keys", "peer_keys"})
+    EXPECT_NE(Settings.error().Message.find(Key), std::string::npos) << Key;
+}
+
+TEST(DaemonSettings, RefusesWhatIsNotYaml) {
+  EXPECT_FALSE(parse("{"));
+  EXPECT_FALSE(parse("- a\n"));
+  EXPECT_FALSE(parse(std::string("a: \0", 4)));
+}
+
+} // namespace
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/tools/LoadCheckerTest.cpp
@@ -0,0 +1,93 @@
+#include "tools/LoadChecker.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::seconds;
+
+std::string onlyBroken(const LoadChecker &Checker) {
+  auto Broken = Checker.broken();
+  return Broken.size() == 1 ? Broken.front().Promise
+                            : std::to_string(Broken.size()) + " broken";
+}
+
+TEST(LoadChecker, AcceptsWhatIsAllowed) {
+  LoadChecker Checker;
+  Checker.onWrite("a", WriteOutcome::Acknowledged);
+  Checker.onWrite("b", WriteOutcome::NotRun);
+  Checker.onWrite("c", WriteOutcome::Unknown);
+  Checker.onSessionWriteBegun("s");
+  Checker.onSessionWriteEnded("s", WriteOutcome::Unknown);
+  Checker.onSessionRead("s", 0);
+  Checker.onSessionRead("s", 1);
+  Checker.checkStored({{"a", "1"}, {"c", "1"}});
+  EXPECT_TRUE(Checker.broken().empty());
+  EXPECT_EQ(Checker.acknowledged(), 1U);
+}
+
+TEST(LoadChecker, FindsLostWork) {
+  LoadChecker Checker;
+  Checker.onWrite("a", WriteOutcome::Acknowledged);
+  Checker.checkStored({});
+  EXPECT_EQ(onlyBroken(Checker), "no_lost_work");
+}
+
+TEST(LoadChecker, FindsRefusedWorkThatRan) {
+  LoadChecker Checker;
+  Checker.onWrite("a", WriteOutcome::NotRun);
+  Checker.checkStored({{"a", "1"}});
+  EXPECT_EQ(onlyBroken(Checker), "refused_did_not_run");
+}
+
+TEST(LoadChecker, FindsWorkThatRanTwice) {
+  LoadChecker Checker;
+  Checker.onWrite("a", WriteOutcome::Unknown);
+  Checker.checkStored({{"a", "2"}});
+  EXPECT_EQ(onlyBroken(Checker), "at_most_once");
+}
+
+TEST(LoadChecker, FindsASessionThatMissesItsOwnWrite) {
+  LoadChecker Checker;
+  Checker.onSessionWriteBegun("s");
+  Checker.onSessionWriteEnded("s", WriteOutcome::Acknowledged);
+  Checker.onSessionRead("s", 0);
+  EXPECT_EQ(onlyBroken(Checker), "read_your_writes");
+}
+
+TEST(LoadChecker, FindsASessionThatGoesBack) {
+  LoadChecker Checker;
+  Checker.onSessionWriteBegun("s");
+  Checker.onSessionWriteEnded("s", WriteOutcome::Unknown);
+  Checker.onSessionRead("s", 1);
+  Checker.onSessionRead("s", 0);
+  EXPECT_EQ(onlyBroken(Checker), "monotonic_reads");
+}
+
+TEST(LoadChecker, FindsASessionWriteThatRanTwice) {
+  LoadChecker Checker;
+  Checker.onSessionWriteBegun("s");
+  Checker.onSessionWriteEnded("s", WriteOutcome::Acknowledged);
+  Checker.onSessionRead("s", 2);
+  EXPECT_EQ(onlyBroken(Checker), "at_most_once");
+}
+
+TEST(LoadChecker, FindsReadsOlderThanStated) {
+  LoadChecker Checker;
+  TimePoint Start{seconds(10)};
+  Checker.onCatalogueWritten(7, Start);
+  Checker.onCatalogueRead(0, Start + seconds(1), seconds(2));
+  EXPECT_TRUE(Checker.broken().empty());
+  Checker.onCatalogueRead(0, Start + seconds(2), seconds(2));
+  EXPECT_EQ(onlyBroken(Checker), "stated_age");
+}
+
+TEST(LoadChecker, FindsAnotherRequestsAnswer) {
+  LoadChecker Checker;
+  Checker.onForeignRow("catalogue", "booking-1=1");
+  EXPECT_EQ(onlyBroken(Checker), "own_answer");
+}
+
+} // namespace
+} // namespace turmericpitch
--- /dev/null
+++ b/tools/LoadRecorder.h
@@ -0,0 +1,100 @@
+// Gathers the figures of a load run.
+#pragma once
+
+#include "core/Error.h"
+#include "core/Time.h"
+
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericpitch {
+
+enum class LoadOperation { Booking, Dispatch, SessionRead, CatalogueRead };
+
+/// The operation's stable name in reports. Thread-safe.
+std::string_view toString(LoadOperation Operation);
+
+/// One finished request.
+struct LoadSample {
+  LoadOperation Operation = LoadOperation::Booking;
+  std::size_t Database = 0;
+  /// Since the start of the load.
+  Duration Begun{0};
+  Duration Took{0};
+  /// Not set if it succeeded.
+  std::optional<ErrorKind> Failure;
+  bool ServedByReplica = false;
+};
+
+/// Latencies in microseconds, on logarithmic bins.
+class LatencyHistogram {
+public:
+  LatencyHistogram();
+  void add(Duration Took);
+  /// The upper edge of the bin that holds the quantile, 0 if empty.
+  /// Precondition: 0 <= Share <= 1.
+  [[nodiscard]] Duration quantile(double Share) const;
+  [[nodiscard]] std::uint64_t count() const { return this->Count; }
+
+private:
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+  using Bins = decltype(boost::histogram::make_histogram(std::declval<Axis>()));
+
+  Bins Histogram;
+  std::uint64_t Count = 0;
+};
+
+/// The figures of one second of a run.
+struct LoadSecond {
+  std::uint64_t ReplicaReads = 0;
+  std::uint64_t PrimaryReads = 0;
+  std::uint64_t Writes = 0;
+  std::uint64_t Failures = 0;
+  LatencyHistogram Latency;
+};
+
+/// The time in which a database took no writes though some were tried.
+struct WriteGap {
+  std::size_t Database = 0;
+  /// When the last write before the gap and the first one after it were
+  /// answered, since the start of the load.
+  Duration From{0};
+  Duration Until{0};
+
+  [[nodiscard]] Duration length() const { return this->Until - this->From; }
+  auto operator<=>(const WriteGap &) const = default;
+};
+
+/// Everything that a report shows. Thread-safe to add to; read when done.
+class LoadRecorder {
+public:
+  void add(const LoadSample &Sample);
+
+  [[nodiscard]] std::vector<LoadSecond> seconds() const;
+  [[nodiscard]] const LatencyHistogram &latency(LoadOperation Operation) const;
+  [[nodiscard]] std::map<std::string, std::uint64_t> failures() const;
+  /// Replica reads among all answered reads, from 0 to 1.
+  [[nodiscard]] double replicaShare() const;
+  [[nodiscard]] std::uint64_t answered() const;
+  /// The longest gap of each database, longest first.
+  [[nodiscard]] std::vector<WriteGap> longestGaps() const;
+
+private:
+  mutable std::mutex Guard;
+  std::map<std::int64_t, LoadSecond> Seconds;
+  mutable std::map<LoadOperation, LatencyHistogram> Latencies;
+  std::map<std::string, std::uint64_t> Failures;
+  std::map<std::size_t, std::vector<Duration>> WriteAnswers;
+  std::uint64_t ReplicaReads = 0;
+  std::uint64_t PrimaryReads = 0;
+  std::uint64_t Answered = 0;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/tools/LoadRun.h
@@ -0,0 +1,76 @@
+// Runs a load plan against an embedded fleet.
+#pragma once
+
+#include "core/RandomSource.h"
+#include "tools/LoadChecker.h"
+#include "tools/LoadClient.h"
+#include "tools/LoadPlan.h"
+#include "tools/LoadRecorder.h"
+
+#include <ostream>
+
+namespace turmericpitch {
+
+/// What a load run came to.
+struct LoadResult {
+  std::vector<BrokenPromise> Broken;
+  /// Bookings acknowledged, each checked at the end.
+  std::size_t Acknowledged = 0;
+  /// Whether the final scan reached every database.
+  bool Scanned = false;
+};
+
+/// One run. Used once; not thread-safe.
+class LoadRun {
+public:
+  LoadRun(LoadPlan Plan, std::ostream &Progress);
+  ~LoadRun();
+
+  /// Starts the fleet, runs load and faults, checks at the end. Blocks.
+  /// Errors: Unavailable if the fleet can't start.
+  Outcome<LoadResult> run();
+
+  [[nodiscard]] const LoadRecorder &recorder() const { return this->Recorder; }
+  [[nodiscard]] const LoadPlan &plan() const { return this->Plan; }
+
+private:
+  struct Session;
+
+  Awaitable<void> dispatchArrivals();
+  Awaitable<void> writeCatalogue();
+  Awaitable<void> runFaults();
+  Awaitable<void> runOperation(std::shared_ptr<Session> By);
+  Awaitable<void> book(std::shared_ptr<Session> By);
+  Awaitable<void> confirmDispatch(std::shared_ptr<Session> By);
+  Awaitable<void> readOwn(std::shared_ptr<Session> By);
+  Awaitable<void> readCatalogue(std::shared_ptr<Session> By);
+  Awaitable<void> scanAll(std::shared_ptr<bool> Complete);
+  Awaitable<Outcome<LoadAnswer>> send(std::shared_ptr<Session> By,
+                                      LoadOperation Operation,
+                                      LoadStatement Statement);
+  void carryOut(const LoadFault &Fault);
+  std::shared_ptr<Session> takeSession();
+  void giveBack(const std::shared_ptr<Session> &Returned);
+  std::size_t someInstance();
+  [[nodiscard]] Duration sinceStart() const;
+  [[nodiscard]] bool ended() const;
+
+  LoadPlan Plan;
+  std::ostream &Progress;
+  EmbeddedFleet Fleet;
+  LoadChecker Checker;
+  LoadRecorder Recorder;
+  boost::asio::io_context Context;
+  Executor On;
+  RandomSource Random;
+  MonotonicClock Time;
+  TimePoint StartedAt;
+  std::vector<std::shared_ptr<Session>> Idle;
+  std::vector<bool> InstanceUp;
+  std::vector<StoredRow> Stored;
+  std::size_t Busy = 0;
+  std::size_t Missed = 0;
+  std::uint64_t NextKey = 1;
+};
+
+} // namespace turmericpitch
