Read absent mappings of settings without an exception

Cause: yaml-cpp's node for an absent key throws when assigned to, so settings without a routing or failover section were refused as an internal error; found by DaemonSettings.ReadsTheQuickstart, which failed with nine others before. Change: YamlReader::mapping() builds the empty mapping anew. Conclusion: check-config takes the quickstart.

--- a/core/YamlReader.cpp
+++ b/core/YamlReader.cpp
@@ -273,14 +273,12 @@
 }
 
 YamlReader YamlReader::mapping(const std::string &Key) {
-  YAML::Node Value = this->find(Key);
-  if (Value.IsDefined() && !Value.IsMap()) {
+  const YAML::Node Value = this->find(Key);
+  if (Value.IsDefined() && Value.IsMap())
+    return {Value, this->pathOf(Key), this->Problems};
+  if (Value.IsDefined())
     this->problem(Key, "wrong type", "write it as a mapping");
-    Value = YAML::Node(YAML::NodeType::Undefined);
-  }
-  if (!Value.IsDefined())
-    Value = YAML::Node(YAML::NodeType::Map);
-  return {Value, this->pathOf(Key), this->Problems};
+  return {YAML::Node(YAML::NodeType::Map), this->pathOf(Key), this->Problems};
 }
 
 void YamlReader::finish() {
