Divide a database's connections by loans between instances

Cause: the static split leaves an instance with a hot account short while others hold idle connections. Not done here: the part that a dead instance owns stays unused until it restarts; only what it had borrowed comes back.

--- a/include/turmericpitch/turmericpitch.h
+++ b/include/turmericpitch/turmericpitch.h
@@ -17,6 +17,7 @@
 #include "core/Time.h"
 #include "failover/LossDetector.h"
 #include "failover/Promotion.h"
+#include "limits/ConnectionShares.h"
 #include "membership/PeerFrame.h"
 #include "routing/Filters.h"
 #include "routing/Router.h"
--- /dev/null
+++ b/limits/ConnectionShares.cpp
@@ -0,0 +1,205 @@
+#include "limits/ConnectionShares.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace turmericpitch {
+
+namespace {
+
+/// This fraction of the owned part, rounded up, is never lent.
+constexpr std::uint32_t FloorDivisor = 4;
+
+std::uint64_t rendezvousWeight(const DatabaseId &Target,
+                               const InstanceId &Instance) {
+  std::string Text = Target.Value + "/" + Instance.Value;
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
+} // namespace
+
+std::uint32_t ownedPart(const ConnectionSharesOptions &Options) {
+  const auto &Instances = Options.Instances;
+  if (std::find(Instances.begin(), Instances.end(), Options.Self) ==
+      Instances.end())
+    return 0;
+  auto Count = static_cast<std::uint32_t>(Instances.size());
+  std::uint64_t Own = rendezvousWeight(Options.Target, Options.Self);
+  auto Rank = std::count_if(
+      Instances.begin(), Instances.end(), [&](const InstanceId &Other) {
+        std::uint64_t Weight = rendezvousWeight(Options.Target, Other);
+        return Weight > Own || (Weight == Own && Other < Options.Self);
+      });
+  return Options.Limit / Count + (Rank < Options.Limit % Count ? 1 : 0);
+}
+
+ConnectionShares::ConnectionShares(ConnectionSharesOptions Given, TimePoint Now)
+    : Options(std::move(Given)), StartedAt(Now), Lender(Options.Lending),
+      NeedSince(Now) {}
+
+bool ConnectionShares::isPeer(const InstanceId &Instance) const {
+  const auto &All = this->Options.Instances;
+  return Instance != this->Options.Self &&
+         std::find(All.begin(), All.end(), Instance) != All.end();
+}
+
+bool ConnectionShares::starting(TimePoint Now) const {
+  // An earlier start of this instance may have lent its part; what it lent
+  // ends within one lease.
+  return Now < this->StartedAt + this->Options.Lending.Lease +
+                   this->Options.Lending.Margin;
+}
+
+std::uint32_t ConnectionShares::floor() const {
+  return (ownedPart(this->Options) + FloorDivisor - 1) / FloorDivisor;
+}
+
+std::uint32_t ConnectionShares::own(TimePoint Now) const {
+  if (this->starting(Now))
+    return this->floor();
+  std::uint32_t Owned = ownedPart(this->Options);
+  std::uint32_t Lent = this->Lender.lent(Now);
+  return Owned > Lent ? Owned - Lent : 0;
+}
+
+std::uint32_t ConnectionShares::borrowed(TimePoint Now) const {
+  std::uint32_t Sum = 0;
+  for (const auto &[Peer, Loan] : this->Loans)
+    if (Now < Loan.Until)
+      Sum += Loan.Count;
+  return Sum;
+}
+
+std::uint32_t ConnectionShares::lent(TimePoint Now) const {
+  return this->Lender.lent(Now);
+}
+
+std::uint32_t ConnectionShares::usable(TimePoint Now) const {
+  return this->own(Now) + this->borrowed(Now);
+}
+
+ShareAllowance ConnectionShares::allowance(TimePoint Now) const {
+  ShareAllowance Result{.Usable = this->usable(Now),
+                        .ValidUntil = TimePoint::max(),
+                        .Afterwards = this->own(Now)};
+  for (const auto &[Peer, Loan] : this->Loans)
+    if (Loan.Count > 0 && Now < Loan.Until)
+      Result.ValidUntil = std::min(Result.ValidUntil, Loan.Until);
+  return Result;
+}
+
+std::uint32_t ConnectionShares::need(TimePoint) const {
+  return std::max(this->RecentNeed, this->EarlierNeed);
+}
+
+void ConnectionShares::onNeed(std::uint32_t Count, TimePoint Now) {
+  if (Now - this->NeedSince >= this->Options.NeedMemory) {
+    this->EarlierNeed = this->RecentNeed;
+    this->RecentNeed = Count;
+    this->NeedSince = Now;
+  }
+  this->RecentNeed = std::max(this->RecentNeed, Count);
+}
+
+std::uint32_t ConnectionShares::lendable(TimePoint Now) const {
+  if (this->starting(Now))
+    return 0;
+  std::uint32_t Kept = std::max(this->floor(), this->need(Now));
+  std::uint32_t Owned = ownedPart(this->Options);
+  return Owned > Kept ? Owned - Kept : 0;
+}
+
+std::vector<ShareSend> ConnectionShares::onMessage(const InstanceId &From,
+                                                   const ShareMessage &Message,
+                                                   TimePoint Now) {
+  if (!this->isPeer(From))
+    return {};
+  if (const auto *Request = std::get_if<ShareRequest>(&Message))
+    return this->onRequest(From, *Request, Now);
+  this->onGrant(From, std::get<ShareGrant>(Message), Now);
+  return {};
+}
+
+std::vector<ShareSend> ConnectionShares::onRequest(const InstanceId &From,
+                                                   const ShareRequest &Request,
+                                                   TimePoint Now) {
+  auto Grant = this->Lender.onRequest(From, Request, this->lendable(Now), Now);
+  if (!Grant)
+    return {};
+  return {ShareSend{.To = From, .Message = *Grant}};
+}
+
+void ConnectionShares::onGrant(const InstanceId &From, const ShareGrant &Grant,
+                               TimePoint Now) {
+  if (Grant.Incarnation != this->Options.Incarnation)
+    return;
+  Held &Loan = this->Loans[From];
+  if (Grant.Sequence <= Loan.Accepted || Grant.Sequence >= this->NextSequence)
+    return;
+  TimePoint Until = TimePoint(Duration(Grant.SentAt)) +
+                    Duration(Grant.ValidFor) - this->Options.Guard;
+  if (Until <= Now)
+    return;
+  if (Loan.Count > 0 || Grant.Count > 0)
+    Loan.Settled = false;
+  Loan.Accepted = Grant.Sequence;
+  Loan.Count = Grant.Count;
+  Loan.Until = Until;
+  Loan.Spare = Grant.Spare;
+}
+
+std::map<InstanceId, std::uint32_t>
+ConnectionShares::plan(TimePoint Now) const {
+  std::uint32_t Need = this->need(Now);
+  std::uint32_t Own = this->own(Now);
+  std::uint32_t Lack = Need > Own ? Need - Own : 0;
+  std::map<InstanceId, std::uint32_t> Wanted;
+  for (const InstanceId &Peer : this->Options.Instances) {
+    if (Peer == this->Options.Self)
+      continue;
+    auto Found = this->Loans.find(Peer);
+    bool Holds = Found != this->Loans.end() && Now < Found->second.Until;
+    std::uint32_t Kept = Holds ? std::min(Found->second.Count, Lack) : 0;
+    Wanted[Peer] = Kept;
+    Lack -= Kept;
+  }
+  for (auto &[Peer, Count] : Wanted) {
+    auto Found = this->Loans.find(Peer);
+    if (Found == this->Loans.end())
+      continue;
+    std::uint32_t Extra = std::min(Found->second.Spare, Lack);
+    Count += Extra;
+    Lack -= Extra;
+  }
+  return Wanted;
+}
+
+std::vector<ShareSend> ConnectionShares::onTick(TimePoint Now) {
+  bool Lacking = this->need(Now) > this->own(Now);
+  std::vector<ShareSend> Sends;
+  for (const auto &[Peer, Wanted] : this->plan(Now)) {
+    Held &Loan = this->Loans[Peer];
+    if (Loan.Settled && !Lacking)
+      continue;
+    if (this->OpenWithin)
+      Loan.Reported = Loan.Accepted;
+    // The request that follows tells the lender of the return.
+    Loan.Settled = this->OpenWithin && (Loan.Count == 0 || Now >= Loan.Until);
+    Sends.push_back(
+        {.To = Peer, .Message = this->makeRequest(Peer, Wanted, Now)});
+  }
+  return Sends;
+}
+
+ShareRequest ConnectionShares::makeRequest(const InstanceId &To,
+                                           std::uint32_t Wanted,
+                                           TimePoint Now) {
+  return {.Target = this->Options.Target,
+          .Incarnation = this->Options.Incarnation,
+          .Sequence = this->NextSequence++,
+          .Accepted = this->Loans[To].Reported,
+          .Wanted = Wanted,
+          .SentAt = Now.time_since_epoch().count()};
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/limits/ConnectionSharesTest.cpp
@@ -0,0 +1,237 @@
+#include "limits/ConnectionShares.h"
+
+#include "tests/limits/ShareSimulation.h"
+#include "tests/support/Scenario.h"
+
+#include <gtest/gtest.h>
+#include <numeric>
+#include <rapidcheck.h>
+
+namespace turmericpitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration Settling = seconds(6);
+
+/// Random faults for a while; the sum must hold at every event.
+void disturb(ShareSimulation &Simulation, std::uint32_t Instances,
+             std::uint64_t Seed) {
+  RandomSource Random(Seed);
+  for (int Step = 0; Step < 60; ++Step) {
+    std::uint32_t Index = Random.below(Instances);
+    switch (Random.below(7)) {
+    case 0:
+      Simulation.die(Index);
+      break;
+    case 1:
+      Simulation.restart(Index);
+      break;
+    case 2:
+      Simulation.pause(Index, milliseconds(Random.below(5000)));
+      break;
+    case 3:
+      Simulation.cutOff(Index, Random.chance(0.5));
+      break;
+    default:
+      Simulation.setNeed(Index, Random.below(30));
+    }
+    Simulation.run(milliseconds(Random.below(1500)));
+  }
+}
+
+TEST(ConnectionSharesProperty, SumNeverExceedsTheLimitUnderFaults) {
+  EXPECT_TRUE(rc::check([] {
+    ShareSimulationOptions Options;
+    Options.Instances = *rc::gen::inRange<std::uint32_t>(1, 8);
+    Options.Limit = *rc::gen::inRange<std::uint32_t>(1, 61);
+    Options.Seed = *rc::gen::arbitrary<std::uint64_t>();
+    Options.Loss = *rc::gen::inRange(0, 50) / 100.0;
+    Options.Repeat = *rc::gen::inRange(0, 50) / 100.0;
+    Options.MostDelay = milliseconds(*rc::gen::inRange(2, 4000));
+    Options.RateSpread = 0.01;
+    ShareSimulation Simulation(Options);
+    disturb(Simulation, Options.Instances, Options.Seed + 1);
+    RC_ASSERT(Simulation.largestTotal() <= Options.Limit);
+  }));
+}
+
+/// The naive version: one place sees all needs and gives each the part it
+/// owns, then what others don't need.
+std::uint32_t centrallyServed(const std::vector<std::uint32_t> &Needs,
+                              const std::vector<std::uint32_t> &Owned,
+                              const std::vector<std::uint32_t> &Floors) {
+  std::uint32_t Served = 0;
+  std::uint32_t Lack = 0;
+  std::uint32_t Spare = 0;
+  for (std::size_t Index = 0; Index < Needs.size(); ++Index) {
+    Served += std::min(Needs[Index], Owned[Index]);
+    Lack += Needs[Index] - std::min(Needs[Index], Owned[Index]);
+    Spare += Owned[Index] -
+             std::min(Owned[Index], std::max(Needs[Index], Floors[Index]));
+  }
+  return Served + std::min(Lack, Spare);
+}
+
+TEST(ConnectionSharesDifferential, ServesWhatACentralVersionServes) {
+  EXPECT_TRUE(rc::check([] {
+    ShareSimulationOptions Options;
+    Options.Instances = *rc::gen::inRange<std::uint32_t>(1, 7);
+    Options.Limit = *rc::gen::inRange<std::uint32_t>(1, 61);
+    Options.Seed = *rc::gen::arbitrary<std::uint64_t>();
+    ShareSimulation Simulation(Options);
+    for (int Round = 0; Round < 3; ++Round) {
+      std::vector<std::uint32_t> Needs;
+      for (std::uint32_t Index = 0; Index < Options.Instances; ++Index) {
+        Needs.push_back(*rc::gen::inRange<std::uint32_t>(0, 30));
+        Simulation.setNeed(Index, Needs.back());
+      }
+      Simulation.run(Settling);
+      std::vector<std::uint32_t> Owned;
+      std::vector<std::uint32_t> Floors;
+      std::uint32_t Served = 0;
+      for (std::uint32_t Index = 0; Index < Options.Instances; ++Index) {
+        const ConnectionShares &Shares = Simulation.shares(Index);
+        TimePoint Now = Simulation.Queue.now();
+        Owned.push_back(Simulation.usable(Index) + Shares.lent(Now) -
+                        Shares.borrowed(Now));
+        Floors.push_back(Shares.floor());
+        Served += std::min(Needs[Index], Simulation.usable(Index));
+        RC_ASSERT(Simulation.usable(Index) >=
+                  std::min(Needs[Index], Owned[Index]));
+      }
+      RC_ASSERT(std::accumulate(Owned.begin(), Owned.end(), 0U) ==
+                Options.Limit);
+      RC_ASSERT(Served == centrallyServed(Needs, Owned, Floors));
+    }
+  }));
+}
+
+TEST(ConnectionShares, IdleInstancesSendNothing) {
+  ShareSimulation Simulation({});
+  Simulation.run(seconds(60));
+  EXPECT_EQ(Simulation.messages(), 0U);
+  EXPECT_EQ(Simulation.total(), 20U);
+}
+
+TEST(ConnectionShares, ReturnedLoanEndsTheTalk) {
+  ShareSimulation Simulation({});
+  Simulation.setNeed(0, 12);
+  Simulation.run(Settling);
+  Simulation.setNeed(0, 0);
+  Simulation.run(Settling);
+  std::uint64_t Before = Simulation.messages();
+  Simulation.run(seconds(60));
+  EXPECT_EQ(Simulation.messages(), Before);
+  for (std::uint32_t Index = 0; Index < 5; ++Index)
+    EXPECT_EQ(Simulation.usable(Index), 4U);
+}
+
+TEST(ConnectionShares, MoreInstancesThanConnections) {
+  ShareSimulation Simulation({.Instances = 5, .Limit = 3});
+  Simulation.setNeed(0, 1);
+  Simulation.run(Settling);
+  EXPECT_EQ(Simulation.total(), 3U);
+  EXPECT_EQ(Simulation.largestTotal(), 3U);
+}
+
+TEST(ConnectionShares, LenderKeepsALoweredLoanUntilFewerAreOpen) {
+  ConnectionSharesOptions Options;
+  Options.Target = DatabaseId{"bookings"};
+  Options.Self = InstanceId{"a"};
+  Options.Instances = {InstanceId{"a"}, InstanceId{"b"}};
+  Options.Incarnation = 7;
+  ConnectionShares Borrower(Options, TimePoint{});
+  Options.Self = InstanceId{"b"};
+  ConnectionShares Lender(Options, TimePoint{});
+  TimePoint Now = TimePoint{} + seconds(10);
+  auto exchange = [&] {
+    for (const ShareSend &Asked : Borrower.onTick(Now))
+      for (const ShareSend &Given :
+           Lender.onMessage(InstanceId{"a"}, Asked.Message, Now))
+        Borrower.onMessage(InstanceId{"b"}, Given.Message, Now);
+    Now += milliseconds(100);
+  };
+  Borrower.onNeed(14, Now);
+  exchange();
+  exchange();
+  ASSERT_EQ(Borrower.usable(Now), 14U);
+  Lender.onNeed(10, Now);
+  // Work in flight still uses the borrowed connections.
+  Borrower.onOpenWithin(false);
+  exchange();
+  exchange();
+  EXPECT_EQ(Borrower.usable(Now), 10U);
+  EXPECT_EQ(Lender.usable(Now), 6U);
+  Borrower.onOpenWithin(true);
+  exchange();
+  EXPECT_EQ(Lender.usable(Now), 10U);
+}
+
+TEST(ShareMessages, RoundTripAndRefusal) {
+  ShareGrant Grant{.Target = DatabaseId{"bookings"},
+                   .Incarnation = 3,
+                   .Sequence = 4,
+                   .SentAt = -5,
+                   .Count = 6,
+                   .ValidFor = 7,
+                   .Spare = 8};
+  std::string Bytes = encodeShareMessage(Grant);
+  auto decode = [](const std::string &Text) {
+    return keepOutcome([&] { return decodeShareMessage(Text); });
+  };
+  EXPECT_EQ(std::get<ShareGrant>(decode(Bytes).value()), Grant);
+  EXPECT_FALSE(decode(Bytes.substr(0, Bytes.size() - 1)));
+  EXPECT_FALSE(decode(std::string(600, 'x')));
+  // The archive puts a byte of its own before the version.
+  Bytes[1] = 9;
+  EXPECT_FALSE(decode(Bytes));
+}
+
+class SharesScenario : public ::testing::TestWithParam<std::string> {};
+
+TEST_P(SharesScenario, Holds) {
+  ShareSimulation Simulation({});
+  auto indexOf = [](YamlReader &Step) {
+    return static_cast<std::uint32_t>(
+        Step.number("instance", {.Least = 0, .Most = 4}));
+  };
+  StepHandlers Handlers;
+  Handlers["need"] = [&](YamlReader &Step) {
+    std::uint32_t Index = indexOf(Step);
+    Simulation.setNeed(
+        Index, static_cast<std::uint32_t>(Step.number("connections", {})));
+  };
+  Handlers["die"] = [&](YamlReader &Step) { Simulation.die(indexOf(Step)); };
+  Handlers["restart"] = [&](YamlReader &Step) {
+    Simulation.restart(indexOf(Step));
+  };
+  Handlers["pause"] = [&](YamlReader &Step) {
+    std::uint32_t Index = indexOf(Step);
+    Simulation.pause(Index, Step.duration("length", {}));
+  };
+  Handlers["cut_off"] = [&](YamlReader &Step) {
+    Simulation.cutOff(indexOf(Step), true);
+  };
+  Handlers["reconnect"] = [&](YamlReader &Step) {
+    Simulation.cutOff(indexOf(Step), false);
+  };
+  Handlers["expect_usable"] = [&](YamlReader &Step) {
+    std::uint32_t Index = indexOf(Step);
+    EXPECT_EQ(Simulation.usable(Index), Step.number("connections", {}));
+  };
+  runScenario(GetParam(), Simulation.Queue, Handlers);
+  EXPECT_LE(Simulation.largestTotal(), 20U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Limits, SharesScenario,
+                         ::testing::ValuesIn(scenarioFiles("limits/shares")),
+                         [](const auto &Info) {
+                           return scenarioName(Info.param);
+                         });
+
+} // namespace
+
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/limits/ShareSimulation.cpp
@@ -0,0 +1,127 @@
+#include "tests/limits/ShareSimulation.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+ShareSimulation::ShareSimulation(ShareSimulationOptions Given)
+    : Options(Given), Random(Given.Seed), Nodes(Given.Instances) {
+  for (std::uint32_t Index = 0; Index < this->Options.Instances; ++Index) {
+    this->Nodes[Index].Rate =
+        1 + this->Options.RateSpread * (2 * this->Random.fraction() - 1);
+    this->restart(Index);
+    this->Queue.after(Duration(this->Random.below(100'000)),
+                      [this, Index] { this->tick(Index); });
+  }
+}
+
+InstanceId ShareSimulation::nameOf(std::uint32_t Index) {
+  return InstanceId{"entry-" + std::to_string(Index)};
+}
+
+TimePoint ShareSimulation::clockOf(const Node &N) const {
+  auto True = static_cast<double>(this->Queue.now().time_since_epoch().count());
+  return TimePoint(Duration(static_cast<std::int64_t>(True * N.Rate)));
+}
+
+void ShareSimulation::setNeed(std::uint32_t Index, std::uint32_t Count) {
+  this->Nodes[Index].Need = Count;
+}
+
+void ShareSimulation::die(std::uint32_t Index) {
+  this->Nodes[Index].Shares.reset();
+}
+
+void ShareSimulation::restart(std::uint32_t Index) {
+  Node &N = this->Nodes[Index];
+  ConnectionSharesOptions Own;
+  Own.Target = DatabaseId{"bookings"};
+  Own.Self = nameOf(Index);
+  for (std::uint32_t Each = 0; Each < this->Options.Instances; ++Each)
+    Own.Instances.push_back(nameOf(Each));
+  Own.Limit = this->Options.Limit;
+  Own.Incarnation = this->NextIncarnation++;
+  N.PausedUntil = {};
+  N.Shares = std::make_unique<ConnectionShares>(Own, this->clockOf(N));
+}
+
+void ShareSimulation::pause(std::uint32_t Index, Duration Length) {
+  this->Nodes[Index].PausedUntil = this->Queue.now() + Length;
+}
+
+void ShareSimulation::cutOff(std::uint32_t Index, bool Cut) {
+  this->Nodes[Index].Cut = Cut;
+}
+
+void ShareSimulation::tick(std::uint32_t Index) {
+  Node &N = this->Nodes[Index];
+  if (N.Shares && N.PausedUntil <= this->Queue.now()) {
+    TimePoint Now = this->clockOf(N);
+    N.Shares->onNeed(N.Need, Now);
+    this->send(Index, N.Shares->onTick(Now));
+  }
+  this->check();
+  this->Queue.after(this->Options.Tick, [this, Index] { this->tick(Index); });
+}
+
+void ShareSimulation::send(std::uint32_t From,
+                           const std::vector<ShareSend> &Sends) {
+  auto Spread = static_cast<std::uint32_t>(
+      (this->Options.MostDelay - this->Options.LeastDelay).count() + 1);
+  for (const ShareSend &Each : Sends) {
+    std::uint32_t To = 0;
+    while (nameOf(To) != Each.To)
+      ++To;
+    ++this->Messages;
+    int Copies = this->Random.chance(this->Options.Repeat) ? 2 : 1;
+    for (int Copy = 0; Copy < Copies; ++Copy) {
+      if (this->Random.chance(this->Options.Loss) || this->Nodes[From].Cut)
+        continue;
+      Duration Delay =
+          this->Options.LeastDelay + Duration(this->Random.below(Spread));
+      ShareMessage Message = Each.Message;
+      this->Queue.after(Delay, [this, From, To, Message] {
+        this->deliver(From, To, Message);
+      });
+    }
+  }
+}
+
+void ShareSimulation::deliver(std::uint32_t From, std::uint32_t To,
+                              ShareMessage Message) {
+  Node &N = this->Nodes[To];
+  if (!N.Shares || N.Cut)
+    return;
+  if (N.PausedUntil > this->Queue.now()) {
+    // The datagram waits in the paused process's socket.
+    this->Queue.at(N.PausedUntil, [this, From, To, Message] {
+      this->deliver(From, To, Message);
+    });
+    return;
+  }
+  this->send(To, N.Shares->onMessage(nameOf(From), Message, this->clockOf(N)));
+  this->check();
+}
+
+std::uint32_t ShareSimulation::usable(std::uint32_t Index) const {
+  const Node &N = this->Nodes[Index];
+  return N.Shares ? N.Shares->usable(this->clockOf(N)) : 0;
+}
+
+std::uint32_t ShareSimulation::total() const {
+  std::uint32_t Sum = 0;
+  for (std::uint32_t Index = 0; Index < this->Nodes.size(); ++Index)
+    Sum += this->usable(Index);
+  return Sum;
+}
+
+void ShareSimulation::check() {
+  this->Largest = std::max(this->Largest, this->total());
+}
+
+void ShareSimulation::run(Duration Length) {
+  this->Queue.runUntil(this->Queue.now() + Length);
+  this->check();
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/limits/ShareSimulation.h
@@ -0,0 +1,74 @@
+// Instances that divide one database's connections, over virtual time and a
+// network that loses, repeats and delays.
+#pragma once
+
+#include "core/EventQueue.h"
+#include "core/RandomSource.h"
+#include "limits/ConnectionShares.h"
+
+#include <memory>
+#include <set>
+
+namespace turmericpitch {
+
+struct ShareSimulationOptions {
+  std::uint32_t Instances = 5;
+  std::uint32_t Limit = 20;
+  std::uint64_t Seed = 1;
+  double Loss = 0;
+  double Repeat = 0;
+  Duration LeastDelay = std::chrono::milliseconds(1);
+  Duration MostDelay = std::chrono::milliseconds(2);
+  Duration Tick = std::chrono::milliseconds(100);
+  /// Clocks run at rates within this fraction of true time.
+  double RateSpread = 0;
+};
+
+/// Not thread-safe.
+class ShareSimulation {
+public:
+  explicit ShareSimulation(ShareSimulationOptions Options);
+
+  void setNeed(std::uint32_t Index, std::uint32_t Count);
+  void die(std::uint32_t Index);
+  void restart(std::uint32_t Index);
+  void pause(std::uint32_t Index, Duration Length);
+  void cutOff(std::uint32_t Index, bool Cut);
+  void run(Duration Length);
+
+  /// What an instance would use if it looked at its clock now.
+  [[nodiscard]] std::uint32_t usable(std::uint32_t Index) const;
+  [[nodiscard]] std::uint32_t total() const;
+  /// The largest total at any event so far.
+  [[nodiscard]] std::uint32_t largestTotal() const { return this->Largest; }
+  [[nodiscard]] std::uint64_t messages() const { return this->Messages; }
+  [[nodiscard]] const ConnectionShares &shares(std::uint32_t Index) const {
+    return *this->Nodes[Index].Shares;
+  }
+  EventQueue Queue;
+
+private:
+  struct Node {
+    std::unique_ptr<ConnectionShares> Shares;
+    std::uint32_t Need = 0;
+    double Rate = 1;
+    TimePoint PausedUntil;
+    bool Cut = false;
+  };
+
+  static InstanceId nameOf(std::uint32_t Index);
+  [[nodiscard]] TimePoint clockOf(const Node &N) const;
+  void tick(std::uint32_t Index);
+  void send(std::uint32_t From, const std::vector<ShareSend> &Sends);
+  void deliver(std::uint32_t From, std::uint32_t To, ShareMessage Message);
+  void check();
+
+  ShareSimulationOptions Options;
+  RandomSource Random;
+  std::vector<Node> Nodes;
+  std::uint64_t NextIncarnation = 1;
+  std::uint32_t Largest = 0;
+  std::uint64_t Messages = 0;
+};
+
+} // namespace turmericpitch
