Add TLS keys that can be exchanged, metrics for scraping, a status table

Cause: callers and operators need TLS, and operators figures. Change: drivers/TlsKeys (TLS 1.2 or newer, weak or expired keys refused with the remedy, SIGHUP reads them again), core/Metrics (a part for each thread, Boost.Histogram, Prometheus text through prometheus-cpp), GET /metrics, a counter for each kind of decision, status as a table, --ca-file for the command line. Ruled out: serializing the text format by hand.

--- a/core/DecisionLog.cpp
+++ b/core/DecisionLog.cpp
@@ -1,11 +1,14 @@
 #include "core/DecisionLog.h"
 
+#include "core/Metrics.h"
+
 #include <easylogging++.h>
 
 namespace turmericpitch {
 
 namespace {
 
+constexpr std::string_view DecisionKey = "decision=";
 constexpr std::string_view QuotedCharacters = " \"=\n\t";
 
 /// Where the log lines go.
@@ -49,7 +52,13 @@
 } // namespace
 
 DecisionLine::DecisionLine(std::string_view Kind)
-    : Text("decision=" + std::string(Kind)) {}
+    : Text(std::string(DecisionKey) + std::string(Kind)),
+      KindLength(Kind.size()) {}
+
+std::string_view DecisionLine::kind() const {
+  return std::string_view(this->Text)
+      .substr(DecisionKey.size(), this->KindLength);
+}
 
 DecisionLine &DecisionLine::field(std::string_view Key,
                                   std::string_view Value) {
@@ -65,6 +74,7 @@
 }
 
 void writeDecision(const DecisionLine &Line) {
+  processMetrics().count("decisions_total", Line.kind());
   ensureConfigured();
   LOG(INFO) << Line.text();
 }
--- a/core/DecisionLog.h
+++ b/core/DecisionLog.h
@@ -21,12 +21,14 @@
   }
 
   [[nodiscard]] const std::string &text() const { return this->Text; }
+  [[nodiscard]] std::string_view kind() const;
 
 private:
   std::string Text;
+  std::size_t KindLength;
 };
 
-/// Writes the line to the decision log. Thread-safe.
+/// Writes the line to the decision log and counts its kind. Thread-safe.
 void writeDecision(const DecisionLine &Line);
 /// Writes an informational line for operators. Thread-safe.
 void writeInfo(std::string_view Text);
--- a/drivers/BlockingClient.cpp
+++ b/drivers/BlockingClient.cpp
@@ -13,8 +13,9 @@
 namespace {
 
 Awaitable<Outcome<HttpReply>> callOnce(Executor On, Endpoint To,
-                                       HttpRequest Request, Duration Limit) {
-  auto Opened = co_await HttpConnection::open(On, To, Limit);
+                                       HttpRequest Request, Duration Limit,
+                                       TlsContext Tls) {
+  auto Opened = co_await HttpConnection::open(On, To, Limit, Tls);
   if (!Opened)
     co_return Opened.error();
   std::shared_ptr<HttpConnection> Connection = Opened.value();
@@ -24,12 +25,12 @@
 } // namespace
 
 Outcome<HttpReply> callAndWait(const Endpoint &To, HttpRequest Request,
-                               Duration Limit) {
+                               Duration Limit, const TlsContext &Tls) {
   asio::io_context Context;
   std::optional<Outcome<HttpReply>> Reply;
   Executor On = Context.get_executor();
   auto Work = [&]() -> Awaitable<void> {
-    Reply = co_await callOnce(On, To, Request, Limit);
+    Reply = co_await callOnce(On, To, Request, Limit, Tls);
   };
   asio::co_spawn(On, Work, asio::detached);
   Context.run();
--- a/drivers/ByteStream.cpp
+++ b/drivers/ByteStream.cpp
@@ -71,12 +71,22 @@
 }
 
 Awaitable<Status> ByteStream::acceptTls() {
+  return this->shakeHands(Side::Server);
+}
+
+Awaitable<Status> ByteStream::connectTls() {
+  return this->shakeHands(Side::Client);
+}
+
+Awaitable<Status> ByteStream::shakeHands(Side Which) {
   auto *Encrypted = std::get_if<TlsStream>(&this->Own->Channel);
   if (!Encrypted)
     co_return std::monostate{};
   ErrorCode Failure;
   auto Token = asio::redirect_error(asio::use_awaitable, Failure);
-  co_await Encrypted->async_handshake(asio::ssl::stream_base::server, Token);
+  auto Role = Which == Side::Server ? asio::ssl::stream_base::server
+                                    : asio::ssl::stream_base::client;
+  co_await Encrypted->async_handshake(Role, Token);
   if (Failure)
     co_return failed(ErrorKind::Unavailable, Failure);
   co_return std::monostate{};
--- a/drivers/ByteStream.h
+++ b/drivers/ByteStream.h
@@ -34,6 +34,9 @@
   /// Runs the server's side of the TLS handshake; nothing to do for plain
   /// TCP. Errors: Unavailable.
   Awaitable<Status> acceptTls();
+  /// Runs the client's side; nothing to do for plain TCP. Errors:
+  /// Unavailable, also if the certificate isn't trusted.
+  Awaitable<Status> connectTls();
   /// Reads at least one byte; 0 at the end of the stream. Errors:
   /// Unavailable.
   Awaitable<Outcome<std::size_t>> readSome(std::span<char> Into);
@@ -49,6 +52,9 @@
   [[nodiscard]] Executor executor() const;
 
 private:
+  enum class Side { Server, Client };
+  Awaitable<Status> shakeHands(Side Which);
+
   struct State;
   std::shared_ptr<State> Own;
 };
--- a/drivers/CallerApi.cpp
+++ b/drivers/CallerApi.cpp
@@ -1,6 +1,7 @@
 #include "drivers/CallerApi.h"
 
 #include "core/DecisionLog.h"
+#include "core/Metrics.h"
 #include "drivers/MemberCodec.h"
 
 #include <array>
@@ -76,6 +77,18 @@
   return Read;
 }
 
+void countStatement(bool Write, const Outcome<StatementAnswer> &Answer,
+                    Duration Took) {
+  Metrics &Figures = processMetrics();
+  Figures.count("statements_total",
+                Answer ? "answered" : toString(Answer.error().Kind));
+  if (!Answer)
+    return;
+  Figures.observe("statement_seconds", Write ? "write" : "read", Took);
+  if (!Write)
+    Figures.count("reads_total", toString(Answer.value().ServedBy));
+}
+
 std::string encodeAnswer(const StatementAnswer &Answer,
                          const std::string &Token) {
   boost::json::object Json;
@@ -150,7 +163,10 @@
     co_return replyWith(Passed.error());
   }
   ClientAccountId Owner = Context.Account->Id;
+  bool Write = Context.Request.Write;
+  TimePoint ArrivedAt = Context.ArrivedAt;
   auto Answer = co_await this->Runner->run(std::move(Context));
+  countStatement(Write, Answer, this->Time.now() - ArrivedAt);
   if (!Answer)
     co_return replyWith(Answer.error());
   auto Token = keepOutcome(
--- a/drivers/HttpConnection.cpp
+++ b/drivers/HttpConnection.cpp
@@ -34,8 +34,8 @@
 } // namespace
 
 struct HttpConnection::State {
-  explicit State(const Executor &On)
-      : Stream(tcp::socket(asio::make_strand(On))) {}
+  State(const Executor &On, const TlsContext &Tls)
+      : Stream(tcp::socket(asio::make_strand(On)), Tls) {}
 
   /// Reads bytes and hands them to a reply's reader.
   Awaitable<Status> readMore(HttpReplyReader &Into);
@@ -45,8 +45,8 @@
   std::atomic<bool> Usable = false;
 };
 
-HttpConnection::HttpConnection(Executor On)
-    : Own(std::make_unique<State>(On)) {}
+HttpConnection::HttpConnection(Executor On, const TlsContext &Tls)
+    : Own(std::make_unique<State>(On, Tls)) {}
 HttpConnection::~HttpConnection() = default;
 
 bool HttpConnection::usable() const { return this->Own->Usable; }
@@ -59,8 +59,8 @@
 }
 
 Awaitable<Outcome<std::shared_ptr<HttpConnection>>>
-HttpConnection::open(Executor On, Endpoint To, Duration Limit) {
-  auto Made = std::make_shared<HttpConnection>(On);
+HttpConnection::open(Executor On, Endpoint To, Duration Limit, TlsContext Tls) {
+  auto Made = std::make_shared<HttpConnection>(On, Tls);
   auto Work = [Made, To, Limit]() -> Awaitable<Status> {
     co_return co_await Made->connectOnStrand(To, Limit);
   };
@@ -74,6 +74,8 @@
 Awaitable<Status> HttpConnection::connectOnStrand(Endpoint To, Duration Limit) {
   this->Own->Stream.setLimit(Limit);
   Status Connected = co_await this->Own->Stream.connect(To);
+  if (Connected)
+    Connected = co_await this->Own->Stream.connectTls();
   this->Own->Stream.clearLimit();
   this->Own->Usable = Connected.hasValue();
   co_return Connected;
--- a/drivers/HttpConnection.h
+++ b/drivers/HttpConnection.h
@@ -1,6 +1,7 @@
 // A client's HTTP/1.1 connection.
 #pragma once
 
+#include "drivers/ByteStream.h"
 #include "drivers/Http.h"
 
 namespace turmericpitch {
@@ -9,11 +10,11 @@
 /// time: a second one waits for no reply and fails.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
-  /// Connects. Errors: Unavailable.
+  /// Connects, with TLS if its context is given. Errors: Unavailable.
   static Awaitable<Outcome<std::shared_ptr<HttpConnection>>>
-  open(Executor On, Endpoint To, Duration Limit);
+  open(Executor On, Endpoint To, Duration Limit, TlsContext Tls = nullptr);
 
-  explicit HttpConnection(Executor On);
+  explicit HttpConnection(Executor On, const TlsContext &Tls = nullptr);
   ~HttpConnection();
   HttpConnection(const HttpConnection &) = delete;
   HttpConnection &operator=(const HttpConnection &) = delete;
--- a/drivers/OperatorApi.cpp
+++ b/drivers/OperatorApi.cpp
@@ -2,6 +2,7 @@
 
 #include "core/DecisionLog.h"
 #include "core/Digest.h"
+#include "core/Metrics.h"
 #include "drivers/MemberCodec.h"
 
 #include <charconv>
@@ -13,6 +14,7 @@
 constexpr std::string_view Bearer = "Bearer ";
 constexpr std::string_view TicketsTarget = "/v1/tickets";
 constexpr std::string_view StatusTarget = "/v1/status";
+constexpr std::string_view MetricsTarget = "/metrics";
 constexpr unsigned NotFound = 404;
 
 HttpReply replyWithJson(const boost::json::object &Json) {
@@ -21,6 +23,13 @@
   return Reply;
 }
 
+HttpReply replyWithMetrics() {
+  HttpReply Reply;
+  Reply.ContentType = "text/plain; version=0.0.4";
+  Reply.Body = processMetrics().scrape();
+  return Reply;
+}
+
 boost::json::object describe(const DatabaseView &View) {
   boost::json::object Json;
   Json["term"] = View.newestTerm().Value;
@@ -62,6 +71,8 @@
   std::string_view Target = Request.Target;
   if (Request.Method == "POST" && Target == TicketsTarget)
     co_return co_await this->submitTicket(std::move(Request.Body));
+  if (Request.Method == "GET" && Target == MetricsTarget)
+    co_return replyWithMetrics();
   if (Request.Method == "GET" && Target == StatusTarget)
     co_return this->showStatus();
   if (Request.Method == "GET" && Target.starts_with(TicketsTarget) &&
--- a/drivers/OperatorApi.h
+++ b/drivers/OperatorApi.h
@@ -17,6 +17,7 @@
 /// POST /v1/tickets          accepts a change ticket (YAML or JSON)
 /// GET  /v1/tickets/{number} whether it is in force here
 /// GET  /v1/status           what this instance knows
+/// GET  /metrics             figures in the Prometheus text format
 /// Thread-safe.
 class OperatorApi {
 public:
--- /dev/null
+++ b/drivers/TlsKeys.cpp
@@ -0,0 +1,105 @@
+#include "drivers/TlsKeys.h"
+
+#include <boost/asio/ssl/context.hpp>
+#include <openssl/evp.h>
+#include <openssl/ssl.h>
+#include <openssl/x509.h>
+
+namespace turmericpitch {
+
+namespace ssl = boost::asio::ssl;
+
+namespace {
+
+using ErrorCode = boost::system::error_code;
+
+constexpr int LeastRsaBits = 2048;
+constexpr int LeastCurveBits = 256;
+
+Error refused(std::string Message, std::string Remedy) {
+  return {.Kind = ErrorKind::BadRequest,
+          .Message = std::move(Message),
+          .Remedy = std::move(Remedy)};
+}
+
+TlsContext makeContext(ssl::context::method Method) {
+  auto Context = std::make_shared<ssl::context>(Method);
+  SSL_CTX_set_min_proto_version(Context->native_handle(), TLS1_2_VERSION);
+  return Context;
+}
+
+Status checkStrength(SSL_CTX *Context) {
+  EVP_PKEY *Key = SSL_CTX_get0_privatekey(Context);
+  int Bits = Key ? EVP_PKEY_bits(Key) : 0;
+  bool Rsa = Key && EVP_PKEY_base_id(Key) == EVP_PKEY_RSA;
+  if (Bits < (Rsa ? LeastRsaBits : LeastCurveBits))
+    return refused("the private key has only " + std::to_string(Bits) + " bits",
+                   "use RSA with at least 2048 bits or a curve with 256");
+  X509 *Certificate = SSL_CTX_get0_certificate(Context);
+  bool Expired = !Certificate ||
+                 X509_cmp_current_time(X509_get0_notAfter(Certificate)) < 0;
+  if (Expired)
+    return refused("the certificate has expired",
+                   "renew it and send SIGHUP to the instance");
+  return std::monostate{};
+}
+
+Outcome<TlsContext> loadContext(const TlsFiles &Files) {
+  TlsContext Context = makeContext(ssl::context::tls_server);
+  ErrorCode Failure;
+  Context->use_certificate_chain_file(Files.Certificate, Failure);
+  if (Failure)
+    return refused("can't use the certificate " + Files.Certificate + ": " +
+                       Failure.message(),
+                   "give a readable PEM chain");
+  Context->use_private_key_file(Files.PrivateKey, ssl::context::pem, Failure);
+  if (Failure)
+    return refused("can't use the private key " + Files.PrivateKey + ": " +
+                       Failure.message(),
+                   "give a readable PEM key that belongs to the certificate");
+  if (SSL_CTX_check_private_key(Context->native_handle()) != 1)
+    return refused("private key and certificate don't belong together",
+                   "give the certificate's own key");
+  Status Strong = checkStrength(Context->native_handle());
+  if (!Strong)
+    return Strong.error();
+  return Context;
+}
+
+} // namespace
+
+Outcome<std::shared_ptr<TlsKeys>> TlsKeys::load(TlsFiles Files) {
+  std::shared_ptr<TlsKeys> Keys(new TlsKeys(std::move(Files)));
+  Status Loaded = Keys->reload();
+  if (!Loaded)
+    return Loaded.error();
+  return Keys;
+}
+
+Status TlsKeys::reload() {
+  auto Loaded = loadContext(this->Files);
+  if (!Loaded)
+    return Loaded.error();
+  std::lock_guard Lock(this->Guard);
+  this->Current = Loaded.value();
+  return std::monostate{};
+}
+
+TlsContext TlsKeys::current() const {
+  std::lock_guard Lock(this->Guard);
+  return this->Current;
+}
+
+Outcome<TlsContext> loadTlsAuthorities(const std::string &File) {
+  TlsContext Context = makeContext(ssl::context::tls_client);
+  ErrorCode Failure;
+  Context->load_verify_file(File, Failure);
+  if (Failure)
+    return refused("can't read authorities from " + File + ": " +
+                       Failure.message(),
+                   "give a readable PEM file");
+  Context->set_verify_mode(ssl::verify_peer, Failure);
+  return Context;
+}
+
+} // namespace turmericpitch
--- a/main/Commands.cpp
+++ b/main/Commands.cpp
@@ -4,6 +4,7 @@
 #include "drivers/BlockingClient.h"
 #include "main/Daemon.h"
 #include "main/Demo.h"
+#include "main/StatusTable.h"
 #include "tools/LoadReport.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,6 +23,7 @@
 
 constexpr const char *Version = "turmericpitch 0.1.0";
 constexpr unsigned HttpOk = 200;
+constexpr Duration OperatorCallLimit = std::chrono::seconds(10);
 constexpr Duration DrainPoll = std::chrono::milliseconds(20);
 
 /// One subcommand.
@@ -119,6 +121,21 @@
     Poll.expires_after(DrainPoll);
     Poll.async_wait([&](const auto &) { PollDrain(); });
   };
+  boost::asio::signal_set Reload(Context, SIGHUP);
+  std::function<void()> AwaitReload = [&] {
+    Reload.async_wait([&](const auto &Failure, int) {
+      if (Failure)
+        return;
+      Status Reloaded = Running.reloadKeys();
+      if (Reloaded)
+        writeInfo("TLS keys read again");
+      else
+        writeWarning("TLS keys kept: " + Reloaded.error().Message +
+                     "; remedy: " + Reloaded.error().Remedy);
+      AwaitReload();
+    });
+  };
+  AwaitReload();
   Signals.async_wait([&](const auto &, int) {
     writeInfo("draining");
     Running.beginDrain();
@@ -186,9 +203,22 @@
       cxxopts::value<std::string>()->default_value("127.0.0.1:7102"));
   Options.add_options()("credential-file", "file with the credential",
                         cxxopts::value<std::string>());
+  Options.add_options()("ca-file", "use TLS and trust these authorities",
+                        cxxopts::value<std::string>());
 }
 
-int callOperators(const cxxopts::ParseResult &Parsed, HttpRequest Request) {
+Outcome<TlsContext> clientTls(const cxxopts::ParseResult &Parsed) {
+  if (Parsed.count("ca-file") == 0)
+    return TlsContext();
+  return loadTlsAuthorities(Parsed["ca-file"].as<std::string>());
+}
+
+std::string unchanged(const std::string &Body) { return Body; }
+
+/// Calls an instance and prints what Format makes of its answer.
+int callOperators(
+    const cxxopts::ParseResult &Parsed, HttpRequest Request,
+    const std::function<std::string(const std::string &)> &Format = unchanged) {
   auto To = parseEndpoint(Parsed["operators"].as<std::string>());
   if (!To) {
     std::cerr << "not an address\nremedy: give --operators IP:PORT\n";
@@ -205,11 +235,17 @@
     Credential->pop_back();
   Request.Host = toString(*To);
   Request.Authorization = "Bearer " + *Credential;
-  auto Reply = callAndWait(*To, std::move(Request));
+  auto Tls = clientTls(Parsed);
+  if (!Tls)
+    return reportError(Tls.error(), ExitUsage);
+  auto Reply =
+      callAndWait(*To, std::move(Request), OperatorCallLimit, Tls.value());
   if (!Reply)
     return reportError(Reply.error(), ExitUnavailable);
-  std::cout << Reply.value().Body << "\n";
-  return Reply.value().Status == HttpOk ? ExitSuccess : ExitRefused;
+  bool Answered = Reply.value().Status == HttpOk;
+  std::cout << (Answered ? Format(Reply.value().Body) : Reply.value().Body)
+            << "\n";
+  return Answered ? ExitSuccess : ExitRefused;
 }
 
 int ticket(int Count, const char *const *Arguments) {
@@ -254,6 +290,7 @@
   cxxopts::Options Options("turmericpitch status",
                            "Shows what an instance knows");
   addOperatorOptions(Options);
+  Options.add_options()("json", "print the answer as it came");
   int Code = ExitSuccess;
   auto Parsed = parseOptions(Options, Count, Arguments, Code);
   if (!Parsed)
@@ -261,7 +298,13 @@
   HttpRequest Request;
   Request.Method = "GET";
   Request.Target = "/v1/status";
-  return callOperators(*Parsed, std::move(Request));
+  if (Parsed->count("json") > 0)
+    return callOperators(*Parsed, std::move(Request));
+  auto AsTable = [](const std::string &Body) {
+    auto Table = keepOutcome([&] { return formatStatus(Body); });
+    return Table ? Table.value() : Body;
+  };
+  return callOperators(*Parsed, std::move(Request), AsTable);
 }
 
 bool writeFile(const std::string &Path, const std::string &Text) {
--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -53,9 +53,12 @@
 /// A server whose handler is shared by all its connections.
 template <typename Api>
 std::unique_ptr<HttpServer> makeServer(Executor On, const Endpoint &Listen,
-                                       std::shared_ptr<Api> Shared) {
+                                       std::shared_ptr<Api> Shared,
+                                       std::shared_ptr<TlsKeys> Keys) {
   HttpServerOptions Options;
   Options.Listen = Listen;
+  if (Keys)
+    Options.CurrentTls = [Keys] { return Keys->current(); };
   return std::make_unique<HttpServer>(On, Options, [Shared]() -> HttpHandler {
     return [Shared](HttpRequest Request) -> Awaitable<HttpReply> {
       return Shared->handle(std::move(Request));
@@ -69,6 +72,8 @@
   explicit Parts(DaemonSettings Settings);
 
   void onConfigurationApplied();
+  /// Errors: BadRequest if the TLS keys can't be used.
+  Status openServers();
   void applyLimits(const Database &Configured);
 
   DaemonSettings Settings;
@@ -88,6 +93,7 @@
   std::shared_ptr<CallerApi> Callers;
   std::shared_ptr<OperatorApi> Operators;
   std::shared_ptr<PeerTransport> Peers;
+  std::shared_ptr<TlsKeys> Keys;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> OperatorServer;
   std::vector<std::thread> Threads;
@@ -127,10 +133,6 @@
   this->Peers = std::make_shared<PeerTransport>(
       this->On, this->Settings.PeerListen, this->Settings.Self,
       this->Settings.PeerKeys);
-  this->CallerServer =
-      makeServer(this->On, this->Settings.Callers, this->Callers);
-  this->OperatorServer =
-      makeServer(this->On, this->Settings.Operators, this->Operators);
 }
 
 void Daemon::Parts::applyLimits(const Database &Configured) {
@@ -158,6 +160,20 @@
   this->Keeper->onConfigured(Databases);
 }
 
+Status Daemon::Parts::openServers() {
+  if (this->Settings.Tls) {
+    auto Loaded = TlsKeys::load(*this->Settings.Tls);
+    if (!Loaded)
+      return Loaded.error();
+    this->Keys = Loaded.value();
+  }
+  this->CallerServer =
+      makeServer(this->On, this->Settings.Callers, this->Callers, this->Keys);
+  this->OperatorServer = makeServer(this->On, this->Settings.Operators,
+                                    this->Operators, this->Keys);
+  return std::monostate{};
+}
+
 Daemon::Daemon(DaemonSettings Settings)
     : Own(std::make_unique<Parts>(std::move(Settings))) {}
 
@@ -165,6 +181,9 @@
 
 Status Daemon::start() {
   Parts &P = *this->Own;
+  Status Opened = P.openServers();
+  if (!Opened)
+    return Opened;
   for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()}) {
     Status Started = Server->start();
     if (!Started)
@@ -191,12 +210,19 @@
   return this->Own->CallerServer->requestsInFlight() == 0;
 }
 
+Status Daemon::reloadKeys() {
+  if (!this->Own->Keys)
+    return std::monostate{};
+  return this->Own->Keys->reload();
+}
+
 void Daemon::stop() {
   Parts &P = *this->Own;
   P.Sync->stop();
   P.Keeper->stop();
-  P.CallerServer->close();
-  P.OperatorServer->close();
+  for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()})
+    if (Server)
+      Server->close();
   P.Peers->close();
   P.Context.stop();
   for (std::thread &Each : P.Threads)
--- a/main/Daemon.h
+++ b/main/Daemon.h
@@ -16,8 +16,12 @@
   Daemon(const Daemon &) = delete;
   Daemon &operator=(const Daemon &) = delete;
 
-  /// Errors: Unavailable if an address can't be bound.
+  /// Errors: Unavailable if an address can't be bound, BadRequest if the
+  /// TLS keys can't be used.
   Status start();
+  /// Reads the TLS keys again; on an error the present ones stay. Errors:
+  /// BadRequest.
+  Status reloadKeys();
   /// The readiness check says no; no further connections are taken.
   void beginDrain();
   /// Whether no request is in flight any more.
--- a/main/DaemonSettings.cpp
+++ b/main/DaemonSettings.cpp
@@ -46,6 +46,19 @@
   return Keys;
 }
 
+std::optional<TlsFiles> readTls(YamlReader &Parent) {
+  if (!Parent.has("tls")) {
+    // Marks the key as known.
+    Parent.mapping("tls");
+    return std::nullopt;
+  }
+  YamlReader Reader = Parent.mapping("tls");
+  TlsFiles Files{.Certificate = Reader.text("certificate"),
+                 .PrivateKey = Reader.text("private_key")};
+  Reader.finish();
+  return Files;
+}
+
 void readListen(YamlReader Reader, DaemonSettings &Settings) {
   Settings.Callers = Reader.endpoint("callers");
   Settings.Operators = Reader.endpoint("operators");
@@ -95,6 +108,7 @@
   if (Settings.OperatorCredentialDigest.size() != DigestLength)
     Reader.problem("operator_credential_digest", "not a SHA-256 digest",
                    "write the 64 hexadecimal digits");
+  Settings.Tls = readTls(Reader);
   Settings.Threads = static_cast<std::uint32_t>(
       Reader.number("threads", ThreadBounds, Settings.Threads));
   readRouting(Reader.mapping("routing"), Settings);
--- a/main/DaemonSettings.h
+++ b/main/DaemonSettings.h
@@ -5,6 +5,7 @@
 #include "core/Error.h"
 #include "core/Identifiers.h"
 #include "core/Time.h"
+#include "drivers/TlsKeys.h"
 #include "membership/PeerFrame.h"
 #include "session/SessionToken.h"
 
@@ -32,6 +33,8 @@
   std::vector<PeerKey> PeerKeys;
   /// SHA-256 of the operators' bearer credential, in hexadecimal.
   std::string OperatorCredentialDigest;
+  /// TLS towards callers and operators; not set means plain TCP.
+  std::optional<TlsFiles> Tls;
   std::uint32_t Threads = 2;
   Duration ReplicaWait = std::chrono::milliseconds(20);
   Duration ProbeInterval = std::chrono::milliseconds(100);
--- /dev/null
+++ b/main/StatusTable.cpp
@@ -0,0 +1,59 @@
+#include "main/StatusTable.h"
+
+#include "drivers/Json.h"
+
+#include <iomanip>
+#include <sstream>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr int NameWidth = 24;
+constexpr int NumberWidth = 10;
+
+void printMember(std::ostream &To, const boost::json::object &Json) {
+  JsonReader Reader(Json);
+  std::string Name = Reader.text("upstream", "?");
+  bool Known = Reader.flag("known", false);
+  To << "  " << std::left << std::setw(NameWidth) << Name
+     << std::setw(NumberWidth) << (Known ? "known" : "unknown") << "applied "
+     << std::setw(NumberWidth) << Reader.number("applied", 0) << "failures "
+     << Reader.number("failures", 0) << "\n";
+}
+
+void printDatabase(std::ostream &To, std::string_view Name,
+                   const boost::json::object &Json) {
+  JsonReader Reader(Json);
+  std::string Primary = Reader.text("primary", "");
+  To << std::left << std::setw(NameWidth) << std::string(Name) << "term "
+     << std::setw(NumberWidth) << Reader.number("term", 0) << "primary "
+     << (Primary.empty() ? "NONE" : Primary) << "\n";
+  const boost::json::array *Members = Reader.array("members");
+  if (!Members)
+    return;
+  for (const boost::json::value &Member : *Members)
+    if (Member.is_object())
+      printMember(To, Member.as_object());
+}
+
+} // namespace
+
+Result<std::string> formatStatus(std::string_view Json) {
+  BOOST_LEAF_AUTO(Whole, parseJsonObject(Json));
+  JsonReader Reader(Whole);
+  Reader.allowUnknown();
+  std::ostringstream Table;
+  Table << "instance " << Reader.text("instance") << ", ticket "
+        << Reader.number("newest_in_force", 0) << " in force, "
+        << Reader.number("platform_calls", 0) << " platform calls\n";
+  const boost::json::object *Databases = Reader.object("databases");
+  BOOST_LEAF_CHECK(Reader.finish());
+  if (Databases)
+    for (const auto &Entry : *Databases)
+      if (Entry.value().is_object())
+        printDatabase(Table, Entry.key(), Entry.value().as_object());
+  return Table.str();
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/core/MetricsTest.cpp
@@ -0,0 +1,37 @@
+#include "core/Metrics.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace turmericpitch {
+namespace {
+
+TEST(Metrics, AddsUpWhatThreadsCounted) {
+  Metrics Figures;
+  std::thread Other([&] { Figures.count("decisions_total", "route"); });
+  Other.join();
+  Figures.count("decisions_total", "route");
+  Figures.count("decisions_total", "refuse");
+  EXPECT_EQ(Figures.counted("decisions_total", "route"), 2U);
+  EXPECT_EQ(Figures.counted("decisions_total", "promote"), 0U);
+}
+
+TEST(Metrics, ScrapesInTheTextFormat) {
+  Metrics Figures;
+  Figures.count("decisions_total", "route");
+  Figures.observe("statement_seconds", "read", std::chrono::milliseconds(3));
+  std::string Text = Figures.scrape();
+  EXPECT_NE(Text.find("turmericpitch_decisions_total{kind=\"route\"} 1"),
+            std::string::npos)
+      << Text;
+  EXPECT_NE(Text.find("turmericpitch_statement_seconds_count{kind=\"read\"} 1"),
+            std::string::npos)
+      << Text;
+  EXPECT_NE(Text.find("turmericpitch_statement_seconds_sum{kind=\"read\"} "
+                      "0.003"),
+            std::string::npos)
+      << Text;
+}
+
+} // namespace
+} // namespace turmericpitch
