Accept tickets with one read and one write, and prove it against a single copy

Cause: each acceptance read the whole prefix (about 4 MB at the target size), ticket keys grew for ever, a ticket above 126 objects could not be accepted (etcd takes 128 operations), and tries followed each other without a pause. A platform older than the configuration in force is refused.

--- a/configuration/ConfigurationController.cpp
+++ b/configuration/ConfigurationController.cpp
@@ -2,51 +2,62 @@
 
 namespace turmericpitch {
 
-Result<bool> ConfigurationController::onStored(const KeyValueAnswer &Answer) {
-  BOOST_LEAF_AUTO(Stored, readStoredConfiguration(Answer));
-  BOOST_LEAF_AUTO(Built,
-                  ConfigurationSnapshot::build(Stored.AsOf, Stored.Head.Newest,
-                                               std::move(Stored.Records)));
-  std::lock_guard Lock(this->Guard);
-  if (this->Current && Stored.AsOf <= this->Reached)
-    return false;
-  this->Reached = Stored.AsOf;
-  this->Current = std::make_shared<ConfigurationSnapshot>(std::move(Built));
-  return true;
+namespace {
+
+Error refused(ErrorKind Kind, const ConfigurationChange &Change,
+              std::string Message, std::string Remedy) {
+  return {.Kind = Kind,
+          .Message = "ticket " + std::to_string(Change.Head.Newest.Value) +
+                     ": " + std::move(Message),
+          .Remedy = std::move(Remedy)};
 }
 
-Result<bool> ConfigurationController::onEvents(const WatchBatch &Batch) {
-  std::lock_guard Lock(this->Guard);
-  if (Batch.AsOf <= this->Reached)
-    return false;
-  KeyValueAnswer Changed;
-  Changed.AsOf = Batch.AsOf;
-  for (const WatchEvent &Event : Batch.Events)
-    if (!Event.Deleted)
-      Changed.Entries.push_back(Event.Entry);
-  BOOST_LEAF_AUTO(News, readStoredConfiguration(Changed));
-  auto Records = this->Current ? this->Current->records()
-                               : std::map<ObjectKey, ObjectRecord>{};
-  for (auto &[Key, Record] : News.Records)
-    Records[Key] = std::move(Record);
-  TicketNumber Newest =
-      this->Current ? this->Current->newestTicket() : TicketNumber{};
-  BOOST_LEAF_AUTO(Built, ConfigurationSnapshot::build(
-                             Batch.AsOf, std::max(Newest, News.Head.Newest),
-                             std::move(Records)));
-  this->Reached = Batch.AsOf;
-  this->Current = std::make_shared<ConfigurationSnapshot>(std::move(Built));
-  return true;
+/// Whether the change may be applied to what is in force.
+Result<void> checkOrder(const ConfigurationSnapshot &Present,
+                        const ConfigurationChange &Change) {
+  TicketNumber InForce = Present.newestTicket();
+  if (Change.Head.Newest < InForce)
+    return boost::leaf::new_error(refused(
+        ErrorKind::Superseded, Change,
+        "older than ticket " + std::to_string(InForce.Value) + " in force",
+        "restore the platform's newest state"));
+  if (Change.Head.Newest == InForce &&
+      Change.Head.Digest != Present.head().Digest)
+    return boost::leaf::new_error(refused(
+        ErrorKind::BadRequest, Change, "in force here with other content",
+        "submit the wanted state under a higher number"));
+  if (Change.After > InForce)
+    return boost::leaf::new_error(refused(ErrorKind::Unavailable, Change,
+                                          "earlier tickets are missing here",
+                                          "wait for a whole copy"));
+  return {};
 }
 
-SharedConfiguration ConfigurationController::current() const {
+} // namespace
+
+Result<bool> ConfigurationController::apply(const ConfigurationChange &Change) {
+  std::lock_guard OneAtATime(this->Applying);
+  SharedConfiguration Present = this->current();
+  if (!Present)
+    Present = std::make_shared<const ConfigurationSnapshot>();
+  BOOST_LEAF_CHECK(checkOrder(*Present, Change));
+  bool Later = Change.Head.Newest > Present->newestTicket();
+  if (!Later && Change.HeadModified <= Present->revision())
+    return false;
+  ConfigurationSnapshot Next =
+      Present->withHead(Change.Head, Change.HeadModified);
+  if (Later) {
+    BOOST_LEAF_ASSIGN(Next, Present->changedBy(Change));
+  }
   std::lock_guard Lock(this->Guard);
-  return this->Current;
+  this->Current =
+      std::make_shared<const ConfigurationSnapshot>(std::move(Next));
+  return Later;
 }
 
-Revision ConfigurationController::reached() const {
+SharedConfiguration ConfigurationController::current() const {
   std::lock_guard Lock(this->Guard);
-  return this->Reached;
+  return this->Current;
 }
 
 } // namespace turmericpitch
--- a/configuration/ConfigurationController.h
+++ b/configuration/ConfigurationController.h
@@ -1,32 +1,31 @@
 // Keeps the configuration in force; applies only forwards.
 #pragma once
 
-#include "configuration/TicketAcceptance.h"
+#include "configuration/ConfigurationSnapshot.h"
 
 #include <mutex>
 
 namespace turmericpitch {
 
 /// The configuration that this instance runs. Thread-safe; snapshots are
-/// replaced whole.
+/// replaced whole, so that a ticket is in force wholly or not at all.
 class ConfigurationController {
 public:
-  /// Takes in the whole stored configuration; ignored if not newer. Returns
-  /// whether it is now in force. Errors: BadRequest if it is unreadable; the
-  /// one in force stays.
-  Result<bool> onStored(const KeyValueAnswer &Answer);
-  /// Takes in the events of one later revision. Errors: as onStored().
-  Result<bool> onEvents(const WatchBatch &Batch);
+  /// Applies a change and returns whether a later ticket came into force.
+  /// Errors, after which the one in force stays: Superseded if the change is
+  /// older than it, BadRequest if the change is unreadable or gives the
+  /// ticket in force other content, Unavailable if tickets are missing
+  /// between the two.
+  Result<bool> apply(const ConfigurationChange &Change);
 
   /// The configuration in force, or nullptr before the first.
   [[nodiscard]] SharedConfiguration current() const;
-  /// The revision up to which everything has been taken in.
-  [[nodiscard]] Revision reached() const;
 
 private:
+  /// One change at a time; readers go on meanwhile.
+  std::mutex Applying;
   mutable std::mutex Guard;
   SharedConfiguration Current;
-  Revision Reached;
 };
 
 } // namespace turmericpitch
--- a/configuration/ConfigurationSnapshot.cpp
+++ b/configuration/ConfigurationSnapshot.cpp
@@ -6,142 +6,246 @@
 
 namespace {
 
-template <typename Map, typename Key>
-const typename Map::mapped_type *lookUp(const Map &In, const Key &K) {
-  auto Found = In.find(K);
-  return Found == In.end() ? nullptr : &Found->second;
+using ObjectList = std::vector<SharedObject>;
+
+const ObjectKey &keyOf(const SharedObject &Object) { return Object->Key; }
+
+const std::string &hostOf(const SharedObject &Object) {
+  return std::get<Brand>(Object->State).Host;
+}
+
+const std::string &credentialOf(const SharedObject &Object) {
+  return std::get<ClientAccount>(Object->State).CredentialDigest;
+}
+
+/// The object with this key in a list sorted by Projection, or nullptr.
+template <typename Key, typename Projection>
+const ConfiguredObject *search(const ObjectList &In, const Key &Wanted,
+                               Projection By) {
+  auto At = std::ranges::lower_bound(In, Wanted, {}, By);
+  bool Found = At != In.end() && By(*At) == Wanted;
+  return Found ? At->get() : nullptr;
+}
+
+/// Returns whether the key was free.
+template <typename Projection>
+bool insertSorted(ObjectList &Into, const SharedObject &Object, Projection By) {
+  auto At = std::ranges::lower_bound(Into, By(Object), {}, By);
+  if (At != Into.end() && By(*At) == By(Object))
+    return false;
+  Into.insert(At, Object);
+  return true;
+}
+
+template <typename Projection>
+void eraseSorted(ObjectList &From, const SharedObject &Object, Projection By) {
+  auto At = std::ranges::lower_bound(From, By(Object), {}, By);
+  if (At != From.end() && *At == Object)
+    From.erase(At);
 }
 
 template <typename Object>
-void replaceAll(ObjectKind Kind, TicketNumber Number,
-                const std::vector<Object> &Objects,
-                std::map<ObjectKey, ObjectRecord> &Records) {
-  for (const Object &Entry : Objects)
-    Records[{Kind, Entry.Id.Value}] = {.SetBy = Number, .Json = toJson(Entry)};
+const Object *stateOf(const ConfiguredObject *Found) {
+  return Found ? &std::get<Object>(Found->State) : nullptr;
 }
 
 } // namespace
 
 Result<ConfigurationSnapshot>
-ConfigurationSnapshot::build(Revision AsOf, TicketNumber Newest,
+ConfigurationSnapshot::build(Revision HeadModified, TicketNumber Newest,
                              std::map<ObjectKey, ObjectRecord> Records) {
+  ConfigurationChange Change;
+  Change.Head.Newest = Newest;
+  Change.HeadModified = HeadModified;
+  Change.Records = std::move(Records);
+  return ConfigurationSnapshot().changedBy(Change);
+}
+
+Result<ConfigurationSnapshot>
+ConfigurationSnapshot::changedBy(const ConfigurationChange &Change) const {
   YamlProblems Problems("configuration");
-  ConfigurationSnapshot Built;
-  Built.AsOf = AsOf;
-  Built.Newest = Newest;
-  for (const auto &[Key, Record] : Records)
-    if (!Record.Json.empty())
-      Built.addObject(Key, Record.Json, Problems);
-  Built.checkReferences(Problems);
+  ObjectList Newer;
+  for (const auto &[Key, Record] : Change.Records) {
+    SharedObject Present = this->find(Key);
+    if (Present && Present->SetBy >= Record.SetBy)
+      continue;
+    SharedObject Parsed = parseObject(Key, Record, Problems);
+    if (Parsed)
+      Newer.push_back(std::move(Parsed));
+  }
+  BOOST_LEAF_AUTO(Next, this->withObjects(Newer, Problems));
+  return Next.withHead(Change.Head, Change.HeadModified);
+}
+
+Result<ConfigurationSnapshot>
+ConfigurationSnapshot::changedBy(const Ticket &Change) const {
+  YamlProblems Problems("ticket " + std::to_string(Change.Id.Value));
+  BOOST_LEAF_AUTO(Next, this->withObjects(objectsOf(Change), Problems));
+  TicketHead Newer = this->Head;
+  Newer.Newest = Change.Id;
+  return Next.withHead(std::move(Newer), this->HeadModified);
+}
+
+ConfigurationSnapshot ConfigurationSnapshot::withHead(TicketHead Newer,
+                                                      Revision Modified) const {
+  ConfigurationSnapshot Next(*this);
+  Next.Head = std::move(Newer);
+  Next.HeadModified = Modified;
+  return Next;
+}
+
+Result<ConfigurationSnapshot>
+ConfigurationSnapshot::withObjects(const ObjectList &Newer,
+                                   YamlProblems &Problems) const {
+  ConfigurationSnapshot Next(*this);
+  // All go before any comes: two objects may exchange a host.
+  for (const SharedObject &Object : Newer)
+    Next.erase(Object->Key);
+  for (const SharedObject &Object : Newer)
+    Next.insert(Object, Problems);
+  Next.checkReferences(Problems);
   if (!Problems.none())
     return boost::leaf::new_error(Problems.asError());
-  Built.Records = std::move(Records);
-  return Built;
+  return Next;
 }
 
-void ConfigurationSnapshot::addObject(const ObjectKey &Key,
-                                      const std::string &Json,
-                                      YamlProblems &Problems) {
-  auto Root = parseYamlMapping(Json, Problems);
-  if (!Root)
-    return;
-  std::string Path = std::string(toString(Key.Kind)) + " " + Key.Id;
-  YamlReader Reader(*Root, Path, Problems);
-  switch (Key.Kind) {
-  case ObjectKind::Brand: {
-    Brand Object = readBrand(Reader);
-    if (!this->BrandsByHost.emplace(Object.Host, Object.Id).second)
-      Reader.problem("host", "another brand has it",
-                     "give each brand a host of its own");
-    this->Brands.emplace(Object.Id, std::move(Object));
-    break;
-  }
-  case ObjectKind::ClientAccount: {
-    ClientAccount Object = readClientAccount(Reader);
-    std::string Digest = Object.CredentialDigest;
-    if (!this->AccountsByCredential.emplace(Digest, std::move(Object)).second)
-      Reader.problem("credential_digest", "another client account has it",
-                     "give each client account a credential of its own");
-    break;
+SharedObject ConfigurationSnapshot::find(const ObjectKey &Key) const {
+  for (const ObjectList *List : {&this->Objects, &this->Removed}) {
+    auto At = std::ranges::lower_bound(*List, Key, {}, keyOf);
+    if (At != List->end() && (*At)->Key == Key)
+      return *At;
   }
-  case ObjectKind::DatabaseService: {
-    DatabaseService Object = readDatabaseService(Reader);
-    this->Services.emplace(Object.Id, std::move(Object));
-    break;
-  }
-  case ObjectKind::Database: {
-    Database Object = readDatabase(Reader);
-    this->Databases.emplace(Object.Id, std::move(Object));
-    break;
+  return nullptr;
+}
+
+ConfigurationSnapshot::ObjectList::const_iterator
+ConfigurationSnapshot::firstOf(ObjectKind Kind) const {
+  return std::ranges::lower_bound(
+      this->Objects, Kind, {},
+      [](const SharedObject &Object) { return Object->Key.Kind; });
+}
+
+void ConfigurationSnapshot::erase(const ObjectKey &Key) {
+  SharedObject Present = this->find(Key);
+  if (!Present)
+    return;
+  if (Present->removed()) {
+    eraseSorted(this->Removed, Present, keyOf);
+    return;
   }
+  eraseSorted(this->Objects, Present, keyOf);
+  if (Key.Kind == ObjectKind::Brand)
+    eraseSorted(this->BrandsByHost, Present, hostOf);
+  if (Key.Kind == ObjectKind::ClientAccount)
+    eraseSorted(this->AccountsByCredential, Present, credentialOf);
+}
+
+void ConfigurationSnapshot::insert(const SharedObject &Object,
+                                   YamlProblems &Problems) {
+  if (Object->removed()) {
+    insertSorted(this->Removed, Object, keyOf);
+    return;
   }
+  insertSorted(this->Objects, Object, keyOf);
+  std::string Path =
+      std::string(toString(Object->Key.Kind)) + " " + Object->Key.Id;
+  if (Object->Key.Kind == ObjectKind::Brand &&
+      !insertSorted(this->BrandsByHost, Object, hostOf))
+    Problems.add({}, Path + ".host", "another brand has it",
+                 "give each brand a host of its own");
+  if (Object->Key.Kind == ObjectKind::ClientAccount &&
+      !insertSorted(this->AccountsByCredential, Object, credentialOf))
+    Problems.add({}, Path + ".credential_digest",
+                 "another client account has it",
+                 "give each client account a credential of its own");
 }
 
 void ConfigurationSnapshot::checkReferences(YamlProblems &Problems) const {
-  for (const auto &[Digest, Account] : this->AccountsByCredential) {
-    if (!this->Brands.contains(Account.Owner))
-      Problems.add({}, "client_account " + Account.Id.Value,
-                   "names the unknown brand " + Account.Owner.Value,
-                   "add the brand in the same ticket");
-    for (const ServiceId &Id : Account.Services) {
-      const DatabaseService *Named = this->service(Id);
-      if (!Named)
-        Problems.add({}, "client_account " + Account.Id.Value,
-                     "names the unknown database service " + Id.Value,
-                     "add the service in the same ticket");
-      else if (Named->Owner != Account.Owner)
-        Problems.add({}, "client_account " + Account.Id.Value,
-                     "names a service of another brand",
-                     "name services of its own brand only");
-    }
+  for (const SharedObject &Object : this->Objects) {
+    if (const auto *Account = std::get_if<ClientAccount>(&Object->State))
+      this->checkAccount(*Account, Problems);
+    if (const auto *Service = std::get_if<DatabaseService>(&Object->State))
+      this->checkService(*Service, Problems);
   }
-  for (const auto &[Id, Service] : this->Services) {
-    if (!this->Brands.contains(Service.Owner))
-      Problems.add({}, "database_service " + Id.Value,
-                   "names the unknown brand " + Service.Owner.Value,
-                   "add the brand in the same ticket");
-    for (const DatabaseId &Named : Service.Databases)
-      if (!this->database(Named))
-        Problems.add({}, "database_service " + Id.Value,
-                     "names the unknown database " + Named.Value,
-                     "add the database in the same ticket");
+}
+
+void ConfigurationSnapshot::checkAccount(const ClientAccount &Account,
+                                         YamlProblems &Problems) const {
+  std::string Path = "client_account " + Account.Id.Value;
+  if (!this->brand(Account.Owner))
+    Problems.add({}, Path, "names the unknown brand " + Account.Owner.Value,
+                 "add the brand in the same ticket");
+  for (const ServiceId &Id : Account.Services) {
+    const DatabaseService *Named = this->service(Id);
+    if (!Named)
+      Problems.add({}, Path, "names the unknown database service " + Id.Value,
+                   "add the service in the same ticket");
+    else if (Named->Owner != Account.Owner)
+      Problems.add({}, Path, "names a service of another brand: " + Id.Value,
+                   "name services of its own brand only");
   }
 }
 
+void ConfigurationSnapshot::checkService(const DatabaseService &Service,
+                                         YamlProblems &Problems) const {
+  std::string Path = "database_service " + Service.Id.Value;
+  if (!this->brand(Service.Owner))
+    Problems.add({}, Path, "names the unknown brand " + Service.Owner.Value,
+                 "add the brand in the same ticket");
+  for (const DatabaseId &Named : Service.Databases)
+    if (!this->database(Named))
+      Problems.add({}, Path, "names the unknown database " + Named.Value,
+                   "add the database in the same ticket");
+}
+
+ConfigurationChange
+ConfigurationSnapshot::changesAfter(TicketNumber After) const {
+  ConfigurationChange Change;
+  Change.After = After;
+  Change.Head = this->Head;
+  Change.HeadModified = this->HeadModified;
+  for (const ObjectList *List : {&this->Objects, &this->Removed})
+    for (const SharedObject &Object : *List)
+      if (Object->SetBy > After)
+        Change.Records.emplace(Object->Key, recordOf(*Object));
+  return Change;
+}
+
+std::vector<SharedObject>
+ConfigurationSnapshot::objectsSetBy(TicketNumber Setter) const {
+  ObjectList Set;
+  for (const ObjectList *List : {&this->Objects, &this->Removed})
+    for (const SharedObject &Object : *List)
+      if (Object->SetBy == Setter)
+        Set.push_back(Object);
+  std::ranges::sort(Set, {}, keyOf);
+  return Set;
+}
+
 const Brand *ConfigurationSnapshot::brandByHost(const std::string &Host) const {
-  const BrandId *Id = lookUp(this->BrandsByHost, Host);
-  return Id ? this->brand(*Id) : nullptr;
+  return stateOf<Brand>(search(this->BrandsByHost, Host, hostOf));
 }
 
 const Brand *ConfigurationSnapshot::brand(const BrandId &Id) const {
-  return lookUp(this->Brands, Id);
+  return stateOf<Brand>(
+      search(this->Objects, ObjectKey{ObjectKind::Brand, Id.Value}, keyOf));
 }
 
 const ClientAccount *ConfigurationSnapshot::accountByCredential(
     const std::string &CredentialDigest) const {
-  return lookUp(this->AccountsByCredential, CredentialDigest);
+  return stateOf<ClientAccount>(
+      search(this->AccountsByCredential, CredentialDigest, credentialOf));
 }
 
 const DatabaseService *
 ConfigurationSnapshot::service(const ServiceId &Id) const {
-  return lookUp(this->Services, Id);
+  return stateOf<DatabaseService>(search(
+      this->Objects, ObjectKey{ObjectKind::DatabaseService, Id.Value}, keyOf));
 }
 
 const Database *ConfigurationSnapshot::database(const DatabaseId &Id) const {
-  return lookUp(this->Databases, Id);
-}
-
-std::map<ObjectKey, ObjectRecord>
-applyTicket(const Ticket &Change, std::map<ObjectKey, ObjectRecord> Records) {
-  replaceAll(ObjectKind::Brand, Change.Id, Change.Brands, Records);
-  replaceAll(ObjectKind::ClientAccount, Change.Id, Change.ClientAccounts,
-             Records);
-  replaceAll(ObjectKind::DatabaseService, Change.Id, Change.DatabaseServices,
-             Records);
-  replaceAll(ObjectKind::Database, Change.Id, Change.Databases, Records);
-  for (const ObjectKey &Key : Change.Removed)
-    Records[Key] = {.SetBy = Change.Id, .Json = ""};
-  return Records;
+  return stateOf<Database>(
+      search(this->Objects, ObjectKey{ObjectKind::Database, Id.Value}, keyOf));
 }
 
 } // namespace turmericpitch
--- a/configuration/ConfigurationSnapshot.h
+++ b/configuration/ConfigurationSnapshot.h
@@ -1,46 +1,53 @@
 // The configuration in force at one moment, ready for lookups.
 #pragma once
 
-#include "configuration/Ticket.h"
-#include "core/KeyValue.h"
+#include "configuration/ConfigurationChange.h"
 
-#include <cstdint>
-#include <map>
 #include <memory>
-#include <unordered_map>
+#include <ranges>
+#include <utility>
 
 namespace turmericpitch {
 
-/// One configured object with the ticket that last set it.
-struct ObjectRecord {
-  TicketNumber SetBy;
-  /// Canonical JSON; empty if the object was removed.
-  std::string Json;
-
-  bool operator==(const ObjectRecord &) const = default;
-
-  template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->SetBy, this->Json);
-  }
-};
-
-/// Immutable; safe to share between threads.
+/// Immutable; safe to share between threads. Objects are shared between a
+/// snapshot and its successors, so that a change costs one pointer for each
+/// object that it leaves alone.
 class ConfigurationSnapshot {
 public:
   ConfigurationSnapshot() = default;
 
-  /// A snapshot from the objects as the platform keeps them.
-  /// Thread-safe. Errors: BadRequest naming each unreadable or dangling
-  /// object.
+  /// A snapshot from all records. Thread-safe. Errors: BadRequest naming each
+  /// unreadable or dangling object.
   static Result<ConfigurationSnapshot>
-  build(Revision AsOf, TicketNumber Newest,
+  build(Revision HeadModified, TicketNumber Newest,
         std::map<ObjectKey, ObjectRecord> Records);
 
-  [[nodiscard]] Revision revision() const { return this->AsOf; }
-  [[nodiscard]] TicketNumber newestTicket() const { return this->Newest; }
-  [[nodiscard]] const std::map<ObjectKey, ObjectRecord> &records() const {
-    return this->Records;
+  /// The snapshot after a change. Precondition: the change's After is not
+  /// later than newestTicket(). Thread-safe. Errors: as build().
+  [[nodiscard]] Result<ConfigurationSnapshot>
+  changedBy(const ConfigurationChange &Change) const;
+  /// The snapshot after a ticket that is not stored yet. Thread-safe.
+  /// Errors: as build(), every problem at once.
+  [[nodiscard]] Result<ConfigurationSnapshot>
+  changedBy(const Ticket &Change) const;
+  /// The same objects under a head written anew. Thread-safe.
+  [[nodiscard]] ConfigurationSnapshot withHead(TicketHead Newer,
+                                               Revision Modified) const;
+
+  /// The revision that last wrote the head.
+  [[nodiscard]] Revision revision() const { return this->HeadModified; }
+  [[nodiscard]] const TicketHead &head() const { return this->Head; }
+  [[nodiscard]] TicketNumber newestTicket() const { return this->Head.Newest; }
+  /// All records, removed objects too. Costs a copy.
+  [[nodiscard]] std::map<ObjectKey, ObjectRecord> records() const {
+    return this->changesAfter({}).Records;
   }
+  /// What brings a configuration at After to this one.
+  [[nodiscard]] ConfigurationChange changesAfter(TicketNumber After) const;
+  /// The present and removed objects that Setter set, in key order.
+  [[nodiscard]] std::vector<SharedObject>
+  objectsSetBy(TicketNumber Setter) const;
+  [[nodiscard]] std::size_t objectCount() const { return this->Objects.size(); }
 
   /// Lookups return nullptr if there is no such object. Thread-safe; the
   /// pointers live as long as the snapshot.
@@ -50,31 +57,40 @@
   accountByCredential(const std::string &CredentialDigest) const;
   [[nodiscard]] const DatabaseService *service(const ServiceId &Id) const;
   [[nodiscard]] const Database *database(const DatabaseId &Id) const;
-  [[nodiscard]] const std::unordered_map<DatabaseId, Database> &
-  databases() const {
-    return this->Databases;
+  /// The databases as pairs of id and database, in order of their ids.
+  [[nodiscard]] auto databases() const {
+    auto First = this->firstOf(ObjectKind::Database);
+    return std::ranges::subrange(First, this->Objects.end()) |
+           std::views::transform([](const SharedObject &Object) {
+             const auto &Each = std::get<Database>(Object->State);
+             return std::pair<const DatabaseId &, const Database &>(Each.Id,
+                                                                    Each);
+           });
   }
 
 private:
-  void addObject(const ObjectKey &Key, const std::string &Json,
-                 YamlProblems &Problems);
+  using ObjectList = std::vector<SharedObject>;
+
+  [[nodiscard]] ObjectList::const_iterator firstOf(ObjectKind Kind) const;
+  [[nodiscard]] SharedObject find(const ObjectKey &Key) const;
+  [[nodiscard]] Result<ConfigurationSnapshot>
+  withObjects(const ObjectList &Newer, YamlProblems &Problems) const;
+  void erase(const ObjectKey &Key);
+  void insert(const SharedObject &Object, YamlProblems &Problems);
   void checkReferences(YamlProblems &Problems) const;
+  void checkAccount(const ClientAccount &Account, YamlProblems &Problems) const;
+  void checkService(const DatabaseService &Service,
+                    YamlProblems &Problems) const;
 
-  Revision AsOf;
-  TicketNumber Newest;
-  std::map<ObjectKey, ObjectRecord> Records;
-  std::unordered_map<BrandId, Brand> Brands;
-  std::unordered_map<std::string, BrandId> BrandsByHost;
-  std::unordered_map<std::string, ClientAccount> AccountsByCredential;
-  std::unordered_map<ServiceId, DatabaseService> Services;
-  std::unordered_map<DatabaseId, Database> Databases;
+  TicketHead Head;
+  Revision HeadModified;
+  /// Each sorted by the key that it is searched by.
+  ObjectList Objects;
+  ObjectList Removed;
+  ObjectList BrandsByHost;
+  ObjectList AccountsByCredential;
 };
 
 using SharedConfiguration = std::shared_ptr<const ConfigurationSnapshot>;
 
-/// The records after the ticket: its objects replaced or removed whole.
-/// Thread-safe.
-std::map<ObjectKey, ObjectRecord>
-applyTicket(const Ticket &Change, std::map<ObjectKey, ObjectRecord> Records);
-
 } // namespace turmericpitch
--- a/configuration/TicketAcceptance.h
+++ b/configuration/TicketAcceptance.h
@@ -1,59 +1,49 @@
 // Accepts one change ticket by a compare-and-swap chain in the platform.
 #pragma once
 
-#include "configuration/ConfigurationSnapshot.h"
+#include "configuration/StoredConfiguration.h"
+#include "core/RandomSource.h"
 
 namespace turmericpitch {
 
-/// The keys under which the configuration lives in the platform.
-inline constexpr std::string_view HeadKey = "turmericpitch/head";
-inline constexpr std::string_view ObjectPrefix = "turmericpitch/object/";
-inline constexpr std::string_view TicketPrefix = "turmericpitch/ticket/";
-inline constexpr std::string_view ConfigurationPrefix = "turmericpitch/";
-
-/// The newest accepted ticket.
-struct TicketHead {
-  TicketNumber Newest;
-  std::string Digest;
-
-  bool operator==(const TicketHead &) const = default;
-};
-
-/// The stored configuration, read from the platform at one revision.
-struct StoredConfiguration {
-  Revision AsOf;
-  /// When the head was last written; 0 if there is none.
-  Revision HeadModified;
-  TicketHead Head;
-  std::map<ObjectKey, ObjectRecord> Records;
-  /// Digest by number of each accepted ticket that was read.
-  std::map<TicketNumber, std::string> TicketDigests;
+struct TicketAcceptanceOptions {
+  Ticket Change;
+  /// The configuration in force here; spares reading what it holds already.
+  SharedConfiguration Base = nullptr;
+  /// Seeds the pauses between tries.
+  std::uint64_t Seed = 1;
 };
 
-/// Reads the entries of a range over ConfigurationPrefix. Thread-safe.
-/// Errors: BadRequest naming the unreadable key.
-Result<StoredConfiguration>
-readStoredConfiguration(const KeyValueAnswer &Answer);
-
-/// The key and value under which an object is stored. Thread-safe.
-PutOperation storedObject(const ObjectKey &Key, const ObjectRecord &Record);
-
 /// What the driver must do next.
 struct CallPlatform {
   KeyValueRequest Request;
+  /// The pause before the call.
+  Duration After{0};
+};
+
+/// A ticket's end: it is accepted.
+struct AcceptedTicket {
+  /// From the base to the newest configuration seen, ready to be applied.
+  ConfigurationChange Change;
 };
 struct AcceptanceDone {
-  Outcome<Revision> Accepted;
+  Outcome<AcceptedTicket> Accepted;
 };
 using AcceptanceAction = std::variant<CallPlatform, AcceptanceDone>;
 
 /// Accepts one ticket. A pure state machine: begin(), then onAnswer() with
 /// each platform outcome until it is done. A lost answer is settled by
 /// reading back number and digest, so that a ticket is never applied twice
-/// nor reported wrongly. Not thread-safe.
+/// nor reported wrongly. Costs one read and one write where nothing
+/// interferes. Not thread-safe.
+///
+/// Errors: BadRequest if the ticket is wrong or its number taken by other
+/// content; Superseded if a later ticket has been accepted; Unavailable if
+/// the platform could not be reached, Overloaded if others kept winning;
+/// OutcomeUnknown if a write was sent and nothing could be read since.
 class TicketAcceptance {
 public:
-  explicit TicketAcceptance(Ticket Change);
+  explicit TicketAcceptance(TicketAcceptanceOptions Options);
 
   /// The first action.
   AcceptanceAction begin();
@@ -62,17 +52,29 @@
   AcceptanceAction onAnswer(const Outcome<KeyValueAnswer> &Answer);
 
 private:
-  enum class Step { Reading, Writing };
+  enum class Step { Reading, LookingUp, Writing };
 
+  AcceptanceAction read(Duration After);
+  AcceptanceAction onWritten(const KeyValueAnswer &Answer);
   AcceptanceAction onFailure(const Error &Failure);
   AcceptanceAction decide(const StoredConfiguration &Stored);
-  AcceptanceAction write(const StoredConfiguration &Stored);
+  AcceptanceAction lookUp();
+  AcceptanceAction settle(const StoredConfiguration &Stored);
+  AcceptanceAction write();
+  AcceptanceAction send(TransactionRequest Request, TicketHead Next);
+  [[nodiscard]] AcceptanceAction fail(Error Failure) const;
 
   Ticket Change;
   std::string Digest;
+  SharedConfiguration Base;
+  /// What was last read from the platform, as a change of Base.
+  ConfigurationChange Seen;
+  RandomSource Random;
   Step Current = Step::Reading;
+  TicketHead Written;
   bool MayHaveWritten = false;
-  std::uint32_t Attempts = 0;
+  std::uint32_t Failures = 0;
+  std::uint32_t Conflicts = 0;
 };
 
 } // namespace turmericpitch
--- a/core/KeyValue.h
+++ b/core/KeyValue.h
@@ -30,6 +30,8 @@
 struct RangeRequest {
   std::string Key;
   bool Prefix = false;
+  /// Only entries last written at this revision or later.
+  Revision ModifiedSince{};
 };
 
 /// Requires that Key was last written at Modified; revision 0 means absent.
--- a/drivers/ConfigurationSync.cpp
+++ b/drivers/ConfigurationSync.cpp
@@ -1,5 +1,6 @@
 #include "drivers/ConfigurationSync.h"
 
+#include "configuration/StoredConfiguration.h"
 #include "core/DecisionLog.h"
 #include "drivers/ChangeSignal.h"
 
@@ -7,12 +8,12 @@
 
 namespace {
 
-constexpr Duration RetryPause = std::chrono::milliseconds(500);
+constexpr Duration RetryPause = std::chrono::milliseconds(200);
 
 void logApplied(const ConfigurationController &Controller) {
   writeDecision(
       DecisionLine("apply_configuration")
-          .field("revision", Controller.reached().Value)
+          .field("revision", Controller.current()->revision().Value)
           .field("ticket", Controller.current()->newestTicket().Value));
 }
 
@@ -28,49 +29,32 @@
 Awaitable<void> ConfigurationSync::run() {
   auto Self = this->shared_from_this();
   while (!this->Stopped) {
-    bool Loaded = co_await this->load();
-    if (Loaded)
-      co_await this->follow();
+    co_await this->load();
     co_await sleepFor(RetryPause);
   }
 }
 
-Awaitable<bool> ConfigurationSync::load() {
+Awaitable<void> ConfigurationSync::load() {
+  SharedConfiguration Present = this->Controller->current();
   KeyValueRequest Request =
-      RangeRequest{.Key = std::string(ConfigurationPrefix), .Prefix = true};
+      RangeRequest{.Key = std::string(ConfigurationPrefix),
+                   .Prefix = true,
+                   .ModifiedSince = Present ? Present->revision() : Revision{}};
   auto Answer = co_await this->Platform->call(std::move(Request));
   if (!Answer)
-    co_return false;
-  auto Applied =
-      keepOutcome([&] { return this->Controller->onStored(Answer.value()); });
-  if (!Applied) {
+    co_return;
+  auto Applied = keepOutcome([&]() -> Result<bool> {
+    BOOST_LEAF_AUTO(Stored, readStoredConfiguration(Answer.value()));
+    if (Present)
+      Stored.Change.After = Present->newestTicket();
+    return this->Controller->apply(Stored.Change);
+  });
+  if (!Applied)
     writeWarning("stored configuration refused: " + Applied.error().Message);
-    co_return false;
-  }
-  if (Applied.value()) {
+  else if (Applied.value()) {
     logApplied(*this->Controller);
     this->OnApplied();
   }
-  co_return true;
-}
-
-Awaitable<void> ConfigurationSync::follow() {
-  auto OnBatch = [this](const WatchBatch &Batch) {
-    auto Applied =
-        keepOutcome([&] { return this->Controller->onEvents(Batch); });
-    if (!Applied) {
-      writeWarning("configuration change refused: " + Applied.error().Message);
-      return false;
-    }
-    if (Applied.value()) {
-      logApplied(*this->Controller);
-      this->OnApplied();
-    }
-    return !this->Stopped;
-  };
-  std::function<bool(const WatchBatch &)> Callback = OnBatch;
-  co_await this->Platform->watch(std::string(ConfigurationPrefix),
-                                 this->Controller->reached(), Callback);
 }
 
 } // namespace turmericpitch
--- a/drivers/ConfigurationSync.h
+++ b/drivers/ConfigurationSync.h
@@ -20,8 +20,7 @@
   void stop() { this->Stopped = true; }
 
 private:
-  Awaitable<bool> load();
-  Awaitable<void> follow();
+  Awaitable<void> load();
 
   std::shared_ptr<PlatformClient> Platform;
   std::shared_ptr<ConfigurationController> Controller;
--- a/drivers/OperatorApi.cpp
+++ b/drivers/OperatorApi.cpp
@@ -1,7 +1,9 @@
 #include "drivers/OperatorApi.h"
 
+#include "configuration/TicketAcceptance.h"
 #include "core/DecisionLog.h"
 #include "core/Digest.h"
+#include "drivers/ChangeSignal.h"
 #include "drivers/MemberCodec.h"
 
 #include <charconv>
@@ -79,14 +81,20 @@
   if (!Parsed)
     co_return replyWith(Parsed.error());
   TicketNumber Number = Parsed.value().Id;
-  TicketAcceptance Acceptance(std::move(Parsed.value()));
+  TicketAcceptance Acceptance(
+      {.Change = std::move(Parsed.value()),
+       .Base = this->Configuration->current(),
+       .Seed = std::hash<InstanceId>{}(this->Options.Self) + this->NextSeed++});
   AcceptanceAction Action = Acceptance.begin();
   while (auto *Call = std::get_if<CallPlatform>(&Action)) {
     KeyValueRequest Request = std::move(Call->Request);
+    if (Call->After > Duration{0})
+      co_await sleepFor(Call->After);
     auto Answer = co_await this->Platform->call(std::move(Request));
     Action = Acceptance.onAnswer(Answer);
   }
-  const Outcome<Revision> &Accepted = std::get<AcceptanceDone>(Action).Accepted;
+  const Outcome<AcceptedTicket> &Accepted =
+      std::get<AcceptanceDone>(Action).Accepted;
   DecisionLine Line("accept_ticket");
   Line.field("ticket", Number.Value)
       .field("outcome",
@@ -97,7 +105,7 @@
   boost::json::object Json;
   Json["ticket"] = Number.Value;
   Json["accepted"] = true;
-  Json["revision"] = Accepted.value().Value;
+  Json["revision"] = Accepted.value().Change.HeadModified.Value;
   co_return replyWithJson(Json);
 }
 
--- a/drivers/OperatorApi.h
+++ b/drivers/OperatorApi.h
@@ -36,6 +36,7 @@
   std::shared_ptr<ConfigurationController> Configuration;
   std::shared_ptr<UpstreamController> Upstreams;
   std::shared_ptr<PlatformClient> Platform;
+  std::atomic<std::uint64_t> NextSeed = 1;
 };
 
 } // namespace turmericpitch
--- a/drivers/PlatformCodec.cpp
+++ b/drivers/PlatformCodec.cpp
@@ -62,6 +62,8 @@
   Json["key"] = encodeBase64(Request.Key);
   if (Request.Prefix)
     Json["range_end"] = encodeBase64(endOfPrefix(Request.Key));
+  if (Request.ModifiedSince > Revision{})
+    Json["min_mod_revision"] = numberText(Request.ModifiedSince.Value);
   return {.Target = "/v3/kv/range", .Body = boost::json::serialize(Json)};
 }
 
@@ -167,8 +169,10 @@
   Reader.allowUnknown();
   std::optional<KeyValueRequest> Request;
   if (Target == "/v3/kv/range")
-    Request = RangeRequest{.Key = readBytes(Reader, "key"),
-                           .Prefix = Reader.has("range_end")};
+    Request = RangeRequest{
+        .Key = readBytes(Reader, "key"),
+        .Prefix = Reader.has("range_end"),
+        .ModifiedSince = Revision{readNumber(Reader, "min_mod_revision")}};
   else if (Target == "/v3/kv/txn")
     Request = readTransaction(Reader);
   else if (Target == "/v3/lease/grant")
--- a/stand_ins/KeyValueServer.cpp
+++ b/stand_ins/KeyValueServer.cpp
@@ -12,6 +12,9 @@
 constexpr std::string_view FaultsTarget = "/stand-in/faults";
 constexpr Duration WatchPoll = std::chrono::seconds(1);
 constexpr Duration LostAnswerDelay = std::chrono::minutes(1);
+/// Holds a value of the largest size in base64.
+constexpr HttpLimits RequestLimits{.Header = 16 * 1024,
+                                   .Body = 2 * 1024 * 1024};
 
 Result<KeyValueFaults> readFaults(const std::string &Body) {
   BOOST_LEAF_AUTO(Json, parseJsonObject(Body));
@@ -45,7 +48,9 @@
 KeyValueServer::KeyValueServer(Executor On, Endpoint Listen,
                                KeyValueLimits Limits)
     : Shared(std::make_shared<State>(Limits)),
-      Server(std::move(On), HttpServerOptions{.Listen = std::move(Listen)},
+      Server(std::move(On),
+             HttpServerOptions{.Listen = std::move(Listen),
+                               .Limits = RequestLimits},
              [Shared = this->Shared]() -> HttpHandler {
                return [Shared](HttpRequest Request) -> Awaitable<HttpReply> {
                  return Shared->handle(std::move(Request));
--- a/stand_ins/KeyValueStore.cpp
+++ b/stand_ins/KeyValueStore.cpp
@@ -26,6 +26,12 @@
                      });
 }
 
+bool tooManyOperations(const KeyValueRequest &Request, std::size_t Maximum) {
+  const auto *Transaction = std::get_if<TransactionRequest>(&Request);
+  return Transaction && std::max(Transaction->Compares.size(),
+                                 Transaction->Writes.size()) > Maximum;
+}
+
 } // namespace
 
 bool KeyValueStore::admit(RateWindow &Window, std::uint32_t PerSecond,
@@ -56,6 +62,8 @@
   ++(Write ? this->Counters.Writes : this->Counters.Reads);
   if (tooLarge(Request, this->Limits.MaximumValueSize))
     return refused(ErrorKind::BadRequest, "value larger than the limit");
+  if (tooManyOperations(Request, this->Limits.MaximumOperations))
+    return refused(ErrorKind::BadRequest, "too many operations in transaction");
   this->expireLeases(Now);
   KeyValueAnswer Answer;
   if (const auto *Range = std::get_if<RangeRequest>(&Request))
@@ -84,6 +92,8 @@
                                  : At->first == Request.Key;
     if (!Wanted)
       break;
+    if (At->second.Modified < Request.ModifiedSince)
+      continue;
     Answer.Entries.push_back({.Key = At->first,
                               .Value = At->second.Value,
                               .Modified = At->second.Modified});
--- a/stand_ins/KeyValueStore.h
+++ b/stand_ins/KeyValueStore.h
@@ -26,6 +26,8 @@
   std::uint32_t ReadsPerSecond = 2000;
   /// Largest value, bytes.
   std::size_t MaximumValueSize = 1024 * 1024;
+  /// Most compares, and most writes, in one transaction.
+  std::size_t MaximumOperations = 128;
 };
 
 /// Calls counted since the start.
--- /dev/null
+++ b/tests/configuration/AcceptanceFixture.h
@@ -0,0 +1,50 @@
+// Submitters of tickets over one platform stand-in, in virtual time.
+#pragma once
+
+#include "configuration/TicketAcceptance.h"
+#include "core/EventQueue.h"
+#include "stand_ins/KeyValueStore.h"
+
+#include <map>
+
+namespace turmericpitch {
+
+/// A ticket that sets one brand and Extra further ones.
+Ticket brandTicket(std::uint64_t Number, const std::string &Host,
+                   std::size_t Extra = 0);
+
+/// Drives TicketAcceptance as the operators' driver does.
+class AcceptanceFixture {
+public:
+  struct Submission {
+    Ticket Subject;
+    std::optional<TicketAcceptance> Acceptance;
+    std::optional<Outcome<AcceptedTicket>> End;
+    /// While paused, answers wait here.
+    bool Paused = false;
+    std::vector<Outcome<KeyValueAnswer>> Held;
+    std::size_t Calls = 0;
+    std::size_t BytesRead = 0;
+  };
+
+  void submit(const std::string &Name, Ticket Subject,
+              SharedConfiguration Base = nullptr);
+  void pause(const std::string &Name) { this->Submissions[Name].Paused = true; }
+  void resume(const std::string &Name);
+
+  /// What the platform holds now, read without faults.
+  [[nodiscard]] ConfigurationSnapshot stored();
+  /// Each head written, in order.
+  [[nodiscard]] std::vector<TicketHead> heads() const;
+
+  EventQueue Queue;
+  KeyValueStore Store;
+  std::map<std::string, Submission> Submissions;
+  Duration OneWay = std::chrono::milliseconds(1);
+
+private:
+  void perform(const std::string &Name, AcceptanceAction Action);
+  void deliver(const std::string &Name, const Outcome<KeyValueAnswer> &Answer);
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/configuration/TicketAcceptanceTest.cpp
@@ -0,0 +1,272 @@
+#include "tests/configuration/AcceptanceFixture.h"
+#include "tests/support/Scenario.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+
+/// How a submission ended, as the scenarios name it.
+std::string endOf(const AcceptanceFixture::Submission &Mine) {
+  if (!Mine.End)
+    return "waiting";
+  return *Mine.End ? "accepted" : std::string(toString(Mine.End->error().Kind));
+}
+
+class AcceptanceScenario : public ::testing::TestWithParam<std::string> {
+protected:
+  StepHandlers handlers() {
+    StepHandlers Steps;
+    Steps["submit"] = [this](YamlReader &Step) {
+      auto Number = static_cast<std::uint64_t>(Step.number("ticket", {}));
+      auto Extra = static_cast<std::size_t>(Step.number("extra", {}, 0));
+      this->Fixture.submit(Step.name("by"),
+                           brandTicket(Number, Step.name("host"), Extra));
+    };
+    Steps["platform"] = [this](YamlReader &Step) {
+      KeyValueFaults &Faults = this->Fixture.Store.faults();
+      Faults.Outage = Step.flag("outage", Faults.Outage);
+      Faults.LoseWriteAnswers =
+          static_cast<std::uint32_t>(Step.number("lose_answers", {}, 0));
+      Faults.Slowness = Step.duration("slowness", {}, Faults.Slowness);
+    };
+    Steps["pause"] = [this](YamlReader &Step) {
+      this->Fixture.pause(Step.name("submitter"));
+    };
+    Steps["resume"] = [this](YamlReader &Step) {
+      this->Fixture.resume(Step.name("submitter"));
+    };
+    Steps["expect_end"] = [this](YamlReader &Step) {
+      std::string By = Step.name("by");
+      EXPECT_EQ(endOf(this->Fixture.Submissions[By]), Step.name("end")) << By;
+    };
+    Steps["expect_stored"] = [this](YamlReader &Step) {
+      ConfigurationSnapshot Stored = this->Fixture.stored();
+      EXPECT_EQ(Stored.newestTicket().Value,
+                static_cast<std::uint64_t>(Step.number("ticket", {})));
+      EXPECT_EQ(Stored.head().Accepted,
+                static_cast<std::uint64_t>(Step.number("accepted", {})));
+      EXPECT_EQ(Stored.brand(BrandId{"shared"})->Host, Step.name("host"));
+    };
+    return Steps;
+  }
+
+  AcceptanceFixture Fixture;
+};
+
+TEST_P(AcceptanceScenario, Runs) {
+  runScenario(GetParam(), this->Fixture.Queue, this->handlers());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Configuration, AcceptanceScenario,
+    ::testing::ValuesIn(scenarioFiles("configuration/acceptance")),
+    [](const auto &Case) { return scenarioName(Case.param); });
+
+TEST(TicketAcceptance, CostsOneReadAndOneWriteAboveACurrentBase) {
+  AcceptanceFixture Fixture;
+  Fixture.submit("first", brandTicket(1, "one", 90));
+  Fixture.Queue.runUntil(TimePoint(milliseconds(100)));
+  auto Base = std::make_shared<const ConfigurationSnapshot>(Fixture.stored());
+  Fixture.submit("second", brandTicket(2, "two"), Base);
+  Fixture.Queue.runUntil(TimePoint(milliseconds(200)));
+  Fixture.submit(
+      "third", brandTicket(3, "three"),
+      std::make_shared<const ConfigurationSnapshot>(Fixture.stored()));
+  Fixture.Queue.runUntil(TimePoint(milliseconds(300)));
+  const auto &Third = Fixture.Submissions["third"];
+  EXPECT_EQ(endOf(Third), "accepted");
+  EXPECT_EQ(Third.Calls, 2U);
+  EXPECT_LT(Third.BytesRead, 500U);
+}
+
+TEST(TicketAcceptance, RefusesAPlatformThatWentBack) {
+  AcceptanceFixture Fixture;
+  Fixture.submit("first", brandTicket(1, "one"));
+  Fixture.Queue.runUntil(TimePoint(milliseconds(100)));
+  KeyValueStore Backup = Fixture.Store;
+  Fixture.submit("second", brandTicket(2, "two"));
+  Fixture.Queue.runUntil(TimePoint(milliseconds(200)));
+  auto Base = std::make_shared<const ConfigurationSnapshot>(Fixture.stored());
+  Fixture.Store = Backup;
+  Fixture.submit("third", brandTicket(3, "three"), Base);
+  Fixture.Queue.runUntil(TimePoint(milliseconds(300)));
+  EXPECT_EQ(endOf(Fixture.Submissions["third"]), "Unavailable");
+  EXPECT_EQ(Fixture.stored().newestTicket(), TicketNumber{1});
+}
+
+TEST(TicketAcceptance, NamesEveryProblemAtOnce) {
+  AcceptanceFixture Fixture;
+  Ticket Wrong;
+  Wrong.Id = TicketNumber{1};
+  Wrong.Brands = {{.Id = BrandId{"a"}, .Host = "same"},
+                  {.Id = BrandId{"b"}, .Host = "same"}};
+  Wrong.DatabaseServices = {{.Id = ServiceId{"s"},
+                             .Owner = BrandId{"nobody"},
+                             .Databases = {DatabaseId{"gone"}}}};
+  std::string Digest(64, 'd');
+  Wrong.ClientAccounts = {{.Id = ClientAccountId{"x"},
+                           .Owner = BrandId{"a"},
+                           .CredentialDigest = Digest,
+                           .Services = {ServiceId{"s"}}},
+                          {.Id = ClientAccountId{"y"},
+                           .Owner = BrandId{"missing"},
+                           .CredentialDigest = Digest,
+                           .Services = {ServiceId{"lost"}}}};
+  Fixture.submit("wrong", Wrong);
+  Fixture.Queue.runUntil(TimePoint(milliseconds(100)));
+  const auto &End = *Fixture.Submissions["wrong"].End;
+  ASSERT_FALSE(End);
+  EXPECT_EQ(End.error().Kind, ErrorKind::BadRequest);
+  for (const char *Part :
+       {"another brand has it", "another client account has it",
+        "unknown brand nobody", "unknown database gone",
+        "unknown brand missing", "unknown database service lost",
+        "a service of another brand"})
+    EXPECT_NE(End.error().Message.find(Part), std::string::npos)
+        << Part << " in " << End.error().Message;
+  EXPECT_TRUE(Fixture.heads().empty());
+}
+
+TEST(TicketAcceptance, KeepsABoundedRecordOfTickets) {
+  AcceptanceFixture Fixture;
+  auto Base = std::make_shared<const ConfigurationSnapshot>();
+  auto Number = std::uint64_t{1};
+  for (; Number <= KeptTickets + 10; ++Number) {
+    Fixture.submit("one", brandTicket(Number, "host"), Base);
+    Fixture.Queue.runUntil(Fixture.Queue.now() + milliseconds(10));
+    ASSERT_EQ(endOf(Fixture.Submissions["one"]), "accepted") << Number;
+    const auto &Made = Fixture.Submissions["one"].End->value().Change;
+    Base = std::make_shared<const ConfigurationSnapshot>(
+        keepOutcome([&] { return Base->changedBy(Made); }).value());
+  }
+  EXPECT_EQ(Base->records(), Fixture.stored().records());
+  Fixture.submit("kept", brandTicket(Number - 5, "host"));
+  Fixture.submit("changed", brandTicket(Number - 5, "other"));
+  Fixture.submit("forgotten", brandTicket(3, "host"));
+  Fixture.Queue.runUntil(Fixture.Queue.now() + milliseconds(100));
+  EXPECT_EQ(endOf(Fixture.Submissions["kept"]), "accepted");
+  EXPECT_EQ(endOf(Fixture.Submissions["changed"]), "BadRequest");
+  EXPECT_EQ(endOf(Fixture.Submissions["forgotten"]), "Superseded");
+  auto Kept = Fixture.Store.call(
+      RangeRequest{.Key = std::string(TicketPrefix), .Prefix = true},
+      Fixture.Queue.now() + minutes(1));
+  EXPECT_EQ(Kept.value().Entries.size(), KeptTickets);
+}
+
+TEST(TicketAcceptance, MovesLargeTicketsToKeysOfTheirOwn) {
+  AcceptanceFixture Fixture;
+  std::uint64_t Number = 1;
+  for (; Number <= 7; ++Number) {
+    Fixture.submit("large", brandTicket(Number, "host", 500));
+    Fixture.Queue.runUntil(Fixture.Queue.now() + std::chrono::seconds(1));
+    ASSERT_EQ(endOf(Fixture.Submissions["large"]), "accepted") << Number;
+  }
+  EXPECT_LE(Fixture.stored().head().Large.size(), 4U);
+  for (; Number <= 40; ++Number) {
+    Fixture.submit("small", brandTicket(Number, "host"));
+    Fixture.Queue.runUntil(Fixture.Queue.now() + std::chrono::seconds(1));
+    ASSERT_EQ(endOf(Fixture.Submissions["small"]), "accepted") << Number;
+  }
+  EXPECT_TRUE(Fixture.stored().head().Large.empty());
+  auto Left = Fixture.Store.call(
+      RangeRequest{.Key = std::string(LargePrefix), .Prefix = true},
+      Fixture.Queue.now() + minutes(1));
+  EXPECT_TRUE(Left.value().Entries.empty());
+  EXPECT_EQ(Fixture.stored().objectCount(), 501U);
+  EXPECT_EQ(Fixture.stored().objectsSetBy(TicketNumber{7}).size(), 500U);
+}
+
+/// The naive version: one copy, tickets taken one after another.
+struct SingleCopy {
+  std::uint64_t Newest = 0;
+  std::map<std::string, std::string> HostByBrand;
+
+  void take(const Ticket &Subject) {
+    ASSERT_GT(Subject.Id.Value, this->Newest);
+    this->Newest = Subject.Id.Value;
+    for (const Brand &Each : Subject.Brands)
+      this->HostByBrand[Each.Id.Value] = Each.Host;
+  }
+};
+
+std::map<std::string, std::string>
+hostsOf(const ConfigurationSnapshot &Snapshot) {
+  std::map<std::string, std::string> Hosts;
+  for (const auto &[Key, Record] : Snapshot.records())
+    Hosts[Key.Id] = Snapshot.brand(BrandId{Key.Id})->Host;
+  return Hosts;
+}
+
+/// Switches faults on and off at random moments of the first seconds.
+void scheduleFaults(AcceptanceFixture &Fixture) {
+  auto Count = *rc::gen::inRange(0, 8);
+  for (int Index = 0; Index < Count; ++Index) {
+    TimePoint When(milliseconds(*rc::gen::inRange(0, 3000)));
+    auto Which = *rc::gen::inRange(0, 4);
+    auto Amount = *rc::gen::inRange(1, 4);
+    Fixture.Queue.at(When, [&Fixture, Which, Amount] {
+      KeyValueFaults &Faults = Fixture.Store.faults();
+      if (Which == 0)
+        Faults.LoseWriteAnswers = static_cast<std::uint32_t>(Amount);
+      else if (Which == 1)
+        Faults.Outage = true;
+      else if (Which == 2)
+        Faults = {};
+      else
+        Faults.Slowness = milliseconds(100 * Amount);
+    });
+  }
+}
+
+RC_GTEST_PROP(TicketAcceptance, EndsAsTheNaiveSingleCopyDoes, ()) {
+  AcceptanceFixture Fixture;
+  scheduleFaults(Fixture);
+  auto Count = *rc::gen::inRange(1, 10);
+  for (int Index = 0; Index < Count; ++Index) {
+    auto Number = static_cast<std::uint64_t>(*rc::gen::inRange(1, 8));
+    std::string Host = *rc::gen::element<std::string>("x", "y");
+    auto Extra = static_cast<std::size_t>(*rc::gen::element(0, 1, 150));
+    TimePoint When(milliseconds(*rc::gen::inRange(0, 20) * 100));
+    TimePoint PausedUntil =
+        When + milliseconds(*rc::gen::element(0, 0, 2, 4, 5000));
+    std::string Name = "s" + std::to_string(Index);
+    Fixture.Queue.at(When, [=, &Fixture] {
+      Fixture.submit(Name, brandTicket(Number, Host, Extra));
+      if (PausedUntil > When)
+        Fixture.pause(Name);
+    });
+    Fixture.Queue.at(PausedUntil, [=, &Fixture] { Fixture.resume(Name); });
+  }
+  Fixture.Queue.runUntil(TimePoint(minutes(5)));
+
+  std::map<std::string, const Ticket *> ByDigest;
+  for (const auto &[Name, Mine] : Fixture.Submissions)
+    ByDigest[digestOf(Mine.Subject)] = &Mine.Subject;
+  SingleCopy Naive;
+  std::set<std::string> Accepted;
+  for (const TicketHead &Head : Fixture.heads())
+    if (Accepted.insert(Head.Digest).second)
+      Naive.take(*ByDigest.at(Head.Digest));
+    else
+      RC_ASSERT(Head.Newest.Value == Naive.Newest);
+  for (const auto &[Name, Mine] : Fixture.Submissions) {
+    RC_ASSERT(Mine.End.has_value());
+    bool InChain = Accepted.contains(digestOf(Mine.Subject));
+    if (*Mine.End)
+      RC_ASSERT(InChain);
+    else if (Mine.End->error().Kind == ErrorKind::BadRequest ||
+             Mine.End->error().Kind == ErrorKind::Superseded)
+      RC_ASSERT(!InChain);
+  }
+  RC_ASSERT(hostsOf(Fixture.stored()) == Naive.HostByBrand);
+  RC_ASSERT(Fixture.stored().newestTicket().Value == Naive.Newest);
+}
+
+} // namespace
+} // namespace turmericpitch
