Add the membership exchange: probes, suspicion, incarnations and duties

Cause: instances knew each other only by the static list of the settings. Conclusion: parts can read live, leaving and suspect instances and ranks.

--- /dev/null
+++ b/membership/DutyAssignment.cpp
@@ -0,0 +1,158 @@
+#include "membership/DutyAssignment.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <map>
+#include <xxhash.h>
+
+namespace turmericpitch {
+
+namespace {
+
+std::uint64_t hashOf(std::string_view Text) {
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
+std::uint64_t hashOf(const DutyKey &Key) {
+  return XXH3_64bits_withSeed(Key.Subject.data(), Key.Subject.size(),
+                              static_cast<std::uint64_t>(Key.Kind) + 1);
+}
+
+/// Mixes two hashes; equal inputs give equal results on every machine.
+std::uint64_t mix(std::uint64_t Left, std::uint64_t Right) {
+  constexpr std::uint64_t Multiplier = 0x9FB21C651E98DF25ULL;
+  constexpr unsigned Shift = 32;
+  std::uint64_t Value = (Left ^ std::rotl(Right, Shift)) * Multiplier;
+  Value ^= Value >> Shift;
+  Value *= Multiplier;
+  return Value ^ (Value >> Shift);
+}
+
+/// Weighted rendezvous hashing: a zone wins in proportion to its weight.
+double score(std::uint64_t Hash, double Weight) {
+  constexpr double Scale = 18446744073709551616.0;
+  double Uniform = (static_cast<double>(Hash) + 1) / (Scale + 2);
+  return -Weight / std::log(Uniform);
+}
+
+} // namespace
+
+std::string_view toString(Duty Duty) {
+  switch (Duty) {
+  case Duty::Watch:
+    return "watch";
+  case Duty::Observe:
+    return "observe";
+  case Duty::Promote:
+    return "promote";
+  case Duty::KeepShares:
+    break;
+  }
+  return "keep_shares";
+}
+
+DutyAssignment::DutyAssignment(const MembershipSnapshot &Believed) {
+  std::map<ZoneId, std::vector<Candidate>> ByZone;
+  for (const InstanceView &Each : Believed.instances())
+    if (Each.State == InstanceState::Live)
+      ByZone[Each.Zone].push_back(
+          {.Id = Each.Id, .Hash = hashOf(Each.Id.Value)});
+  for (auto &[Zone, Instances] : ByZone) {
+    // Weights change only with the power of two, so that single deaths
+    // leave the zones' order alone.
+    auto Weight = static_cast<double>(std::bit_floor(Instances.size()));
+    this->Zones.push_back({.Zone = Zone,
+                           .Hash = hashOf(Zone.Value),
+                           .Weight = Weight,
+                           .Instances = std::move(Instances)});
+  }
+}
+
+std::vector<DutyAssignment::ScoredZone>
+DutyAssignment::order(std::uint64_t Duty) const {
+  std::vector<ScoredZone> Scored;
+  Scored.reserve(this->Zones.size());
+  for (const ZoneCandidates &Zone : this->Zones)
+    Scored.push_back(
+        {.Score = score(mix(Duty, Zone.Hash), Zone.Weight), .Zone = &Zone});
+  std::sort(Scored.begin(), Scored.end(),
+            [](const ScoredZone &Left, const ScoredZone &Right) {
+              return Left.Score != Right.Score
+                         ? Left.Score > Right.Score
+                         : Left.Zone->Zone < Right.Zone->Zone;
+            });
+  return Scored;
+}
+
+std::vector<const DutyAssignment::Candidate *>
+DutyAssignment::best(const ZoneCandidates &Zone, std::uint64_t Duty,
+                     std::size_t Count) {
+  struct Scored {
+    std::uint64_t Score;
+    const Candidate *Who;
+  };
+  std::vector<Scored> All;
+  All.reserve(Zone.Instances.size());
+  for (const Candidate &Each : Zone.Instances)
+    All.push_back({.Score = mix(Duty, Each.Hash), .Who = &Each});
+  auto Middle =
+      All.begin() + static_cast<std::ptrdiff_t>(std::min(Count, All.size()));
+  std::partial_sort(All.begin(), Middle, All.end(),
+                    [](const Scored &Left, const Scored &Right) {
+                      return Left.Score != Right.Score
+                                 ? Left.Score > Right.Score
+                                 : Left.Who->Id < Right.Who->Id;
+                    });
+  std::vector<const Candidate *> Best;
+  for (auto At = All.begin(); At != Middle; ++At)
+    Best.push_back(At->Who);
+  return Best;
+}
+
+std::vector<InstanceId> DutyAssignment::holders(const DutyKey &Key,
+                                                std::size_t Count) const {
+  std::uint64_t Duty = hashOf(Key);
+  std::vector<ScoredZone> Zones = this->order(Duty);
+  std::vector<std::vector<const Candidate *>> Best;
+  // One zone gives at most what one turn through all zones leaves open.
+  for (std::size_t Index = 0; Index < std::min(Count, Zones.size()); ++Index)
+    Best.push_back(best(*Zones[Index].Zone, Duty, Count - Index));
+  std::vector<InstanceId> Holders;
+  bool More = true;
+  for (std::size_t Turn = 0; More && Holders.size() < Count; ++Turn) {
+    More = false;
+    for (const auto &Zone : Best) {
+      if (Turn >= Zone.size() || Holders.size() >= Count)
+        continue;
+      Holders.push_back(Zone[Turn]->Id);
+      More = true;
+    }
+  }
+  return Holders;
+}
+
+std::vector<InstanceId> DutyAssignment::holdersInZone(const DutyKey &Key,
+                                                      const ZoneId &Zone,
+                                                      std::size_t Count) const {
+  std::vector<InstanceId> Holders;
+  for (const ZoneCandidates &Each : this->Zones) {
+    if (Each.Zone != Zone)
+      continue;
+    for (const Candidate *Best : best(Each, hashOf(Key), Count))
+      Holders.push_back(Best->Id);
+  }
+  return Holders;
+}
+
+std::optional<std::size_t> DutyAssignment::rank(const DutyKey &Key,
+                                                const InstanceId &Id,
+                                                std::size_t Most) const {
+  std::vector<InstanceId> Holders = this->holders(Key, Most);
+  auto Found = std::find(Holders.begin(), Holders.end(), Id);
+  if (Found == Holders.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(Found - Holders.begin());
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/membership/InstanceTable.h
@@ -0,0 +1,71 @@
+// All instances known, with digests to find differences between peers.
+#pragma once
+
+#include "core/Time.h"
+#include "membership/InstanceRecord.h"
+#include "membership/ReplayGuard.h"
+
+#include <array>
+#include <map>
+#include <vector>
+
+namespace turmericpitch {
+
+/// What is kept of one instance.
+struct KnownInstance {
+  InstanceRecord Record;
+  ReplayGuard Received;
+  /// When a suspect is held dead, or a dead one is forgotten.
+  TimePoint Until{};
+};
+
+/// Records by name, in buckets with digests. Not thread-safe.
+class InstanceTable {
+public:
+  static constexpr std::size_t BucketCount = 256;
+
+  /// Takes in a record. Returns whether anything changed.
+  bool merge(const InstanceRecord &Heard);
+  void erase(const InstanceId &Id);
+
+  [[nodiscard]] const KnownInstance *find(const InstanceId &Id) const;
+  KnownInstance *find(const InstanceId &Id);
+  [[nodiscard]] const std::map<InstanceId, KnownInstance> &all() const {
+    return this->Instances;
+  }
+  [[nodiscard]] std::size_t size() const { return this->Instances.size(); }
+  /// Grows with each change.
+  [[nodiscard]] std::uint64_t version() const { return this->Version; }
+
+  /// Digest of the bucket's instances that are not dead: names, incarnations
+  /// and whether they leave. Equal contents give equal digests.
+  [[nodiscard]] std::uint32_t digest(std::size_t Bucket) const {
+    return this->Digests[Bucket];
+  }
+  /// Names in a bucket, dead ones included.
+  [[nodiscard]] const std::vector<InstanceId> &inBucket(std::size_t B) const {
+    return this->Buckets[B];
+  }
+  /// Names in each zone, dead ones included.
+  [[nodiscard]] const std::map<ZoneId, std::vector<InstanceId>> &zones() const {
+    return this->Zones;
+  }
+  /// Instances of the zone that are not dead.
+  [[nodiscard]] std::size_t presentIn(const ZoneId &Zone) const;
+  /// Instances that are not dead.
+  [[nodiscard]] std::size_t present() const { return this->Present; }
+
+private:
+  void count(const InstanceRecord &Record, bool Added);
+  static std::size_t bucketOf(const InstanceId &Id);
+
+  std::map<InstanceId, KnownInstance> Instances;
+  std::map<ZoneId, std::vector<InstanceId>> Zones;
+  std::map<ZoneId, std::size_t> PresentByZone;
+  std::array<std::uint32_t, BucketCount> Digests{};
+  std::array<std::vector<InstanceId>, BucketCount> Buckets;
+  std::size_t Present = 0;
+  std::uint64_t Version = 0;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/membership/ProbeTargets.cpp
@@ -0,0 +1,127 @@
+#include "membership/ProbeTargets.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr double LargestCrossShare = 0.5;
+constexpr double PeriodsPerZone = 3;
+constexpr unsigned PickAttempts = 8;
+
+template <typename T>
+void shuffle(std::vector<T> &Items, RandomSource &Random) {
+  for (std::size_t Left = Items.size(); Left > 1; --Left)
+    std::swap(Items[Left - 1],
+              Items[Random.below(static_cast<std::uint32_t>(Left))]);
+}
+
+const InstanceId &pickOne(const std::vector<InstanceId> &From,
+                          RandomSource &Random) {
+  return From[Random.below(static_cast<std::uint32_t>(From.size()))];
+}
+
+} // namespace
+
+ProbeTargets::ProbeTargets(InstanceId Self, ZoneId Zone, double CrossZoneShare)
+    : Self(std::move(Self)), Zone(std::move(Zone)),
+      CrossZoneShare(CrossZoneShare) {}
+
+bool ProbeTargets::present(const InstanceTable &Table,
+                           const InstanceId &Id) const {
+  const KnownInstance *Known = Table.find(Id);
+  return Known && Id != this->Self &&
+         Known->Record.Health != InstanceHealth::Dead;
+}
+
+double ProbeTargets::crossShare(const InstanceTable &Table) const {
+  std::size_t Own = Table.presentIn(this->Zone);
+  std::size_t Others = Table.zones().size() - Table.zones().count(this->Zone);
+  if (Others == 0)
+    return 0;
+  if (Own <= 1)
+    return 1;
+  double Needed =
+      static_cast<double>(Others) / (PeriodsPerZone * static_cast<double>(Own));
+  return std::clamp(Needed, this->CrossZoneShare, LargestCrossShare);
+}
+
+std::optional<InstanceId> ProbeTargets::next(const InstanceTable &Table,
+                                             RandomSource &Random) {
+  bool Across = Random.chance(this->crossShare(Table));
+  auto First = Across ? this->nextAcross(Table, Random)
+                      : this->nextInZone(Table, Random);
+  if (First)
+    return First;
+  return Across ? this->nextInZone(Table, Random)
+                : this->nextAcross(Table, Random);
+}
+
+std::optional<InstanceId> ProbeTargets::nextInZone(const InstanceTable &Table,
+                                                   RandomSource &Random) {
+  for (int Pass = 0; Pass < 2; ++Pass) {
+    while (!this->Round.empty()) {
+      InstanceId Next = std::move(this->Round.back());
+      this->Round.pop_back();
+      if (this->present(Table, Next))
+        return Next;
+    }
+    auto Own = Table.zones().find(this->Zone);
+    if (Own == Table.zones().end())
+      return std::nullopt;
+    this->Round = Own->second;
+    shuffle(this->Round, Random);
+  }
+  return std::nullopt;
+}
+
+std::optional<InstanceId> ProbeTargets::nextAcross(const InstanceTable &Table,
+                                                   RandomSource &Random) {
+  for (int Pass = 0; Pass < 2; ++Pass) {
+    while (!this->ZoneRound.empty()) {
+      auto Found = Table.zones().find(this->ZoneRound.back());
+      this->ZoneRound.pop_back();
+      if (Found == Table.zones().end() || Found->second.empty())
+        continue;
+      for (unsigned Attempt = 0; Attempt < PickAttempts; ++Attempt) {
+        const InstanceId &Picked = pickOne(Found->second, Random);
+        if (this->present(Table, Picked))
+          return Picked;
+      }
+    }
+    for (const auto &[Each, Members] : Table.zones())
+      if (Each != this->Zone)
+        this->ZoneRound.push_back(Each);
+    shuffle(this->ZoneRound, Random);
+  }
+  return std::nullopt;
+}
+
+std::vector<InstanceId> ProbeTargets::helpers(const InstanceTable &Table,
+                                              const InstanceId &Except,
+                                              std::size_t Count,
+                                              RandomSource &Random) const {
+  std::vector<const std::vector<InstanceId> *> Sources;
+  auto Own = Table.zones().find(this->Zone);
+  if (Own != Table.zones().end())
+    Sources.push_back(&Own->second);
+  for (const auto &[Each, Members] : Table.zones())
+    if (Each != this->Zone && Sources.size() <= Count)
+      Sources.push_back(&Members);
+  std::vector<InstanceId> Chosen;
+  for (const auto *Source : Sources) {
+    for (std::size_t Try = 0; Try < Count * 2; ++Try) {
+      if (Chosen.size() >= Count || Source->empty())
+        break;
+      const InstanceId &Picked = pickOne(*Source, Random);
+      bool Taken =
+          std::find(Chosen.begin(), Chosen.end(), Picked) != Chosen.end();
+      if (!Taken && Picked != Except && this->present(Table, Picked))
+        Chosen.push_back(Picked);
+    }
+  }
+  return Chosen;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/membership/ReplayGuard.cpp
@@ -0,0 +1,28 @@
+#include "membership/ReplayGuard.h"
+
+namespace turmericpitch {
+
+bool ReplayGuard::admit(Incarnation Life, std::uint64_t Sequence) {
+  if (Life < this->Life)
+    return false;
+  if (Life > this->Life) {
+    this->Life = Life;
+    this->Highest = Sequence;
+    this->Received = 1;
+    return true;
+  }
+  if (Sequence > this->Highest) {
+    std::uint64_t Shift = Sequence - this->Highest;
+    this->Received = Shift < WindowSize ? this->Received << Shift : 0;
+    this->Received |= 1;
+    this->Highest = Sequence;
+    return true;
+  }
+  std::uint64_t Behind = this->Highest - Sequence;
+  if (Behind >= WindowSize || ((this->Received >> Behind) & 1) != 0)
+    return false;
+  this->Received |= std::uint64_t{1} << Behind;
+  return true;
+}
+
+} // namespace turmericpitch
