--- a/drivers/MemberClient.cpp
+++ b/drivers/MemberClient.cpp
@@ -8,17 +8,6 @@
 
 constexpr unsigned HttpOk = 200;
 
-RequestId requestIdOf(const MemberRequest &Request) {
-  return std::visit(
-      [](const auto &Each) {
-        if constexpr (requires { Each.Id; })
-          return Each.Id;
-        else
-          return RequestId{};
-      },
-      Request);
-}
-
 } // namespace
 
 Awaitable<Outcome<std::shared_ptr<MemberConnection>>>
@@ -40,18 +29,14 @@
   auto Reply = co_await this->Http->exchange(std::move(Message), Limit);
   if (!Reply)
     co_return Reply.error();
-  if (Reply.value().Status != HttpOk)
-    co_return decodeError(Reply.value().Body);
-  auto Answer =
-      keepOutcome([&] { return decodeMemberAnswer(Reply.value().Body); });
-  if (Answer && Answer.value().Id == Expected)
-    co_return Answer;
-  // A late or crossed answer: nothing more on this connection can be
+  bool Trusted = false;
+  auto Answer = decodeMemberReply(Expected, Reply.value().Status == HttpOk,
+                                  Reply.value().Body, Trusted);
+  // After a late or crossed answer nothing more on this connection can be
   // trusted.
-  this->close();
-  co_return Error{.Kind = ErrorKind::OutcomeUnknown,
-                  .Message = "the member answered another request",
-                  .Remedy = "look whether it ran before sending it again"};
+  if (!Trusted)
+    this->close();
+  co_return Answer;
 }
 
 } // namespace turmericpitch
--- a/drivers/MemberCodec.cpp
+++ b/drivers/MemberCodec.cpp
@@ -301,7 +301,9 @@
   return Answer;
 }
 
-std::string encodeError(const Error &Failure) {
+namespace {
+
+object errorToJson(const Error &Failure) {
   object Json;
   Json["error"] = toString(Failure.Kind);
   Json["message"] = Failure.Message;
@@ -310,9 +312,68 @@
     Json["retry_after_ms"] =
         std::chrono::ceil<std::chrono::milliseconds>(*Failure.RetryAfter)
             .count();
+  return Json;
+}
+
+} // namespace
+
+std::string encodeError(const Error &Failure) {
+  return serialized(errorToJson(Failure));
+}
+
+std::string encodeMemberError(const Error &Failure, const RequestId &Id) {
+  object Json = errorToJson(Failure);
+  Json["request_id"] = Id.Value;
   return serialized(Json);
 }
 
+RequestId requestIdOf(const MemberRequest &Request) {
+  return std::visit(
+      [](const auto &Each) {
+        if constexpr (requires { Each.Id; })
+          return Each.Id;
+        else
+          return RequestId{};
+      },
+      Request);
+}
+
+Error crossedAnswer() {
+  return {.Kind = ErrorKind::OutcomeUnknown,
+          .Message = "the member answered another request",
+          .Remedy = "look whether it ran before sending it again"};
+}
+
+Outcome<MemberAnswer> matchAnswer(const RequestId &Expected,
+                                  Outcome<MemberAnswer> Answer) {
+  if (Answer && Answer.value().Id != Expected)
+    return crossedAnswer();
+  return Answer;
+}
+
+Outcome<MemberAnswer> decodeMemberReply(const RequestId &Expected, bool Success,
+                                        std::string_view Body, bool &Trusted) {
+  if (Success) {
+    auto Answer = matchAnswer(
+        Expected, keepOutcome([&] { return decodeMemberAnswer(Body); }));
+    // An answer that can't be read doesn't prove that nothing ran.
+    Trusted = Answer.hasValue();
+    return Trusted ? Answer : crossedAnswer();
+  }
+  auto Id = keepOutcome([&]() -> Result<RequestId> {
+    BOOST_LEAF_AUTO(Json, parseJsonObject(Body));
+    JsonReader Reader(Json);
+    Reader.allowUnknown();
+    RequestId Carried{Reader.text("request_id", "")};
+    BOOST_LEAF_CHECK(Reader.finish());
+    return Carried;
+  });
+  Trusted = Id && Id.value() == Expected;
+  if (!Trusted)
+    return crossedAnswer();
+  return decodeError(Body);
+}
+
 Error decodeError(std::string_view Body) {
   auto Decoded = keepOutcome([&]() -> Result<DecodedError> {
     BOOST_LEAF_AUTO(Json, parseJsonObject(Body));
--- a/drivers/StatementRunner.cpp
+++ b/drivers/StatementRunner.cpp
@@ -118,10 +118,7 @@
                                          .UntilApplied = false};
         auto Answer = co_await (*Leased.value())->call(Wait, Wanted.Limit);
         this->note(Id, Replica.Id, Answer, AskedAt);
-        Held = Answer &&
-               Answer.value().Status.Accepted == Wanted.WrittenUnder &&
-               Answer.value().Status.History.holds(
-                   Wanted.Written, Answer.value().Status.Received.Position);
+        Held = Answer && confirms(Wanted, Answer.value().Status);
       }
       {
         std::lock_guard Lock(Shared->Guard);
@@ -140,7 +137,9 @@
       std::lock_guard Lock(Shared->Guard);
       if (Shared->Held >= Wanted.Needed)
         co_return true;
-      if (Shared->Answered == Shared->Asked)
+      // Answered no more often than leaves enough replicas to hear from.
+      std::size_t Open = Shared->Asked - Shared->Answered;
+      if (Shared->Held + Open < Wanted.Needed)
         co_return false;
     }
     TimePoint Now = this->Time.now();
--- a/routing/Router.cpp
+++ b/routing/Router.cpp
@@ -64,24 +64,43 @@
 }
 
 std::optional<Duration> ageBound(const DatabaseView &View,
-                                 const MemberView &Member, TimePoint Now) {
-  if (!Member.Last)
-    return std::nullopt;
+                                 const MemberStatus &Known, TimePoint Now) {
   for (auto At = View.Samples.rbegin(); At != View.Samples.rend(); ++At)
-    if (Member.Last->History.holds(At->Reached, Member.Last->Applied))
+    if (View.isProven(*At) && Known.History.holds(At->Reached, Known.Applied))
       return Now - At->At;
   return std::nullopt;
 }
 
+Duration observedLag(const DatabaseView &View, const MemberView &Member) {
+  if (!Member.Last)
+    return Duration{0};
+  const MemberStatus &Known = *Member.Last;
+  for (const PositionSample &Sample : View.Samples) {
+    if (Sample.At > Member.AskedAt)
+      break;
+    if (!Known.History.holds(Sample.Reached, Known.Applied))
+      return Member.AskedAt - Sample.At;
+  }
+  return Duration{0};
+}
+
+std::optional<Error> staleness(const DatabaseView &View,
+                               const TermPosition &Seen) {
+  const MemberView *Primary = View.primary();
+  if (Primary && Primary->Last->History.cutsOff(Seen))
+    return staleToken();
+  return std::nullopt;
+}
+
 Result<std::optional<Route>> chooseForRead(const DatabaseView &View,
                                            const ReadNeeds &Needs,
                                            const RoutingOptions &Options,
                                            TimePoint Now,
                                            RandomSource &Random) {
   const MemberView *Primary = View.primary();
-  if (Primary && !Needs.MaximumAge &&
-      Primary->Last->History.cutsOff(Needs.Seen))
-    return boost::leaf::new_error(staleToken());
+  if (!Needs.MaximumAge)
+    if (auto Stale = staleness(View, Needs.Seen))
+      return boost::leaf::new_error(std::move(*Stale));
   std::vector<const MemberView *> Ready;
   std::vector<const MemberView *> Arriving;
   for (const MemberView &Member : View.Members) {
@@ -89,12 +108,13 @@
       continue;
     const MemberStatus &Known = *Member.Last;
     if (Needs.MaximumAge) {
-      auto Age = ageBound(View, Member, Now);
+      auto Age = ageBound(View, Known, Now);
       if (Age && *Age <= *Needs.MaximumAge)
         Ready.push_back(&Member);
     } else if (Known.History.holds(Needs.Seen, Known.Applied)) {
       Ready.push_back(&Member);
-    } else if (!Known.History.cutsOff(Needs.Seen)) {
+    } else if (!Known.History.cutsOff(Needs.Seen) &&
+               observedLag(View, Member) <= Options.ReplicaWait) {
       Arriving.push_back(&Member);
     }
   }
--- a/routing/Router.h
+++ b/routing/Router.h
@@ -38,8 +38,11 @@
 struct RoutingOptions {
   /// Own availability zone; its members are preferred.
   ZoneId Zone;
-  /// Longest wait at a replica that is about to catch up.
+  /// Longest wait at a replica that is about to catch up. A replica whose
+  /// observed lag is longer is not waited for.
   Duration ReplicaWait = std::chrono::milliseconds(20);
+  /// How long an attempt that may be followed by another takes at most.
+  Duration AttemptLimit = std::chrono::milliseconds(500);
   /// A member that failed is left alone this long.
   Duration FailurePause = std::chrono::milliseconds(500);
 };
@@ -55,10 +58,20 @@
   bool operator==(const Route &) const = default;
 };
 
-/// Upper bound of the age of a member's data, or nothing if unknown.
-/// Thread-safe.
+/// Upper bound of the age of the data behind a member's status, or nothing if
+/// unknown. Only samples that a majority vouches for count, so the bound also
+/// holds where the view's primary has been superseded. Thread-safe.
 std::optional<Duration> ageBound(const DatabaseView &View,
-                                 const MemberView &Member, TimePoint Now);
+                                 const MemberStatus &Known, TimePoint Now);
+
+/// Lower bound of how far behind the primary a member was when it was last
+/// asked; 0 if it lacked nothing known. Thread-safe.
+Duration observedLag(const DatabaseView &View, const MemberView &Member);
+
+/// The error for a session whose token names work that a promotion cut off,
+/// or nothing. Thread-safe.
+std::optional<Error> staleness(const DatabaseView &View,
+                               const TermPosition &Seen);
 
 /// The member for a read, or nothing if none would do. Pure; thread-safe
 /// but for Random. Errors: StaleToken if a promotion cut off what the
--- a/routing/StatementFlow.cpp
+++ b/routing/StatementFlow.cpp
@@ -36,19 +36,29 @@
 
 StatementAction StatementFlow::begin(TimePoint Now) { return this->route(Now); }
 
+TermPosition StatementFlow::needed() const {
+  const StatementRequest &Request = this->Context.Request;
+  return Request.MaximumAge ? TermPosition{}
+                            : this->Context.Token.seen(Request.Target);
+}
+
+bool StatementFlow::mayRepeat() const {
+  const StatementRequest &Request = this->Context.Request;
+  return !Request.Write || Request.Repeatable || Request.Key.has_value();
+}
+
 StatementAction StatementFlow::route(TimePoint Now) {
   if (this->remaining(Now) < LeastUsefulTime || !this->Context.View)
     return this->refuse(noMember());
   const StatementRequest &Request = this->Context.Request;
   const DatabaseView &View = *this->Context.View;
   std::optional<Route> Chosen;
-  TermPosition Seen = Request.MaximumAge
-                          ? TermPosition{}
-                          : this->Context.Token.seen(Request.Target);
   if (Request.Write) {
+    if (auto Stale = staleness(View, this->needed()))
+      return this->refuse(std::move(*Stale));
     Chosen = chooseForWrite(View);
   } else {
-    ReadNeeds Needs{.Seen = Seen,
+    ReadNeeds Needs{.Seen = this->needed(),
                     .MaximumAge = Request.MaximumAge,
                     .Excluded = this->Excluded};
     auto Choice = keepOutcome([&] {
@@ -58,21 +68,27 @@
       return this->refuse(Choice.error());
     Chosen = Choice.value();
   }
-  if (!Chosen)
-    return this->awaitView(Now);
-  this->Target = Chosen->Target;
+  return Chosen ? this->runAt(*Chosen, Now) : this->awaitView(Now);
+}
+
+StatementAction StatementFlow::runAt(const Route &Chosen, TimePoint Now) {
+  const StatementRequest &Request = this->Context.Request;
+  this->Target = Chosen.Target;
   RunAtMember Action;
-  Action.Where = *Chosen;
+  Action.Where = Chosen;
   Action.Request.Id = Request.Id;
   Action.Request.Statement = Request.Statement;
   Action.Request.Write = Request.Write;
   if (Request.Write) {
-    Action.Request.Expected = View.newestTerm();
+    Action.Request.Expected = this->Context.View->newestTerm();
     Action.Request.Key = Request.Key;
   }
-  Action.Request.AtLeast = Seen;
-  Action.WaitLimit = std::min(Chosen->WaitLimit, this->remaining(Now));
-  Action.Limit = this->remaining(Now);
+  Action.Request.AtLeast = this->needed();
+  Action.WaitLimit = std::min(Chosen.WaitLimit, this->remaining(Now));
+  // A silent member must leave time for another attempt.
+  Action.Limit = this->mayRepeat() ? std::min(this->Options.AttemptLimit,
+                                              this->remaining(Now))
+                                   : this->remaining(Now);
   return Action;
 }
 
@@ -98,20 +114,27 @@
 
 StatementAction StatementFlow::onAnswer(const MemberAnswer &Answer,
                                         TimePoint Now) {
-  if (!Answer.Written || !this->Context.View)
+  if (!this->Context.View)
     return this->finish(Answer);
-  const DatabaseView &View = *this->Context.View;
-  ConfirmWrite Action;
-  Action.WrittenUnder = Answer.Status.Accepted;
-  // An entry of an earlier term is safe only under one of the present term.
-  Action.Written = Answer.Written->WrittenIn == Answer.Status.Accepted
-                       ? *Answer.Written
-                       : Answer.Status.Received;
-  for (const MemberView &Member : View.Members)
-    if (Member.Configured.Id != this->Target)
-      Action.Replicas.push_back(Member.Configured);
-  Action.Needed = View.majority() - 1;
-  Action.Limit = this->remaining(Now);
+  if (Answer.Written)
+    return this->confirm(Answer, Now);
+  const std::optional<Duration> &Accepted = this->Context.Request.MaximumAge;
+  if (!Accepted)
+    return this->finish(Answer);
+  auto Age = ageBound(*this->Context.View, Answer.Status, Now);
+  if (Age && *Age <= *Accepted)
+    return this->finish(Answer);
+  // A primary's data is fresh if it is still the primary.
+  if (Answer.Status.Role == MemberRole::Primary)
+    return this->confirm(Answer, Now);
+  this->Excluded.push_back(this->Target);
+  return this->route(Now);
+}
+
+StatementAction StatementFlow::confirm(const MemberAnswer &Answer,
+                                       TimePoint Now) {
+  ConfirmWrite Action = confirmationOf(
+      Answer, this->Target, *this->Context.View, this->remaining(Now));
   if (Action.Needed == 0)
     return this->finish(Answer);
   this->Unconfirmed = Answer;
@@ -121,9 +144,12 @@
 StatementAction StatementFlow::onConfirmed(bool Held, TimePoint Now) {
   if (Held)
     return this->finish(*this->Unconfirmed);
+  const StatementRequest &Request = this->Context.Request;
+  if (!Request.Write)
+    return this->awaitView(Now);
   this->MayHaveRun = true;
   // With a key the outcome can still be learnt from the next primary.
-  if (this->Context.Request.Key && this->remaining(Now) >= LeastUsefulTime)
+  if (Request.Key && this->remaining(Now) >= LeastUsefulTime)
     return this->awaitView(Now);
   return this->refuse(notConfirmed());
 }
@@ -136,9 +162,7 @@
                Failure.Kind == ErrorKind::Forbidden;
   if (Final)
     return this->refuse(Failure);
-  bool MayRepeat = provesNotRun(Failure.Kind) || !Request.Write ||
-                   Request.Repeatable || Request.Key.has_value();
-  if (!MayRepeat)
+  if (!provesNotRun(Failure.Kind) && !this->mayRepeat())
     return this->refuse(Failure);
   if (Request.Write)
     return this->awaitView(Now);
@@ -159,10 +183,15 @@
   Result.Rows = Answer.Rows;
   Result.Repeated = Answer.Repeated;
   Result.ServedBy = Answer.Status.Role;
-  TermPosition Seen = Answer.Written.value_or(
-      Answer.Status.History.entryAt(Answer.Status.Applied));
-  Result.Token =
-      this->Context.Token.advanced(this->Context.Request.Target, Seen);
+  const DatabaseId &Database = this->Context.Request.Target;
+  const TermHistory &History = Answer.Status.History;
+  Result.Token = this->Context.Token;
+  // A read of a stated age must not hide that a promotion cut off what the
+  // session has seen.
+  if (!History.cutsOff(this->Context.Token.seen(Database)))
+    Result.Token = this->Context.Token.advanced(
+        Database,
+        Answer.Written.value_or(History.entryAt(Answer.Status.Applied)));
   return FinishStatement{std::move(Result)};
 }
 
--- a/routing/StatementFlow.h
+++ b/routing/StatementFlow.h
@@ -3,6 +3,7 @@
 
 #include "routing/RequestContext.h"
 #include "routing/Router.h"
+#include "routing/WriteConfirmation.h"
 
 namespace turmericpitch {
 
@@ -25,18 +26,6 @@
   Duration Limit{0};
 };
 
-/// Ask replicas whether they hold a written entry; answer with
-/// onConfirmed().
-struct ConfirmWrite {
-  TermPosition Written;
-  Term WrittenUnder;
-  /// Replicas to ask.
-  std::vector<DatabaseMember> Replicas;
-  /// How many must hold it.
-  std::size_t Needed = 0;
-  Duration Limit{0};
-};
-
 /// Wait until the view changes or Limit passes; answer with onView().
 struct AwaitView {
   Duration Limit{0};
@@ -51,8 +40,8 @@
     std::variant<RunAtMember, ConfirmWrite, AwaitView, FinishStatement>;
 
 /// Runs one statement: route, retry only what is proven not to have run,
-/// and acknowledge a write only once a majority of members holds it. Pure;
-/// not thread-safe.
+/// acknowledge a write only once a majority of members holds it, and a read of
+/// a stated age only once its age is proven. Pure; not thread-safe.
 class StatementFlow {
 public:
   StatementFlow(RequestContext Context, RoutingOptions Options,
@@ -72,7 +61,11 @@
 
 private:
   StatementAction route(TimePoint Now);
+  StatementAction runAt(const Route &Chosen, TimePoint Now);
   StatementAction onAnswer(const MemberAnswer &Answer, TimePoint Now);
+  StatementAction confirm(const MemberAnswer &Answer, TimePoint Now);
+  [[nodiscard]] TermPosition needed() const;
+  [[nodiscard]] bool mayRepeat() const;
   StatementAction onError(const Error &Failure, TimePoint Now);
   StatementAction awaitView(TimePoint Now);
   StatementAction finish(const MemberAnswer &Answer);
@@ -84,6 +77,7 @@
   RandomSource Random;
   std::vector<UpstreamId> Excluded;
   UpstreamId Target;
+  /// The answer that waits for ConfirmWrite.
   std::optional<MemberAnswer> Unconfirmed;
   /// An earlier attempt at a write may have taken effect.
   bool MayHaveRun = false;
--- a/routing/UpstreamView.cpp
+++ b/routing/UpstreamView.cpp
@@ -1,6 +1,7 @@
 #include "routing/UpstreamView.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace turmericpitch {
 
@@ -38,7 +39,35 @@
     return;
   if (View.Samples.size() >= UpstreamController::MaximumSamples)
     View.Samples.erase(View.Samples.begin());
-  View.Samples.push_back({.At = AskedAt, .Reached = Status.Received});
+  View.Samples.push_back(
+      {.At = AskedAt, .Under = Status.Accepted, .Reached = Status.Received});
+}
+
+/// Counts a member's word for the samples that it was asked after.
+void vouch(DatabaseView &View, const MemberStatus &Status, TimePoint AskedAt) {
+  auto Member = std::find_if(
+      View.Members.begin(), View.Members.end(),
+      [&](const MemberView &M) { return M.Configured.Id == Status.Id; });
+  auto Index = static_cast<std::size_t>(Member - View.Members.begin());
+  if (Index >= UpstreamController::MaximumVouchers)
+    return;
+  for (auto At = View.Samples.rbegin(); At != View.Samples.rend(); ++At) {
+    // A member's terms only grow, so it accepted no newer one at At either.
+    bool Vouches = At->At <= AskedAt && Status.Accepted <= At->Under;
+    if (Vouches)
+      At->VouchedBy |= std::uint64_t{1} << Index;
+  }
+}
+
+/// Whether both have the same members in the same order, so that the bits of
+/// PositionSample::VouchedBy keep their meaning.
+bool sameMembers(const DatabaseView &Left, const DatabaseView &Right) {
+  return std::equal(Left.Members.begin(), Left.Members.end(),
+                    Right.Members.begin(), Right.Members.end(),
+                    [](const MemberView &L, const MemberView &R) {
+                      return L.Configured.Id == R.Configured.Id &&
+                             L.Configured.Where == R.Configured.Where;
+                    });
 }
 
 } // namespace
@@ -71,6 +100,11 @@
   return this->Members.size() / 2 + 1;
 }
 
+bool DatabaseView::isProven(const PositionSample &Sample) const {
+  return static_cast<std::size_t>(std::popcount(Sample.VouchedBy)) >=
+         this->majority();
+}
+
 void UpstreamController::onConfigured(const Database &Configured) {
   this->Views.update(Configured.Id, [&](SharedDatabaseView &Slot) {
     auto Next = std::make_shared<DatabaseView>();
@@ -83,7 +117,7 @@
       Fresh.Configured = Member;
       Next->Members.push_back(std::move(Fresh));
     }
-    if (Slot)
+    if (Slot && sameMembers(*Slot, *Next))
       Next->Samples = Slot->Samples;
     Slot = std::move(Next);
   });
@@ -107,6 +141,7 @@
       Member->AskedAt = AskedAt;
     }
     addSample(*Next, Status, AskedAt);
+    vouch(*Next, Status, AskedAt);
     Slot = std::move(Next);
   });
 }
--- a/routing/UpstreamView.h
+++ b/routing/UpstreamView.h
@@ -24,11 +24,18 @@
   bool operator==(const MemberView &) const = default;
 };
 
-/// Where a primary's log stood at a moment; a replica that has applied this
-/// much is no older than the moment.
+/// Where a primary's log stood at a moment. A member that has applied this
+/// much is no older than the moment, provided that no newer primary had
+/// acknowledged anything by then: a majority must be seen, no earlier than the
+/// moment, to accept no newer term.
 struct PositionSample {
   TimePoint At;
+  /// The primary's term.
+  Term Under;
   TermPosition Reached;
+  /// The members seen to accept no newer term since At, a bit for each by
+  /// its index in the view.
+  std::uint64_t VouchedBy = 0;
 
   auto operator<=>(const PositionSample &) const = default;
 };
@@ -48,8 +55,10 @@
   /// Thread-safe; lives as long as the view.
   [[nodiscard]] const MemberView *primary() const;
   [[nodiscard]] const MemberView *member(const UpstreamId &Id) const;
-  /// Members of which more than half is a majority.
+  /// How many members make a majority.
   [[nodiscard]] std::size_t majority() const;
+  /// Whether a majority vouches for the sample. Thread-safe.
+  [[nodiscard]] bool isProven(const PositionSample &Sample) const;
 };
 
 using SharedDatabaseView = std::shared_ptr<const DatabaseView>;
@@ -59,6 +68,8 @@
 public:
   static constexpr std::size_t MaximumSamples = 64;
   static constexpr Duration SampleSpacing = std::chrono::milliseconds(50);
+  /// Members of one database whose word on samples is counted.
+  static constexpr std::size_t MaximumVouchers = 64;
 
   /// Takes over what is configured; what was learnt of members that stay is
   /// kept.
--- a/stand_ins/MemberServer.cpp
+++ b/stand_ins/MemberServer.cpp
@@ -114,6 +114,14 @@
          std::holds_alternative<CommitRequest>(Request);
 }
 
+/// An error reply that names the request, so that it can't be taken for the
+/// answer to another one.
+HttpReply refuse(const Error &Failure, const MemberRequest &Request) {
+  HttpReply Reply = replyWith(Failure);
+  Reply.Body = encodeMemberError(Failure, requestIdOf(Request));
+  return Reply;
+}
+
 bool usesSession(const MemberRequest &Request) {
   return usesSlot(Request) || std::holds_alternative<BeginRequest>(Request);
 }
@@ -270,7 +278,7 @@
   if (usesSession(Wanted)) {
     Status Opened = co_await this->openSession(From);
     if (!Opened)
-      co_return replyWith(Opened.error());
+      co_return refuse(Opened.error(), Wanted);
   }
   bool Slot = usesSlot(Wanted);
   if (Slot) {
@@ -289,7 +297,7 @@
   }
   this->Changed.notify();
   if (!*Answer)
-    co_return replyWith(Answer->error());
+    co_return refuse(Answer->error(), Wanted);
   HttpReply Reply;
   Reply.Body = encodeMemberAnswer(Answer->value());
   co_return Reply;
--- /dev/null
+++ b/tests/routing/RequestHarness.cpp
@@ -0,0 +1,309 @@
+#include "tests/routing/RequestHarness.h"
+
+#include "drivers/MemberCodec.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr Duration Hop = std::chrono::milliseconds(1);
+constexpr Duration Poll = std::chrono::milliseconds(1);
+constexpr Duration ProbeInterval = std::chrono::milliseconds(50);
+const DatabaseId Orders{"orders"};
+
+Error noAnswer() {
+  return {.Kind = ErrorKind::OutcomeUnknown,
+          .Message = "no answer",
+          .Remedy = "look whether it ran"};
+}
+
+} // namespace
+
+struct RequestHarness::Course {
+  Course(HarnessStatement Statement, RequestContext Context,
+         RoutingOptions Options, std::uint64_t Seed)
+      : Statement(std::move(Statement)),
+        Flow(std::move(Context), std::move(Options), Seed) {}
+
+  HarnessStatement Statement;
+  StatementFlow Flow;
+};
+
+RequestHarness::RequestHarness(EventQueue &Queue) : Queue(Queue) {}
+
+void RequestHarness::addMember(const DatabaseMember &Configured,
+                               Duration ApplyLag) {
+  MemberOptions Options;
+  Options.Id = Configured.Id;
+  Options.ApplyLag = ApplyLag;
+  auto [At, Fresh] = this->Members.try_emplace(Configured.Id, Options);
+  ASSERT_TRUE(Fresh);
+  At->second.Configured = Configured;
+  At->second.Connection = At->second.Database.connect().value();
+  this->Order.push_back(Configured.Id);
+  At->second.Database.bootstrap(this->Order.front());
+}
+
+void RequestHarness::start(const std::vector<std::string> &Names) {
+  Database Configured;
+  Configured.Id = Orders;
+  for (const UpstreamId &Id : this->Order)
+    Configured.Members.push_back(this->Members.at(Id).Configured);
+  for (const std::string &Name : Names) {
+    this->Instances[Name].Upstreams.onConfigured(Configured);
+    this->probeForever(Name);
+  }
+  this->replicateForever();
+}
+
+bool RequestHarness::reaches(const Instance &From, const UpstreamId &To) const {
+  return !From.CutOff.contains(To) && !this->Members.at(To).Stuck;
+}
+
+void RequestHarness::probeForever(const std::string &Name) {
+  Instance &From = this->Instances.at(Name);
+  TimePoint AskedAt = this->Queue.now();
+  for (auto &[Id, To] : this->Members) {
+    if (!this->reaches(From, Id)) {
+      From.Upstreams.onFailure(Orders, Id, AskedAt);
+      continue;
+    }
+    this->Queue.after(Hop, [this, &From, &To = To, AskedAt] {
+      MemberStatus Status = To.Database.status(this->Queue.now());
+      this->Queue.after(Hop, [&From, Status, AskedAt] {
+        From.Upstreams.onStatus(Orders, Status, AskedAt);
+      });
+    });
+  }
+  this->Queue.after(ProbeInterval, [this, Name] { this->probeForever(Name); });
+}
+
+void RequestHarness::replicateForever() {
+  for (auto &[Id, To] : this->Members) {
+    auto Wanted = To.Database.replicationRequest();
+    if (!Wanted || To.ReplicationCut || To.Stuck)
+      continue;
+    Member &From = this->Members.at(Wanted->Primary);
+    if (From.Stuck || From.ReplicationCut)
+      continue;
+    auto Batch = From.Database.replicate(*Wanted);
+    if (Batch)
+      To.Database.onReplicated(Batch.value(), this->Queue.now());
+  }
+  this->Queue.after(Poll, [this] { this->replicateForever(); });
+}
+
+void RequestHarness::run(const HarnessStatement &Statement) {
+  ASSERT_FALSE(this->Results.contains(Statement.Name))
+      << "statement " << Statement.Name << " runs twice";
+  Instance &At = this->Instances.at(Statement.Instance);
+  RequestContext Context;
+  Context.Request = Statement.Request;
+  Context.Request.Target = Orders;
+  Context.Request.Id = RequestId{std::to_string(this->NextRequest)};
+  Context.ArrivedAt = this->Queue.now();
+  Context.Deadline = Context.ArrivedAt + Statement.Request.Patience;
+  Context.View = At.Upstreams.view(Orders);
+  if (!Statement.Session.empty())
+    Context.Token = this->Sessions[Statement.Session];
+  RoutingOptions Options;
+  auto Running = std::make_shared<Course>(Statement, std::move(Context),
+                                          Options, this->NextRequest++);
+  this->Results[Statement.Name].BegunAt = this->Queue.now();
+  this->perform(Running, Running->Flow.begin(this->Queue.now()));
+}
+
+const HarnessResult &RequestHarness::result(const std::string &Name) const {
+  return this->Results.at(Name);
+}
+
+void RequestHarness::perform(const SharedCourse &Running,
+                             StatementAction Action) {
+  if (const auto *Run = std::get_if<RunAtMember>(&Action))
+    return this->runAtMember(Running, *Run);
+  if (const auto *Confirm = std::get_if<ConfirmWrite>(&Action))
+    return this->confirm(Running, *Confirm, this->Queue.now() + Confirm->Limit);
+  if (const auto *Finished = std::get_if<FinishStatement>(&Action))
+    return this->finish(Running, *Finished);
+  this->Queue.after(std::get<AwaitView>(Action).Limit, [this, Running] {
+    Instance &At = this->Instances.at(Running->Statement.Instance);
+    this->perform(Running, Running->Flow.onView(At.Upstreams.view(Orders),
+                                                this->Queue.now()));
+  });
+}
+
+void RequestHarness::runAtMember(const SharedCourse &Running,
+                                 const RunAtMember &Wanted) {
+  HarnessResult &Result = this->Results.at(Running->Statement.Name);
+  ++Result.Attempts;
+  Result.ServedBy = Wanted.Where.Target;
+  TimePoint AskedAt = this->Queue.now();
+  const Instance &From = this->Instances.at(Running->Statement.Instance);
+  if (From.CutOff.contains(Wanted.Where.Target)) {
+    Error Refused{.Kind = ErrorKind::Unavailable,
+                  .Message = "can't connect",
+                  .Remedy = "try another member"};
+    return this->answer(Running, Wanted, Refused, AskedAt);
+  }
+  if (this->Members.at(Wanted.Where.Target).Stuck) {
+    this->Queue.after(Wanted.Limit, [this, Running, Wanted, AskedAt] {
+      this->answer(Running, Wanted, noAnswer(), AskedAt);
+    });
+    return;
+  }
+  this->Queue.after(Hop, [this, Running, Wanted] {
+    this->executeAt(Running, Wanted, this->Queue.now() + Wanted.WaitLimit);
+  });
+}
+
+void RequestHarness::executeAt(const SharedCourse &Running,
+                               const RunAtMember &Wanted, TimePoint GiveUpAt) {
+  Member &At = this->Members.at(Wanted.Where.Target);
+  TimePoint Now = this->Queue.now();
+  WaitRequest Wait{.Entry = Wanted.Request.AtLeast,
+                   .Limit = Wanted.WaitLimit,
+                   .UntilApplied = true};
+  if (Now < GiveUpAt && !At.Database.waitIsOver(Wait, Now)) {
+    this->Queue.after(Poll, [this, Running, Wanted, GiveUpAt] {
+      this->executeAt(Running, Wanted, GiveUpAt);
+    });
+    return;
+  }
+  auto Answer = At.Database.handle(At.Connection, Wanted.Request, Now);
+  if (At.CrossNext && Answer)
+    Answer.value().Id = RequestId{"another"};
+  if (At.LoseNext)
+    Answer = noAnswer();
+  At.CrossNext = false;
+  At.LoseNext = false;
+  this->Queue.after(Hop, [this, Running, Wanted, Answer, Now] {
+    this->answer(Running, Wanted, matchAnswer(Wanted.Request.Id, Answer),
+                 Now - Hop);
+  });
+}
+
+void RequestHarness::answer(const SharedCourse &Running,
+                            const RunAtMember &Wanted,
+                            const Outcome<MemberAnswer> &Answer,
+                            TimePoint AskedAt) {
+  Instance &At = this->Instances.at(Running->Statement.Instance);
+  if (Answer)
+    At.Upstreams.onStatus(Orders, Answer.value().Status, AskedAt);
+  else if (Answer.error().Kind == ErrorKind::OutcomeUnknown ||
+           Answer.error().Kind == ErrorKind::Unavailable)
+    At.Upstreams.onFailure(Orders, Wanted.Where.Target, this->Queue.now());
+  this->perform(Running,
+                Running->Flow.onMemberOutcome(Answer, At.Upstreams.view(Orders),
+                                              this->Queue.now()));
+}
+
+void RequestHarness::confirm(const SharedCourse &Running,
+                             const ConfirmWrite &Wanted, TimePoint GiveUpAt) {
+  Instance &From = this->Instances.at(Running->Statement.Instance);
+  std::size_t Held = 0;
+  std::size_t Refused = 0;
+  WaitRequest Wait{.Entry = Wanted.Written, .Limit = Wanted.Limit};
+  for (const DatabaseMember &Replica : Wanted.Replicas) {
+    if (!this->reaches(From, Replica.Id))
+      continue;
+    MemberStandIn &At = this->Members.at(Replica.Id).Database;
+    if (confirms(Wanted, At.status(this->Queue.now())))
+      ++Held;
+    else if (At.waitIsOver(Wait, this->Queue.now()))
+      ++Refused;
+  }
+  bool Hopeless = Wanted.Replicas.size() - Refused < Wanted.Needed;
+  bool Over = this->Queue.now() + Poll >= GiveUpAt;
+  if (Held < Wanted.Needed && !Hopeless && !Over) {
+    this->Queue.after(Poll, [this, Running, Wanted, GiveUpAt] {
+      this->confirm(Running, Wanted, GiveUpAt);
+    });
+    return;
+  }
+  this->Queue.after(Hop, [this, Running, Sure = Held >= Wanted.Needed] {
+    this->perform(Running, Running->Flow.onConfirmed(Sure, this->Queue.now()));
+  });
+}
+
+void RequestHarness::finish(const SharedCourse &Running,
+                            const FinishStatement &Finished) {
+  HarnessResult &Result = this->Results.at(Running->Statement.Name);
+  Result.Answer = Finished.Answer;
+  Result.EndedAt = this->Queue.now();
+  if (Finished.Answer && !Running->Statement.Session.empty())
+    this->Sessions[Running->Statement.Session] = Finished.Answer.value().Token;
+}
+
+void RequestHarness::setStuck(const UpstreamId &Id, bool Stuck) {
+  this->Members.at(Id).Stuck = Stuck;
+}
+
+void RequestHarness::setLag(const UpstreamId &Id, Duration Lag) {
+  this->Members.at(Id).Database.options().ApplyLag = Lag;
+}
+
+void RequestHarness::setReplicationCut(const UpstreamId &Id, bool Cut) {
+  this->Members.at(Id).ReplicationCut = Cut;
+}
+
+void RequestHarness::setLinkCut(const std::string &Name, const UpstreamId &Id,
+                                bool Cut) {
+  if (Cut)
+    this->Instances.at(Name).CutOff.insert(Id);
+  else
+    this->Instances.at(Name).CutOff.erase(Id);
+}
+
+void RequestHarness::loseNextAnswer(const UpstreamId &Id) {
+  this->Members.at(Id).LoseNext = true;
+}
+
+void RequestHarness::crossNextAnswer(const UpstreamId &Id) {
+  this->Members.at(Id).CrossNext = true;
+}
+
+void RequestHarness::promote(const UpstreamId &Heir,
+                             const std::set<UpstreamId> &Unreached) {
+  this->Newest = Term{this->Newest.Value + 1};
+  TimePoint Now = this->Queue.now();
+  std::string Attempt = "scenario-" + std::to_string(this->Newest.Value);
+  std::vector<Member *> Reached;
+  for (auto &[Id, Each] : this->Members)
+    if (!Each.Stuck && !Unreached.contains(Id))
+      Reached.push_back(&Each);
+  ASSERT_GT(2 * Reached.size(), this->Members.size()) << "no majority";
+  for (Member *Each : Reached) {
+    SealRequest Seal{.Next = this->Newest, .Attempt = Attempt};
+    ASSERT_TRUE(Each->Database.handle(Each->Connection, Seal, Now));
+  }
+  Member &Chosen = this->Members.at(Heir);
+  PromoteRequest Promote{.Next = this->Newest,
+                         .Attempt = Attempt,
+                         .ChosenAt = Chosen.Database.status(Now).Received};
+  for (Member *Each : Reached)
+    ASSERT_LE(Each->Database.status(Now).Received, Promote.ChosenAt)
+        << "the heir must be the furthest";
+  ASSERT_TRUE(Chosen.Database.handle(Chosen.Connection, Promote, Now));
+  for (Member *Each : Reached) {
+    if (Each == &Chosen)
+      continue;
+    FollowRequest Follow{.Next = this->Newest, .Primary = Heir};
+    ASSERT_TRUE(Each->Database.handle(Each->Connection, Follow, Now));
+  }
+}
+
+std::string RequestHarness::valueAt(const UpstreamId &Id,
+                                    const std::string &Key) {
+  Member &At = this->Members.at(Id);
+  ExecuteRequest Read;
+  Read.Id = RequestId{"check"};
+  Read.Statement = "get " + Key;
+  auto Answer = At.Database.handle(At.Connection, Read, this->Queue.now());
+  if (!Answer || Answer.value().Rows.empty())
+    return {};
+  return Answer.value().Rows.front();
+}
+
+} // namespace turmericpitch
