--- /dev/null
+++ b/tests/main/ExamplesTest.cpp
@@ -0,0 +1,52 @@
+#include "configuration/ConfigurationSnapshot.h"
+#include "main/DaemonSettings.h"
+
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace turmericpitch {
+namespace {
+
+std::string textOf(const std::filesystem::path &Path) {
+  std::ifstream Stream(Path);
+  std::ostringstream Text;
+  Text << Stream.rdbuf();
+  return Text.str();
+}
+
+std::vector<std::filesystem::path> examples(const std::string &Prefix) {
+  std::vector<std::filesystem::path> Found;
+  for (const auto &Entry : std::filesystem::recursive_directory_iterator(
+           std::string(SOURCE_DIRECTORY) + "/examples"))
+    if (Entry.path().filename().string().starts_with(Prefix))
+      Found.push_back(Entry.path());
+  return Found;
+}
+
+TEST(Examples, SettingsAreValid) {
+  auto Files = examples("entry-");
+  EXPECT_EQ(Files.size(), 9U);
+  for (const auto &File : Files) {
+    auto Settings = keepOutcome(
+        [&] { return parseDaemonSettings(textOf(File), File.string()); });
+    EXPECT_TRUE(Settings) << Settings.error().Message;
+  }
+}
+
+TEST(Examples, TicketsAreWholeConfigurations) {
+  auto Files = examples("ticket-");
+  EXPECT_EQ(Files.size(), 3U);
+  for (const auto &File : Files) {
+    auto Parsed =
+        keepOutcome([&] { return parseTicket(textOf(File), File.string()); });
+    ASSERT_TRUE(Parsed) << Parsed.error().Message;
+    auto Built = keepOutcome(
+        [&] { return ConfigurationSnapshot().changedBy(Parsed.value()); });
+    EXPECT_TRUE(Built) << Built.error().Message;
+  }
+}
+
+} // namespace
+} // namespace turmericpitch
--- /dev/null
+++ b/tools/ClientConnectionsExperiment.cpp
@@ -0,0 +1,93 @@
+// Opens many client connections to an instance, sends one readiness check on
+// each, and holds them until standard input ends. Prints how long that took.
+// Used by tools/client_connections_report.sh.
+
+#include "drivers/ChangeSignal.h"
+#include "drivers/HttpConnection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cxxopts.hpp>
+#include <iostream>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr int UsageExit = 2;
+constexpr Duration CallLimit = std::chrono::seconds(30);
+
+/// What the run has come to so far.
+struct Progress {
+  std::vector<std::shared_ptr<HttpConnection>> Open;
+  std::size_t Failed = 0;
+  std::size_t Finished = 0;
+};
+
+Awaitable<void> openOne(Executor On, Endpoint To, Progress &Into) {
+  auto Opened = co_await HttpConnection::open(On, To, CallLimit);
+  bool Ready = false;
+  if (Opened) {
+    HttpRequest Request;
+    Request.Method = "GET";
+    Request.Target = "/ready";
+    Request.Host = toString(To);
+    std::shared_ptr<HttpConnection> Connection = Opened.value();
+    auto Reply = co_await Connection->exchange(std::move(Request), CallLimit);
+    Ready = Reply.hasValue();
+    Into.Open.push_back(Connection);
+  }
+  Into.Failed += Ready ? 0 : 1;
+  ++Into.Finished;
+}
+
+int runProgram(int Count, char **Arguments) {
+  cxxopts::Options Options("ClientConnectionsExperiment",
+                           "Holds idle client connections");
+  Options.add_options()("to", "callers' address of an instance",
+                        cxxopts::value<std::string>());
+  Options.add_options()("count", "connections",
+                        cxxopts::value<std::size_t>()->default_value("3404"));
+  Options.add_options()("help", "print this help");
+  auto Parsed = Options.parse(Count, Arguments);
+  if (Parsed.count("help") > 0) {
+    std::cout << Options.help();
+    return 0;
+  }
+  auto To = parseEndpoint(
+      Parsed.count("to") > 0 ? Parsed["to"].as<std::string>() : std::string());
+  if (!To) {
+    std::cerr << "no address\nremedy: give --to IP:PORT\n";
+    return UsageExit;
+  }
+  boost::asio::io_context Context;
+  Executor On = Context.get_executor();
+  Progress Reached;
+  MonotonicClock Time;
+  TimePoint Begun = Time.now();
+  auto Wanted = Parsed["count"].as<std::size_t>();
+  for (std::size_t Index = 0; Index < Wanted; ++Index)
+    boost::asio::co_spawn(On, openOne(On, *To, Reached), boost::asio::detached);
+  Context.run();
+  Duration Took = Time.now() - Begun;
+  std::cout << Reached.Open.size() << " connections, " << Reached.Failed
+            << " failed, " << Took.count() / 1000 << " ms" << std::endl;
+  std::string Line;
+  while (std::getline(std::cin, Line)) {
+  }
+  return 0;
+}
+
+} // namespace
+
+} // namespace turmericpitch
+
+int main(int Count, char **Arguments) {
+  try {
+    return turmericpitch::runProgram(Count, Arguments);
+  } catch (const cxxopts::exceptions::exception &Failure) {
+    std::cerr << Failure.what() << "\nremedy: see --help\n";
+    return turmericpitch::UsageExit;
+  }
+}
