--- /dev/null
+++ b/limits/RetryBudget.h
@@ -0,0 +1,42 @@
+// Bounds retries, so that they can't amplify an outage.
+#pragma once
+
+#include "core/RandomSource.h"
+#include "core/Time.h"
+
+namespace turmericpitch {
+
+struct RetryBudgetOptions {
+  /// Retries allowed for each first attempt, over time.
+  double Ratio = 0.1;
+  /// Retries that may be saved up.
+  double MostSaved = 10;
+  /// The longest wait before the first retry; doubles with each further one.
+  Duration FirstBackoff = std::chrono::milliseconds(5);
+  Duration LongestBackoff = std::chrono::milliseconds(250);
+};
+
+/// The retries towards one upstream: over any span they number at most
+/// MostSaved plus Ratio times the first attempts. Pure; not thread-safe.
+class RetryBudget {
+public:
+  explicit RetryBudget(RetryBudgetOptions Options = {})
+      : Options(Options), Saved(Options.MostSaved) {}
+
+  /// Counts a statement's first attempt.
+  void onFirstAttempt();
+  /// Spends one retry; false if none is left, and then none may be made.
+  bool spend();
+  [[nodiscard]] double saved() const { return this->Saved; }
+
+private:
+  RetryBudgetOptions Options;
+  double Saved;
+};
+
+/// How long to wait before a statement's retry, counted from 1: uniform
+/// between 0 and an exponentially growing bound. Pure.
+Duration retryBackoff(const RetryBudgetOptions &Options, std::uint32_t Retry,
+                      RandomSource &Random);
+
+} // namespace turmericpitch
