Hand out connections by admission and demand shares, with warm spares

Cause: the daemon split connections statically, and a statement that no connection could serve in time was tried until its deadline. Change: the pool asks the admission queue, with one lock for each member; the share exchange moves allowances into the pool, withholds a grant until its connections are closed, and closes what is used on a lapsed loan. A shed statement is answered at once with the time to come back, after other replicas have been asked for a read. Retries spend the upstream's budget; spares stay open to each member, opened one at a time with growing intervals after failures. Loans are renewed each 500 ms instead of each tick.

--- a/drivers/MemberPool.cpp
+++ b/drivers/MemberPool.cpp
@@ -1,9 +1,23 @@
 #include "drivers/MemberPool.h"
 
+#include "drivers/MemberSlot.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace turmericpitch {
 
+namespace asio = boost::asio;
+
 namespace {
 
+constexpr Duration LeastConnectLimit = std::chrono::milliseconds(1);
+constexpr Duration SpareConnectLimit = std::chrono::seconds(1);
+
 Error noneFree() {
   return {.Kind = ErrorKind::NotRun,
           .Message = "no connection to the member came free in time",
@@ -13,91 +27,95 @@
 
 } // namespace
 
-LeasedConnection::LeasedConnection(std::shared_ptr<MemberPool> Pool,
-                                   Endpoint To,
+LeasedConnection::LeasedConnection(std::shared_ptr<MemberSlot> From,
+                                   std::uint64_t LeaseId,
                                    std::shared_ptr<MemberConnection> Connection)
-    : Pool(std::move(Pool)), To(std::move(To)),
-      Connection(std::move(Connection)) {}
+    : From(std::move(From)), LeaseId(LeaseId),
+      Connection(std::move(Connection)), Since(MonotonicClock().now()) {}
 
 LeasedConnection::~LeasedConnection() {
-  if (this->Connection)
-    this->Pool->giveBack(this->To, std::move(this->Connection));
+  TimePoint Now = MonotonicClock().now();
+  this->From->giveBack(this->LeaseId, std::move(this->Connection),
+                       Now - this->Since, Now);
 }
 
-MemberPool::Slot &MemberPool::slotOf(const Endpoint &To) {
-  auto [At, Fresh] = this->Slots.try_emplace(To);
-  if (Fresh)
-    At->second.Limit = this->DefaultLimit;
-  return At->second;
-}
-
-void MemberPool::setLimit(const Endpoint &To, std::size_t Limit) {
+std::shared_ptr<MemberSlot> MemberPool::slotOf(const Endpoint &To) const {
   {
-    std::lock_guard Lock(this->Guard);
-    this->slotOf(To).Limit = Limit;
+    std::shared_lock Lock(this->Guard);
+    auto Found = this->Slots.find(To);
+    if (Found != this->Slots.end())
+      return Found->second;
   }
-  this->Freed.notify();
+  std::unique_lock Lock(this->Guard);
+  auto &Slot = this->Slots[To];
+  if (!Slot)
+    Slot = std::make_shared<MemberSlot>(To, this->Options);
+  return Slot;
 }
 
-std::size_t MemberPool::open(const Endpoint &To) const {
-  std::lock_guard Lock(this->Guard);
-  auto Found = this->Slots.find(To);
-  return Found == this->Slots.end() ? 0 : Found->second.Open;
+void MemberPool::setAllowance(const Endpoint &To,
+                              const ShareAllowance &Allowance) {
+  this->slotOf(To)->setAllowance(Allowance, this->Time.now());
 }
 
-void MemberPool::giveBack(const Endpoint &To,
-                          std::shared_ptr<MemberConnection> Connection) {
-  {
-    std::lock_guard Lock(this->Guard);
-    Slot &S = this->slotOf(To);
-    if (Connection->usable() && S.Open <= S.Limit)
-      S.Idle.push_back(std::move(Connection));
-    else
-      --S.Open;
-  }
-  this->Freed.notify();
+void MemberPool::closeExcess(const Endpoint &To) {
+  this->slotOf(To)->closeExcess(this->Time.now());
+}
+
+MemberLoad MemberPool::load(const Endpoint &To) const {
+  return this->slotOf(To)->load();
+}
+
+void MemberPool::maintain(const Endpoint &To) {
+  auto Slot = this->slotOf(To);
+  if (Slot->maintain(this->Time.now()))
+    this->openSpare(Slot);
+}
+
+void MemberPool::openSpare(std::shared_ptr<MemberSlot> Slot) {
+  Executor Own = this->On;
+  auto Open = [Slot, Own]() -> Awaitable<void> {
+    auto Opened =
+        co_await MemberConnection::open(Own, Slot->To, SpareConnectLimit);
+    Slot->onSpare(Opened ? Opened.value() : nullptr, MonotonicClock().now());
+  };
+  asio::co_spawn(asio::make_strand(this->On), Open, asio::detached);
 }
 
 Awaitable<Outcome<std::shared_ptr<LeasedConnection>>>
 MemberPool::acquire(Endpoint To, Duration Limit) {
-  auto Self = this->shared_from_this();
-  MonotonicClock Time;
-  TimePoint Until = Time.now() + Limit;
-  while (true) {
-    std::uint64_t Seen = this->Freed.generation();
-    bool MayOpen = false;
-    {
-      std::lock_guard Lock(this->Guard);
-      Slot &S = this->slotOf(To);
-      while (!S.Idle.empty()) {
-        auto Connection = std::move(S.Idle.back());
-        S.Idle.pop_back();
-        if (Connection->usable())
-          co_return std::make_shared<LeasedConnection>(Self, To,
-                                                       std::move(Connection));
-        --S.Open;
-      }
-      MayOpen = S.Open < S.Limit;
-      if (MayOpen)
-        ++S.Open;
-    }
-    TimePoint Now = Time.now();
-    if (MayOpen) {
-      auto Opened = co_await MemberConnection::open(
-          this->On, To, std::max(Duration(Until - Now), Duration(1000)));
-      if (Opened)
-        co_return std::make_shared<LeasedConnection>(Self, To, Opened.value());
-      {
-        std::lock_guard Lock(this->Guard);
-        --this->slotOf(To).Open;
-      }
-      this->Freed.notify();
-      co_return Opened.error();
-    }
-    if (Now >= Until)
+  AdmissionRequest Request;
+  Request.Class = AdmissionClass::Write;
+  Request.Deadline = this->Time.now() + Limit;
+  co_return co_await this->acquire(std::move(To), std::move(Request));
+}
+
+Awaitable<Outcome<std::shared_ptr<LeasedConnection>>>
+MemberPool::acquire(Endpoint To, AdmissionRequest Request) {
+  auto Here = co_await asio::this_coro::executor;
+  auto Slot = this->slotOf(To);
+  ConnectionTurn Turn = Slot->arrive(Request, Here, this->Time.now());
+  if (Turn.Shed)
+    co_return std::move(*Turn.Shed);
+  if (Turn.Waiter) {
+    boost::system::error_code Ignored;
+    auto Token = asio::redirect_error(asio::use_awaitable, Ignored);
+    co_await Turn.Waiter->Alarm.async_wait(Token);
+    if (Slot->giveUp(Turn.Ticket))
       co_return noneFree();
-    co_await this->Freed.wait(Seen, Until - Now);
+    if (Turn.Waiter->Shed)
+      co_return std::move(*Turn.Waiter->Shed);
+    Turn.Connection = std::move(Turn.Waiter->Connection);
   }
+  if (Turn.Connection)
+    co_return Slot->lease(std::move(Turn.Connection));
+  Duration Left = Request.Deadline - this->Time.now();
+  auto Opened = co_await MemberConnection::open(
+      this->On, To, std::max(Left, LeastConnectLimit));
+  if (Opened)
+    co_return Slot->lease(Opened.value());
+  Slot->onOpenFailed(this->Time.now());
+  co_return Opened.error();
 }
 
 } // namespace turmericpitch
--- a/drivers/MemberPool.h
+++ b/drivers/MemberPool.h
@@ -4,65 +4,92 @@
 #include "core/Identifiers.h"
 #include "drivers/ChangeSignal.h"
 #include "drivers/MemberClient.h"
+#include "limits/Admission.h"
+#include "limits/ConnectionShares.h"
+#include "limits/WarmSpares.h"
 
 #include <map>
 #include <mutex>
+#include <shared_mutex>
 
 namespace turmericpitch {
 
 class MemberPool;
+struct MemberSlot;
 
 /// A connection that is the holder's alone. Given back on destruction if
-/// still usable, else closed. Movable; not thread-safe.
+/// still usable, else closed. Not thread-safe.
 class LeasedConnection {
 public:
-  LeasedConnection(std::shared_ptr<MemberPool> Pool, Endpoint To,
+  LeasedConnection(std::shared_ptr<MemberSlot> From, std::uint64_t LeaseId,
                    std::shared_ptr<MemberConnection> Connection);
   ~LeasedConnection();
-  LeasedConnection(LeasedConnection &&) = default;
-  LeasedConnection &operator=(LeasedConnection &&) = delete;
+  LeasedConnection(const LeasedConnection &) = delete;
+  LeasedConnection &operator=(const LeasedConnection &) = delete;
 
   MemberConnection &operator*() { return *this->Connection; }
   MemberConnection *operator->() { return this->Connection.get(); }
 
 private:
-  std::shared_ptr<MemberPool> Pool;
-  Endpoint To;
+  std::shared_ptr<MemberSlot> From;
+  std::uint64_t LeaseId;
   std::shared_ptr<MemberConnection> Connection;
+  TimePoint Since;
 };
 
-/// Thread-safe. Must be held by a shared pointer.
-class MemberPool : public std::enable_shared_from_this<MemberPool> {
+struct MemberPoolOptions {
+  /// Connections to a member for which no allowance has been set.
+  std::uint32_t DefaultLimit = 1;
+  AdmissionOptions Queue;
+  WarmSparesOptions Warm;
+};
+
+/// One member's connections at present.
+struct MemberLoad {
+  std::size_t InUse = 0;
+  std::size_t Waiting = 0;
+  /// Idle, in use and being opened.
+  std::size_t Open = 0;
+
+  bool operator==(const MemberLoad &) const = default;
+};
+
+/// Thread-safe; each member has its own lock.
+class MemberPool {
 public:
-  MemberPool(Executor On, std::size_t DefaultLimit)
-      : On(std::move(On)), DefaultLimit(DefaultLimit) {}
-
-  /// Sets how many connections to a member may be open; those above the
-  /// limit close as they are given back.
-  void setLimit(const Endpoint &To, std::size_t Limit);
-  /// A connection to a member. Errors: NotRun when none came free within
-  /// Limit or the member can't be reached.
+  MemberPool(Executor On, MemberPoolOptions Options)
+      : On(std::move(On)), Options(Options) {}
+
+  /// Sets how many connections to a member may be open. Idle ones above it
+  /// close at once, others as they are given back.
+  void setAllowance(const Endpoint &To, const ShareAllowance &Allowance);
+  /// Closes connections in use above the allowance, newest first; work on
+  /// them ends as a lost connection does.
+  void closeExcess(const Endpoint &To);
+  /// Sheds what can't be served in time and keeps spares open; call in
+  /// regular intervals.
+  void maintain(const Endpoint &To);
+
+  /// A connection to a member, in the queue's order. Errors: Overloaded if
+  /// it was shed, NotRun if none came free by the deadline, Unavailable if
+  /// the member can't be reached. Precondition: the awaiting coroutine runs
+  /// on a strand or on a single-threaded executor.
+  Awaitable<Outcome<std::shared_ptr<LeasedConnection>>>
+  acquire(Endpoint To, AdmissionRequest Request);
+  /// The same for work of no client account.
   Awaitable<Outcome<std::shared_ptr<LeasedConnection>>> acquire(Endpoint To,
                                                                 Duration Limit);
-  [[nodiscard]] std::size_t open(const Endpoint &To) const;
+  [[nodiscard]] MemberLoad load(const Endpoint &To) const;
 
 private:
-  friend class LeasedConnection;
-  struct Slot {
-    std::size_t Limit = 0;
-    std::size_t Open = 0;
-    std::vector<std::shared_ptr<MemberConnection>> Idle;
-  };
-
-  void giveBack(const Endpoint &To,
-                std::shared_ptr<MemberConnection> Connection);
-  Slot &slotOf(const Endpoint &To);
+  [[nodiscard]] std::shared_ptr<MemberSlot> slotOf(const Endpoint &To) const;
+  void openSpare(std::shared_ptr<MemberSlot> Slot);
 
   Executor On;
-  std::size_t DefaultLimit;
-  mutable std::mutex Guard;
-  std::map<Endpoint, Slot> Slots;
-  ChangeSignal Freed;
+  MemberPoolOptions Options;
+  mutable std::shared_mutex Guard;
+  mutable std::map<Endpoint, std::shared_ptr<MemberSlot>> Slots;
+  MonotonicClock Time;
 };
 
 } // namespace turmericpitch
--- /dev/null
+++ b/drivers/MemberSlot.cpp
@@ -0,0 +1,163 @@
+#include "drivers/MemberSlot.h"
+
+#include <boost/asio/dispatch.hpp>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+
+MemberSlot::MemberSlot(Endpoint Where, const MemberPoolOptions &Options)
+    : To(std::move(Where)), Gate(Options.Queue),
+      Warm(Options.Warm), Allowance{.Usable = Options.DefaultLimit,
+                                    .ValidUntil = TimePoint::max(),
+                                    .Afterwards = Options.DefaultLimit} {
+  this->Gate.setCapacity(Options.DefaultLimit, TimePoint{});
+}
+
+std::size_t MemberSlot::usable(TimePoint Now) const {
+  // A process that was paused finds here that its loan has ended.
+  return Now < this->Allowance.ValidUntil ? this->Allowance.Usable
+                                          : this->Allowance.Afterwards;
+}
+
+std::size_t MemberSlot::open() const {
+  return this->Gate.inUse() + this->Idle.size() + this->SparesOpening;
+}
+
+void MemberSlot::trim(TimePoint Now) {
+  std::size_t Usable = this->usable(Now);
+  while (!this->Idle.empty() && this->open() > Usable)
+    this->Idle.pop_back();
+  std::size_t ForStatements =
+      Usable > this->SparesOpening ? Usable - this->SparesOpening : 0;
+  this->wake(this->Gate.setCapacity(ForStatements, Now));
+}
+
+void MemberSlot::setAllowance(const ShareAllowance &Wanted, TimePoint Now) {
+  std::lock_guard Lock(this->Guard);
+  this->Allowance = Wanted;
+  this->trim(Now);
+}
+
+void MemberSlot::closeExcess(TimePoint Now) {
+  std::lock_guard Lock(this->Guard);
+  std::size_t Usable = this->usable(Now);
+  std::size_t Excess =
+      this->open() > Usable ? this->open() - Usable : std::size_t{0};
+  for (auto At = this->Leased.rbegin(); At != this->Leased.rend(); ++At) {
+    if (Excess == 0)
+      return;
+    auto Connection = At->second.lock();
+    if (!Connection)
+      continue;
+    Connection->close();
+    --Excess;
+  }
+}
+
+bool MemberSlot::maintain(TimePoint Now) {
+  std::lock_guard Lock(this->Guard);
+  this->trim(Now);
+  this->wake(this->Gate.sweep(Now));
+  ConnectionCounts Counts{.Idle = this->Idle.size(),
+                          .Open = this->open(),
+                          .Usable = this->usable(Now)};
+  if (!this->Warm.shouldOpen(Counts, Now))
+    return false;
+  ++this->SparesOpening;
+  this->trim(Now);
+  return true;
+}
+
+void MemberSlot::onSpare(std::shared_ptr<MemberConnection> Opened,
+                         TimePoint Now) {
+  std::lock_guard Lock(this->Guard);
+  --this->SparesOpening;
+  this->Warm.onOpened(Opened != nullptr, Now);
+  if (Opened && this->open() < this->usable(Now))
+    this->Idle.push_back(std::move(Opened));
+  this->trim(Now);
+}
+
+std::shared_ptr<MemberConnection> MemberSlot::takeIdle() {
+  while (!this->Idle.empty()) {
+    auto Connection = std::move(this->Idle.back());
+    this->Idle.pop_back();
+    if (Connection->usable())
+      return Connection;
+  }
+  return nullptr;
+}
+
+ConnectionTurn MemberSlot::arrive(const AdmissionRequest &Request,
+                                  const Executor &On, TimePoint Now) {
+  std::lock_guard Lock(this->Guard);
+  this->trim(Now);
+  ConnectionTurn Turn;
+  AdmissionVerdict Verdict = this->Gate.arrive(Request, Now);
+  if (auto *Shed = std::get_if<Error>(&Verdict)) {
+    Turn.Shed = std::move(*Shed);
+  } else if (auto *Later = std::get_if<AdmitLater>(&Verdict)) {
+    Turn.Ticket = Later->Ticket;
+    Turn.Waiter = std::make_shared<ConnectionWaiter>(ConnectionWaiter{
+        .Alarm = asio::steady_timer(On, Request.Deadline - Now)});
+    this->Waiting.emplace(Turn.Ticket, Turn.Waiter);
+  } else {
+    Turn.Connection = this->takeIdle();
+  }
+  return Turn;
+}
+
+void MemberSlot::wake(const std::vector<AdmissionChange> &Changes) {
+  for (const AdmissionChange &Each : Changes) {
+    auto Found = this->Waiting.find(Each.Ticket);
+    auto Waiter = Found->second;
+    this->Waiting.erase(Found);
+    Waiter->Granted = !Each.Shed;
+    Waiter->Shed = Each.Shed;
+    if (Waiter->Granted)
+      Waiter->Connection = this->takeIdle();
+    asio::dispatch(Waiter->Alarm.get_executor(),
+                   [Waiter] { Waiter->Alarm.cancel(); });
+  }
+}
+
+bool MemberSlot::giveUp(AdmissionTicket Ticket) {
+  std::lock_guard Lock(this->Guard);
+  this->Waiting.erase(Ticket);
+  return this->Gate.leave(Ticket);
+}
+
+void MemberSlot::onOpenFailed(TimePoint Now) {
+  std::lock_guard Lock(this->Guard);
+  this->wake(this->Gate.onUnused(Now));
+}
+
+std::shared_ptr<LeasedConnection>
+MemberSlot::lease(std::shared_ptr<MemberConnection> Connection) {
+  std::lock_guard Lock(this->Guard);
+  std::uint64_t Id = this->NextLease++;
+  this->Leased.emplace(Id, Connection);
+  return std::make_shared<LeasedConnection>(this->shared_from_this(), Id,
+                                            std::move(Connection));
+}
+
+void MemberSlot::giveBack(std::uint64_t LeaseId,
+                          std::shared_ptr<MemberConnection> Connection,
+                          Duration HeldFor, TimePoint Now) {
+  std::lock_guard Lock(this->Guard);
+  this->Leased.erase(LeaseId);
+  // Its own place counts as in use until the next line but one.
+  if (Connection->usable() && this->open() <= this->usable(Now))
+    this->Idle.push_back(std::move(Connection));
+  this->wake(this->Gate.onReleased(HeldFor, Now));
+}
+
+MemberLoad MemberSlot::load() const {
+  std::lock_guard Lock(this->Guard);
+  return {.InUse = this->Gate.inUse(),
+          .Waiting = this->Gate.waiting(),
+          .Open = this->open()};
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/ShareExchange.cpp
@@ -0,0 +1,181 @@
+#include "drivers/ShareExchange.h"
+
+#include "core/DecisionLog.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+ShareExchange::ShareExchange(ShareExchangeOptions Options,
+                             std::shared_ptr<PeerTransport> Transport,
+                             std::shared_ptr<MemberPool> Pool)
+    : Options(std::move(Options)), Transport(std::move(Transport)),
+      Pool(std::move(Pool)) {}
+
+void ShareExchange::attach() {
+  std::weak_ptr<ShareExchange> Weak = this->weak_from_this();
+  this->Transport->onTopic(
+      PeerTopic::ConnectionShares, [Weak](const PeerArrival &Arrival) {
+        auto Self = Weak.lock();
+        if (Self && !Self->Stopped)
+          Self->onPayload(Arrival.Frame.From, Arrival.Frame.Payload);
+      });
+}
+
+void ShareExchange::onConfigured(const std::vector<Database> &Databases) {
+  std::vector<DatabaseId> Now;
+  for (const Database &Each : Databases) {
+    Now.push_back(Each.Id);
+    this->Entries.update(Each.Id, [&](Entry &Of) {
+      Of.Members.clear();
+      for (const DatabaseMember &Member : Each.Members)
+        Of.Members.push_back(Member.Where);
+      if (Of.Shares) {
+        Of.Shares->onLimit(Each.ConnectionLimit);
+      } else {
+        ConnectionSharesOptions Own;
+        Own.Target = Each.Id;
+        Own.Self = this->Options.Self;
+        Own.Instances.push_back(this->Options.Self);
+        for (const auto &[Peer, Where] : this->Options.Peers)
+          Own.Instances.push_back(Peer);
+        Own.Limit = Each.ConnectionLimit;
+        Own.Incarnation = this->Options.Incarnation;
+        Of.Shares.emplace(Own, this->Time.now());
+      }
+      this->apply(Each.Id, Of, this->Time.now());
+    });
+  }
+  std::lock_guard Lock(this->Guard);
+  for (const DatabaseId &Before : this->Present)
+    if (std::find(Now.begin(), Now.end(), Before) == Now.end())
+      this->Entries.erase(Before);
+  this->Present = std::move(Now);
+}
+
+Awaitable<void> ShareExchange::run() {
+  auto Self = this->shared_from_this();
+  while (!this->Stopped) {
+    std::vector<DatabaseId> All;
+    {
+      std::lock_guard Lock(this->Guard);
+      All = this->Present;
+    }
+    for (const DatabaseId &Id : All)
+      this->tick(Id);
+    co_await sleepFor(TickInterval);
+  }
+}
+
+void ShareExchange::measure(Entry &Of, TimePoint Now) const {
+  std::size_t Busiest = 0;
+  for (const Endpoint &Member : Of.Members) {
+    MemberLoad Load = this->Pool->load(Member);
+    Busiest = std::max(Busiest, Load.InUse + Load.Waiting);
+  }
+  constexpr std::size_t Most = UINT32_MAX;
+  Of.Shares->onNeed(static_cast<std::uint32_t>(std::min(Busiest, Most)), Now);
+}
+
+bool ShareExchange::openWithin(const Entry &Of, TimePoint Now) const {
+  std::size_t Usable = Of.Shares->usable(Now);
+  return std::all_of(Of.Members.begin(), Of.Members.end(),
+                     [&](const Endpoint &Member) {
+                       return this->Pool->load(Member).Open <= Usable;
+                     });
+}
+
+void ShareExchange::apply(const DatabaseId &Id, Entry &Of,
+                          TimePoint Now) const {
+  ShareAllowance Allowance = Of.Shares->allowance(Now);
+  for (const Endpoint &Member : Of.Members)
+    this->Pool->setAllowance(Member, Allowance);
+  Of.Shares->onOpenWithin(this->openWithin(Of, Now));
+  if (Allowance.Usable == Of.LoggedUsable)
+    return;
+  Of.LoggedUsable = Allowance.Usable;
+  writeDecision(DecisionLine("shares")
+                    .field("database", Id.Value)
+                    .field("usable", Allowance.Usable)
+                    .field("borrowed", Of.Shares->borrowed(Now))
+                    .field("lent", Of.Shares->lent(Now))
+                    .field("need", Of.Shares->need(Now)));
+}
+
+void ShareExchange::tick(const DatabaseId &Id) {
+  std::vector<ShareSend> Sends;
+  this->Entries.update(Id, [&](Entry &Of) {
+    if (!Of.Shares)
+      return;
+    TimePoint Now = this->Time.now();
+    this->measure(Of, Now);
+    this->apply(Id, Of, Now);
+    bool Lapsed = Of.Shares->excessLapsed(Now);
+    for (const Endpoint &Member : Of.Members) {
+      if (Lapsed)
+        this->Pool->closeExcess(Member);
+      this->Pool->maintain(Member);
+    }
+    Sends = Of.Shares->onTick(Now);
+  });
+  this->send(Sends);
+}
+
+void ShareExchange::onPayload(const InstanceId &From,
+                              const std::string &Payload) {
+  ++this->Received;
+  auto Decoded = keepOutcome([&] { return decodeShareMessage(Payload); });
+  if (!Decoded) {
+    ++this->Dropped;
+    return;
+  }
+  DatabaseId Id =
+      std::visit([](const auto &M) { return M.Target; }, Decoded.value());
+  bool Known =
+      this->Entries.read(Id, [](const Entry *Of) { return Of != nullptr; });
+  if (!Known) {
+    ++this->Dropped;
+    return;
+  }
+  std::vector<ShareSend> Sends;
+  this->Entries.update(Id, [&](Entry &Of) {
+    if (!Of.Shares)
+      return;
+    TimePoint Now = this->Time.now();
+    this->measure(Of, Now);
+    Sends = Of.Shares->onMessage(From, Decoded.value(), Now);
+    this->apply(Id, Of, Now);
+    // Until fewer are open, what is granted would be used twice.
+    if (Sends.empty() || this->openWithin(Of, Now))
+      return;
+    this->Withheld += Sends.size();
+    Sends.clear();
+  });
+  this->send(Sends);
+}
+
+void ShareExchange::send(const std::vector<ShareSend> &Sends) {
+  for (const ShareSend &Each : Sends) {
+    auto Where = this->Options.Peers.find(Each.To);
+    if (Where == this->Options.Peers.end())
+      continue;
+    ++this->Sent;
+    this->Transport->send(Where->second, PeerTopic::ConnectionShares,
+                          encodeShareMessage(Each.Message));
+  }
+}
+
+ShareExchangeCounters ShareExchange::counters() const {
+  return {.Sent = this->Sent,
+          .Received = this->Received,
+          .Dropped = this->Dropped,
+          .Withheld = this->Withheld};
+}
+
+} // namespace turmericpitch
--- a/drivers/StatementRunner.cpp
+++ b/drivers/StatementRunner.cpp
@@ -23,6 +23,40 @@
   writeDecision(Line);
 }
 
+AdmissionRequest admissionOf(const RequestContext &Context) {
+  AdmissionRequest Request;
+  Request.Account = Context.Account->Id;
+  Request.Weight = Context.Account->Weight;
+  Request.Class = Context.Request.Write        ? AdmissionClass::Write
+                  : Context.Request.MaximumAge ? AdmissionClass::StatedAgeRead
+                                               : AdmissionClass::SessionRead;
+  Request.Deadline = Context.Deadline;
+  return Request;
+}
+
+void logShed(const RequestContext &Context, const AdmissionRequest &Admitted,
+             const UpstreamId &Upstream, const Error &Shed) {
+  using std::chrono::milliseconds;
+  auto RetryAfter = std::chrono::duration_cast<milliseconds>(
+      Shed.RetryAfter.value_or(Duration{0}));
+  DecisionLine Line("shed");
+  Line.field("request", Context.Request.Id.Value)
+      .field("account", Admitted.Account.Value)
+      .field("database", Context.Request.Target.Value)
+      .field("class", toString(Admitted.Class))
+      .field("upstream", Upstream.Value)
+      .field("retry_after_ms", RetryAfter.count())
+      .field("message", Shed.Message);
+  writeDecision(Line);
+}
+
+Error budgetSpent() {
+  return {.Kind = ErrorKind::NotRun,
+          .Message = "the upstream's retry budget is spent",
+          .Remedy = "send it again after retry_after_ms",
+          .RetryAfter = std::chrono::seconds(1)};
+}
+
 /// The shared count of replicas that confirm one write.
 struct Confirmation {
   std::mutex Guard;
@@ -44,6 +78,8 @@
 Awaitable<Outcome<StatementAnswer>>
 StatementRunner::run(RequestContext Context) {
   DatabaseId Id = Context.Request.Target;
+  AdmissionRequest Admitted = admissionOf(Context);
+  std::map<Endpoint, std::uint32_t> Attempts;
   StatementFlow Flow(std::move(Context), this->Options, this->NextSeed++);
   StatementAction Action = Flow.begin(this->Time.now());
   while (true) {
@@ -51,7 +87,13 @@
       co_return std::move(Finish->Answer);
     if (auto *Run = std::get_if<RunAtMember>(&Action)) {
       logRoute(Flow.context(), *Run);
-      auto Answer = co_await this->runAtMember(Id, *Run);
+      Outcome<MemberAnswer> Answer = budgetSpent();
+      if (co_await this->mayAttempt(Run->Where.Where,
+                                    Attempts[Run->Where.Where]++,
+                                    Admitted.Deadline))
+        Answer = co_await this->runAtMember(Id, *Run, Admitted);
+      if (!Answer && Answer.error().Kind == ErrorKind::Overloaded)
+        logShed(Flow.context(), Admitted, Run->Where.Target, Answer.error());
       Action = Flow.onMemberOutcome(Answer, this->Upstreams->view(Id),
                                     this->Time.now());
     } else if (auto *Confirm = std::get_if<ConfirmWrite>(&Action)) {
@@ -64,6 +106,25 @@
   }
 }
 
+Awaitable<bool> StatementRunner::mayAttempt(Endpoint Upstream,
+                                            std::uint32_t Attempt,
+                                            TimePoint Deadline) {
+  bool Granted = true;
+  this->RetryBudgets.update(toString(Upstream), [&](RetryBudget &Budget) {
+    if (Attempt == 0)
+      Budget.onFirstAttempt();
+    else
+      Granted = Budget.spend();
+  });
+  if (!Granted || Attempt == 0)
+    co_return Granted;
+  RandomSource Random(this->NextSeed++);
+  Duration Wait = retryBackoff(this->RetryOptions, Attempt, Random);
+  if (this->Time.now() + Wait < Deadline)
+    co_await sleepFor(Wait);
+  co_return true;
+}
+
 void StatementRunner::note(const DatabaseId &Id, const UpstreamId &Member,
                            const Outcome<MemberAnswer> &Answer,
                            TimePoint AskedAt) {
@@ -75,7 +136,8 @@
 }
 
 Awaitable<Outcome<MemberAnswer>>
-StatementRunner::runAtMember(DatabaseId Id, RunAtMember Wanted) {
+StatementRunner::runAtMember(DatabaseId Id, RunAtMember Wanted,
+                             AdmissionRequest Admitted) {
   TimePoint AskedAt = this->Time.now();
   if (Wanted.WaitLimit > Duration{0}) {
     auto Waiter =
@@ -91,8 +153,8 @@
     if (!Waited)
       co_return Waited;
   }
-  auto Leased =
-      co_await this->Statements->acquire(Wanted.Where.Where, Wanted.Limit);
+  auto Leased = co_await this->Statements->acquire(Wanted.Where.Where,
+                                                   std::move(Admitted));
   if (!Leased)
     co_return Leased.error();
   AskedAt = this->Time.now();
--- a/drivers/StatementRunner.h
+++ b/drivers/StatementRunner.h
@@ -1,7 +1,9 @@
 // Carries out what a statement's flow decides.
 #pragma once
 
+#include "core/Sharded.h"
 #include "drivers/MemberPool.h"
+#include "limits/RetryBudget.h"
 #include "routing/StatementFlow.h"
 
 #include <atomic>
@@ -26,8 +28,13 @@
   Awaitable<bool> confirm(DatabaseId Id, ConfirmWrite Wanted);
 
 private:
-  Awaitable<Outcome<MemberAnswer>> runAtMember(DatabaseId Id,
-                                               RunAtMember Wanted);
+  Awaitable<Outcome<MemberAnswer>>
+  runAtMember(DatabaseId Id, RunAtMember Wanted, AdmissionRequest Admitted);
+  /// Counts a statement's attempt at an upstream, the first there from 0;
+  /// waits before a retry. False if the retry budget is spent: then nothing
+  /// may be sent.
+  Awaitable<bool> mayAttempt(Endpoint Upstream, std::uint32_t Attempt,
+                             TimePoint Deadline);
   void note(const DatabaseId &Id, const UpstreamId &Member,
             const Outcome<MemberAnswer> &Answer, TimePoint AskedAt);
 
@@ -35,6 +42,8 @@
   std::shared_ptr<MemberPool> Control;
   std::shared_ptr<UpstreamController> Upstreams;
   RoutingOptions Options;
+  RetryBudgetOptions RetryOptions;
+  Sharded<std::string, RetryBudget> RetryBudgets;
   std::atomic<std::uint64_t> NextSeed = 1;
   MonotonicClock Time;
 };
--- a/limits/Admission.cpp
+++ b/limits/Admission.cpp
@@ -70,6 +70,8 @@
 
 bool Admission::fits(const AdmissionRequest &Request, Duration Wait,
                      TimePoint Now) const {
+  if (!this->Options.ShedEarly)
+    return Now < Request.Deadline;
   return Now + Wait + this->ServiceTime <= Request.Deadline;
 }
 
--- a/limits/Admission.h
+++ b/limits/Admission.h
@@ -29,6 +29,9 @@
   std::size_t MostWaiting = 512;
   /// Taken for the service time until one has been observed.
   Duration FirstServiceTime = std::chrono::milliseconds(5);
+  /// Whether those that can't be served in time are shed before their
+  /// deadline; without, all wait until then.
+  bool ShedEarly = true;
   Duration LeastRetryAfter = std::chrono::milliseconds(50);
   Duration MostRetryAfter = std::chrono::seconds(5);
   std::uint64_t Seed = 1;
--- a/limits/ConnectionShares.cpp
+++ b/limits/ConnectionShares.cpp
@@ -142,6 +142,9 @@
     return;
   if (Loan.Count > 0 || Grant.Count > 0)
     Loan.Settled = false;
+  if (Grant.Count < Loan.Count && Now < Loan.Until)
+    Loan.LoweredUntil =
+        std::max(Loan.LoweredUntil.value_or(Loan.Until), Loan.Until);
   Loan.Accepted = Grant.Sequence;
   Loan.Count = Grant.Count;
   Loan.Until = Until;
@@ -174,17 +177,43 @@
   return Wanted;
 }
 
+bool ConnectionShares::excessLapsed(TimePoint Now) const {
+  if (this->OpenWithin)
+    return false;
+  return std::any_of(
+      this->Loans.begin(), this->Loans.end(), [&](const auto &Entry) {
+        const Held &Loan = Entry.second;
+        bool Lowered = Loan.LoweredUntil && *Loan.LoweredUntil <= Now;
+        return Lowered || (Loan.Count > 0 && Loan.Until <= Now);
+      });
+}
+
+bool ConnectionShares::shouldAsk(const Held &Loan, std::uint32_t Wanted,
+                                 bool Lacking, TimePoint Now) const {
+  if (Loan.Settled && !Lacking)
+    return false;
+  bool Due =
+      !Loan.AskedAt || *Loan.AskedAt + this->Options.RenewInterval <= Now;
+  // What lenders wait for isn't held back until the next renewal.
+  bool Confirms = this->OpenWithin && Loan.LoweredUntil.has_value();
+  bool Returned = !Loan.Settled && Loan.Count == 0;
+  return Due || Confirms || Returned || Wanted != Loan.Count;
+}
+
 std::vector<ShareSend> ConnectionShares::onTick(TimePoint Now) {
   bool Lacking = this->need(Now) > this->own(Now);
   std::vector<ShareSend> Sends;
   for (const auto &[Peer, Wanted] : this->plan(Now)) {
     Held &Loan = this->Loans[Peer];
-    if (Loan.Settled && !Lacking)
+    if (!this->shouldAsk(Loan, Wanted, Lacking, Now))
       continue;
-    if (this->OpenWithin)
+    if (this->OpenWithin) {
       Loan.Reported = Loan.Accepted;
+      Loan.LoweredUntil.reset();
+    }
     // The request that follows tells the lender of the return.
-    Loan.Settled = this->OpenWithin && (Loan.Count == 0 || Now >= Loan.Until);
+    Loan.Settled = this->OpenWithin && (Loan.Count == 0 || Loan.Until <= Now);
+    Loan.AskedAt = Now;
     Sends.push_back(
         {.To = Peer, .Message = this->makeRequest(Peer, Wanted, Now)});
   }
--- a/limits/ConnectionShares.h
+++ b/limits/ConnectionShares.h
@@ -20,6 +20,8 @@
   ShareLenderOptions Lending;
   /// A loan stops being used this much before it ends.
   Duration Guard = std::chrono::milliseconds(200);
+  /// Time between two renewals of a loan.
+  Duration RenewInterval = std::chrono::milliseconds(500);
   /// A need falls no faster than this.
   Duration NeedMemory = std::chrono::seconds(1);
 };
@@ -68,12 +70,15 @@
   std::vector<ShareSend> onMessage(const InstanceId &From,
                                    const ShareMessage &Message, TimePoint Now);
   /// Asks for what is missing and renews or returns loans; call in regular
-  /// intervals well below the lease.
+  /// intervals well below the renewal interval.
   std::vector<ShareSend> onTick(TimePoint Now);
 
   /// Connections that may be open to each member.
   [[nodiscard]] std::uint32_t usable(TimePoint Now) const;
   [[nodiscard]] ShareAllowance allowance(TimePoint Now) const;
+  /// Whether more is open than usable() on the strength of loans that have
+  /// ended: the excess has to be closed, in use or not.
+  [[nodiscard]] bool excessLapsed(TimePoint Now) const;
   /// Connections that may be open whatever happens.
   [[nodiscard]] std::uint32_t floor() const;
   [[nodiscard]] std::uint32_t borrowed(TimePoint Now) const;
@@ -88,6 +93,9 @@
     std::uint32_t Count = 0;
     TimePoint Until;
     std::uint32_t Spare = 0;
+    /// Until then the lender counts on more being open than Count.
+    std::optional<TimePoint> LoweredUntil;
+    std::optional<TimePoint> AskedAt;
     /// The lender has been told that nothing is held any more.
     bool Settled = true;
   };
@@ -99,6 +107,8 @@
                                    const ShareRequest &Request, TimePoint Now);
   void onGrant(const InstanceId &From, const ShareGrant &Grant, TimePoint Now);
   std::map<InstanceId, std::uint32_t> plan(TimePoint Now) const;
+  [[nodiscard]] bool shouldAsk(const Held &Loan, std::uint32_t Wanted,
+                               bool Lacking, TimePoint Now) const;
   ShareRequest makeRequest(const InstanceId &To, std::uint32_t Wanted,
                            TimePoint Now);
   [[nodiscard]] bool isPeer(const InstanceId &Instance) const;
--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "drivers/OperatorApi.h"
 #include "drivers/PeerTransport.h"
 #include "drivers/PrimaryKeeper.h"
+#include "drivers/ShareExchange.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,13 +22,31 @@
 
 namespace {
 
-constexpr std::size_t ControlConnections = 16;
+constexpr std::uint32_t ControlConnections = 16;
 
 std::string makeStartId() {
   std::random_device Device;
   return std::to_string(Device());
 }
 
+/// Connections that members count apart wait in order until their deadline.
+MemberPoolOptions controlPoolOptions() {
+  MemberPoolOptions Options;
+  Options.DefaultLimit = ControlConnections;
+  Options.Queue.ShedEarly = false;
+  return Options;
+}
+
+ShareExchangeOptions shareOptions(const DaemonSettings &Settings,
+                                  const std::string &StartId) {
+  ShareExchangeOptions Options;
+  Options.Self = Settings.Self;
+  for (const PeerSettings &Peer : Settings.Peers)
+    Options.Peers.emplace(Peer.Id, Peer.Where);
+  Options.Incarnation = std::stoull(StartId);
+  return Options;
+}
+
 RoutingOptions routingOptions(const DaemonSettings &Settings) {
   RoutingOptions Options;
   Options.Zone = Settings.Zone;
@@ -69,7 +88,6 @@
   explicit Parts(DaemonSettings Settings);
 
   void onConfigurationApplied();
-  void applyLimits(const Database &Configured);
 
   DaemonSettings Settings;
   std::string StartId = makeStartId();
@@ -88,6 +106,7 @@
   std::shared_ptr<CallerApi> Callers;
   std::shared_ptr<OperatorApi> Operators;
   std::shared_ptr<PeerTransport> Peers;
+  std::shared_ptr<ShareExchange> Shares;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> OperatorServer;
   std::vector<std::thread> Threads;
@@ -95,8 +114,9 @@
 };
 
 Daemon::Parts::Parts(DaemonSettings Given) : Settings(std::move(Given)) {
-  this->Statements = std::make_shared<MemberPool>(this->On, 1);
-  this->Control = std::make_shared<MemberPool>(this->On, ControlConnections);
+  this->Statements =
+      std::make_shared<MemberPool>(this->On, MemberPoolOptions{});
+  this->Control = std::make_shared<MemberPool>(this->On, controlPoolOptions());
   this->Upstreams = std::make_shared<UpstreamController>();
   this->Configuration = std::make_shared<ConfigurationController>();
   PlatformClientOptions PlatformOptions;
@@ -127,20 +147,16 @@
   this->Peers = std::make_shared<PeerTransport>(
       this->On, this->Settings.PeerListen, this->Settings.Self,
       this->Settings.PeerKeys);
+  this->Shares = std::make_shared<ShareExchange>(
+      shareOptions(this->Settings, this->StartId), this->Peers,
+      this->Statements);
+  this->Shares->attach();
   this->CallerServer =
       makeServer(this->On, this->Settings.Callers, this->Callers);
   this->OperatorServer =
       makeServer(this->On, this->Settings.Operators, this->Operators);
 }
 
-void Daemon::Parts::applyLimits(const Database &Configured) {
-  std::size_t Instances = this->Settings.Peers.size() + 1;
-  std::size_t Share =
-      std::max<std::size_t>(1, Configured.ConnectionLimit / Instances);
-  for (const DatabaseMember &Member : Configured.Members)
-    this->Statements->setLimit(Member.Where, Share);
-}
-
 void Daemon::Parts::onConfigurationApplied() {
   SharedConfiguration Current = this->Configuration->current();
   std::vector<Database> Databases;
@@ -149,13 +165,13 @@
     Databases.push_back(Configured);
     Present.insert(Id);
     this->Upstreams->onConfigured(Configured);
-    this->applyLimits(Configured);
   }
   for (const DatabaseId &Id : this->Known)
     if (!Present.contains(Id))
       this->Upstreams->onRemoved(Id);
   this->Known = std::move(Present);
   this->Keeper->onConfigured(Databases);
+  this->Shares->onConfigured(Databases);
 }
 
 Daemon::Daemon(DaemonSettings Settings)
@@ -177,6 +193,11 @@
   asio::co_spawn(
       asio::make_strand(P.On),
       [Sync]() -> Awaitable<void> { co_await Sync->run(); }, asio::detached);
+  auto Shares = P.Shares;
+  asio::co_spawn(
+      asio::make_strand(P.On),
+      [Shares]() -> Awaitable<void> { co_await Shares->run(); },
+      asio::detached);
   for (std::uint32_t Index = 0; Index < P.Settings.Threads; ++Index)
     P.Threads.emplace_back([&P] { P.Context.run(); });
   return std::monostate{};
@@ -195,6 +216,7 @@
   Parts &P = *this->Own;
   P.Sync->stop();
   P.Keeper->stop();
+  P.Shares->stop();
   P.CallerServer->close();
   P.OperatorServer->close();
   P.Peers->close();
--- a/routing/StatementFlow.cpp
+++ b/routing/StatementFlow.cpp
@@ -58,6 +58,8 @@
       return this->refuse(Choice.error());
     Chosen = Choice.value();
   }
+  if (!Chosen && this->Shed)
+    return this->refuse(*this->Shed);
   if (!Chosen)
     return this->awaitView(Now);
   this->Target = Chosen->Target;
@@ -140,6 +142,12 @@
                    Request.Repeatable || Request.Key.has_value();
   if (!MayRepeat)
     return this->refuse(Failure);
+  // Given up: the caller learns at once when to come back, unless another
+  // member may serve the read.
+  if (Failure.Kind == ErrorKind::Overloaded)
+    this->Shed = Failure;
+  if (Request.Write && this->Shed)
+    return this->refuse(*this->Shed);
   if (Request.Write)
     return this->awaitView(Now);
   this->Excluded.push_back(this->Target);
--- a/routing/StatementFlow.h
+++ b/routing/StatementFlow.h
@@ -85,6 +85,8 @@
   std::vector<UpstreamId> Excluded;
   UpstreamId Target;
   std::optional<MemberAnswer> Unconfirmed;
+  /// An upstream had no capacity left for this statement in time.
+  std::optional<Error> Shed;
   /// An earlier attempt at a write may have taken effect.
   bool MayHaveRun = false;
 };
--- a/tests/limits/ConnectionSharesTest.cpp
+++ b/tests/limits/ConnectionSharesTest.cpp
@@ -161,10 +161,13 @@
   Lender.onNeed(10, Now);
   // Work in flight still uses the borrowed connections.
   Borrower.onOpenWithin(false);
+  Now += Options.RenewInterval;
   exchange();
   exchange();
   EXPECT_EQ(Borrower.usable(Now), 10U);
   EXPECT_EQ(Lender.usable(Now), 6U);
+  EXPECT_FALSE(Borrower.excessLapsed(Now));
+  EXPECT_TRUE(Borrower.excessLapsed(Now + seconds(2)));
   Borrower.onOpenWithin(true);
   exchange();
   EXPECT_EQ(Lender.usable(Now), 10U);
