--- a/drivers/MemberPool.cpp
+++ b/drivers/MemberPool.cpp
@@ -87,11 +87,12 @@
   AdmissionRequest Request;
   Request.Class = AdmissionClass::Write;
   Request.Deadline = this->Time.now() + Limit;
-  co_return co_await this->acquire(std::move(To), std::move(Request));
+  co_return co_await this->acquire(std::move(To), std::move(Request), Limit);
 }
 
 Awaitable<Outcome<std::shared_ptr<LeasedConnection>>>
-MemberPool::acquire(Endpoint To, AdmissionRequest Request) {
+MemberPool::acquire(Endpoint To, AdmissionRequest Request,
+                    Duration ConnectLimit) {
   auto Here = co_await asio::this_coro::executor;
   auto Slot = this->slotOf(To);
   ConnectionTurn Turn = Slot->arrive(Request, Here, this->Time.now());
@@ -109,7 +110,8 @@
   }
   if (Turn.Connection)
     co_return Slot->lease(std::move(Turn.Connection));
-  Duration Left = Request.Deadline - this->Time.now();
+  Duration Left =
+      std::min(Duration(Request.Deadline - this->Time.now()), ConnectLimit);
   auto Opened = co_await MemberConnection::open(
       this->On, To, std::max(Left, LeastConnectLimit));
   if (Opened)
--- a/drivers/MemberPool.h
+++ b/drivers/MemberPool.h
@@ -70,12 +70,13 @@
   /// regular intervals.
   void maintain(const Endpoint &To);
 
-  /// A connection to a member, in the queue's order. Errors: Overloaded if
+  /// A connection to a member, in the queue's order; one that has to be
+  /// opened takes at most ConnectLimit. Errors: Overloaded if
   /// it was shed, NotRun if none came free by the deadline, Unavailable if
   /// the member can't be reached. Precondition: the awaiting coroutine runs
   /// on a strand or on a single-threaded executor.
   Awaitable<Outcome<std::shared_ptr<LeasedConnection>>>
-  acquire(Endpoint To, AdmissionRequest Request);
+  acquire(Endpoint To, AdmissionRequest Request, Duration ConnectLimit);
   /// The same for work of no client account.
   Awaitable<Outcome<std::shared_ptr<LeasedConnection>>> acquire(Endpoint To,
                                                                 Duration Limit);
