--- a/drivers/OperatorApi.cpp
+++ b/drivers/OperatorApi.cpp
@@ -3,6 +3,7 @@
 #include "configuration/TicketAcceptance.h"
 #include "core/DecisionLog.h"
 #include "core/Digest.h"
+#include "core/Metrics.h"
 #include "drivers/ChangeSignal.h"
 #include "drivers/MemberCodec.h"
 
@@ -15,6 +16,7 @@
 constexpr std::string_view Bearer = "Bearer ";
 constexpr std::string_view TicketsTarget = "/v1/tickets";
 constexpr std::string_view StatusTarget = "/v1/status";
+constexpr std::string_view MetricsTarget = "/metrics";
 constexpr unsigned NotFound = 404;
 
 HttpReply replyWithJson(const boost::json::object &Json) {
@@ -23,6 +25,13 @@
   return Reply;
 }
 
+HttpReply replyWithMetrics() {
+  HttpReply Reply;
+  Reply.ContentType = "text/plain; version=0.0.4";
+  Reply.Body = processMetrics().scrape();
+  return Reply;
+}
+
 boost::json::object describe(const DatabaseView &View) {
   boost::json::object Json;
   Json["term"] = View.newestTerm().Value;
@@ -64,6 +73,8 @@
   std::string_view Target = Request.Target;
   if (Request.Method == "POST" && Target == TicketsTarget)
     co_return co_await this->submitTicket(std::move(Request.Body));
+  if (Request.Method == "GET" && Target == MetricsTarget)
+    co_return replyWithMetrics();
   if (Request.Method == "GET" && Target == StatusTarget)
     co_return this->showStatus();
   if (Request.Method == "GET" && Target.starts_with(TicketsTarget) &&
