--- a/routing/StatementFlow.h
+++ b/routing/StatementFlow.h
@@ -79,6 +79,8 @@
   UpstreamId Target;
   /// The answer that waits for ConfirmWrite.
   std::optional<MemberAnswer> Unconfirmed;
+  /// An upstream had no capacity left for this statement in time.
+  std::optional<Error> Shed;
   /// An earlier attempt at a write may have taken effect.
   bool MayHaveRun = false;
 };
