Fuzz every decoder with seeded mutations

Cause: bad input must give a typed error with its remedy and nothing else; an exception swallowed in the settings reader had shown that this needs a check of its own.

--- /dev/null
+++ b/tools/DecoderFuzz.cpp
@@ -0,0 +1,256 @@
+#include "tools/DecoderFuzz.h"
+
+#include "configuration/Ticket.h"
+#include "core/RandomSource.h"
+#include "drivers/HttpMessages.h"
+#include "drivers/MemberCodec.h"
+#include "drivers/PlatformCodec.h"
+#include "main/DaemonSettings.h"
+#include "main/StatusTable.h"
+#include "membership/PeerFrame.h"
+#include "session/SessionToken.h"
+#include "tools/LoadPlan.h"
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr std::uint32_t MaximumMutations = 4;
+constexpr std::uint32_t LongestInsertion = 64;
+constexpr std::uint32_t ByteValues = 256;
+
+const std::vector<TokenKey> &fuzzTokenKeys() {
+  static const std::vector<TokenKey> Keys{
+      {.Id = "fuzz", .Secret = "fuzz-secret-0123456789"}};
+  return Keys;
+}
+
+const std::vector<PeerKey> &fuzzPeerKeys() {
+  static const std::vector<PeerKey> Keys{
+      {.Id = "fuzz", .Secret = "fuzz-secret-0123456789"}};
+  return Keys;
+}
+
+/// Decodes through keepOutcome(). An exception that escaped the decoder
+/// shows as an error other than those that decoders give.
+template <typename Callable> std::string verdictOf(Callable &&Decode) {
+  auto Decoded = keepOutcome(std::forward<Callable>(Decode));
+  if (Decoded)
+    return "";
+  const Error &Failure = Decoded.error();
+  bool Typed = Failure.Kind == ErrorKind::BadRequest ||
+               Failure.Kind == ErrorKind::Forbidden;
+  if (!Typed)
+    return "untyped error: " + Failure.Message;
+  return Failure.Remedy.empty() ? "error without a remedy" : "";
+}
+
+std::string fuzzTicket(const std::string &Input) {
+  return verdictOf([&] { return parseTicket(Input, "fuzz"); });
+}
+
+std::string fuzzSettings(const std::string &Input) {
+  return verdictOf([&] { return parseDaemonSettings(Input, "fuzz"); });
+}
+
+std::string fuzzLoadPlan(const std::string &Input) {
+  return verdictOf([&] { return parseLoadPlan(Input, "fuzz"); });
+}
+
+std::string fuzzToken(const std::string &Input) {
+  static const SessionTokenCodec Codec(fuzzTokenKeys());
+  return verdictOf([&] { return Codec.decode(Input, ClientAccountId{"a"}); });
+}
+
+std::string fuzzPeerFrame(const std::string &Input) {
+  static const PeerFrameCodec Codec(fuzzPeerKeys());
+  return verdictOf([&] { return Codec.decode(Input); });
+}
+
+std::string fuzzMemberRequest(const std::string &Input) {
+  for (const char *Target : {"/execute", "/wait", "/begin", "/commit",
+                             "/rollback", "/seal", "/promote", "/follow"}) {
+    std::string Verdict =
+        verdictOf([&] { return decodeMemberRequest(Target, Input); });
+    if (!Verdict.empty())
+      return Verdict;
+  }
+  return "";
+}
+
+std::string fuzzMemberAnswer(const std::string &Input) {
+  decodeError(Input);
+  return verdictOf([&] { return decodeMemberAnswer(Input); });
+}
+
+std::string fuzzPlatformRequest(const std::string &Input) {
+  for (const char *Target : {"/v3/kv/range", "/v3/kv/txn", "/v3/lease/grant"}) {
+    std::string Verdict =
+        verdictOf([&] { return decodeKeyValueRequest(Target, Input); });
+    if (!Verdict.empty())
+      return Verdict;
+  }
+  return verdictOf([&] { return decodeWatchRequest(Input); });
+}
+
+std::string fuzzPlatformAnswer(const std::string &Input) {
+  std::string Verdict = verdictOf([&] { return decodeKeyValueAnswer(Input); });
+  if (!Verdict.empty())
+    return Verdict;
+  return verdictOf([&] { return decodeWatchBatch(Input); });
+}
+
+std::string fuzzStatus(const std::string &Input) {
+  return verdictOf([&] { return formatStatus(Input); });
+}
+
+std::string fuzzHttpRequest(const std::string &Input) {
+  HttpRequestReader Reader(HttpLimits{});
+  auto Used = Reader.feed(Input);
+  if (!Used)
+    return Used.error().Remedy.empty() ? "error without a remedy" : "";
+  if (Used.value() > Input.size())
+    return "used more than was given";
+  if (Reader.done())
+    Reader.take();
+  return "";
+}
+
+std::string fuzzHttpReply(const std::string &Input) {
+  HttpReplyReader Reader(HttpLimits{});
+  auto Used = Reader.feed(Input);
+  return Used && Used.value() > Input.size() ? "used more than was given" : "";
+}
+
+std::string sampleToken() {
+  SessionTokenCodec Codec(fuzzTokenKeys());
+  SessionToken Token = SessionToken().advanced(
+      DatabaseId{"bookings"}, {.WrittenIn = Term{2}, .Position = {17}});
+  auto Text =
+      keepOutcome([&] { return Codec.encode(Token, ClientAccountId{"a"}); });
+  return Text ? Text.value() : "";
+}
+
+std::string sampleFrame() {
+  PeerFrameCodec Codec(fuzzPeerKeys());
+  PeerFrame Frame{.From = InstanceId{"entry-1"},
+                  .Topic = PeerTopic::Membership,
+                  .Payload = "payload"};
+  auto Bytes = keepOutcome([&] { return Codec.encode(Frame); });
+  return Bytes ? Bytes.value() : "";
+}
+
+constexpr const char *SampleTicket =
+    "ticket: 1\nbrands:\n  - {name: kaveri, host: db.example}\n"
+    "client_accounts:\n  - {name: a, brand: kaveri, credential_digest: "
+    "0000000000000000000000000000000000000000000000000000000000000000, "
+    "services: [s]}\ndatabase_services:\n  - {name: s, brand: kaveri, "
+    "databases: [d]}\ndatabases:\n  - name: d\n    connection_limit: 20\n"
+    "    slots: 3\n    members:\n      - {upstream: m, address: "
+    "\"127.0.0.1:1\", availability_zone: z}\n"
+    "removed: [{kind: brand, name: x}]\n";
+constexpr const char *SampleSettings =
+    "instance: e\navailability_zone: z\nlisten: {callers: 127.0.0.1:1, "
+    "operators: 127.0.0.1:2, peers: 127.0.0.1:3}\nplatform: 127.0.0.1:4\n"
+    "routing: {replica_wait: 20ms}\nthreads: 2\n";
+constexpr const char *SampleLoadPlan =
+    "name: n\nfleet: {databases: 2}\nlength: 5s\nmix: {bookings: 1}\n"
+    "faults:\n  - {at: 1s, do: crash_primary, database: 1}\n";
+constexpr const char *SampleAnswer =
+    R"({"request_id":"r","status":{"upstream":"a","role":"primary","term":2,)"
+    R"("received":{"term":2,"position":9},"applied":9,"history":[{"term":1,)"
+    R"("after":0},{"term":2,"after":5}]},"rows":["x"],"written":{"term":2,)"
+    R"("position":9},"repeated":false})";
+constexpr const char *SampleExecute =
+    R"({"request_id":"r","statement":"get x","write":true,"expected_term":2,)"
+    R"("at_least":{"term":1,"position":2},"idempotency_key":"k"})";
+constexpr const char *SampleTransaction =
+    R"({"compare":[{"key":"YQ==","target":"MOD","result":"EQUAL",)"
+    R"("mod_revision":"5"}],"success":[{"requestPut":{"key":"YQ==",)"
+    R"("value":"Yg==","lease":"0"}}]})";
+constexpr const char *SampleRange =
+    R"({"header":{"revision":"6"},"kvs":[{"key":"YQ==","value":"Yg==",)"
+    R"("mod_revision":"6"}],"result":{"events":[{"type":"PUT","kv":{}}]}})";
+constexpr const char *SampleStatus =
+    R"({"instance":"e","newest_in_force":1,"databases":{"d":{"term":1,)"
+    R"("primary":"a","members":[{"upstream":"a","known":true}]}}})";
+constexpr const char *SampleHttpRequest =
+    "POST /v1/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+constexpr const char *SampleHttpReply =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n";
+
+/// Applies one random change.
+void mutate(std::string &Input, RandomSource &Random) {
+  auto Place = [&](std::size_t Size) {
+    return Random.below(static_cast<std::uint32_t>(Size) + 1);
+  };
+  constexpr std::uint32_t Kinds = 5;
+  switch (Random.below(Kinds)) {
+  case 0:
+    if (!Input.empty())
+      Input[Random.below(static_cast<std::uint32_t>(Input.size()))] =
+          static_cast<char>(Random.below(ByteValues));
+    break;
+  case 1:
+    Input.resize(Place(Input.size()));
+    break;
+  case 2:
+    Input.insert(Place(Input.size()), Random.below(LongestInsertion) + 1,
+                 static_cast<char>(Random.below(ByteValues)));
+    break;
+  case 3: {
+    std::size_t From = Place(Input.size());
+    Input.insert(Place(Input.size()),
+                 Input.substr(From, Random.below(LongestInsertion)));
+    break;
+  }
+  default: {
+    std::size_t From = Place(Input.size());
+    Input.erase(From, Random.below(LongestInsertion));
+    break;
+  }
+  }
+}
+
+} // namespace
+
+std::vector<FuzzTarget> fuzzTargets() {
+  return {{"ticket", {SampleTicket}, fuzzTicket},
+          {"settings", {SampleSettings}, fuzzSettings},
+          {"load_plan", {SampleLoadPlan}, fuzzLoadPlan},
+          {"session_token", {sampleToken()}, fuzzToken},
+          {"peer_frame", {sampleFrame()}, fuzzPeerFrame},
+          {"member_request", {SampleExecute}, fuzzMemberRequest},
+          {"member_answer", {SampleAnswer}, fuzzMemberAnswer},
+          {"platform_request", {SampleTransaction}, fuzzPlatformRequest},
+          {"platform_answer", {SampleRange}, fuzzPlatformAnswer},
+          {"status", {SampleStatus}, fuzzStatus},
+          {"http_request", {SampleHttpRequest}, fuzzHttpRequest},
+          {"http_reply", {SampleHttpReply}, fuzzHttpReply}};
+}
+
+std::vector<FuzzFinding> runDecoderFuzz(const std::vector<FuzzTarget> &Targets,
+                                        std::uint64_t Seed,
+                                        std::uint64_t Rounds) {
+  std::vector<FuzzFinding> Findings;
+  for (const FuzzTarget &Target : Targets) {
+    RandomSource Random(Seed);
+    for (std::uint64_t Round = 0; Round < Rounds; ++Round) {
+      std::string Input = Target.Corpus[Random.below(
+          static_cast<std::uint32_t>(Target.Corpus.size()))];
+      std::uint32_t Mutations = Random.below(MaximumMutations + 1);
+      for (std::uint32_t Index = 0; Index < Mutations; ++Index)
+        mutate(Input, Random);
+      std::string Problem = Target.Decode(Input);
+      if (!Problem.empty())
+        Findings.push_back({.Target = Target.Name,
+                            .Seed = Seed,
+                            .Round = Round,
+                            .Problem = std::move(Problem),
+                            .Input = std::move(Input)});
+    }
+  }
+  return Findings;
+}
+
+} // namespace turmericpitch
