Spread tickets between instances, with few readers of the platform

Cause: every instance loaded the whole prefix and watched the platform, so calls and bytes at the platform grew with the fleet, an instance cut off from it got nothing, and a new one could not start without it. Change: configuration/Dissemination, a pure state machine. Two readers for each zone, by rendezvous hashing, read what changed once a second; standbys take the duty up when nobody has heard of the platform for 15 s; reads that fail back off with jitter. A later ticket is sent on at once to four peers in a datagram; rounds of announcements close gaps; changes that fit no datagram are fetched as a signed copy over TCP. Applies are forwards only and whole. `ticket show` asks all peers and says where a ticket is in force, and why not. The membership exchange does not feed it yet: peers come from the settings.

--- a/configuration/ConfigurationChange.h
+++ b/configuration/ConfigurationChange.h
@@ -16,10 +16,6 @@
   std::string MovedUpTo;
 
   auto operator<=>(const LargeTicket &) const = default;
-
-  template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Number, this->MovedUpTo);
-  }
 };
 
 /// The newest accepted ticket; every acceptance is a compare-and-swap on it.
@@ -32,10 +28,6 @@
   std::vector<LargeTicket> Large;
 
   bool operator==(const TicketHead &) const = default;
-
-  template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Newest, this->Digest, this->Accepted, this->Large);
-  }
 };
 
 /// Every object set by a ticket later than After, up to Head. Brings any
@@ -49,10 +41,6 @@
   std::map<ObjectKey, ObjectRecord> Records;
 
   bool operator==(const ConfigurationChange &) const = default;
-
-  template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->After, this->Head, this->HeadModified, this->Records);
-  }
 };
 
 } // namespace turmericpitch
--- a/configuration/ConfiguredObject.h
+++ b/configuration/ConfiguredObject.h
@@ -16,10 +16,6 @@
   std::string Json;
 
   bool operator==(const ObjectRecord &) const = default;
-
-  template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->SetBy, this->Json);
-  }
 };
 
 /// A parsed object. Immutable once shared.
--- a/configuration/Ticket.h
+++ b/configuration/Ticket.h
@@ -22,10 +22,6 @@
   std::string Id;
 
   auto operator<=>(const ObjectKey &) const = default;
-
-  template <typename Archive> void serialize(Archive &Ar) {
-    Ar(this->Kind, this->Id);
-  }
 };
 
 /// A parsed ticket. Immutable value.
--- a/drivers/ConfigurationSync.cpp
+++ b/drivers/ConfigurationSync.cpp
@@ -1,60 +1,195 @@
 #include "drivers/ConfigurationSync.h"
 
-#include "configuration/StoredConfiguration.h"
 #include "core/DecisionLog.h"
 #include "drivers/ChangeSignal.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace turmericpitch {
 
-namespace {
+namespace asio = boost::asio;
 
-constexpr Duration RetryPause = std::chrono::milliseconds(200);
+namespace {
 
-void logApplied(const ConfigurationController &Controller) {
-  writeDecision(
-      DecisionLine("apply_configuration")
-          .field("revision", Controller.current()->revision().Value)
-          .field("ticket", Controller.current()->newestTicket().Value));
-}
+constexpr Duration ShortestPause = std::chrono::milliseconds(1);
+/// A survey asks this many peers at once, then pauses.
+constexpr std::size_t SurveyPage = 200;
+constexpr Duration SurveyPagePause = std::chrono::milliseconds(20);
+constexpr Duration SurveyPoll = std::chrono::milliseconds(5);
+constexpr Duration SurveyLimit = std::chrono::seconds(1);
 
 } // namespace
 
 ConfigurationSync::ConfigurationSync(
+    Executor On, ConfigurationSyncOptions Options,
     std::shared_ptr<PlatformClient> Platform,
     std::shared_ptr<ConfigurationController> Controller,
-    std::function<void()> OnApplied)
-    : Platform(std::move(Platform)), Controller(std::move(Controller)),
-      OnApplied(std::move(OnApplied)) {}
+    std::shared_ptr<PeerTransport> Transport, std::function<void()> OnApplied)
+    : On(asio::make_strand(std::move(On))), Platform(std::move(Platform)),
+      Controller(std::move(Controller)), Transport(std::move(Transport)),
+      OnApplied(std::move(OnApplied)),
+      Authenticator(std::make_shared<const CopyAuthenticator>(
+          std::move(Options.PeerKeys))),
+      Copies(std::make_shared<ConfigurationCopyApi>(this->Authenticator,
+                                                    this->Controller)),
+      Logic(std::move(Options.Spreading), *this->Controller) {}
 
-Awaitable<void> ConfigurationSync::run() {
+template <typename Event> void ConfigurationSync::post(Event Happened) {
+  asio::post(this->On,
+             [Self = this->shared_from_this(), Happened = std::move(Happened)] {
+               if (!Self->Stopped)
+                 Self->perform(Happened(Self->Logic, Self->Time.now()));
+             });
+}
+
+void ConfigurationSync::attach() {
+  std::weak_ptr<ConfigurationSync> Weak = this->shared_from_this();
+  this->Transport->onTopic(PeerTopic::Configuration,
+                           [Weak](const PeerArrival &Arrival) {
+                             if (auto Self = Weak.lock())
+                               Self->onArrival(Arrival);
+                           });
+}
+
+void ConfigurationSync::start() {
   auto Self = this->shared_from_this();
+  asio::co_spawn(
+      this->On, [Self]() -> Awaitable<void> { co_await Self->run(); },
+      asio::detached);
+}
+
+Awaitable<void> ConfigurationSync::run() {
   while (!this->Stopped) {
-    co_await this->load();
-    co_await sleepFor(RetryPause);
+    TimePoint Now = this->Time.now();
+    this->perform(this->Logic.onTick(Now));
+    Duration Wait = this->Logic.nextTick() - Now;
+    co_await sleepFor(std::max(Wait, ShortestPause));
   }
 }
 
-Awaitable<void> ConfigurationSync::load() {
-  SharedConfiguration Present = this->Controller->current();
-  KeyValueRequest Request =
-      RangeRequest{.Key = std::string(ConfigurationPrefix),
-                   .Prefix = true,
-                   .ModifiedSince = Present ? Present->revision() : Revision{}};
-  auto Answer = co_await this->Platform->call(std::move(Request));
-  if (!Answer)
-    co_return;
-  auto Applied = keepOutcome([&]() -> Result<bool> {
-    BOOST_LEAF_AUTO(Stored, readStoredConfiguration(Answer.value()));
-    if (Present)
-      Stored.Change.After = Present->newestTicket();
-    return this->Controller->apply(Stored.Change);
+void ConfigurationSync::onPeers(std::vector<ConfigurationPeer> Peers) {
+  auto Directory = std::make_shared<const PeerDirectory>(std::move(Peers));
+  this->post([Directory](Dissemination &Logic, TimePoint) {
+    Logic.onPeers(Directory);
+    return DisseminationActions{};
+  });
+}
+
+void ConfigurationSync::onAccepted(ConfigurationChange Change) {
+  this->post([Change = std::move(Change)](Dissemination &Logic, TimePoint Now) {
+    return Logic.onAccepted(Change, Now);
   });
-  if (!Applied)
-    writeWarning("stored configuration refused: " + Applied.error().Message);
-  else if (Applied.value()) {
-    logApplied(*this->Controller);
-    this->OnApplied();
+}
+
+void ConfigurationSync::onArrival(const PeerArrival &Arrival) {
+  auto Message =
+      keepOutcome([&] { return decodeMessage(Arrival.Frame.Payload); });
+  if (!Message) {
+    ++this->Dropped;
+    return;
+  }
+  this->post([From = Arrival.Frame.From, Where = Arrival.Where,
+              Message = std::move(Message.value())](Dissemination &Logic,
+                                                    TimePoint Now) {
+    return Logic.onMessage(From, Where, Message, Now);
+  });
+}
+
+void ConfigurationSync::perform(DisseminationActions Actions) {
+  for (const DisseminationAction &Action : Actions)
+    std::visit([this](const auto &Each) { this->carryOut(Each); }, Action);
+}
+
+void ConfigurationSync::carryOut(const SendToPeer &Send) {
+  this->Transport->send(Send.To, PeerTopic::Configuration,
+                        encodeMessage(Send.Message));
+}
+
+void ConfigurationSync::carryOut(const ReadPlatform &Read) {
+  auto Self = this->shared_from_this();
+  auto Call = [Self, Request = Read.Request]() -> Awaitable<void> {
+    KeyValueRequest Sent = Request;
+    auto Answer = co_await Self->Platform->call(std::move(Sent));
+    Self->post(
+        [Answer = std::move(Answer)](Dissemination &Logic, TimePoint Now) {
+          return Logic.onPlatform(Answer, Now);
+        });
+  };
+  asio::co_spawn(this->On, std::move(Call), asio::detached);
+}
+
+void ConfigurationSync::carryOut(const FetchCopy &Fetch) {
+  auto Self = this->shared_from_this();
+  auto Call = [Self, Fetch]() -> Awaitable<void> {
+    auto Copy =
+        co_await fetchCopy(Self->On.get_inner_executor(), Self->Authenticator,
+                           Fetch.From, Fetch.After);
+    if (!Copy)
+      writeInfo("no configuration copy from " + toString(Fetch.From) + ": " +
+                Copy.error().Message);
+    Self->post([Copy = std::move(Copy)](Dissemination &Logic, TimePoint Now) {
+      return Logic.onCopy(Copy, Now);
+    });
+  };
+  asio::co_spawn(this->On, std::move(Call), asio::detached);
+}
+
+void ConfigurationSync::carryOut(const TicketApplied &Applied) {
+  SharedConfiguration Present = this->Controller->current();
+  writeDecision(DecisionLine("apply_configuration")
+                    .field("ticket", Applied.Newest.Value)
+                    .field("revision", Present->revision().Value)
+                    .field("objects", Present->objectCount()));
+  this->OnApplied();
+}
+
+void ConfigurationSync::carryOut(const DisseminationWarning &Warning) {
+  writeWarning("configuration refused: " + Warning.What.Message +
+               "; remedy: " + Warning.What.Remedy);
+}
+
+Awaitable<std::vector<SurveyedPeer>> ConfigurationSync::survey() {
+  auto Self = this->shared_from_this();
+  auto Ask = [Self]() -> Awaitable<std::vector<SurveyedPeer>> {
+    return Self->surveyOnStrand();
+  };
+  co_return co_await asio::co_spawn(this->On, std::move(Ask),
+                                    asio::use_awaitable);
+}
+
+Awaitable<std::vector<SurveyedPeer>> ConfigurationSync::surveyOnStrand() {
+  std::size_t Peers = this->Logic.peers()->all().size();
+  TimePoint Began = this->Time.now();
+  auto Pages = static_cast<std::int64_t>(Peers / SurveyPage);
+  bool Fresh = Began - this->SurveyedAt < SurveyLimit * Pages;
+  if (!Fresh) {
+    this->SurveyedAt = Began;
+    for (std::size_t First = 0; First < Peers; First += SurveyPage) {
+      if (First > 0)
+        co_await sleepFor(SurveyPagePause);
+      this->perform(this->Logic.askPeers(First, SurveyPage, this->Time.now()));
+    }
+  }
+  TimePoint GiveUpAt = this->Time.now() + SurveyLimit;
+  while (this->Logic.reports().size() < this->Logic.peers()->all().size() &&
+         this->Time.now() < GiveUpAt)
+    co_await sleepFor(SurveyPoll);
+  co_return this->surveyed();
+}
+
+std::vector<SurveyedPeer> ConfigurationSync::surveyed() const {
+  std::vector<SurveyedPeer> All;
+  for (const ConfigurationPeer &Peer : this->Logic.peers()->all()) {
+    auto Report = this->Logic.reports().find(Peer.Id);
+    SurveyedPeer Entry{.Peer = Peer, .Report = std::nullopt};
+    if (Report != this->Logic.reports().end())
+      Entry.Report = Report->second;
+    All.push_back(std::move(Entry));
   }
+  return All;
 }
 
 } // namespace turmericpitch
--- a/drivers/OperatorApi.cpp
+++ b/drivers/OperatorApi.cpp
@@ -18,6 +18,14 @@
 constexpr std::string_view StatusTarget = "/v1/status";
 constexpr std::string_view MetricsTarget = "/metrics";
 constexpr unsigned NotFound = 404;
+/// Instances without a ticket that an answer names.
+constexpr std::size_t MaximumNamed = 20;
+
+/// The instances of an availability zone that were asked.
+struct ZoneCount {
+  std::size_t Instances = 0;
+  std::size_t InForce = 0;
+};
 
 HttpReply replyWithJson(const boost::json::object &Json) {
   HttpReply Reply;
@@ -51,14 +59,53 @@
   return Json;
 }
 
+std::string reasonFor(const SurveyedPeer &Each) {
+  if (!Each.Report)
+    return "no answer: it has ended or is cut off from here";
+  if (Each.Report->Problem != ConfigurationProblem::None)
+    return std::string(toString(Each.Report->Problem));
+  return "the ticket has not reached it yet";
+}
+
+/// Where a ticket is in force: a count for each availability zone, and the
+/// first instances where it is not.
+void describePeers(TicketNumber Wanted, const std::vector<SurveyedPeer> &Peers,
+                   boost::json::object &Json) {
+  std::map<ZoneId, ZoneCount> Zones;
+  boost::json::array Missing;
+  for (const SurveyedPeer &Each : Peers) {
+    ZoneCount &Zone = Zones[Each.Peer.Zone];
+    bool InForce = Each.Report && Each.Report->Newest >= Wanted;
+    ++Zone.Instances;
+    Zone.InForce += InForce ? 1 : 0;
+    if (InForce || Missing.size() >= MaximumNamed)
+      continue;
+    boost::json::object Entry;
+    Entry["instance"] = Each.Peer.Id.Value;
+    Entry["availability_zone"] = Each.Peer.Zone.Value;
+    if (Each.Report)
+      Entry["newest_in_force"] = Each.Report->Newest.Value;
+    Entry["why"] = reasonFor(Each);
+    Missing.push_back(std::move(Entry));
+  }
+  boost::json::object ByZone;
+  for (const auto &[Id, Count] : Zones)
+    ByZone[Id.Value] = {{"peers", Count.Instances},
+                        {"in_force", Count.InForce}};
+  Json["availability_zones"] = std::move(ByZone);
+  Json["not_in_force"] = std::move(Missing);
+}
+
 } // namespace
 
 OperatorApi::OperatorApi(OperatorApiOptions Options,
                          std::shared_ptr<ConfigurationController> Configuration,
                          std::shared_ptr<UpstreamController> Upstreams,
-                         std::shared_ptr<PlatformClient> Platform)
+                         std::shared_ptr<PlatformClient> Platform,
+                         std::shared_ptr<ConfigurationSync> Sync)
     : Options(std::move(Options)), Configuration(std::move(Configuration)),
-      Upstreams(std::move(Upstreams)), Platform(std::move(Platform)) {}
+      Upstreams(std::move(Upstreams)), Platform(std::move(Platform)),
+      Sync(std::move(Sync)) {}
 
 Awaitable<HttpReply> OperatorApi::handle(HttpRequest Request) {
   std::string_view Credential = Request.Authorization;
@@ -79,7 +126,8 @@
     co_return this->showStatus();
   if (Request.Method == "GET" && Target.starts_with(TicketsTarget) &&
       Target.size() > TicketsTarget.size() + 1)
-    co_return this->showTicket(Target.substr(TicketsTarget.size() + 1));
+    co_return co_await this->showTicket(
+        Target.substr(TicketsTarget.size() + 1));
   HttpReply Reply = replyWith({.Kind = ErrorKind::BadRequest,
                                .Message = "unknown path or method",
                                .Remedy = "use /v1/tickets or /v1/status"});
@@ -113,6 +161,7 @@
   writeDecision(Line);
   if (!Accepted)
     co_return replyWith(Accepted.error());
+  this->Sync->onAccepted(Accepted.value().Change);
   boost::json::object Json;
   Json["ticket"] = Number.Value;
   Json["accepted"] = true;
@@ -120,21 +169,27 @@
   co_return replyWithJson(Json);
 }
 
-HttpReply OperatorApi::showTicket(std::string_view Number) const {
+Awaitable<HttpReply> OperatorApi::showTicket(std::string_view Number) {
   std::uint64_t Wanted = 0;
   const char *End = Number.data() + Number.size();
   auto [Stop, Problem] = std::from_chars(Number.data(), End, Wanted);
   if (Problem != std::errc{} || Stop != End)
-    return replyWith({.Kind = ErrorKind::BadRequest,
-                      .Message = "not a ticket number",
-                      .Remedy = "give the ticket's number"});
+    co_return replyWith({.Kind = ErrorKind::BadRequest,
+                         .Message = "not a ticket number",
+                         .Remedy = "give the ticket's number"});
+  std::vector<SurveyedPeer> Peers = co_await this->Sync->survey();
   SharedConfiguration Current = this->Configuration->current();
+  std::uint64_t Newest = Current ? Current->newestTicket().Value : 0;
   boost::json::object Json;
   Json["ticket"] = Wanted;
   Json["instance"] = this->Options.Self.Value;
-  Json["newest_in_force"] = Current ? Current->newestTicket().Value : 0;
-  Json["in_force"] = Current && Current->newestTicket().Value >= Wanted;
-  return replyWithJson(Json);
+  Json["newest_in_force"] = Newest;
+  Json["in_force"] = Newest >= Wanted;
+  if (Newest < Wanted)
+    Json["why"] = "not heard of here: it was not accepted, or this instance "
+                  "is cut off from its peers and the platform";
+  describePeers(TicketNumber{Wanted}, Peers, Json);
+  co_return replyWithJson(Json);
 }
 
 HttpReply OperatorApi::showStatus() const {
--- a/drivers/OperatorApi.h
+++ b/drivers/OperatorApi.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "configuration/ConfigurationController.h"
+#include "drivers/ConfigurationSync.h"
 #include "drivers/HttpServer.h"
 #include "drivers/PlatformClient.h"
 #include "routing/UpstreamView.h"
@@ -15,7 +16,7 @@
 };
 
 /// POST /v1/tickets          accepts a change ticket (YAML or JSON)
-/// GET  /v1/tickets/{number} whether it is in force here
+/// GET  /v1/tickets/{number} where it is in force and where not
 /// GET  /v1/status           what this instance knows
 /// GET  /metrics             figures in the Prometheus text format
 /// Thread-safe.
@@ -24,19 +25,21 @@
   OperatorApi(OperatorApiOptions Options,
               std::shared_ptr<ConfigurationController> Configuration,
               std::shared_ptr<UpstreamController> Upstreams,
-              std::shared_ptr<PlatformClient> Platform);
+              std::shared_ptr<PlatformClient> Platform,
+              std::shared_ptr<ConfigurationSync> Sync);
 
   Awaitable<HttpReply> handle(HttpRequest Request);
 
 private:
   Awaitable<HttpReply> submitTicket(std::string Body);
-  HttpReply showTicket(std::string_view Number) const;
+  Awaitable<HttpReply> showTicket(std::string_view Number);
   HttpReply showStatus() const;
 
   OperatorApiOptions Options;
   std::shared_ptr<ConfigurationController> Configuration;
   std::shared_ptr<UpstreamController> Upstreams;
   std::shared_ptr<PlatformClient> Platform;
+  std::shared_ptr<ConfigurationSync> Sync;
   std::atomic<std::uint64_t> NextSeed = 1;
 };
 
--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -69,6 +69,24 @@
   return Options;
 }
 
+ConfigurationSyncOptions syncOptions(const DaemonSettings &Settings,
+                                     const std::string &StartId) {
+  ConfigurationSyncOptions Options;
+  Options.Spreading.Self = Settings.Self;
+  Options.Spreading.Zone = Settings.Zone;
+  Options.Spreading.Seed = std::hash<std::string>{}(StartId);
+  Options.PeerKeys = Settings.PeerKeys;
+  return Options;
+}
+
+std::vector<ConfigurationPeer>
+configurationPeers(const DaemonSettings &Settings) {
+  std::vector<ConfigurationPeer> Peers;
+  for (const PeerSettings &Peer : Settings.Peers)
+    Peers.push_back({.Id = Peer.Id, .Zone = Peer.Zone, .Where = Peer.Where});
+  return Peers;
+}
+
 /// A server whose handler is shared by all its connections.
 template <typename Api>
 std::unique_ptr<HttpServer> makeServer(Executor On, const Endpoint &Listen,
@@ -115,6 +133,7 @@
   std::shared_ptr<TlsKeys> Keys;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> OperatorServer;
+  std::unique_ptr<HttpServer> CopyServer;
   std::vector<std::thread> Threads;
   std::set<DatabaseId> Known;
 };
@@ -134,9 +153,15 @@
   this->Runner = std::make_shared<StatementRunner>(
       this->Statements, this->Control, this->Upstreams,
       routingOptions(this->Settings));
+  this->Peers = std::make_shared<PeerTransport>(
+      this->On, this->Settings.PeerListen, this->Settings.Self,
+      this->Settings.PeerKeys);
   this->Sync = std::make_shared<ConfigurationSync>(
-      this->Platform, this->Configuration,
+      this->On, syncOptions(this->Settings, this->StartId), this->Platform,
+      this->Configuration, this->Peers,
       [this] { this->onConfigurationApplied(); });
+  this->Sync->attach();
+  this->Sync->onPeers(configurationPeers(this->Settings));
   auto Codec =
       std::make_shared<const SessionTokenCodec>(this->Settings.TokenKeys);
   StatementChain Chain(AccountFilter{},
@@ -149,10 +174,7 @@
       OperatorApiOptions{.Self = this->Settings.Self,
                          .CredentialDigest =
                              this->Settings.OperatorCredentialDigest},
-      this->Configuration, this->Upstreams, this->Platform);
-  this->Peers = std::make_shared<PeerTransport>(
-      this->On, this->Settings.PeerListen, this->Settings.Self,
-      this->Settings.PeerKeys);
+      this->Configuration, this->Upstreams, this->Platform, this->Sync);
   this->Shares = std::make_shared<ShareExchange>(
       shareOptions(this->Settings, this->StartId), this->Peers,
       this->Statements);
@@ -187,6 +209,8 @@
       makeServer(this->On, this->Settings.Callers, this->Callers, this->Keys);
   this->OperatorServer = makeServer(this->On, this->Settings.Operators,
                                     this->Operators, this->Keys);
+  this->CopyServer = makeServer(this->On, this->Settings.PeerListen,
+                                this->Sync->copies(), nullptr);
   return std::monostate{};
 }
 
@@ -200,7 +224,8 @@
   Status Opened = P.openServers();
   if (!Opened)
     return Opened;
-  for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()}) {
+  for (HttpServer *Server :
+       {P.CallerServer.get(), P.OperatorServer.get(), P.CopyServer.get()}) {
     Status Started = Server->start();
     if (!Started)
       return Started;
@@ -208,10 +233,7 @@
   Status PeersStarted = P.Peers->start();
   if (!PeersStarted)
     return PeersStarted;
-  auto Sync = P.Sync;
-  asio::co_spawn(
-      asio::make_strand(P.On),
-      [Sync]() -> Awaitable<void> { co_await Sync->run(); }, asio::detached);
+  P.Sync->start();
   auto Shares = P.Shares;
   asio::co_spawn(
       asio::make_strand(P.On),
@@ -242,7 +264,8 @@
   P.Sync->stop();
   P.Keeper->stop();
   P.Shares->stop();
-  for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()})
+  for (HttpServer *Server :
+       {P.CallerServer.get(), P.OperatorServer.get(), P.CopyServer.get()})
     if (Server)
       Server->close();
   P.Peers->close();
--- a/stand_ins/KeyValueStore.cpp
+++ b/stand_ins/KeyValueStore.cpp
@@ -51,8 +51,10 @@
 
 Outcome<KeyValueAnswer> KeyValueStore::call(const KeyValueRequest &Request,
                                             TimePoint Now) {
-  if (this->Faults.Outage)
+  if (this->Faults.Outage) {
+    ++this->Counters.Refused;
     return refused(ErrorKind::Unavailable, "platform outage");
+  }
   bool Write = isWrite(Request);
   bool Admitted =
       Write ? this->admit(this->WriteWindow, this->Limits.WritesPerSecond, Now)
--- /dev/null
+++ b/tests/configuration/DisseminationTest.cpp
@@ -0,0 +1,324 @@
+#include "tests/configuration/AcceptanceFixture.h"
+#include "tests/support/Scenario.h"
+#include "tools/ConfigurationNetwork.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+#include <utility>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Runs a network of a handful of instances; checks at every application
+/// that no instance goes back.
+class DisseminationScenario : public ::testing::TestWithParam<std::string> {
+protected:
+  ConfigurationNetwork &network() {
+    if (!this->Network)
+      this->begin({});
+    return *this->Network;
+  }
+
+  void begin(ConfigurationNetworkOptions Options) {
+    this->Network.emplace(std::move(Options));
+    this->Network->OnApplied = [this](std::size_t Index, TicketNumber Newest) {
+      EXPECT_GT(Newest, this->Seen[Index]) << "instance " << Index;
+      this->Seen[Index] = Newest;
+    };
+  }
+
+  static std::size_t indexFrom(YamlReader &Step, const std::string &Key) {
+    return static_cast<std::size_t>(Step.number(Key, {}));
+  }
+
+  /// The instances that a step names: one, a zone's, or all.
+  std::vector<std::size_t> named(YamlReader &Step) {
+    std::vector<std::size_t> Found;
+    if (Step.has("instance"))
+      return {indexFrom(Step, "instance")};
+    std::optional<std::size_t> Zone;
+    if (Step.has("zone"))
+      Zone = indexFrom(Step, "zone");
+    for (std::size_t Index = 0; Index < this->Instances; ++Index)
+      if ((!Zone || this->network().zoneOf(Index) == *Zone) &&
+          !this->Paused.contains(Index))
+        Found.push_back(Index);
+    return Found;
+  }
+
+  void addNetworkSteps(StepHandlers &Steps) {
+    Steps["network"] = [this](YamlReader &Step) {
+      ConfigurationNetworkOptions Options;
+      Options.Instances = indexFrom(Step, "instances");
+      Options.Zones = indexFrom(Step, "zones");
+      Options.Loss = Step.fraction("loss", 0, 1, 0);
+      this->Instances = Options.Instances;
+      this->begin(Options);
+    };
+    Steps["start"] = [this](YamlReader &Step) {
+      for (std::size_t Index : this->named(Step)) {
+        this->Seen[Index] = {};
+        this->network().start(Index);
+      }
+    };
+    Steps["kill"] = [this](YamlReader &Step) {
+      for (std::size_t Index : this->named(Step))
+        this->network().kill(Index);
+    };
+    Steps["pause"] = [this](YamlReader &Step) {
+      for (std::size_t Index : this->named(Step))
+        this->network().pause(Index);
+    };
+    Steps["resume"] = [this](YamlReader &Step) {
+      for (std::size_t Index : this->named(Step))
+        this->network().resume(Index);
+    };
+    Steps["pause_readers"] = [this](YamlReader &Step) {
+      for (std::size_t Index : this->named(Step))
+        if (this->network().readsPlatform(Index)) {
+          this->Paused.insert(Index);
+          this->network().pause(Index);
+        }
+      EXPECT_EQ(this->Paused.size(), 2U);
+    };
+    Steps["resume_readers"] = [this](YamlReader &) {
+      for (std::size_t Index : std::exchange(this->Paused, {}))
+        this->network().resume(Index);
+    };
+    Steps["cut"] = [this](YamlReader &Step) {
+      std::size_t Zone = indexFrom(Step, "zone");
+      if (Step.flag("peers", true))
+        this->network().cutZone(Zone);
+      if (Step.flag("platform", true))
+        this->network().cutPlatform(Zone);
+    };
+    Steps["heal"] = [this](YamlReader &Step) {
+      std::size_t Zone = indexFrom(Step, "zone");
+      this->network().healZone(Zone);
+      this->network().healPlatform(Zone);
+    };
+  }
+
+  void addPlatformSteps(StepHandlers &Steps) {
+    Steps["platform"] = [this](YamlReader &Step) {
+      KeyValueFaults &Faults = this->network().Store.faults();
+      Faults.Outage = Step.flag("outage", Faults.Outage);
+      Faults.Slowness = Step.duration("slowness", {}, Faults.Slowness);
+    };
+    Steps["back_up_platform"] = [this](YamlReader &) {
+      this->Backup = this->network().Store;
+    };
+    Steps["restore_platform"] = [this](YamlReader &) {
+      this->network().Store = this->Backup;
+    };
+    Steps["ticket"] = [this](YamlReader &Step) {
+      auto Number = static_cast<std::uint64_t>(Step.number("number", {}));
+      auto Extra = static_cast<std::size_t>(Step.number("extra", {}, 0));
+      ConfigurationChange Made = this->network().accept(
+          brandTicket(Number, "h" + std::to_string(Number), Extra));
+      if (Step.has("by"))
+        this->network().tellAccepted(indexFrom(Step, "by"), Made);
+    };
+  }
+
+  void addChecks(StepHandlers &Steps) {
+    Steps["expect_in_force"] = [this](YamlReader &Step) {
+      auto Number = static_cast<std::uint64_t>(Step.number("ticket", {}));
+      for (std::size_t Index : this->named(Step)) {
+        EXPECT_EQ(this->network().inForce(Index).Value, Number)
+            << "instance " << Index;
+        SharedConfiguration Present = this->network().configuration(Index);
+        if (Number == 0 || !Present)
+          continue;
+        EXPECT_EQ(Present->brand(BrandId{"shared"})->Host,
+                  "h" + std::to_string(Number));
+      }
+    };
+    Steps["expect_platform_calls_below"] = [this](YamlReader &Step) {
+      const KeyValueCounters &Counters = this->network().Store.counters();
+      EXPECT_LT(Counters.Reads + Counters.Refused,
+                static_cast<std::uint64_t>(Step.number("calls", {})));
+    };
+    Steps["expect_warning"] = [this](YamlReader &Step) {
+      std::string Wanted = Step.text("holds");
+      bool Found = false;
+      for (const Error &Warning : this->network().warnings())
+        Found = Found || Warning.Message.find(Wanted) != std::string::npos;
+      EXPECT_TRUE(Found) << Wanted;
+    };
+    Steps["ask"] = [this](YamlReader &Step) {
+      this->network().askAll(indexFrom(Step, "instance"));
+    };
+    Steps["expect_reports"] = [this](YamlReader &Step) {
+      std::size_t Asker = indexFrom(Step, "instance");
+      auto Number = static_cast<std::uint64_t>(Step.number("ticket", {}));
+      std::size_t InForce = 0;
+      std::size_t Heard = 0;
+      for (const auto &[Id, Report] :
+           this->network().instance(Asker).reports()) {
+        ++Heard;
+        InForce += Report.Newest.Value >= Number ? 1 : 0;
+      }
+      EXPECT_EQ(Heard, indexFrom(Step, "heard"));
+      EXPECT_EQ(InForce, indexFrom(Step, "in_force"));
+    };
+  }
+
+  StepHandlers handlers() {
+    StepHandlers Steps;
+    this->addNetworkSteps(Steps);
+    this->addPlatformSteps(Steps);
+    this->addChecks(Steps);
+    return Steps;
+  }
+
+  std::optional<ConfigurationNetwork> Network;
+  std::size_t Instances = 0;
+  /// Left out where a step names a zone or all.
+  std::set<std::size_t> Paused;
+  KeyValueStore Backup;
+  std::map<std::size_t, TicketNumber> Seen;
+};
+
+TEST_P(DisseminationScenario, Runs) {
+  // The first step makes the network; all others run on its queue.
+  EventQueue Steps;
+  StepHandlers Handlers = this->handlers();
+  for (auto &[Name, Handler] : Handlers)
+    Handler = [this, &Steps, Inner = Handler](YamlReader &Step) {
+      if (this->Network)
+        this->Network->Queue.runUntil(Steps.now());
+      Inner(Step);
+    };
+  runScenario(GetParam(), Steps, Handlers);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Configuration, DisseminationScenario,
+    ::testing::ValuesIn(scenarioFiles("configuration/dissemination")),
+    [](const auto &Case) { return scenarioName(Case.param); });
+
+/// Faults at random moments, then calm: every instance must end where the
+/// platform is, each having moved only forwards and only to whole tickets.
+RC_GTEST_PROP(Dissemination, EndsWhereTheSingleCopyIs, ()) {
+  ConfigurationNetworkOptions Options;
+  Options.Instances = 7;
+  Options.Zones = 3;
+  Options.Loss = 0.2;
+  Options.Seed = static_cast<std::uint64_t>(*rc::gen::inRange(1, 100'000));
+  ConfigurationNetwork Network(Options);
+  std::map<std::size_t, TicketNumber> Seen;
+  bool Whole = true;
+  Network.OnApplied = [&](std::size_t Index, TicketNumber Newest) {
+    Whole = Whole && Newest > Seen[Index];
+    Seen[Index] = Newest;
+    // Each ticket sets two brands to hosts of its number.
+    std::string Host = "h" + std::to_string(Newest.Value);
+    SharedConfiguration Present = Network.configuration(Index);
+    Whole = Whole && Present->brand(BrandId{"shared"})->Host == Host &&
+            Present->brand(BrandId{"extra-0"})->Host == "extra-0." + Host;
+  };
+  Network.startAll();
+  std::uint64_t Number = 0;
+  auto Steps = *rc::gen::inRange(1, 25);
+  for (int Step = 0; Step < Steps; ++Step) {
+    auto Index = static_cast<std::size_t>(*rc::gen::inRange(0, 7));
+    switch (*rc::gen::inRange(0, 9)) {
+    case 0:
+      Network.cutZone(Network.zoneOf(Index));
+      break;
+    case 1:
+      Network.healZone(Network.zoneOf(Index));
+      break;
+    case 2:
+      Network.cutPlatform(Network.zoneOf(Index));
+      break;
+    case 3:
+      Network.pause(Index);
+      break;
+    case 4:
+      Network.resume(Index);
+      break;
+    case 5:
+      Network.kill(Index);
+      Seen[Index] = {};
+      Network.start(Index);
+      break;
+    default:
+      ++Number;
+      ConfigurationChange Made =
+          Network.accept(brandTicket(Number, "h" + std::to_string(Number), 1));
+      if (Number % 2 == 0)
+        Network.tellAccepted(Index, Made);
+    }
+    Network.Queue.runUntil(Network.Queue.now() +
+                           milliseconds(*rc::gen::inRange(0, 3000)));
+  }
+  for (std::size_t Index = 0; Index < 7; ++Index) {
+    Network.healZone(Network.zoneOf(Index));
+    Network.healPlatform(Network.zoneOf(Index));
+    Network.resume(Index);
+  }
+  Network.Queue.runUntil(Network.Queue.now() + seconds(30));
+  RC_ASSERT(Whole);
+  for (std::size_t Index = 0; Index < 7; ++Index)
+    RC_ASSERT(Network.inForce(Index).Value == Number);
+}
+
+TEST(ConfigurationMessages, ReadBackWhatWasWritten) {
+  ConfigurationNetwork Network({.Instances = 1});
+  ConfigurationMessage Change = Network.accept(brandTicket(3, "host", 120));
+  ConfigurationMessage Announced =
+      ConfigurationAnnouncement{.Newest = TicketNumber{7},
+                                .Digest = "d",
+                                .PlatformAge = milliseconds(20),
+                                .Problem = ConfigurationProblem::Unreadable,
+                                .WantsReply = true,
+                                .OffersCopy = true};
+  for (const ConfigurationMessage &Message : {Change, Announced}) {
+    auto Read =
+        keepOutcome([&] { return decodeMessage(encodeMessage(Message)); });
+    ASSERT_TRUE(Read);
+    EXPECT_EQ(Read.value(), Message);
+  }
+}
+
+RC_GTEST_PROP(ConfigurationMessages, SurviveDamagedBytes, ()) {
+  ConfigurationNetwork Network({.Instances = 1});
+  std::string Bytes = encodeMessage(Network.accept(brandTicket(3, "h", 3)));
+  auto Changes = *rc::gen::inRange(1, 6);
+  for (int Change = 0; Change < Changes; ++Change) {
+    auto At = static_cast<std::size_t>(
+        *rc::gen::inRange(0, static_cast<int>(Bytes.size())));
+    Bytes[At] = static_cast<char>(*rc::gen::inRange(0, 256));
+  }
+  Bytes.resize(static_cast<std::size_t>(
+      *rc::gen::inRange(0, static_cast<int>(Bytes.size()) + 1)));
+  auto Read = keepOutcome([&] { return decodeMessage(Bytes); });
+  if (Read)
+    RC_ASSERT(encodeMessage(Read.value()).size() <= Bytes.size() + 8);
+  else
+    RC_ASSERT(Read.error().Kind == ErrorKind::BadRequest);
+}
+
+RC_GTEST_PROP(Ticket, SurvivesDamagedText, ()) {
+  std::string Text = "ticket: 4\nbrands:\n  - { name: a, host: a.example }\n"
+                     "removed:\n  - { kind: brand, name: b }\n";
+  auto Changes = *rc::gen::inRange(1, 8);
+  for (int Change = 0; Change < Changes; ++Change) {
+    auto At = static_cast<std::size_t>(
+        *rc::gen::inRange(0, static_cast<int>(Text.size())));
+    Text[At] = *rc::gen::element('\n', ' ', ':', '{', '}', '-', '[', '&', '*',
+                                 '"', '0', '\0', '\xff');
+  }
+  auto Read = keepOutcome([&] { return parseTicket(Text, "t"); });
+  if (!Read)
+    RC_ASSERT(Read.error().Kind == ErrorKind::BadRequest);
+}
+
+} // namespace
+} // namespace turmericpitch
