--- a/drivers/CallerApi.h
+++ b/drivers/CallerApi.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "configuration/ConfigurationController.h"
+#include "drivers/CallerRequests.h"
 #include "drivers/HttpServer.h"
 #include "drivers/StatementRunner.h"
+#include "drivers/TransactionRunner.h"
 #include "routing/Filters.h"
 
 namespace turmericpitch {
@@ -15,29 +17,46 @@
   std::string StartId;
 };
 
-/// POST /v1/services/{service}/databases/{database}/statements
-/// GET  /ready
+/// Under /v1/services/{service}/databases/{database}:
+/// POST /statements, POST /transactions, POST /transactions/{id}/commit,
+/// POST /transactions/{id}/rollback. Beside them GET /ready.
 /// Thread-safe.
 class CallerApi {
 public:
   CallerApi(CallerApiOptions Options,
             std::shared_ptr<ConfigurationController> Configuration,
             std::shared_ptr<UpstreamController> Upstreams,
-            std::shared_ptr<StatementRunner> Runner, StatementChain Chain,
+            std::shared_ptr<StatementRunner> Runner,
+            std::shared_ptr<TransactionRunner> Transactions,
+            StatementChain Chain,
             std::shared_ptr<const SessionTokenCodec> Codec);
 
-  Awaitable<HttpReply> handle(HttpRequest Request);
+  /// Caller: the state of the connection that brought the request.
+  Awaitable<HttpReply> handle(HttpRequest Request,
+                              std::shared_ptr<CallerTransaction> Caller);
   /// After this the readiness check says no.
   void beginDrain() { this->Draining = true; }
 
 private:
-  Awaitable<HttpReply> runStatement(StatementRequest Request);
-  HttpReply readiness() const;
+  Awaitable<HttpReply> run(CallerRequest Request,
+                           std::shared_ptr<CallerTransaction> Caller);
+  Awaitable<HttpReply> runBegin(RequestContext Context,
+                                std::shared_ptr<CallerTransaction> Caller);
+  Awaitable<Outcome<StatementAnswer>>
+  runAnswered(RequestContext Context, CallerRequest Request,
+              std::shared_ptr<CallerTransaction> Caller);
+  Outcome<RequestContext> prepare(const StatementRequest &Request);
+  template <typename Callable>
+  HttpReply replyWithToken(const SessionToken &Token,
+                           const ClientAccountId &Owner,
+                           Callable &&Encode) const;
+  [[nodiscard]] HttpReply readiness() const;
 
   CallerApiOptions Options;
   std::shared_ptr<ConfigurationController> Configuration;
   std::shared_ptr<UpstreamController> Upstreams;
   std::shared_ptr<StatementRunner> Runner;
+  std::shared_ptr<TransactionRunner> Transactions;
   StatementChain Chain;
   std::shared_ptr<const SessionTokenCodec> Codec;
   std::atomic<std::uint64_t> NextRequest = 1;
--- a/drivers/StatementRunner.h
+++ b/drivers/StatementRunner.h
@@ -25,11 +25,13 @@
   /// do so in the term it was written under.
   Awaitable<bool> confirm(DatabaseId Id, ConfirmWrite Wanted);
 
+  /// Learns from a member's answer, or from its absence.
+  void note(const DatabaseId &Id, const UpstreamId &Member,
+            const Outcome<MemberAnswer> &Answer, TimePoint AskedAt);
+
 private:
   Awaitable<Outcome<MemberAnswer>> runAtMember(DatabaseId Id,
                                                RunAtMember Wanted);
-  void note(const DatabaseId &Id, const UpstreamId &Member,
-            const Outcome<MemberAnswer> &Answer, TimePoint AskedAt);
 
   std::shared_ptr<MemberPool> Statements;
   std::shared_ptr<MemberPool> Control;
--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -63,6 +63,20 @@
   });
 }
 
+/// The callers' server: each connection has its own open transaction.
+std::unique_ptr<HttpServer> makeCallerServer(Executor On,
+                                             const Endpoint &Listen,
+                                             std::shared_ptr<CallerApi> Api) {
+  HttpServerOptions Options;
+  Options.Listen = Listen;
+  return std::make_unique<HttpServer>(On, Options, [Api]() -> HttpHandler {
+    auto Caller = std::make_shared<CallerTransaction>();
+    return [Api, Caller](HttpRequest Request) -> Awaitable<HttpReply> {
+      return Api->handle(std::move(Request), Caller);
+    };
+  });
+}
+
 } // namespace
 
 struct Daemon::Parts {
@@ -116,9 +130,13 @@
   StatementChain Chain(AccountFilter{},
                        DeadlineFilter{this->Settings.MaximumPatience},
                        TokenFilter{Codec});
+  auto Transactions = std::make_shared<TransactionRunner>(
+      this->Statements, this->Upstreams, this->Runner,
+      routingOptions(this->Settings), TransactionLimits{});
   this->Callers = std::make_shared<CallerApi>(
       CallerApiOptions{.Self = this->Settings.Self, .StartId = this->StartId},
-      this->Configuration, this->Upstreams, this->Runner, Chain, Codec);
+      this->Configuration, this->Upstreams, this->Runner, Transactions, Chain,
+      Codec);
   this->Operators = std::make_shared<OperatorApi>(
       OperatorApiOptions{.Self = this->Settings.Self,
                          .CredentialDigest =
@@ -128,7 +146,7 @@
       this->On, this->Settings.PeerListen, this->Settings.Self,
       this->Settings.PeerKeys);
   this->CallerServer =
-      makeServer(this->On, this->Settings.Callers, this->Callers);
+      makeCallerServer(this->On, this->Settings.Callers, this->Callers);
   this->OperatorServer =
       makeServer(this->On, this->Settings.Operators, this->Operators);
 }
--- /dev/null
+++ b/routing/CommitFlow.cpp
@@ -0,0 +1,124 @@
+#include "routing/CommitFlow.h"
+
+#include "routing/RequestErrors.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+/// Primaries' answers that nothing is recorded under the key, after which the
+/// look-up ends. One is not enough: the commit may still be under way.
+constexpr std::size_t NotRecordedLimit = 3;
+
+Error commitUnknown() {
+  return {.Kind = ErrorKind::OutcomeUnknown,
+          .Message = "the transaction may or may not have been committed",
+          .Remedy = "look whether its work is there; a commit with an "
+                    "idempotency key can be sent again for its outcome"};
+}
+
+} // namespace
+
+CommitFlow::CommitFlow(RequestContext Context, TransactionId Transaction,
+                       std::optional<Route> Pinned, RoutingOptions Options)
+    : Context(std::move(Context)), Transaction(std::move(Transaction)),
+      Pinned(std::move(Pinned)), Options(std::move(Options)) {}
+
+CommitAction CommitFlow::begin(TimePoint Now) {
+  if (!this->Pinned)
+    return this->lookUp(Now);
+  return this->send(*this->Pinned, true, Now);
+}
+
+CommitAction CommitFlow::send(const Route &Where, bool Pinned, TimePoint Now) {
+  Duration Remaining = this->Context.Deadline - Now;
+  const std::optional<IdempotencyKey> &Key = this->Context.Request.Key;
+  this->OnPinned = Pinned;
+  this->Target = Where.Target;
+  CommitAtMember Action;
+  Action.Where = Where;
+  Action.Pinned = Pinned;
+  Action.Request = {.Id = this->Context.Request.Id,
+                    .Transaction = this->Transaction,
+                    .Key = Key};
+  Action.Limit =
+      Key ? std::min(this->Options.AttemptLimit, Remaining) : Remaining;
+  return Action;
+}
+
+CommitAction CommitFlow::lookUp(TimePoint Now) {
+  Duration Remaining = this->Context.Deadline - Now;
+  bool Useless = !this->Context.Request.Key || !this->Context.View ||
+                 Remaining < LeastUsefulTime ||
+                 this->NotRecorded >= NotRecordedLimit;
+  if (Useless)
+    return FinishStatement{commitUnknown()};
+  std::optional<Route> Primary = chooseForWrite(*this->Context.View);
+  return Primary ? this->send(*Primary, false, Now) : this->lookUpLater(Now);
+}
+
+CommitAction CommitFlow::lookUpLater(TimePoint Now) {
+  Duration Remaining = this->Context.Deadline - Now;
+  bool Useless = !this->Context.Request.Key || Remaining < LeastUsefulTime ||
+                 this->NotRecorded >= NotRecordedLimit;
+  if (Useless)
+    return FinishStatement{commitUnknown()};
+  return AwaitView{std::min(ViewPoll, Remaining)};
+}
+
+CommitAction CommitFlow::onMemberOutcome(const Outcome<MemberAnswer> &Answer,
+                                         SharedDatabaseView View,
+                                         TimePoint Now) {
+  this->Context.View = std::move(View);
+  if (Answer)
+    return this->onAnswer(Answer.value(), Now);
+  bool Refused = provesNotRun(Answer.error().Kind);
+  // The transaction was open there alone, so its refusal is proof.
+  if (Refused && this->OnPinned)
+    return FinishStatement{Answer.error()};
+  if (Answer.error().Kind == ErrorKind::NotRun)
+    ++this->NotRecorded;
+  return this->lookUpLater(Now);
+}
+
+CommitAction CommitFlow::onAnswer(const MemberAnswer &Answer, TimePoint Now) {
+  // Nothing was written, so nothing can get lost.
+  if (!Answer.Written)
+    return this->finish(Answer);
+  if (!this->Context.View)
+    return FinishStatement{commitUnknown()};
+  ConfirmWrite Action = confirmationOf(
+      Answer, this->Target, *this->Context.View, this->Context.Deadline - Now);
+  if (Action.Needed == 0)
+    return this->finish(Answer);
+  this->Unconfirmed = Answer;
+  return Action;
+}
+
+CommitAction CommitFlow::onConfirmed(bool Held, TimePoint Now) {
+  if (Held)
+    return this->finish(*this->Unconfirmed);
+  return this->lookUpLater(Now);
+}
+
+CommitAction CommitFlow::onView(SharedDatabaseView View, TimePoint Now) {
+  this->Context.View = std::move(View);
+  return this->lookUp(Now);
+}
+
+CommitAction CommitFlow::finish(const MemberAnswer &Answer) const {
+  StatementAnswer Result;
+  Result.Id = this->Context.Request.Id;
+  Result.Rows = Answer.Rows;
+  Result.Repeated = Answer.Repeated;
+  Result.ServedBy = Answer.Status.Role;
+  Result.Token = this->Context.Token;
+  if (Answer.Written)
+    Result.Token = this->Context.Token.advanced(this->Context.Request.Target,
+                                                *Answer.Written);
+  return FinishStatement{std::move(Result)};
+}
+
+} // namespace turmericpitch
--- a/routing/StatementFlow.cpp
+++ b/routing/StatementFlow.cpp
@@ -1,31 +1,11 @@
 #include "routing/StatementFlow.h"
 
+#include "routing/RequestErrors.h"
+
 #include <algorithm>
 
 namespace turmericpitch {
 
-namespace {
-
-/// Time left at which nothing new is begun.
-constexpr Duration LeastUsefulTime = std::chrono::milliseconds(1);
-constexpr Duration ViewPoll = std::chrono::milliseconds(20);
-
-Error noMember() {
-  return {.Kind = ErrorKind::NotRun,
-          .Message = "no member could serve the statement in time",
-          .Remedy = "send it again, with a longer deadline if a failover runs",
-          .RetryAfter = std::chrono::seconds(1)};
-}
-
-Error notConfirmed() {
-  return {.Kind = ErrorKind::OutcomeUnknown,
-          .Message = "the write ran but is not known to survive a failover",
-          .Remedy = "look whether it is there, or repeat it with the same "
-                    "idempotency key"};
-}
-
-} // namespace
-
 StatementFlow::StatementFlow(RequestContext Context, RoutingOptions Options,
                              std::uint64_t Seed)
     : Context(std::move(Context)), Options(std::move(Options)), Random(Seed) {}
--- a/tests/routing/RequestHarness.cpp
+++ b/tests/routing/RequestHarness.cpp
@@ -124,7 +124,12 @@
   if (const auto *Run = std::get_if<RunAtMember>(&Action))
     return this->runAtMember(Running, *Run);
   if (const auto *Confirm = std::get_if<ConfirmWrite>(&Action))
-    return this->confirm(Running, *Confirm, this->Queue.now() + Confirm->Limit);
+    return this->confirm(
+        Running->Statement.Instance, *Confirm,
+        this->Queue.now() + Confirm->Limit, [this, Running](bool Held) {
+          this->perform(Running,
+                        Running->Flow.onConfirmed(Held, this->Queue.now()));
+        });
   if (const auto *Finished = std::get_if<FinishStatement>(&Action))
     return this->finish(Running, *Finished);
   this->Queue.after(std::get<AwaitView>(Action).Limit, [this, Running] {
@@ -139,69 +144,87 @@
   HarnessResult &Result = this->Results.at(Running->Statement.Name);
   ++Result.Attempts;
   Result.ServedBy = Wanted.Where.Target;
-  TimePoint AskedAt = this->Queue.now();
-  const Instance &From = this->Instances.at(Running->Statement.Instance);
-  if (From.CutOff.contains(Wanted.Where.Target)) {
-    Error Refused{.Kind = ErrorKind::Unavailable,
-                  .Message = "can't connect",
-                  .Remedy = "try another member"};
-    return this->answer(Running, Wanted, Refused, AskedAt);
-  }
-  if (this->Members.at(Wanted.Where.Target).Stuck) {
-    this->Queue.after(Wanted.Limit, [this, Running, Wanted, AskedAt] {
-      this->answer(Running, Wanted, noAnswer(), AskedAt);
-    });
-    return;
-  }
-  this->Queue.after(Hop, [this, Running, Wanted] {
-    this->executeAt(Running, Wanted, this->Queue.now() + Wanted.WaitLimit);
-  });
+  this->executeAt(Running, Wanted, this->Queue.now() + Wanted.WaitLimit);
 }
 
 void RequestHarness::executeAt(const SharedCourse &Running,
                                const RunAtMember &Wanted, TimePoint GiveUpAt) {
+  const std::string &Name = Running->Statement.Instance;
   Member &At = this->Members.at(Wanted.Where.Target);
   TimePoint Now = this->Queue.now();
   WaitRequest Wait{.Entry = Wanted.Request.AtLeast,
                    .Limit = Wanted.WaitLimit,
                    .UntilApplied = true};
-  if (Now < GiveUpAt && !At.Database.waitIsOver(Wait, Now)) {
+  bool Waits = Now < GiveUpAt &&
+               this->reaches(this->Instances.at(Name), Wanted.Where.Target) &&
+               !At.Database.waitIsOver(Wait, Now);
+  if (Waits) {
     this->Queue.after(Poll, [this, Running, Wanted, GiveUpAt] {
       this->executeAt(Running, Wanted, GiveUpAt);
     });
     return;
   }
-  auto Answer = At.Database.handle(At.Connection, Wanted.Request, Now);
-  if (At.CrossNext && Answer)
-    Answer.value().Id = RequestId{"another"};
-  if (At.LoseNext)
-    Answer = noAnswer();
-  At.CrossNext = false;
-  At.LoseNext = false;
-  this->Queue.after(Hop, [this, Running, Wanted, Answer, Now] {
-    this->answer(Running, Wanted, matchAnswer(Wanted.Request.Id, Answer),
-                 Now - Hop);
+  this->exchange(
+      Name, Wanted.Where.Target, At.Connection, Wanted.Request, Wanted.Limit,
+      [this, Running, Name](const Outcome<MemberAnswer> &Answer) {
+        this->perform(Running,
+                      Running->Flow.onMemberOutcome(Answer, this->view(Name),
+                                                    this->Queue.now()));
+      });
+}
+
+void RequestHarness::exchange(const std::string &Name, const UpstreamId &Id,
+                              ConnectionId Connection,
+                              const MemberRequest &Request, Duration Limit,
+                              OnAnswer Done) {
+  TimePoint AskedAt = this->Queue.now();
+  Instance &From = this->Instances.at(Name);
+  auto Note = [this, &From, Id, AskedAt,
+               Done](const Outcome<MemberAnswer> &Answer) {
+    if (Answer)
+      From.Upstreams.onStatus(Orders, Answer.value().Status, AskedAt);
+    else if (Answer.error().Kind == ErrorKind::OutcomeUnknown ||
+             Answer.error().Kind == ErrorKind::Unavailable)
+      From.Upstreams.onFailure(Orders, Id, this->Queue.now());
+    Done(Answer);
+  };
+  if (From.CutOff.contains(Id))
+    return Note(Error{.Kind = ErrorKind::Unavailable,
+                      .Message = "can't connect",
+                      .Remedy = "try another member"});
+  if (this->Members.at(Id).Stuck) {
+    this->Queue.after(Limit, [Note] { Note(noAnswer()); });
+    return;
+  }
+  this->Queue.after(Hop, [this, Id, Connection, Request, Note] {
+    Member &At = this->Members.at(Id);
+    auto Answer = At.Database.handle(Connection, Request, this->Queue.now());
+    if (At.CrossNext && Answer)
+      Answer.value().Id = RequestId{"another"};
+    if (At.LoseNext)
+      Answer = noAnswer();
+    At.CrossNext = false;
+    At.LoseNext = false;
+    this->Queue.after(Hop, [Note, Expected = requestIdOf(Request), Answer] {
+      Note(matchAnswer(Expected, Answer));
+    });
   });
 }
 
-void RequestHarness::answer(const SharedCourse &Running,
-                            const RunAtMember &Wanted,
-                            const Outcome<MemberAnswer> &Answer,
-                            TimePoint AskedAt) {
-  Instance &At = this->Instances.at(Running->Statement.Instance);
-  if (Answer)
-    At.Upstreams.onStatus(Orders, Answer.value().Status, AskedAt);
-  else if (Answer.error().Kind == ErrorKind::OutcomeUnknown ||
-           Answer.error().Kind == ErrorKind::Unavailable)
-    At.Upstreams.onFailure(Orders, Wanted.Where.Target, this->Queue.now());
-  this->perform(Running,
-                Running->Flow.onMemberOutcome(Answer, At.Upstreams.view(Orders),
-                                              this->Queue.now()));
+MemberStandIn &RequestHarness::member(const UpstreamId &Id) {
+  return this->Members.at(Id).Database;
+}
+
+SharedDatabaseView RequestHarness::view(const std::string &Name) const {
+  return this->Instances.at(Name).Upstreams.view(Orders);
 }
 
-void RequestHarness::confirm(const SharedCourse &Running,
-                             const ConfirmWrite &Wanted, TimePoint GiveUpAt) {
-  Instance &From = this->Instances.at(Running->Statement.Instance);
+const DatabaseId &RequestHarness::database() { return Orders; }
+
+void RequestHarness::confirm(const std::string &Name,
+                             const ConfirmWrite &Wanted, TimePoint GiveUpAt,
+                             OnConfirmed Done) {
+  Instance &From = this->Instances.at(Name);
   std::size_t Held = 0;
   std::size_t Refused = 0;
   WaitRequest Wait{.Entry = Wanted.Written, .Limit = Wanted.Limit};
@@ -217,14 +240,12 @@
   bool Hopeless = Wanted.Replicas.size() - Refused < Wanted.Needed;
   bool Over = this->Queue.now() + Poll >= GiveUpAt;
   if (Held < Wanted.Needed && !Hopeless && !Over) {
-    this->Queue.after(Poll, [this, Running, Wanted, GiveUpAt] {
-      this->confirm(Running, Wanted, GiveUpAt);
+    this->Queue.after(Poll, [this, Name, Wanted, GiveUpAt, Done] {
+      this->confirm(Name, Wanted, GiveUpAt, Done);
     });
     return;
   }
-  this->Queue.after(Hop, [this, Running, Sure = Held >= Wanted.Needed] {
-    this->perform(Running, Running->Flow.onConfirmed(Sure, this->Queue.now()));
-  });
+  this->Queue.after(Hop, [Done, Sure = Held >= Wanted.Needed] { Done(Sure); });
 }
 
 void RequestHarness::finish(const SharedCourse &Running,
--- a/tests/routing/RequestHarness.h
+++ b/tests/routing/RequestHarness.h
@@ -6,6 +6,7 @@
 #include "routing/StatementFlow.h"
 #include "stand_ins/MemberStandIn.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -67,6 +68,24 @@
   /// What reads at the member see of a key.
   std::string valueAt(const UpstreamId &Member, const std::string &Key);
 
+  using OnAnswer = std::function<void(const Outcome<MemberAnswer> &)>;
+  using OnConfirmed = std::function<void(bool)>;
+  /// Sends a request on a connection and tells the instance's view of the
+  /// answer before it calls Done.
+  void exchange(const std::string &Instance, const UpstreamId &Member,
+                ConnectionId Connection, const MemberRequest &Request,
+                Duration Limit, OnAnswer Done);
+  void confirm(const std::string &Instance, const ConfirmWrite &Wanted,
+               TimePoint GiveUpAt, OnConfirmed Done);
+  MemberStandIn &member(const UpstreamId &Id);
+  /// The database's view at an instance, and its id.
+  SharedDatabaseView view(const std::string &Instance) const;
+  static const DatabaseId &database();
+  EventQueue &queue() { return this->Queue; }
+  SessionToken &session(const std::string &Name) {
+    return this->Sessions[Name];
+  }
+
 private:
   struct Member {
     explicit Member(MemberOptions Options) : Database(std::move(Options)) {}
@@ -91,10 +110,6 @@
   void runAtMember(const SharedCourse &Running, const RunAtMember &Wanted);
   void executeAt(const SharedCourse &Running, const RunAtMember &Wanted,
                  TimePoint GiveUpAt);
-  void answer(const SharedCourse &Running, const RunAtMember &Wanted,
-              const Outcome<MemberAnswer> &Answer, TimePoint AskedAt);
-  void confirm(const SharedCourse &Running, const ConfirmWrite &Wanted,
-               TimePoint GiveUpAt);
   void finish(const SharedCourse &Running, const FinishStatement &Finished);
   bool reaches(const Instance &From, const UpstreamId &To) const;
 
--- a/tests/routing/RequestScenarioTest.cpp
+++ b/tests/routing/RequestScenarioTest.cpp
@@ -1,4 +1,4 @@
-#include "tests/routing/RequestHarness.h"
+#include "tests/routing/TransactionHarness.h"
 #include "tests/support/Scenario.h"
 
 #include <gtest/gtest.h>
@@ -91,6 +91,67 @@
     this->Harness.promote(UpstreamId{Step.text("member")}, Unreached);
   }
 
+  TransactionCall readCall(YamlReader &Step) {
+    TransactionCall Call;
+    Call.Name = Step.text("name");
+    Call.Instance = Step.text("instance");
+    Call.Connection = Step.text("connection");
+    Call.Session = Step.text("session", "");
+    Call.Account = Step.text("account", "account");
+    Call.Transaction = Step.text("transaction", "");
+    Call.Request.Statement = Step.text("text", "");
+    Call.Request.Write = Step.flag("write", false);
+    if (Step.has("key"))
+      Call.Request.Key = IdempotencyKey{Step.text("key")};
+    Call.Request.Patience =
+        Step.duration("patience", {}, std::chrono::seconds(2));
+    return Call;
+  }
+
+  void expectCall(YamlReader &Step) {
+    std::string Name = Step.text("name");
+    std::string Wanted = Step.text("outcome", "done");
+    EXPECT_EQ(Wanted, this->Transactions.outcome(Name)) << Name;
+    bool Done = this->Transactions.outcome(Name) == "done";
+    if (Step.has("rows")) {
+      std::vector<std::string> Rows = Step.texts("rows");
+      if (Done) {
+        EXPECT_EQ(Rows, this->Transactions.answer(Name).Rows) << Name;
+      }
+    }
+    if (Step.has("repeated")) {
+      bool Repeated = Step.flag("repeated");
+      if (Done) {
+        EXPECT_EQ(Repeated, this->Transactions.answer(Name).Repeated) << Name;
+      }
+    }
+  }
+
+  StepHandlers transactionHandlers() {
+    TransactionHarness &T = this->Transactions;
+    return {
+        {"begin", [&](YamlReader &Step) { T.begin(this->readCall(Step)); }},
+        {"execute", [&](YamlReader &Step) { T.execute(this->readCall(Step)); }},
+        {"commit", [&](YamlReader &Step) { T.commit(this->readCall(Step)); }},
+        {"rollback",
+         [&](YamlReader &Step) { T.rollback(this->readCall(Step)); }},
+        {"drop",
+         [&](YamlReader &Step) {
+           std::string Instance = Step.text("instance");
+           T.drop(Instance, Step.text("connection"));
+         }},
+        {"kill", [&](YamlReader &Step) { T.kill(Step.text("instance")); }},
+        {"expect_call", [&](YamlReader &Step) { this->expectCall(Step); }},
+        {"expect_connections",
+         [&](YamlReader &Step) {
+           UpstreamId Member{Step.text("member")};
+           EXPECT_EQ(Step.number("count", {}),
+                     static_cast<std::int64_t>(
+                         this->Harness.member(Member).connections()));
+         }},
+    };
+  }
+
   StepHandlers handlers() {
     RequestHarness &H = this->Harness;
     auto Id = [](YamlReader &Step) { return UpstreamId{Step.text("member")}; };
@@ -125,10 +186,13 @@
 
   EventQueue Queue;
   RequestHarness Harness{this->Queue};
+  TransactionHarness Transactions{this->Harness};
 };
 
 TEST_P(RequestScenario, Plays) {
-  runScenario(this->GetParam(), this->Queue, this->handlers());
+  StepHandlers All = this->handlers();
+  All.merge(this->transactionHandlers());
+  runScenario(this->GetParam(), this->Queue, All);
 }
 
 INSTANTIATE_TEST_SUITE_P(Requests, RequestScenario,
--- /dev/null
+++ b/tests/routing/TransactionHarness.h
@@ -0,0 +1,81 @@
+// Transactions of callers over a RequestHarness.
+#pragma once
+
+#include "routing/BeginFlow.h"
+#include "routing/CommitFlow.h"
+#include "session/TransactionState.h"
+#include "tests/routing/RequestHarness.h"
+
+namespace turmericpitch {
+
+/// One request of a transaction as a scenario asks for it.
+struct TransactionCall {
+  std::string Name;
+  std::string Instance;
+  /// The caller's connection to the instance.
+  std::string Connection;
+  std::string Session;
+  std::string Account = "account";
+  /// The name of the call that began the transaction.
+  std::string Transaction;
+  StatementRequest Request;
+};
+
+/// Does with virtual time what drivers/TransactionRunner does with sockets.
+/// Not thread-safe.
+class TransactionHarness {
+public:
+  explicit TransactionHarness(RequestHarness &Requests) : Requests(Requests) {}
+
+  void begin(const TransactionCall &Call);
+  void execute(const TransactionCall &Call);
+  void commit(const TransactionCall &Call);
+  void rollback(const TransactionCall &Call);
+  /// The caller's connection ends.
+  void drop(const std::string &Instance, const std::string &Connection);
+  /// The instance dies: all its connections end.
+  void kill(const std::string &Instance);
+
+  /// The outcome's name, or "done", or "pending".
+  std::string outcome(const std::string &Name) const;
+  const StatementAnswer &answer(const std::string &Name) const;
+
+private:
+  struct Held {
+    TransactionState State;
+    Route Where;
+    ConnectionId Connection;
+  };
+  using CallerKey = std::pair<std::string, std::string>;
+  using PoolKey = std::pair<std::string, UpstreamId>;
+
+  RequestContext contextOf(const TransactionCall &Call);
+  ConnectionId acquire(const std::string &Instance, const UpstreamId &Member);
+  void giveBack(const std::string &Instance, const UpstreamId &Member,
+                ConnectionId Connection, bool Clean);
+  void release(const CallerKey &Caller);
+  /// The open transaction that the call may use; else its refusal is noted.
+  Held *claim(const TransactionCall &Call, bool Note);
+  void watch(const CallerKey &Caller, const TransactionId &Id);
+  void performBegin(const TransactionCall &Call,
+                    const std::shared_ptr<BeginFlow> &Flow, BeginAction Action);
+  void performCommit(const TransactionCall &Call,
+                     const std::shared_ptr<CommitFlow> &Flow,
+                     CommitAction Action);
+  void sendCommit(const TransactionCall &Call,
+                  const std::shared_ptr<CommitFlow> &Flow,
+                  const CommitAtMember &Wanted);
+  void note(const TransactionCall &Call, Outcome<StatementAnswer> Answer);
+  TimePoint now() { return this->Requests.queue().now(); }
+
+  RequestHarness &Requests;
+  std::map<CallerKey, Held> Open;
+  std::map<PoolKey, std::vector<ConnectionId>> Idle;
+  std::map<PoolKey, std::set<ConnectionId>> Leased;
+  std::map<std::string, TransactionId> Begun;
+  std::map<std::string, Outcome<StatementAnswer>> Results;
+  std::map<std::string, ClientAccount> Accounts;
+  std::set<std::string> Dead;
+};
+
+} // namespace turmericpitch
