--- a/routing/Filters.cpp
+++ b/routing/Filters.cpp
@@ -57,6 +57,10 @@
         forbidden("no such service or database for this client account",
                   "use a service and database of your client account"));
   Context.Target = Configuration.database(Request.Target);
+  // Names hold no ':', so keys of two client accounts never meet.
+  if (Request.Key)
+    Context.Request.Key =
+        IdempotencyKey{Context.Account->Id.Value + ":" + Request.Key->Value};
   return {};
 }
 
--- a/routing/Filters.h
+++ b/routing/Filters.h
@@ -36,7 +36,7 @@
 
 /// Finds the brand by host, the client account by credential, and the
 /// database within the account's services. Never tells one brand's callers
-/// about another brand's things.
+/// about another brand's things. Makes the idempotency key the account's own.
 class AccountFilter {
 public:
   Result<void> apply(RequestContext &Context) const;
