--- a/tests/routing/FiltersTest.cpp
+++ b/tests/routing/FiltersTest.cpp
@@ -15,6 +15,11 @@
                        .Databases = {DatabaseId{"orders"}}};
   Database Orders;
   Orders.Id = DatabaseId{"orders"};
+  DatabaseMember Primary;
+  Primary.Id = UpstreamId{"m1"};
+  Primary.Where = {.Address = "127.0.0.1", .Port = 7201};
+  Primary.Zone = ZoneId{"vatva"};
+  Orders.Members.push_back(Primary);
   std::map<ObjectKey, ObjectRecord> Records;
   auto Put = [&](ObjectKind Kind, const std::string &Name,
                  const std::string &Json) {
