--- a/drivers/CallerApi.cpp
+++ b/drivers/CallerApi.cpp
@@ -1,6 +1,7 @@
 #include "drivers/CallerApi.h"
 
 #include "core/DecisionLog.h"
+#include "core/Metrics.h"
 
 namespace turmericpitch {
 
@@ -25,6 +26,18 @@
                     .field("message", Failure.Message));
 }
 
+void countRequest(bool Read, const Outcome<StatementAnswer> &Answer,
+                  Duration Took) {
+  Metrics &Figures = processMetrics();
+  Figures.count("statements_total",
+                Answer ? "answered" : toString(Answer.error().Kind));
+  if (!Answer)
+    return;
+  Figures.observe("statement_seconds", Read ? "read" : "write", Took);
+  if (Read)
+    Figures.count("reads_total", toString(Answer.value().ServedBy));
+}
+
 } // namespace
 
 CallerApi::CallerApi(CallerApiOptions Options,
@@ -100,8 +113,12 @@
   if (Request.Operation == CallerOperation::Begin)
     co_return co_await this->runBegin(std::move(Context), Caller);
   ClientAccountId Owner = Context.Account->Id;
+  bool Read =
+      Request.Operation == CallerOperation::Statement && !Context.Request.Write;
+  TimePoint ArrivedAt = Context.ArrivedAt;
   auto Answer = co_await this->runAnswered(std::move(Context),
                                            std::move(Request), Caller);
+  countRequest(Read, Answer, this->Time.now() - ArrivedAt);
   if (!Answer)
     co_return replyWith(Answer.error());
   co_return this->replyWithToken(
--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -50,12 +50,21 @@
   return Options;
 }
 
+HttpServerOptions serverOptions(const Endpoint &Listen,
+                                const std::shared_ptr<TlsKeys> &Keys) {
+  HttpServerOptions Options;
+  Options.Listen = Listen;
+  if (Keys)
+    Options.CurrentTls = [Keys] { return Keys->current(); };
+  return Options;
+}
+
 /// A server whose handler is shared by all its connections.
 template <typename Api>
 std::unique_ptr<HttpServer> makeServer(Executor On, const Endpoint &Listen,
-                                       std::shared_ptr<Api> Shared) {
-  HttpServerOptions Options;
-  Options.Listen = Listen;
+                                       std::shared_ptr<Api> Shared,
+                                       std::shared_ptr<TlsKeys> Keys) {
+  HttpServerOptions Options = serverOptions(Listen, Keys);
   return std::make_unique<HttpServer>(On, Options, [Shared]() -> HttpHandler {
     return [Shared](HttpRequest Request) -> Awaitable<HttpReply> {
       return Shared->handle(std::move(Request));
@@ -66,9 +75,9 @@
 /// The callers' server: each connection has its own open transaction.
 std::unique_ptr<HttpServer> makeCallerServer(Executor On,
                                              const Endpoint &Listen,
-                                             std::shared_ptr<CallerApi> Api) {
-  HttpServerOptions Options;
-  Options.Listen = Listen;
+                                             std::shared_ptr<CallerApi> Api,
+                                             std::shared_ptr<TlsKeys> Keys) {
+  HttpServerOptions Options = serverOptions(Listen, Keys);
   return std::make_unique<HttpServer>(On, Options, [Api]() -> HttpHandler {
     auto Caller = std::make_shared<CallerTransaction>();
     return [Api, Caller](HttpRequest Request) -> Awaitable<HttpReply> {
@@ -83,6 +92,8 @@
   explicit Parts(DaemonSettings Settings);
 
   void onConfigurationApplied();
+  /// Errors: BadRequest if the TLS keys can't be used.
+  Status openServers();
   void applyLimits(const Database &Configured);
 
   DaemonSettings Settings;
@@ -102,6 +113,7 @@
   std::shared_ptr<CallerApi> Callers;
   std::shared_ptr<OperatorApi> Operators;
   std::shared_ptr<PeerTransport> Peers;
+  std::shared_ptr<TlsKeys> Keys;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> OperatorServer;
   std::vector<std::thread> Threads;
@@ -145,10 +157,6 @@
   this->Peers = std::make_shared<PeerTransport>(
       this->On, this->Settings.PeerListen, this->Settings.Self,
       this->Settings.PeerKeys);
-  this->CallerServer =
-      makeCallerServer(this->On, this->Settings.Callers, this->Callers);
-  this->OperatorServer =
-      makeServer(this->On, this->Settings.Operators, this->Operators);
 }
 
 void Daemon::Parts::applyLimits(const Database &Configured) {
@@ -176,6 +184,20 @@
   this->Keeper->onConfigured(Databases);
 }
 
+Status Daemon::Parts::openServers() {
+  if (this->Settings.Tls) {
+    auto Loaded = TlsKeys::load(*this->Settings.Tls);
+    if (!Loaded)
+      return Loaded.error();
+    this->Keys = Loaded.value();
+  }
+  this->CallerServer = makeCallerServer(this->On, this->Settings.Callers,
+                                        this->Callers, this->Keys);
+  this->OperatorServer = makeServer(this->On, this->Settings.Operators,
+                                    this->Operators, this->Keys);
+  return std::monostate{};
+}
+
 Daemon::Daemon(DaemonSettings Settings)
     : Own(std::make_unique<Parts>(std::move(Settings))) {}
 
@@ -183,6 +205,9 @@
 
 Status Daemon::start() {
   Parts &P = *this->Own;
+  Status Opened = P.openServers();
+  if (!Opened)
+    return Opened;
   for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()}) {
     Status Started = Server->start();
     if (!Started)
@@ -209,12 +234,19 @@
   return this->Own->CallerServer->requestsInFlight() == 0;
 }
 
+Status Daemon::reloadKeys() {
+  if (!this->Own->Keys)
+    return std::monostate{};
+  return this->Own->Keys->reload();
+}
+
 void Daemon::stop() {
   Parts &P = *this->Own;
   P.Sync->stop();
   P.Keeper->stop();
-  P.CallerServer->close();
-  P.OperatorServer->close();
+  for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()})
+    if (Server)
+      Server->close();
   P.Peers->close();
   P.Context.stop();
   for (std::thread &Each : P.Threads)
