--- a/drivers/StatementRunner.h
+++ b/drivers/StatementRunner.h
@@ -1,13 +1,18 @@
 // Carries out what a statement's flow decides.
 #pragma once
 
+#include "core/Sharded.h"
 #include "drivers/MemberPool.h"
+#include "limits/RetryBudget.h"
 #include "routing/StatementFlow.h"
 
 #include <atomic>
 
 namespace turmericpitch {
 
+/// How a request asks for a connection. Thread-safe.
+AdmissionRequest admissionOf(const RequestContext &Context);
+
 /// Thread-safe; one for each daemon.
 class StatementRunner {
 public:
@@ -30,13 +35,20 @@
             const Outcome<MemberAnswer> &Answer, TimePoint AskedAt);
 
 private:
-  Awaitable<Outcome<MemberAnswer>> runAtMember(DatabaseId Id,
-                                               RunAtMember Wanted);
+  Awaitable<Outcome<MemberAnswer>>
+  runAtMember(DatabaseId Id, RunAtMember Wanted, AdmissionRequest Admitted);
+  /// Counts a statement's attempt at an upstream, the first there from 0;
+  /// waits before a retry. False if the retry budget is spent: then nothing
+  /// may be sent.
+  Awaitable<bool> mayAttempt(Endpoint Upstream, std::uint32_t Attempt,
+                             TimePoint Deadline);
 
   std::shared_ptr<MemberPool> Statements;
   std::shared_ptr<MemberPool> Control;
   std::shared_ptr<UpstreamController> Upstreams;
   RoutingOptions Options;
+  RetryBudgetOptions RetryOptions;
+  Sharded<std::string, RetryBudget> RetryBudgets;
   std::atomic<std::uint64_t> NextSeed = 1;
   MonotonicClock Time;
 };
--- a/drivers/TransactionRunner.cpp
+++ b/drivers/TransactionRunner.cpp
@@ -65,9 +65,10 @@
       Runner(std::move(Runner)), Options(std::move(Options)), Limits(Limits) {}
 
 Awaitable<TransactionRunner::BegunAt>
-TransactionRunner::beginAt(DatabaseId Id, BeginAtMember Wanted) {
-  auto Leased =
-      co_await this->Statements->acquire(Wanted.Where.Where, Wanted.Limit);
+TransactionRunner::beginAt(DatabaseId Id, BeginAtMember Wanted,
+                           AdmissionRequest Admitted) {
+  auto Leased = co_await this->Statements->acquire(
+      Wanted.Where.Where, std::move(Admitted), Wanted.Limit);
   if (!Leased)
     co_return BegunAt{.Connection = nullptr, .Answer = Leased.error()};
   TimePoint AskedAt = this->Time.now();
@@ -89,6 +90,9 @@
   }
   DatabaseId Id = Context.Request.Target;
   ClientAccountId Owner = Context.Account->Id;
+  AdmissionRequest Admitted = admissionOf(Context);
+  // A transaction is let in like the writes that it is there for.
+  Admitted.Class = AdmissionClass::Write;
   BeginFlow Flow(std::move(Context), this->Options);
   BeginAction Action = Flow.begin(this->Time.now());
   SharedLease Connection;
@@ -96,7 +100,7 @@
   while (!std::holds_alternative<FinishBegin>(Action)) {
     if (auto *Begin = std::get_if<BeginAtMember>(&Action)) {
       Where = Begin->Where;
-      BegunAt Begun = co_await this->beginAt(Id, *Begin);
+      BegunAt Begun = co_await this->beginAt(Id, *Begin, Admitted);
       Connection = std::move(Begun.Connection);
       Action = Flow.onMemberOutcome(Begun.Answer, this->Upstreams->view(Id),
                                     this->Time.now());
--- a/drivers/TransactionRunner.h
+++ b/drivers/TransactionRunner.h
@@ -61,7 +61,8 @@
     Outcome<MemberAnswer> Answer;
   };
 
-  Awaitable<BegunAt> beginAt(DatabaseId Id, BeginAtMember Wanted);
+  Awaitable<BegunAt> beginAt(DatabaseId Id, BeginAtMember Wanted,
+                             AdmissionRequest Admitted);
   Awaitable<Outcome<MemberAnswer>>
   commitAt(DatabaseId Id, CommitAtMember Wanted,
            std::shared_ptr<CallerTransaction> Caller);
--- a/routing/BeginFlow.cpp
+++ b/routing/BeginFlow.cpp
@@ -37,6 +37,9 @@
   this->Context.View = std::move(View);
   if (Answer)
     return FinishBegin{this->Sought};
+  // Given up: the caller learns at once when to come back.
+  if (Answer.error().Kind == ErrorKind::Overloaded)
+    return FinishBegin{Answer.error()};
   return this->awaitView(Now);
 }
 
--- a/routing/StatementFlow.cpp
+++ b/routing/StatementFlow.cpp
@@ -48,6 +48,8 @@
       return this->refuse(Choice.error());
     Chosen = Choice.value();
   }
+  if (!Chosen && this->Shed)
+    return this->refuse(*this->Shed);
   return Chosen ? this->runAt(*Chosen, Now) : this->awaitView(Now);
 }
 
@@ -144,6 +146,12 @@
     return this->refuse(Failure);
   if (!provesNotRun(Failure.Kind) && !this->mayRepeat())
     return this->refuse(Failure);
+  // Given up: the caller learns at once when to come back, unless another
+  // member may serve the read.
+  if (Failure.Kind == ErrorKind::Overloaded)
+    this->Shed = Failure;
+  if (Request.Write && this->Shed)
+    return this->refuse(*this->Shed);
   if (Request.Write)
     return this->awaitView(Now);
   this->Excluded.push_back(this->Target);
