--- a/stand_ins/MemberStandIn.cpp
+++ b/stand_ins/MemberStandIn.cpp
@@ -374,6 +374,10 @@
 
 MemberStatus MemberStandIn::status(TimePoint Now) {
   this->applyDue(Now);
+  return this->lastStatus();
+}
+
+MemberStatus MemberStandIn::lastStatus() const {
   return {.Id = this->Options.Id,
           .Role = this->Role,
           .Accepted = this->Accepted,
@@ -418,10 +422,18 @@
   if (Batch.Accepted != this->Accepted || this->Following.Value.empty() ||
       Batch.After > this->lastEntry().Position)
     return;
-  if (Batch.After < this->lastEntry().Position)
-    this->truncateTo(Batch.After);
-  for (const LogEntry &Entry : Batch.Entries)
+  // A late batch may lie wholly within what is held: only entries that differ
+  // are cut off, never what an earlier batch brought.
+  LogPosition At = Batch.After;
+  for (const LogEntry &Entry : Batch.Entries) {
+    ++At.Value;
+    bool Held = At <= this->lastEntry().Position;
+    if (Held && this->Log[At.Value - 1].WrittenIn == Entry.WrittenIn)
+      continue;
+    if (Held)
+      this->truncateTo(LogPosition{At.Value - 1});
     this->appendEntry(Entry, Now + this->Options.ApplyLag);
+  }
   // Terms that begin beyond what is held here are not yet this log's.
   std::vector<TermStart> Starts;
   LogPosition Reached{this->Log.size()};
--- a/stand_ins/MemberStandIn.h
+++ b/stand_ins/MemberStandIn.h
@@ -85,6 +85,8 @@
   bool waitIsOver(const WaitRequest &Request, TimePoint Now);
 
   [[nodiscard]] MemberStatus status(TimePoint Now);
+  /// The status without what has become visible since the last event.
+  [[nodiscard]] MemberStatus lastStatus() const;
 
   /// What to ask of which primary; nothing if it follows none.
   [[nodiscard]] std::optional<ReplicationRequest> replicationRequest() const;
@@ -98,6 +100,8 @@
   [[nodiscard]] std::uint64_t entriesCutOff() const { return this->CutOff; }
   [[nodiscard]] std::size_t connections() const { return this->Open.size(); }
   [[nodiscard]] std::uint64_t statementsRun() const { return this->Ran; }
+  /// The attempt that the accepted term is promised to; empty for none.
+  [[nodiscard]] const std::string &sealedBy() const { return this->SealedBy; }
   MemberOptions &options() { return this->Options; }
   [[nodiscard]] const std::vector<LogEntry> &log() const { return this->Log; }
 
--- /dev/null
+++ b/tests/failover/PromotionModel.cpp
@@ -0,0 +1,430 @@
+#include "tests/failover/PromotionModel.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr std::array<const char *, 3> Names{"a", "b", "c"};
+
+std::size_t indexOf(const UpstreamId &Id) {
+  return static_cast<std::size_t>(Id.Value[0] - 'a');
+}
+
+std::string text(const TermPosition &Entry) {
+  return std::to_string(Entry.WrittenIn.Value) + "." +
+         std::to_string(Entry.Position.Value);
+}
+
+std::string text(const MemberRequest &Request) {
+  if (const auto *Seal = std::get_if<SealRequest>(&Request))
+    return "seal " + std::to_string(Seal->Next.Value) + Seal->Attempt;
+  if (const auto *Promote = std::get_if<PromoteRequest>(&Request))
+    return "promote " + std::to_string(Promote->Next.Value) + Promote->Attempt +
+           "@" + text(Promote->ChosenAt);
+  const auto &Follow = std::get<FollowRequest>(Request);
+  return "follow " + std::to_string(Follow.Next.Value) + Follow.Primary.Value;
+}
+
+std::vector<Term> termsOf(const std::vector<LogEntry> &Log) {
+  std::vector<Term> Terms;
+  for (const LogEntry &Entry : Log)
+    Terms.push_back(Entry.WrittenIn);
+  return Terms;
+}
+
+std::string text(const std::vector<LogEntry> &Log) {
+  std::string Text;
+  for (const LogEntry &Entry : Log)
+    Text += std::to_string(Entry.WrittenIn.Value) + Entry.Key.Value + ",";
+  return Text;
+}
+
+std::string text(const MemberStandIn &Member) {
+  auto Replication = Member.replicationRequest();
+  return text(Member.log()) + "/" + Member.sealedBy() + "/" +
+         (Replication ? Replication->Primary.Value : "");
+}
+
+bool isPrefix(const std::vector<Term> &Of, const std::vector<Term> &Whole) {
+  return Of.size() <= Whole.size() &&
+         std::equal(Of.begin(), Of.end(), Whole.begin());
+}
+
+Database threeMembers() {
+  Database Target;
+  for (const char *Name : Names) {
+    DatabaseMember Member;
+    Member.Id = UpstreamId{Name};
+    Target.Members.push_back(Member);
+  }
+  return Target;
+}
+
+/// Whether the member refuses the call now and ever after, or it would change
+/// nothing.
+bool isVain(const MemberStandIn &Member, const MemberRequest &Request) {
+  Term Accepted = Member.lastStatus().Accepted;
+  if (const auto *Seal = std::get_if<SealRequest>(&Request))
+    return Seal->Next < Accepted ||
+           (Seal->Next == Accepted && Seal->Attempt != Member.sealedBy());
+  if (const auto *Promote = std::get_if<PromoteRequest>(&Request))
+    return Promote->Next < Accepted;
+  const auto &Follow = std::get<FollowRequest>(Request);
+  auto Present = Member.replicationRequest();
+  return Follow.Next < Accepted || (Follow.Next == Accepted && Present &&
+                                    Present->Primary == Follow.Primary);
+}
+
+} // namespace
+
+PromotionModel::PromotionModel(ModelOptions Options)
+    : Options(std::move(Options)) {}
+
+PromotionModel::State PromotionModel::firstState() const {
+  State First;
+  for (std::size_t Index = 0; Index < MemberCount; ++Index) {
+    MemberOptions Member;
+    Member.Id = UpstreamId{Names[Index]};
+    MemberStandIn Made(Member);
+    Made.bootstrap(UpstreamId{"a"});
+    First.At[Index] = snapshot(std::move(Made));
+  }
+  First.Reigns[Term{1}] = {};
+  First.WritesLeft = this->Options.Writes;
+  First.DuplicatesLeft = this->Options.Duplicates;
+  for (Term Next : this->Options.Attempts) {
+    std::size_t Index = First.Attempts.size();
+    bool Shared = this->Options.Broken == BrokenRule::SealWithoutAttempt;
+    std::string Name(1, static_cast<char>(Shared ? 'X' : 'P' + Index));
+    Promotion Running(threeMembers(), Next, Name);
+    std::vector<MemberCall> Calls = Running.begin();
+    First.Attempts.push_back(std::make_shared<const AttemptState>(
+        AttemptState{.Running = std::move(Running), .Seen = {}}));
+    this->sendCalls(First, Index, Calls);
+  }
+  if (!this->Options.FirstWriteRan)
+    return First;
+  State Written = *this->written(First, Term{1}, 0);
+  Written.Reigns[Term{1}].Log = termsOf(Written.At[0]->Member.log());
+  return Written;
+}
+
+ModelVerdict PromotionModel::search() {
+  this->Waiting.push_back(this->firstState());
+  while (!this->Waiting.empty() && this->Verdict.Violation.empty()) {
+    State Next = std::move(this->Waiting.back());
+    this->Waiting.pop_back();
+    this->visit(Next);
+  }
+  this->Verdict.States = this->Visited.size();
+  return this->Verdict;
+}
+
+void PromotionModel::visit(const State &From) {
+  this->write(From);
+  this->replicate(From);
+  for (std::size_t Index = 0; Index < From.Flying.size(); ++Index) {
+    const Message &What = *From.Flying[Index];
+    this->deliver(From, Index, false, true);
+    // A seal's answer may be lost. Another call's lost answer is the same as
+    // what follows from it never arriving.
+    bool Seal =
+        What.Attempt && std::holds_alternative<SealRequest>(What.Request);
+    if (Seal && this->Options.AnswersMayBeLost)
+      this->deliver(From, Index, false, false);
+    if (From.DuplicatesLeft > 0)
+      this->deliver(From, Index, true, true);
+  }
+}
+
+void PromotionModel::write(const State &From) {
+  if (From.WritesLeft == 0)
+    return;
+  for (const auto &[Under, Of] : From.Reigns)
+    if (auto To = this->written(From, Under, Of.Member))
+      this->reach(From, std::move(*To));
+}
+
+std::optional<PromotionModel::State>
+PromotionModel::written(const State &From, Term Under,
+                        std::size_t Member) const {
+  State To = From;
+  ExecuteRequest Write;
+  Write.Statement = "put booking 1";
+  Write.Write = true;
+  Write.Key = IdempotencyKey{
+      this->Options.OneKey ? "k" : "k" + std::to_string(From.WritesLeft)};
+  Write.Expected = Under;
+  auto Answer = call(To, Member, Write);
+  if (!Answer)
+    return std::nullopt;
+  --To.WritesLeft;
+  WriteConfirmation Wanted = confirmationFor(Answer.value());
+  if (this->Options.Broken == BrokenRule::ConfirmOldEntry)
+    Wanted.Entry = *Answer.value().Written;
+  To.Unconfirmed.insert(Wanted);
+  note(To, "write " + Write.Key->Value + " at " + Names[Member] + " under " +
+               std::to_string(Under.Value));
+  return To;
+}
+
+void PromotionModel::replicate(const State &From) {
+  for (std::size_t Index = 0; Index < MemberCount; ++Index) {
+    auto Request = From.At[Index]->Member.replicationRequest();
+    if (!Request)
+      continue;
+    auto Batch = From.At[indexOf(Request->Primary)]->Member.replicate(*Request);
+    if (Batch && this->Options.ShortBatches && !Batch.value().Entries.empty())
+      Batch.value().Entries.resize(1);
+    bool News = Batch && (!Batch.value().Entries.empty() ||
+                          Batch.value().History != Request->History);
+    if (!News)
+      continue;
+    State To = From;
+    if (this->Options.BatchesInFlight == 0) {
+      take(To, Index, Batch.value());
+      note(To, std::string("replicate to ") + Names[Index]);
+      this->reach(From, std::move(To));
+      continue;
+    }
+    auto Flying = std::count_if(From.Flying.begin(), From.Flying.end(),
+                                [&](const SharedMessage &Each) {
+                                  return Each->Batch && Each->Target == Index;
+                                });
+    if (Flying >= this->Options.BatchesInFlight)
+      continue;
+    this->send(To, {.Target = Index, .Batch = Batch.value()});
+    note(To, std::string("serve a batch for ") + Names[Index]);
+    this->reach(From, std::move(To));
+  }
+}
+
+void PromotionModel::send(State &Next, Message What) const {
+  if (What.Batch)
+    What.Text = "batch " + std::to_string(What.Batch->Accepted.Value) + "+" +
+                std::to_string(What.Batch->After.Value) + ":" +
+                text(What.Batch->Entries);
+  else
+    What.Text = text(What.Request);
+  What.Text += std::string(" to ") + Names[What.Target];
+  if (What.Attempt)
+    What.Text += " of attempt " + std::to_string(*What.Attempt);
+  auto Made = std::make_shared<const Message>(std::move(What));
+  auto Place = std::lower_bound(
+      Next.Flying.begin(), Next.Flying.end(), Made,
+      [](const auto &L, const auto &R) { return L->Text < R->Text; });
+  Next.Flying.insert(Place, Made);
+}
+
+void PromotionModel::sendCalls(State &Next, std::size_t Attempt,
+                               const std::vector<MemberCall> &Calls) const {
+  for (const MemberCall &Call : Calls) {
+    Message What{.Target = indexOf(Call.Target), .Attempt = Attempt};
+    What.Request = Call.Request;
+    auto *Promote = std::get_if<PromoteRequest>(&What.Request);
+    if (Promote && this->Options.Broken == BrokenRule::ChooseByPosition)
+      Promote->ChosenAt = Next.At[What.Target]->Status.Received;
+    this->send(Next, std::move(What));
+  }
+}
+
+std::shared_ptr<const PromotionModel::Snapshot>
+PromotionModel::snapshot(MemberStandIn Member) {
+  MemberStatus Status = Member.lastStatus();
+  std::string Text = std::string(toString(Status.Role)) +
+                     std::to_string(Status.Accepted.Value) + "|" +
+                     text(Member) + "|";
+  for (const TermStart &Start : Status.History.starts())
+    Text += std::to_string(Start.Began.Value) + ">" +
+            std::to_string(Start.After.Value) + ";";
+  return std::make_shared<const Snapshot>(Snapshot{.Member = std::move(Member),
+                                                   .Status = std::move(Status),
+                                                   .Text = std::move(Text)});
+}
+
+Outcome<MemberAnswer> PromotionModel::call(State &Next, std::size_t Member,
+                                           const MemberRequest &Request) {
+  return change(Next, Member, [&](MemberStandIn &Copy) {
+    return Copy.handle(ConnectionId{}, Request, TimePoint{});
+  });
+}
+
+void PromotionModel::take(State &Next, std::size_t Member,
+                          const ReplicationBatch &Batch) {
+  change(Next, Member, [&](MemberStandIn &Copy) {
+    Copy.onReplicated(Batch, TimePoint{});
+    return true;
+  });
+}
+
+void PromotionModel::note(State &Next, std::string Text) {
+  Next.Trail = std::make_shared<const Step>(
+      Step{.Text = std::move(Text), .Before = Next.Trail});
+}
+
+void PromotionModel::deliver(const State &From, std::size_t Index, bool Keep,
+                             bool Answered) {
+  State To = From;
+  SharedMessage What = From.Flying[Index];
+  note(To, What->Text + (Answered ? "" : ", answer lost") +
+               (Keep ? ", doubled" : ""));
+  if (Keep)
+    --To.DuplicatesLeft;
+  else
+    To.Flying.erase(To.Flying.begin() + static_cast<std::ptrdiff_t>(Index));
+  if (What->Batch)
+    take(To, What->Target, *What->Batch);
+  else
+    this->deliverCall(To, *What, Answered);
+  this->reach(From, std::move(To));
+}
+
+void PromotionModel::deliverCall(State &Next, const Message &What,
+                                 bool Answered) const {
+  auto Answer = call(Next, What.Target, What.Request);
+  if (!Answer)
+    return;
+  // The new term's first entry confirms all before it.
+  if (Answer.value().Written)
+    Next.Unconfirmed.insert(confirmationFor(Answer.value()));
+  if (!Answered)
+    return;
+  AttemptState Attempt = *Next.Attempts[*What.Attempt];
+  if (Attempt.Running.step() == PromotionStep::Sealing)
+    Attempt.Seen.insert(Names[What.Target] +
+                        text(Answer.value().Status.Received));
+  if (this->Options.Broken == BrokenRule::ChooseByPosition)
+    Answer.value().Status.Received.WrittenIn = {};
+  auto Calls =
+      Attempt.Running.onOutcome(UpstreamId{Names[What.Target]}, Answer);
+  if (Attempt.Running.step() != PromotionStep::Sealing)
+    Attempt.Seen.clear();
+  Next.Attempts[*What.Attempt] =
+      std::make_shared<const AttemptState>(std::move(Attempt));
+  this->sendCalls(Next, *What.Attempt, Calls);
+}
+
+void PromotionModel::fail(const State &Next, const std::string &Rule) {
+  if (!this->Verdict.Violation.empty())
+    return;
+  std::vector<std::string> Steps;
+  for (const Step *Each = Next.Trail.get(); Each; Each = Each->Before.get())
+    Steps.push_back(Each->Text);
+  this->Verdict.Violation = Rule;
+  for (auto Each = Steps.rbegin(); Each != Steps.rend(); ++Each)
+    this->Verdict.Violation += "\n" + *Each;
+}
+
+void PromotionModel::reach(const State &Before, State Next) {
+  for (std::size_t Index = 0; Index < MemberCount; ++Index)
+    if (Next.At[Index] != Before.At[Index])
+      this->checkMember(Before, Next, Index);
+  this->acknowledge(Next);
+  this->checkAcknowledged(Next);
+  this->dropRefused(Next);
+  if (this->Visited.insert(identity(Next)).second)
+    this->Waiting.push_back(std::move(Next));
+}
+
+void PromotionModel::checkMember(const State &Before, State &Next,
+                                 std::size_t Index) {
+  const MemberStandIn &Member = Next.At[Index]->Member;
+  const MemberStatus &Now = Next.At[Index]->Status;
+  if (Now.Accepted < Before.At[Index]->Status.Accepted)
+    this->fail(Next, "a member's term went back");
+  if (Now.Role != MemberRole::Primary)
+    return;
+  auto [Found, New] =
+      Next.Reigns.try_emplace(Now.Accepted, Reign{.Member = Index});
+  if (Found->second.Member != Index)
+    this->fail(Next, "two primaries in one term");
+  if (New)
+    ++this->Verdict.Promoted;
+  Found->second.Log = termsOf(Member.log());
+  std::set<IdempotencyKey> Keys;
+  for (const LogEntry &Entry : Member.log())
+    if (!Entry.Key.Value.empty() && !Keys.insert(Entry.Key).second)
+      this->fail(Next, "a write with one key ran twice");
+}
+
+void PromotionModel::acknowledge(State &Next) {
+  for (auto At = Next.Unconfirmed.begin(); At != Next.Unconfirmed.end();) {
+    const WriteConfirmation Wanted = *At;
+    std::size_t Writer = Next.Reigns.at(Wanted.WrittenUnder).Member;
+    std::optional<std::size_t> Holder;
+    for (std::size_t Index = 0; Index < MemberCount; ++Index) {
+      MemberStatus Status = Next.At[Index]->Status;
+      if (this->Options.Broken == BrokenRule::ConfirmInAnyTerm)
+        Status.Accepted = Wanted.WrittenUnder;
+      if (Index != Writer && confirms(Status, Wanted))
+        Holder = Index;
+    }
+    if (!Holder) {
+      ++At;
+      continue;
+    }
+    std::vector<Term> Prefix = termsOf(Next.At[*Holder]->Member.log());
+    Prefix.resize(Wanted.Entry.Position.Value);
+    Next.Acks.insert({.Entry = Wanted.Entry,
+                      .Under = Wanted.WrittenUnder,
+                      .Prefix = std::move(Prefix)});
+    ++this->Verdict.Acknowledged;
+    At = Next.Unconfirmed.erase(At);
+  }
+}
+
+void PromotionModel::checkAcknowledged(const State &Next) {
+  for (const Acknowledged &Each : Next.Acks) {
+    for (const auto &[Of, Primary] : Next.Reigns)
+      if (Of >= Each.Under && !isPrefix(Each.Prefix, Primary.Log))
+        this->fail(Next, "acknowledged entry " + text(Each.Entry) +
+                             " is missing at the primary of term " +
+                             std::to_string(Of.Value));
+    for (const Acknowledged &Other : Next.Acks)
+      if (!isPrefix(Each.Prefix, Other.Prefix) &&
+          !isPrefix(Other.Prefix, Each.Prefix))
+        this->fail(Next, "the acknowledged prefix forks");
+  }
+}
+
+void PromotionModel::dropRefused(State &Next) const {
+  std::erase_if(Next.Flying, [&](const SharedMessage &Each) {
+    const Snapshot &Target = *Next.At[Each->Target];
+    return Each->Batch ? Each->Batch->Accepted < Target.Status.Accepted
+                       : isVain(Target.Member, Each->Request);
+  });
+}
+
+std::string PromotionModel::identity(const State &S) {
+  std::string Text;
+  for (const auto &Each : S.At)
+    Text += Each->Text + "\n";
+  for (const auto &Attempt : S.Attempts) {
+    Text += std::string(toString(Attempt->Running.step())) +
+            Attempt->Running.heir().Value;
+    for (const std::string &Each : Attempt->Seen)
+      Text += "&" + Each;
+    Text += "\n";
+  }
+  for (const SharedMessage &Each : S.Flying)
+    Text += Each->Text + "\n";
+  for (const WriteConfirmation &Each : S.Unconfirmed)
+    Text +=
+        "?" + text(Each.Entry) + "u" + std::to_string(Each.WrittenUnder.Value);
+  for (const Acknowledged &Each : S.Acks)
+    Text += "!" + text(Each.Entry) + "u" + std::to_string(Each.Under.Value);
+  for (const auto &[Of, Primary] : S.Reigns) {
+    Text += "#" + std::to_string(Of.Value) + Names[Primary.Member];
+    for (const Term &Each : Primary.Log)
+      Text += std::to_string(Each.Value) + ",";
+  }
+  Text += "w" + std::to_string(S.WritesLeft) + "d" +
+          std::to_string(S.DuplicatesLeft);
+  XXH128_hash_t Hash = XXH3_128bits(Text.data(), Text.size());
+  return {reinterpret_cast<const char *>(&Hash), sizeof(Hash)};
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/failover/PromotionModelTest.cpp
@@ -0,0 +1,91 @@
+#include "tests/failover/PromotionModel.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+constexpr Term Two{2};
+constexpr Term Three{3};
+constexpr Term Four{4};
+
+struct ModelCase {
+  const char *Name;
+  ModelOptions Options;
+};
+
+class PromotionModelTest : public ::testing::TestWithParam<ModelCase> {};
+
+TEST_P(PromotionModelTest, EveryInterleavingKeepsTheInvariants) {
+  ModelVerdict Verdict = PromotionModel(GetParam().Options).search();
+  EXPECT_EQ(Verdict.Violation, "");
+  EXPECT_GT(Verdict.Promoted, 0u);
+  EXPECT_GT(Verdict.Acknowledged, 0u);
+  RecordProperty("states", std::to_string(Verdict.States));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bounds, PromotionModelTest,
+    ::testing::Values(
+        ModelCase{"OneAttempt", {.Attempts = {Two}, .Writes = 2}},
+        ModelCase{"OneAttemptLateBatches",
+                  {.Attempts = {Two}, .Writes = 2, .BatchesInFlight = 2}},
+        ModelCase{"OneAttemptDoubled",
+                  {.Attempts = {Two},
+                   .Writes = 2,
+                   .Duplicates = 1,
+                   .BatchesInFlight = 1}},
+        ModelCase{"ThreeAttemptsShortBatches",
+                  {.Attempts = {Two, Three, Four},
+                   .AnswersMayBeLost = false,
+                   .ShortBatches = true}},
+        ModelCase{"ThreeAttemptsRetry",
+                  {.Attempts = {Two, Three, Four},
+                   .Writes = 2,
+                   .FirstWriteRan = true,
+                   .OneKey = true,
+                   .AnswersMayBeLost = false,
+                   .ShortBatches = true}},
+        ModelCase{"Duel", {.Attempts = {Two, Two}, .Writes = 2}},
+        ModelCase{"DuelDoubled",
+                  {.Attempts = {Two, Two}, .Writes = 1, .Duplicates = 1}},
+        ModelCase{"Successors", {.Attempts = {Two, Three}, .Writes = 1}},
+        ModelCase{"SuccessorsTwoWrites",
+                  {.Attempts = {Two, Three}, .Writes = 2}},
+        ModelCase{"SuccessorsRetry",
+                  {.Attempts = {Two, Three}, .Writes = 2, .OneKey = true}}),
+    [](const auto &Info) { return std::string(Info.param.Name); });
+
+/// The search must notice that a rule was left out, else it proves nothing.
+class BrokenRuleTest : public ::testing::TestWithParam<ModelCase> {};
+
+TEST_P(BrokenRuleTest, SearchFindsAViolation) {
+  ModelVerdict Verdict = PromotionModel(GetParam().Options).search();
+  EXPECT_NE(Verdict.Violation, "");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rules, BrokenRuleTest,
+    ::testing::Values(ModelCase{"SealWithoutAttempt",
+                                {.Attempts = {Two, Two},
+                                 .Broken = BrokenRule::SealWithoutAttempt}},
+                      ModelCase{"ChooseByPosition",
+                                {.Attempts = {Two, Three},
+                                 .Broken = BrokenRule::ChooseByPosition}},
+                      ModelCase{"ConfirmInAnyTerm",
+                                {.Attempts = {Two, Three, Four},
+                                 .AnswersMayBeLost = false,
+                                 .ShortBatches = true,
+                                 .Broken = BrokenRule::ConfirmInAnyTerm}},
+                      ModelCase{"ConfirmOldEntry",
+                                {.Attempts = {Two, Three, Four},
+                                 .Writes = 2,
+                                 .FirstWriteRan = true,
+                                 .OneKey = true,
+                                 .AnswersMayBeLost = false,
+                                 .ShortBatches = true,
+                                 .Broken = BrokenRule::ConfirmOldEntry}}),
+    [](const auto &Info) { return std::string(Info.param.Name); });
+
+} // namespace
+} // namespace turmericpitch
