--- a/main/Commands.cpp
+++ b/main/Commands.cpp
@@ -4,6 +4,8 @@
 #include "drivers/BlockingClient.h"
 #include "main/Daemon.h"
 #include "main/Demo.h"
+#include "main/StatusTable.h"
+#include "tools/LoadReport.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -21,6 +23,7 @@
 
 constexpr const char *Version = "turmericpitch 0.1.0";
 constexpr unsigned HttpOk = 200;
+constexpr Duration OperatorCallLimit = std::chrono::seconds(10);
 constexpr Duration DrainPoll = std::chrono::milliseconds(20);
 
 /// One subcommand.
@@ -118,6 +121,21 @@
     Poll.expires_after(DrainPoll);
     Poll.async_wait([&](const auto &) { PollDrain(); });
   };
+  boost::asio::signal_set Reload(Context, SIGHUP);
+  std::function<void()> AwaitReload = [&] {
+    Reload.async_wait([&](const auto &Failure, int) {
+      if (Failure)
+        return;
+      Status Reloaded = Running.reloadKeys();
+      if (Reloaded)
+        writeInfo("TLS keys read again");
+      else
+        writeWarning("TLS keys kept: " + Reloaded.error().Message +
+                     "; remedy: " + Reloaded.error().Remedy);
+      AwaitReload();
+    });
+  };
+  AwaitReload();
   Signals.async_wait([&](const auto &, int) {
     writeInfo("draining");
     Running.beginDrain();
@@ -185,9 +203,22 @@
       cxxopts::value<std::string>()->default_value("127.0.0.1:7102"));
   Options.add_options()("credential-file", "file with the credential",
                         cxxopts::value<std::string>());
+  Options.add_options()("ca-file", "use TLS and trust these authorities",
+                        cxxopts::value<std::string>());
+}
+
+Outcome<TlsContext> clientTls(const cxxopts::ParseResult &Parsed) {
+  if (Parsed.count("ca-file") == 0)
+    return TlsContext();
+  return loadTlsAuthorities(Parsed["ca-file"].as<std::string>());
 }
 
-int callOperators(const cxxopts::ParseResult &Parsed, HttpRequest Request) {
+std::string unchanged(const std::string &Body) { return Body; }
+
+/// Calls an instance and prints what Format makes of its answer.
+int callOperators(
+    const cxxopts::ParseResult &Parsed, HttpRequest Request,
+    const std::function<std::string(const std::string &)> &Format = unchanged) {
   auto To = parseEndpoint(Parsed["operators"].as<std::string>());
   if (!To) {
     std::cerr << "not an address\nremedy: give --operators IP:PORT\n";
@@ -204,11 +235,17 @@
     Credential->pop_back();
   Request.Host = toString(*To);
   Request.Authorization = "Bearer " + *Credential;
-  auto Reply = callAndWait(*To, std::move(Request));
+  auto Tls = clientTls(Parsed);
+  if (!Tls)
+    return reportError(Tls.error(), ExitUsage);
+  auto Reply =
+      callAndWait(*To, std::move(Request), OperatorCallLimit, Tls.value());
   if (!Reply)
     return reportError(Reply.error(), ExitUnavailable);
-  std::cout << Reply.value().Body << "\n";
-  return Reply.value().Status == HttpOk ? ExitSuccess : ExitRefused;
+  bool Answered = Reply.value().Status == HttpOk;
+  std::cout << (Answered ? Format(Reply.value().Body) : Reply.value().Body)
+            << "\n";
+  return Answered ? ExitSuccess : ExitRefused;
 }
 
 int ticket(int Count, const char *const *Arguments) {
@@ -253,6 +290,7 @@
   cxxopts::Options Options("turmericpitch status",
                            "Shows what an instance knows");
   addOperatorOptions(Options);
+  Options.add_options()("json", "print the answer as it came");
   int Code = ExitSuccess;
   auto Parsed = parseOptions(Options, Count, Arguments, Code);
   if (!Parsed)
@@ -260,7 +298,69 @@
   HttpRequest Request;
   Request.Method = "GET";
   Request.Target = "/v1/status";
-  return callOperators(*Parsed, std::move(Request));
+  if (Parsed->count("json") > 0)
+    return callOperators(*Parsed, std::move(Request));
+  auto AsTable = [](const std::string &Body) {
+    auto Table = keepOutcome([&] { return formatStatus(Body); });
+    return Table ? Table.value() : Body;
+  };
+  return callOperators(*Parsed, std::move(Request), AsTable);
+}
+
+bool writeFile(const std::string &Path, const std::string &Text) {
+  std::ofstream Stream(Path);
+  Stream << Text;
+  return Stream.good();
+}
+
+int load(int Count, const char *const *Arguments) {
+  cxxopts::Options Options("turmericpitch load",
+                           "Runs a load plan against an embedded fleet and "
+                           "checks that no promise breaks");
+  Options.add_options()("plan", "plan file", cxxopts::value<std::string>());
+  Options.add_options()("json", "write the figures here",
+                        cxxopts::value<std::string>());
+  Options.add_options()("html", "write the report with plots here",
+                        cxxopts::value<std::string>());
+  Options.add_options()("log-file", "write the decision log here",
+                        cxxopts::value<std::string>()->default_value(""));
+  Options.parse_positional({"plan"});
+  Options.positional_help("PLAN");
+  int Code = ExitSuccess;
+  auto Parsed = parseOptions(Options, Count, Arguments, Code);
+  if (!Parsed)
+    return Code;
+  std::string Path =
+      Parsed->count("plan") > 0 ? (*Parsed)["plan"].as<std::string>() : "";
+  auto Text = readFile(Path);
+  if (!Text) {
+    std::cerr << "can't read the plan '" << Path
+              << "'\nremedy: name a plan such as examples/load/*.yaml\n";
+    return ExitUsage;
+  }
+  auto Plan = keepOutcome([&] { return parseLoadPlan(*Text, Path); });
+  if (!Plan)
+    return reportError(Plan.error(), ExitUsage);
+  sendLogTo((*Parsed)["log-file"].as<std::string>());
+  LoadRun Run(Plan.value(), std::cout);
+  auto Result = Run.run();
+  if (!Result)
+    return reportError(Result.error(), ExitUnavailable);
+  std::cout << loadReportText(Run, Result.value());
+  bool Written = true;
+  if (Parsed->count("json") > 0)
+    Written = writeFile((*Parsed)["json"].as<std::string>(),
+                        loadReportJson(Run, Result.value()));
+  if (Parsed->count("html") > 0)
+    Written = writeFile((*Parsed)["html"].as<std::string>(),
+                        loadReportHtml(Run, Result.value())) &&
+              Written;
+  if (!Written) {
+    std::cerr << "can't write a report\nremedy: name a writable file\n";
+    return ExitUsage;
+  }
+  bool Kept = Result.value().Broken.empty() && Result.value().Scanned;
+  return Kept ? ExitSuccess : ExitRefused;
 }
 
 std::vector<Command> allCommands() {
@@ -268,6 +368,7 @@
           {"demo", "play the main path in one process", demo},
           {"check-config", "check a settings file", checkConfig},
           {"ticket", "submit or show a change ticket", ticket},
+          {"load", "run a load plan and check the promises", load},
           {"status", "show what an instance knows", status}};
 }
 
