--- a/tests/failover/PromotionModel.cpp
+++ b/tests/failover/PromotionModel.cpp
@@ -162,10 +162,7 @@
   if (!Answer)
     return std::nullopt;
   --To.WritesLeft;
-  WriteConfirmation Wanted = confirmationFor(Answer.value());
-  if (this->Options.Broken == BrokenRule::ConfirmOldEntry)
-    Wanted.Entry = *Answer.value().Written;
-  To.Unconfirmed.insert(Wanted);
+  To.Written.insert(this->awaiting(Answer.value(), Member));
   note(To, "write " + Write.Key->Value + " at " + Names[Member] + " under " +
                std::to_string(Under.Value));
   return To;
@@ -289,7 +286,7 @@
     return;
   // The new term's first entry confirms all before it.
   if (Answer.value().Written)
-    Next.Unconfirmed.insert(confirmationFor(Answer.value()));
+    Next.Written.insert(this->awaiting(Answer.value(), What.Target));
   if (!Answered)
     return;
   AttemptState Attempt = *Next.Attempts[*What.Attempt];
@@ -350,16 +347,27 @@
       this->fail(Next, "a write with one key ran twice");
 }
 
+PromotionModel::Unconfirmed PromotionModel::awaiting(const MemberAnswer &Answer,
+                                                     std::size_t Member) const {
+  ConfirmWrite Wanted = confirmationOf(Answer, UpstreamId{Names[Member]},
+                                       DatabaseView{}, Duration{0});
+  if (this->Options.Broken == BrokenRule::ConfirmOldEntry)
+    Wanted.Written = *Answer.Written;
+  return {.Entry = Wanted.Written, .Under = Wanted.WrittenUnder};
+}
+
 void PromotionModel::acknowledge(State &Next) {
-  for (auto At = Next.Unconfirmed.begin(); At != Next.Unconfirmed.end();) {
-    const WriteConfirmation Wanted = *At;
-    std::size_t Writer = Next.Reigns.at(Wanted.WrittenUnder).Member;
+  for (auto At = Next.Written.begin(); At != Next.Written.end();) {
+    ConfirmWrite Wanted;
+    Wanted.Written = At->Entry;
+    Wanted.WrittenUnder = At->Under;
+    std::size_t Writer = Next.Reigns.at(At->Under).Member;
     std::optional<std::size_t> Holder;
     for (std::size_t Index = 0; Index < MemberCount; ++Index) {
       MemberStatus Status = Next.At[Index]->Status;
       if (this->Options.Broken == BrokenRule::ConfirmInAnyTerm)
-        Status.Accepted = Wanted.WrittenUnder;
-      if (Index != Writer && confirms(Status, Wanted))
+        Status.Accepted = At->Under;
+      if (Index != Writer && confirms(Wanted, Status))
         Holder = Index;
     }
     if (!Holder) {
@@ -367,12 +375,11 @@
       continue;
     }
     std::vector<Term> Prefix = termsOf(Next.At[*Holder]->Member.log());
-    Prefix.resize(Wanted.Entry.Position.Value);
-    Next.Acks.insert({.Entry = Wanted.Entry,
-                      .Under = Wanted.WrittenUnder,
-                      .Prefix = std::move(Prefix)});
+    Prefix.resize(At->Entry.Position.Value);
+    Next.Acks.insert(
+        {.Entry = At->Entry, .Under = At->Under, .Prefix = std::move(Prefix)});
     ++this->Verdict.Acknowledged;
-    At = Next.Unconfirmed.erase(At);
+    At = Next.Written.erase(At);
   }
 }
 
@@ -411,9 +418,8 @@
   }
   for (const SharedMessage &Each : S.Flying)
     Text += Each->Text + "\n";
-  for (const WriteConfirmation &Each : S.Unconfirmed)
-    Text +=
-        "?" + text(Each.Entry) + "u" + std::to_string(Each.WrittenUnder.Value);
+  for (const Unconfirmed &Each : S.Written)
+    Text += "?" + text(Each.Entry) + "u" + std::to_string(Each.Under.Value);
   for (const Acknowledged &Each : S.Acks)
     Text += "!" + text(Each.Entry) + "u" + std::to_string(Each.Under.Value);
   for (const auto &[Of, Primary] : S.Reigns) {
--- a/tests/failover/PromotionModel.h
+++ b/tests/failover/PromotionModel.h
@@ -1,8 +1,8 @@
 // A bounded exhaustive search over interleavings of promotion and writing.
 #pragma once
 
-#include "failover/CommitRule.h"
 #include "failover/Promotion.h"
+#include "routing/WriteConfirmation.h"
 #include "stand_ins/MemberStandIn.h"
 
 #include <array>
@@ -94,6 +94,12 @@
     /// The outcomes it has seen, for the state's identity.
     std::set<std::string> Seen;
   };
+  /// A write that isn't acknowledged yet.
+  struct Unconfirmed {
+    TermPosition Entry;
+    Term Under;
+    auto operator<=>(const Unconfirmed &) const = default;
+  };
   struct Acknowledged {
     TermPosition Entry;
     Term Under;
@@ -116,7 +122,7 @@
     std::vector<std::shared_ptr<const AttemptState>> Attempts;
     std::vector<SharedMessage> Flying;
     /// Writes that ran and aren't acknowledged.
-    std::set<WriteConfirmation> Unconfirmed;
+    std::set<Unconfirmed> Written;
     std::set<Acknowledged> Acks;
     std::map<Term, Reign> Reigns;
     unsigned WritesLeft = 0;
@@ -151,6 +157,8 @@
   static void note(State &Next, std::string Text);
   void reach(const State &Before, State Next);
   void checkMember(const State &Before, State &Next, std::size_t Index);
+  [[nodiscard]] Unconfirmed awaiting(const MemberAnswer &Answer,
+                                     std::size_t Member) const;
   void acknowledge(State &Next);
   void checkAcknowledged(const State &Next);
   void dropRefused(State &Next) const;
