--- a/drivers/StatementRunner.cpp
+++ b/drivers/StatementRunner.cpp
@@ -23,17 +23,6 @@
   writeDecision(Line);
 }
 
-AdmissionRequest admissionOf(const RequestContext &Context) {
-  AdmissionRequest Request;
-  Request.Account = Context.Account->Id;
-  Request.Weight = Context.Account->Weight;
-  Request.Class = Context.Request.Write        ? AdmissionClass::Write
-                  : Context.Request.MaximumAge ? AdmissionClass::StatedAgeRead
-                                               : AdmissionClass::SessionRead;
-  Request.Deadline = Context.Deadline;
-  return Request;
-}
-
 void logShed(const RequestContext &Context, const AdmissionRequest &Admitted,
              const UpstreamId &Upstream, const Error &Shed) {
   using std::chrono::milliseconds;
@@ -68,6 +57,17 @@
 
 } // namespace
 
+AdmissionRequest admissionOf(const RequestContext &Context) {
+  AdmissionRequest Request;
+  Request.Account = Context.Account->Id;
+  Request.Weight = Context.Account->Weight;
+  Request.Class = Context.Request.Write        ? AdmissionClass::Write
+                  : Context.Request.MaximumAge ? AdmissionClass::StatedAgeRead
+                                               : AdmissionClass::SessionRead;
+  Request.Deadline = Context.Deadline;
+  return Request;
+}
+
 StatementRunner::StatementRunner(std::shared_ptr<MemberPool> Statements,
                                  std::shared_ptr<MemberPool> Control,
                                  std::shared_ptr<UpstreamController> Upstreams,
--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -87,15 +87,21 @@
   return Peers;
 }
 
+HttpServerOptions serverOptions(const Endpoint &Listen,
+                                const std::shared_ptr<TlsKeys> &Keys) {
+  HttpServerOptions Options;
+  Options.Listen = Listen;
+  if (Keys)
+    Options.CurrentTls = [Keys] { return Keys->current(); };
+  return Options;
+}
+
 /// A server whose handler is shared by all its connections.
 template <typename Api>
 std::unique_ptr<HttpServer> makeServer(Executor On, const Endpoint &Listen,
                                        std::shared_ptr<Api> Shared,
                                        std::shared_ptr<TlsKeys> Keys) {
-  HttpServerOptions Options;
-  Options.Listen = Listen;
-  if (Keys)
-    Options.CurrentTls = [Keys] { return Keys->current(); };
+  HttpServerOptions Options = serverOptions(Listen, Keys);
   return std::make_unique<HttpServer>(On, Options, [Shared]() -> HttpHandler {
     return [Shared](HttpRequest Request) -> Awaitable<HttpReply> {
       return Shared->handle(std::move(Request));
@@ -103,6 +109,20 @@
   });
 }
 
+/// The callers' server: each connection has its own open transaction.
+std::unique_ptr<HttpServer> makeCallerServer(Executor On,
+                                             const Endpoint &Listen,
+                                             std::shared_ptr<CallerApi> Api,
+                                             std::shared_ptr<TlsKeys> Keys) {
+  HttpServerOptions Options = serverOptions(Listen, Keys);
+  return std::make_unique<HttpServer>(On, Options, [Api]() -> HttpHandler {
+    auto Caller = std::make_shared<CallerTransaction>();
+    return [Api, Caller](HttpRequest Request) -> Awaitable<HttpReply> {
+      return Api->handle(std::move(Request), Caller);
+    };
+  });
+}
+
 } // namespace
 
 struct Daemon::Parts {
@@ -167,9 +187,13 @@
   StatementChain Chain(AccountFilter{},
                        DeadlineFilter{this->Settings.MaximumPatience},
                        TokenFilter{Codec});
+  auto Transactions = std::make_shared<TransactionRunner>(
+      this->Statements, this->Upstreams, this->Runner,
+      routingOptions(this->Settings), TransactionLimits{});
   this->Callers = std::make_shared<CallerApi>(
       CallerApiOptions{.Self = this->Settings.Self, .StartId = this->StartId},
-      this->Configuration, this->Upstreams, this->Runner, Chain, Codec);
+      this->Configuration, this->Upstreams, this->Runner, Transactions, Chain,
+      Codec);
   this->Operators = std::make_shared<OperatorApi>(
       OperatorApiOptions{.Self = this->Settings.Self,
                          .CredentialDigest =
@@ -205,8 +229,8 @@
       return Loaded.error();
     this->Keys = Loaded.value();
   }
-  this->CallerServer =
-      makeServer(this->On, this->Settings.Callers, this->Callers, this->Keys);
+  this->CallerServer = makeCallerServer(this->On, this->Settings.Callers,
+                                        this->Callers, this->Keys);
   this->OperatorServer = makeServer(this->On, this->Settings.Operators,
                                     this->Operators, this->Keys);
   this->CopyServer = makeServer(this->On, this->Settings.PeerListen,
