Notice an ended connection before sending on it

Change: ByteStream::endedByPeer() looks before the first byte, so that it is NotRun; the load client then connects anew.

--- a/drivers/ByteStream.cpp
+++ b/drivers/ByteStream.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
+#include <sys/socket.h>
 #include <variant>
 
 namespace turmericpitch {
@@ -125,6 +127,19 @@
   co_return std::monostate{};
 }
 
+bool ByteStream::endedByPeer() {
+  char Byte = 0;
+  auto Count = ::recv(this->Own->socket().native_handle(), &Byte, 1,
+                      MSG_PEEK | MSG_DONTWAIT);
+  if (Count == 0)
+    return true;
+  // TLS may have control messages waiting.
+  bool Plain = std::holds_alternative<Socket>(this->Own->Channel);
+  if (Count > 0)
+    return Plain;
+  return errno != EAGAIN && errno != EWOULDBLOCK;
+}
+
 void ByteStream::setLimit(Duration Limit) {
   this->Own->Alarm.expires_after(Limit);
   this->Own->Alarm.async_wait(
--- a/drivers/ByteStream.h
+++ b/drivers/ByteStream.h
@@ -44,6 +44,10 @@
   /// OutcomeUnknown.
   Awaitable<Status> writeAll(std::string_view Bytes);
 
+  /// Whether the peer has ended the connection, or has sent bytes of plain
+  /// TCP that nobody asked for. Reads nothing.
+  [[nodiscard]] bool endedByPeer();
+
   /// Closes the stream unless another limit is set before this one runs out.
   void setLimit(Duration Limit);
   void clearLimit();
--- a/drivers/HttpConnection.cpp
+++ b/drivers/HttpConnection.cpp
@@ -115,6 +115,9 @@
   // never be taken for another request's.
   if (!S.Usable.exchange(false))
     co_return failed(ErrorKind::NotRun, "connection not usable");
+  // Found out before anything is sent, so that it provably did not run.
+  if (S.Stream.endedByPeer())
+    co_return failed(ErrorKind::NotRun, "connection ended by the peer");
   std::string Bytes = formatRequest(Request);
   S.Stream.setLimit(Limit);
   Status Written = co_await S.Stream.writeAll(Bytes);
--- a/tools/LoadClient.cpp
+++ b/tools/LoadClient.cpp
@@ -69,8 +69,18 @@
       std::string("Bearer ") + EmbeddedFleet::CallerCredential;
   Request.Body = encode(Statement);
   std::shared_ptr<HttpConnection> Http = Connection.value();
+  HttpRequest Again = Request;
   auto Reply =
       co_await Http->exchange(std::move(Request), Statement.Deadline + Grace);
+  // An idle connection that the instance has ended meanwhile is replaced.
+  if (!Reply && Reply.error().Kind == ErrorKind::NotRun) {
+    Connection = co_await this->connectionTo(Statement.Instance);
+    if (!Connection)
+      co_return Connection.error();
+    Http = Connection.value();
+    Reply =
+        co_await Http->exchange(std::move(Again), Statement.Deadline + Grace);
+  }
   if (!Reply)
     co_return Reply.error();
   const HttpReply &Received = Reply.value();
