--- a/drivers/OperatorApi.cpp
+++ b/drivers/OperatorApi.cpp
@@ -1,7 +1,10 @@
 #include "drivers/OperatorApi.h"
 
+#include "configuration/TicketAcceptance.h"
 #include "core/DecisionLog.h"
 #include "core/Digest.h"
+#include "core/Metrics.h"
+#include "drivers/ChangeSignal.h"
 #include "drivers/MemberCodec.h"
 
 #include <charconv>
@@ -13,6 +16,7 @@
 constexpr std::string_view Bearer = "Bearer ";
 constexpr std::string_view TicketsTarget = "/v1/tickets";
 constexpr std::string_view StatusTarget = "/v1/status";
+constexpr std::string_view MetricsTarget = "/metrics";
 constexpr unsigned NotFound = 404;
 
 HttpReply replyWithJson(const boost::json::object &Json) {
@@ -21,6 +25,13 @@
   return Reply;
 }
 
+HttpReply replyWithMetrics() {
+  HttpReply Reply;
+  Reply.ContentType = "text/plain; version=0.0.4";
+  Reply.Body = processMetrics().scrape();
+  return Reply;
+}
+
 boost::json::object describe(const DatabaseView &View) {
   boost::json::object Json;
   Json["term"] = View.newestTerm().Value;
@@ -62,6 +73,8 @@
   std::string_view Target = Request.Target;
   if (Request.Method == "POST" && Target == TicketsTarget)
     co_return co_await this->submitTicket(std::move(Request.Body));
+  if (Request.Method == "GET" && Target == MetricsTarget)
+    co_return replyWithMetrics();
   if (Request.Method == "GET" && Target == StatusTarget)
     co_return this->showStatus();
   if (Request.Method == "GET" && Target.starts_with(TicketsTarget) &&
@@ -79,14 +92,20 @@
   if (!Parsed)
     co_return replyWith(Parsed.error());
   TicketNumber Number = Parsed.value().Id;
-  TicketAcceptance Acceptance(std::move(Parsed.value()));
+  TicketAcceptance Acceptance(
+      {.Change = std::move(Parsed.value()),
+       .Base = this->Configuration->current(),
+       .Seed = std::hash<InstanceId>{}(this->Options.Self) + this->NextSeed++});
   AcceptanceAction Action = Acceptance.begin();
   while (auto *Call = std::get_if<CallPlatform>(&Action)) {
     KeyValueRequest Request = std::move(Call->Request);
+    if (Call->After > Duration{0})
+      co_await sleepFor(Call->After);
     auto Answer = co_await this->Platform->call(std::move(Request));
     Action = Acceptance.onAnswer(Answer);
   }
-  const Outcome<Revision> &Accepted = std::get<AcceptanceDone>(Action).Accepted;
+  const Outcome<AcceptedTicket> &Accepted =
+      std::get<AcceptanceDone>(Action).Accepted;
   DecisionLine Line("accept_ticket");
   Line.field("ticket", Number.Value)
       .field("outcome",
@@ -97,7 +116,7 @@
   boost::json::object Json;
   Json["ticket"] = Number.Value;
   Json["accepted"] = true;
-  Json["revision"] = Accepted.value().Value;
+  Json["revision"] = Accepted.value().Change.HeadModified.Value;
   co_return replyWithJson(Json);
 }
 
