--- a/membership/MembershipArrivals.cpp
+++ b/membership/MembershipArrivals.cpp
@@ -1,6 +1,5 @@
-#include "configuration/Dissemination.h"
-
-#include "configuration/StoredConfiguration.h"
+// MembershipProtocol: taking in and making messages.
+#include "membership/MembershipProtocol.h"
 #include "membership/PeerFrame.h"
 
 #include <algorithm>
@@ -9,335 +8,298 @@
 
 namespace {
 
-/// A change sent at once also holds the tickets of this long before, so that
-/// one lost or overtaken on the way leaves no gap.
-constexpr Duration RecentTickets = std::chrono::seconds(5);
-/// How long answers to askPeers() are kept.
-constexpr Duration ReportLife = std::chrono::seconds(30);
-/// Rounds without hearing any peer before an empty instance reads the
-/// platform by itself.
-constexpr int LonelyRounds = 5;
+using Kind = MembershipMessageKind;
 
-bool fits(const ConfigurationMessage &Message) {
-  return encodeMessage(Message).size() <= MaximumPeerPayload;
+constexpr std::size_t MostRelays = 64;
+constexpr std::uint8_t DigestsPerProbe = 8;
+/// Bytes left for further records.
+std::size_t bytesLeft(const MembershipMessage &Message) {
+  constexpr std::size_t SectionHead = 5;
+  std::size_t Used = encodedSize(Message) + SectionHead;
+  return Used < MaximumPeerPayload ? MaximumPeerPayload - Used : 0;
 }
 
 } // namespace
 
-Dissemination::Dissemination(DisseminationOptions Given,
-                             ConfigurationController &Controller)
-    : Options(std::move(Given)), Controller(Controller),
-      Random(this->Options.Seed), Peers(std::make_shared<const PeerDirectory>(
-                                      std::vector<ConfigurationPeer>{})) {}
-
-void Dissemination::onPeers(SharedPeers Believed) {
-  this->Peers = std::move(Believed);
-  this->ReaderRank =
-      this->Peers->readerRank(this->Options.Self, this->Options.Zone);
-}
-
-TicketNumber Dissemination::newest() const {
-  SharedConfiguration Present = this->Controller.current();
-  return Present ? Present->newestTicket() : TicketNumber{};
+MembershipMessage MembershipProtocol::make(Kind Kind, const InstanceId &To,
+                                           TimePoint Now) {
+  MembershipMessage Message;
+  Message.Kind = Kind;
+  Message.To = To;
+  Message.Sender = this->Self;
+  Message.Sequence = ++this->LastSequence;
+  const KnownInstance *Known = this->Table.find(To);
+  if (Known && Known->Record.Zone == this->Self.Zone)
+    Message.Zones = this->Reach.ages(Now);
+  return Message;
 }
 
-ConfigurationProblem Dissemination::problem() const {
-  if (this->newest() == TicketNumber{})
-    return ConfigurationProblem::Empty;
-  return this->Problem;
+void MembershipProtocol::addUpdates(MembershipMessage &Message,
+                                    std::size_t Budget) {
+  const KnownInstance *To = this->Table.find(Message.To);
+  // Whoever is doubted or marked learns it here, so that it can answer.
+  bool Doubted =
+      To && (To->Record.Health != InstanceHealth::Live || To->Record.Leaving);
+  if (Doubted)
+    Message.Updates.push_back(To->Record);
+  std::size_t Most = std::min(Budget, bytesLeft(Message));
+  std::size_t Used = 0;
+  this->News.tell(this->tellLimit(), [&](const InstanceId &Id) {
+    const InstanceRecord &Record = this->Table.find(Id)->Record;
+    Used += encodedSize(Record);
+    if (Used > Most)
+      return false;
+    Message.Updates.push_back(Record);
+    return true;
+  });
 }
 
-ConfigurationAnnouncement Dissemination::announcement(TimePoint Now) const {
-  SharedConfiguration Present = this->Controller.current();
-  ConfigurationAnnouncement Message;
-  if (Present) {
-    Message.Newest = Present->newestTicket();
-    Message.Digest = Present->head().Digest;
-  }
-  Message.PlatformAge = Now - this->LastPlatform;
-  Message.Problem = this->problem();
-  return Message;
+void MembershipProtocol::addBuckets(MembershipMessage &Message) {
+  constexpr std::uint32_t Groups = InstanceTable::BucketCount / DigestsPerProbe;
+  auto First =
+      static_cast<std::uint8_t>(this->Random.below(Groups) * DigestsPerProbe);
+  Message.Buckets.First = First;
+  for (std::size_t Index = 0; Index < DigestsPerProbe; ++Index)
+    Message.Buckets.Digests.push_back(this->Table.digest(First + Index));
 }
 
-DisseminationActions Dissemination::onTick(TimePoint Now) {
-  DisseminationActions Actions;
-  if (!this->StartedAt) {
-    this->StartedAt = Now;
-    this->LastPlatform = Now;
-    auto Spread =
-        static_cast<std::uint32_t>(this->Options.ReadInterval.count());
-    this->NextRound = Now;
-    this->NextRead = Now + Duration(this->Random.below(Spread));
-  }
-  if (Now >= this->NextRound) {
-    this->announceToRandomPeers(Now, Actions);
-    Duration Interval = this->newest() == TicketNumber{}
-                            ? this->Options.EmptyRoundInterval
-                            : this->Options.RoundInterval;
-    this->NextRound = Now + Interval;
-  }
-  if (Now >= this->NextRead) {
-    if (!this->Reading && this->mayReadPlatform(Now)) {
-      SharedConfiguration Present = this->Controller.current();
-      this->Reading = true;
-      Actions.emplace_back(ReadPlatform{RangeRequest{
-          .Key = std::string(ConfigurationPrefix),
-          .Prefix = true,
-          .ModifiedSince = Present ? Present->revision() : Revision{}}});
+void MembershipProtocol::addDifferences(MembershipMessage &Message,
+                                        const BucketDigests &Theirs) {
+  std::size_t Most = bytesLeft(Message);
+  std::size_t Used = 0;
+  for (std::size_t Index = 0; Index < Theirs.Digests.size(); ++Index) {
+    std::size_t Bucket = Theirs.First + Index;
+    if (Bucket >= InstanceTable::BucketCount ||
+        this->Table.digest(Bucket) == Theirs.Digests[Index])
+      continue;
+    for (const InstanceId &Id : this->Table.inBucket(Bucket)) {
+      const InstanceRecord &Record = this->Table.find(Id)->Record;
+      Used += encodedSize(Record);
+      if (Used > Most)
+        return;
+      Message.Updates.push_back(Record);
     }
-    this->NextRead = Now + this->Options.ReadInterval;
   }
-  return Actions;
 }
 
-TimePoint Dissemination::nextTick() const {
-  return std::min(this->NextRound, this->NextRead);
+MembershipSend MembershipProtocol::ping(const InstanceId &To,
+                                        const Endpoint &Where, TimePoint Now) {
+  MembershipMessage Message = this->make(Kind::Ping, To, Now);
+  this->addUpdates(Message, this->Options.UpdateBytes);
+  this->addBuckets(Message);
+  return {.To = Where, .Message = std::move(Message)};
 }
 
-bool Dissemination::mayReadPlatform(TimePoint Now) const {
-  if (this->ReaderRank < this->Options.ReadersPerZone)
-    return true;
-  bool Lonely =
-      this->newest() == TicketNumber{} && !this->HeardPeer &&
-      Now - *this->StartedAt >= LonelyRounds * this->Options.EmptyRoundInterval;
-  if (Lonely)
-    return true;
-  std::size_t Standby = this->ReaderRank - this->Options.ReadersPerZone;
-  if (Standby >= this->Options.StandbyReaders)
+bool MembershipProtocol::admit(const InstanceId &From,
+                               const MembershipMessage &Message,
+                               TimePoint Now) {
+  const InstanceRecord &Sender = Message.Sender;
+  bool Addressed =
+      Message.To == this->Self.Id && Sender.Id == From && From != this->Self.Id;
+  if (!Addressed) {
+    ++this->Counters.Misaddressed;
     return false;
-  Duration Patience = this->Options.PlatformSilence +
-                      this->Options.ReadInterval * static_cast<int>(Standby);
-  return Now - this->LastPlatform > Patience;
-}
-
-void Dissemination::scheduleRead(TimePoint Now) {
-  constexpr std::uint32_t MaximumDoublings = 10;
-  std::uint32_t Doublings = std::min(this->ReadFailures, MaximumDoublings);
-  Duration Longest =
-      std::min<Duration>(this->Options.ReadInterval * (1 << Doublings),
-                         this->Options.MaximumReadInterval);
-  if (this->ReadFailures == 0) {
-    this->NextRead = Now + this->Options.ReadInterval;
-    return;
   }
-  auto Half = static_cast<std::uint32_t>(Longest.count() / 2);
-  this->NextRead = Now + Longest / 2 + Duration(this->Random.below(Half));
-}
-
-DisseminationActions
-Dissemination::onPlatform(const Outcome<KeyValueAnswer> &Answer,
-                          TimePoint Now) {
-  DisseminationActions Actions;
-  this->Reading = false;
-  this->ReadFailures = Answer ? 0 : this->ReadFailures + 1;
-  this->scheduleRead(Now);
-  if (!Answer)
-    return Actions;
-  this->LastPlatform = Now;
-  auto Stored =
-      keepOutcome([&] { return readStoredConfiguration(Answer.value()); });
-  if (!Stored) {
-    this->onRefused(Stored.error(), true, Actions);
-    return Actions;
+  KnownInstance *Known = this->Table.find(From);
+  if (!Known) {
+    this->learn(Sender, Now);
+    Known = this->Table.find(From);
   }
-  // The read asked for what came after the configuration of that moment,
-  // which the one in force now includes.
-  ConfigurationChange Change = std::move(Stored.value().Change);
-  if (Change.HeadModified > Revision{} || this->newest() > TicketNumber{})
-    this->apply(Change, true, Now, Actions);
-  return Actions;
+  // One that only says goodbye is not remembered.
+  bool Fresh = Known && Sender.Life >= Known->Record.Life &&
+               Known->Received.admit(Sender.Life, Message.Sequence);
+  if (!Fresh)
+    ++this->Counters.Replayed;
+  return Fresh;
 }
 
-DisseminationActions
-Dissemination::onAccepted(const ConfigurationChange &Change, TimePoint Now) {
-  DisseminationActions Actions;
-  this->LastPlatform = Now;
-  this->apply(Change, false, Now, Actions);
-  return Actions;
-}
-
-DisseminationActions
-Dissemination::onCopy(const Outcome<ConfigurationChange> &Copy, TimePoint Now) {
-  DisseminationActions Actions;
-  this->Fetching = false;
-  if (Copy)
-    this->apply(Copy.value(), false, Now, Actions);
-  return Actions;
+MembershipSends MembershipProtocol::onMessage(const InstanceId &From,
+                                              const MembershipMessage &Message,
+                                              TimePoint Now) {
+  if (!this->admit(From, Message, Now)) {
+    // An instance whose clock went back between starts has to learn which
+    // incarnation it must exceed.
+    const KnownInstance *Known = this->Table.find(From);
+    bool Behind = Message.To == this->Self.Id && Message.Sender.Id == From &&
+                  Message.Kind == Kind::Ping && Known &&
+                  Message.Sender.Life < Known->Record.Life;
+    if (!Behind)
+      return {};
+    MembershipMessage Reply = this->make(Kind::Ack, From, Now);
+    Reply.Updates.push_back(Known->Record);
+    return {{.To = Message.Sender.Peers, .Message = std::move(Reply)}};
+  }
+  this->LastHeard = Now;
+  this->learn(Message.Sender, Now);
+  this->Reach.onHeard(Message.Sender.Zone, Now);
+  if (Message.Sender.Zone == this->Self.Zone)
+    this->Reach.onAges(Message.Zones, Now);
+  for (const InstanceRecord &Update : Message.Updates)
+    this->learn(Update, Now);
+  switch (Message.Kind) {
+  case Kind::Ping:
+    return this->onPing(Message, Now);
+  case Kind::Ack:
+    return this->onAck(Message, Now);
+  case Kind::PingRequest:
+    return this->onPingRequest(Message, Now);
+  case Kind::PageRequest:
+    return this->onPageRequest(Message, Now);
+  case Kind::Page:
+    this->onPage(Message, Now);
+    break;
+  }
+  return {};
 }
 
-void Dissemination::apply(const ConfigurationChange &Change, bool FromPlatform,
-                          TimePoint Now, DisseminationActions &Actions) {
-  TicketNumber Before = this->newest();
-  ConfigurationChange Offered = Change;
-  // What the platform answers always reaches back to what is in force.
-  if (FromPlatform)
-    Offered.After = std::min(Before, Change.Head.Newest);
-  auto Later = keepOutcome([&] { return this->Controller.apply(Offered); });
-  if (!Later) {
-    this->onRefused(Later.error(), FromPlatform, Actions);
-    if (Later.error().Kind == ErrorKind::BadRequest)
-      this->Problem = Change.Head.Newest == Before
-                          ? ConfigurationProblem::Diverged
-                          : ConfigurationProblem::Unreadable;
+void MembershipProtocol::learn(const InstanceRecord &Heard, TimePoint Now) {
+  if (Heard.Id == this->Self.Id) {
+    this->learnAboutSelf(Heard);
     return;
   }
-  if (!Later.value())
+  bool Known = this->Table.find(Heard.Id) != nullptr;
+  // The unknown dead would otherwise go round for ever.
+  if (!Known && Heard.Health == InstanceHealth::Dead)
     return;
-  this->Problem = ConfigurationProblem::None;
-  this->LastWarning.reset();
-  this->Recent.push_back({.Before = Before, .At = Now});
-  while (this->Recent.front().At + RecentTickets < Now)
-    this->Recent.pop_front();
-  Actions.emplace_back(TicketApplied{this->newest()});
-  this->spread(Now, Actions);
-}
-
-void Dissemination::onRefused(const Error &Failure, bool FromPlatform,
-                              DisseminationActions &Actions) {
-  // A gap closes by itself; an older ticket from a peer is old news.
-  if (Failure.Kind == ErrorKind::Unavailable && !FromPlatform)
+  if (!this->Table.merge(Heard))
     return;
-  if (Failure.Kind == ErrorKind::Superseded && !FromPlatform)
+  this->applyListed(Heard.Id);
+  this->News.push(Heard.Id);
+  this->Reach.onKnown(Heard.Zone, Now);
+  KnownInstance &Entry = *this->Table.find(Heard.Id);
+  Entry.Until = TimePoint{};
+  this->Dead.erase(Heard.Id);
+  if (Entry.Record.Health == InstanceHealth::Live)
     return;
-  if (this->LastWarning == Failure)
-    return;
-  this->LastWarning = Failure;
-  Actions.emplace_back(DisseminationWarning{Failure});
-}
-
-void Dissemination::spread(TimePoint Now, DisseminationActions &Actions) {
-  std::optional<ConfigurationMessage> Message;
-  for (const Applied &Each : this->Recent) {
-    Message = this->updateFor(Each.Before, Now);
-    if (std::holds_alternative<ConfigurationChange>(*Message))
-      break;
-  }
-  auto Near = this->choose(this->Peers->inZone(this->Options.Zone),
-                           this->Options.NearFanout);
-  std::size_t Missing = this->Options.NearFanout - Near.size();
-  for (const auto *Peer :
-       this->chooseAnywhere(this->Options.FarFanout + Missing))
-    Near.push_back(Peer);
-  for (const auto *Peer : Near)
-    Actions.emplace_back(SendToPeer{.To = Peer->Where, .Message = *Message});
-}
-
-ConfigurationMessage Dissemination::updateFor(TicketNumber After,
-                                              TimePoint Now) const {
-  ConfigurationMessage Change = this->Controller.current()->changesAfter(After);
-  if (fits(Change))
-    return Change;
-  ConfigurationAnnouncement Offer = this->announcement(Now);
-  Offer.OffersCopy = true;
-  return Offer;
+  bool IsDead = Entry.Record.Health == InstanceHealth::Dead;
+  if (IsDead)
+    this->Dead.insert(Heard.Id);
+  Entry.Until =
+      Now + (IsDead ? this->Options.DeadRetention : this->suspicionLimit());
+  this->Deadlines.emplace(Entry.Until, Heard.Id);
 }
 
-DisseminationActions
-Dissemination::onMessage(const InstanceId &From, const Endpoint &Where,
-                         const ConfigurationMessage &Message, TimePoint Now) {
-  DisseminationActions Actions;
-  this->HeardPeer = true;
-  if (const auto *Change = std::get_if<ConfigurationChange>(&Message)) {
-    bool Gap = Change->After > this->newest();
-    if (Gap)
-      Actions.emplace_back(
-          SendToPeer{.To = Where, .Message = this->announcement(Now)});
-    else
-      this->apply(*Change, false, Now, Actions);
-    return Actions;
-  }
-  const auto &Heard = std::get<ConfigurationAnnouncement>(Message);
-  if (Now < this->ReportsUntil)
-    this->Reports[From] = {.Newest = Heard.Newest, .Problem = Heard.Problem};
-  this->onAnnouncement(Where, Heard, Now, Actions);
-  return Actions;
+void MembershipProtocol::applyListed(const InstanceId &Id) {
+  auto Found = this->Listed.find(Id);
+  if (Found == this->Listed.end() || !Found->second.Leaving)
+    return;
+  InstanceRecord Record = this->Table.find(Id)->Record;
+  // A mark from before the instance's start was meant for an earlier one.
+  if (Found->second.SinceMilliseconds < Record.Life.Value)
+    return;
+  Record.Leaving = true;
+  this->Table.merge(Record);
 }
 
-void Dissemination::onAnnouncement(const Endpoint &Where,
-                                   const ConfigurationAnnouncement &Heard,
-                                   TimePoint Now,
-                                   DisseminationActions &Actions) {
-  this->LastPlatform = std::max(this->LastPlatform, Now - Heard.PlatformAge);
-  ConfigurationAnnouncement Own = this->announcement(Now);
-  if (Heard.Newest == Own.Newest && Heard.Digest != Own.Digest) {
-    this->Problem = ConfigurationProblem::Diverged;
-    this->onRefused({.Kind = ErrorKind::OutcomeUnknown,
-                     .Message = "a peer runs other content under ticket " +
-                                std::to_string(Own.Newest.Value),
-                     .Remedy = "submit the wanted state under a higher number"},
-                    true, Actions);
-  }
-  if (Heard.Newest > Own.Newest && Heard.OffersCopy && !this->Fetching) {
-    this->Fetching = true;
-    Actions.emplace_back(FetchCopy{.From = Where, .After = Own.Newest});
+void MembershipProtocol::learnAboutSelf(const InstanceRecord &Heard) {
+  bool Departed = this->Self.Health == InstanceHealth::Dead;
+  if (Heard.Life < this->Self.Life || Departed)
     return;
+  bool Newer = Heard.Life > this->Self.Life;
+  bool Elsewhere = Newer && Heard.Peers != this->Self.Peers &&
+                   Heard.Health == InstanceHealth::Live;
+  if (Elsewhere != this->Replaced) {
+    this->Replaced = Elsewhere;
+    ++this->OwnVersion;
   }
-  if (Heard.Newest < Own.Newest) {
-    Actions.emplace_back(
-        SendToPeer{.To = Where, .Message = this->updateFor(Heard.Newest, Now)});
-    if (!Heard.WantsReply)
-      return;
+  if (Elsewhere)
+    return;
+  bool Marked = !Newer && Heard.Leaving && !this->Self.Leaving;
+  bool Doubted = Newer || Heard.Health != InstanceHealth::Live;
+  if (Marked)
+    this->Self.Leaving = true;
+  if (Doubted) {
+    ++this->Counters.Refutations;
+    this->Self.Life = Incarnation{Heard.Life.Value + 1};
   }
-  if (Heard.WantsReply || (Heard.Newest > Own.Newest && !Heard.OffersCopy))
-    Actions.emplace_back(SendToPeer{.To = Where, .Message = Own});
+  if (Marked || Doubted)
+    this->updateSelf();
 }
 
-void Dissemination::announceToRandomPeers(TimePoint Now,
-                                          DisseminationActions &Actions) {
-  ConfigurationAnnouncement Own = this->announcement(Now);
-  auto Chosen = this->choose(this->Peers->inZone(this->Options.Zone), 1);
-  for (const auto *Peer : this->chooseAnywhere(1))
-    Chosen.push_back(Peer);
-  for (const auto *Peer : Chosen)
-    Actions.emplace_back(SendToPeer{.To = Peer->Where, .Message = Own});
+MembershipSends MembershipProtocol::onPing(const MembershipMessage &Message,
+                                           TimePoint Now) {
+  MembershipMessage Reply = this->make(Kind::Ack, Message.Sender.Id, Now);
+  Reply.Answers = Message.Sequence;
+  Reply.Subject = this->Self.Id;
+  this->addUpdates(Reply, this->Options.UpdateBytes);
+  this->addDifferences(Reply, Message.Buckets);
+  return {{.To = Message.Sender.Peers, .Message = std::move(Reply)}};
 }
 
-std::vector<const ConfigurationPeer *>
-Dissemination::choose(const std::vector<std::uint32_t> &From,
-                      std::size_t Count) {
-  std::vector<const ConfigurationPeer *> Chosen;
-  std::size_t Tries = 2 * Count + 2;
-  while (!From.empty() && Chosen.size() < Count && Tries-- > 0) {
-    std::uint32_t Index =
-        From[this->Random.below(static_cast<std::uint32_t>(From.size()))];
-    const ConfigurationPeer *Peer = &this->Peers->all()[Index];
-    bool Taken = std::ranges::find(Chosen, Peer) != Chosen.end();
-    if (!Taken && Peer->Id != this->Options.Self)
-      Chosen.push_back(Peer);
+MembershipSends MembershipProtocol::onAck(const MembershipMessage &Message,
+                                          TimePoint Now) {
+  if (this->Current && this->Current->Target == Message.Subject) {
+    const auto &Sent = this->Current->Sequences;
+    if (std::find(Sent.begin(), Sent.end(), Message.Answers) != Sent.end())
+      this->Current.reset();
   }
-  return Chosen;
+  auto Relayed = this->Relays.find(Message.Answers);
+  if (Relayed == this->Relays.end())
+    return {};
+  Relay Origin = Relayed->second;
+  this->Relays.erase(Relayed);
+  const KnownInstance *Known = this->Table.find(Origin.Origin);
+  if (!Known)
+    return {};
+  MembershipMessage Reply = this->make(Kind::Ack, Origin.Origin, Now);
+  Reply.Answers = Origin.Sequence;
+  Reply.Subject = Message.Sender.Id;
+  return {{.To = Known->Record.Peers, .Message = std::move(Reply)}};
 }
 
-std::vector<const ConfigurationPeer *>
-Dissemination::chooseAnywhere(std::size_t Count) {
-  std::vector<const ConfigurationPeer *> Chosen;
-  const auto &All = this->Peers->all();
-  std::size_t Tries = 2 * Count + 2;
-  while (!All.empty() && Chosen.size() < Count && Tries-- > 0) {
-    const ConfigurationPeer *Peer =
-        &All[this->Random.below(static_cast<std::uint32_t>(All.size()))];
-    bool Taken = std::ranges::find(Chosen, Peer) != Chosen.end();
-    if (!Taken && Peer->Id != this->Options.Self)
-      Chosen.push_back(Peer);
+MembershipSends
+MembershipProtocol::onPingRequest(const MembershipMessage &Message,
+                                  TimePoint Now) {
+  const KnownInstance *Target = this->Table.find(Message.Subject);
+  if (!Target || Message.Subject == this->Self.Id)
+    return {};
+  MembershipSend Asked = this->ping(Message.Subject, Target->Record.Peers, Now);
+  if (this->Relays.size() >= MostRelays)
+    this->Relays.erase(this->Relays.begin());
+  this->Relays.emplace(
+      Asked.Message.Sequence,
+      Relay{.Origin = Message.Sender.Id, .Sequence = Message.Sequence});
+  return {std::move(Asked)};
+}
+
+MembershipSends
+MembershipProtocol::onPageRequest(const MembershipMessage &Message,
+                                  TimePoint Now) {
+  MembershipMessage Reply = this->make(Kind::Page, Message.Sender.Id, Now);
+  Reply.Answers = Message.Sequence;
+  const auto &All = this->Table.all();
+  // The cursor takes a name's length at most.
+  constexpr std::size_t CursorBytes = 64;
+  std::size_t Most = bytesLeft(Reply) - CursorBytes;
+  std::size_t Used = 0;
+  auto At = All.upper_bound(Message.Cursor);
+  for (; At != All.end(); ++At) {
+    const InstanceRecord &Record = At->second.Record;
+    if (Record.Health == InstanceHealth::Dead)
+      continue;
+    Used += encodedSize(Record);
+    if (Used > Most)
+      break;
+    Reply.Updates.push_back(Record);
   }
-  return Chosen;
+  bool More = At != All.end() && !Reply.Updates.empty();
+  if (More)
+    Reply.Cursor = Reply.Updates.back().Id;
+  return {{.To = Message.Sender.Peers, .Message = std::move(Reply)}};
 }
 
-DisseminationActions Dissemination::askPeers(std::size_t First,
-                                             std::size_t Count, TimePoint Now) {
-  if (First == 0)
-    this->Reports.clear();
-  this->ReportsUntil = Now + ReportLife;
-  DisseminationActions Actions;
-  ConfigurationAnnouncement Question = this->announcement(Now);
-  Question.WantsReply = true;
-  const auto &All = this->Peers->all();
-  for (std::size_t Index = First; Index < All.size() && Count > 0;
-       ++Index, --Count)
-    if (All[Index].Id != this->Options.Self)
-      Actions.emplace_back(
-          SendToPeer{.To = All[Index].Where, .Message = Question});
-  return Actions;
+void MembershipProtocol::onPage(const MembershipMessage &Message,
+                                TimePoint Now) {
+  Join &J = this->Joining;
+  if (J.Done || !J.Waiting || Message.Answers != J.Sequence)
+    return;
+  J.Waiting = false;
+  J.Failures = 0;
+  J.Cursor = Message.Cursor;
+  J.NextAt = Now + this->Options.PageInterval;
+  J.Done = J.Cursor.Value.empty();
+  if (J.Done)
+    ++this->OwnVersion;
 }
 
 } // namespace turmericpitch
