Drain in steps: not ready, notice time, refusal, true outcomes at the limit

Cause: a drain closed the listener at once, so connections in its backlog were reset; idle connections stayed open; the limit cut off requests without a word. Change: a pure drain state machine; the server closes idle connections once the balancer had time to notice, refuses requests on later ones as not run, and at the limit answers what still runs as of unknown outcome. The membership exchange runs in the daemon: SIGTERM is told to peers, and a leaving mark begins a drain. Status shows what membership believes.

--- a/drivers/ByteStream.cpp
+++ b/drivers/ByteStream.cpp
@@ -148,6 +148,12 @@
   this->Own->socket().close(Ignored);
 }
 
+bool ByteStream::hasUnread() const {
+  ErrorCode Failure;
+  std::size_t Count = this->Own->socket().available(Failure);
+  return !Failure && Count > 0;
+}
+
 Executor ByteStream::executor() const {
   return this->Own->Alarm.get_executor();
 }
--- a/drivers/ByteStream.h
+++ b/drivers/ByteStream.h
@@ -49,6 +49,8 @@
   void clearLimit();
   /// Ends every operation under way.
   void close();
+  /// Whether bytes have arrived that were not read.
+  [[nodiscard]] bool hasUnread() const;
   [[nodiscard]] Executor executor() const;
 
 private:
--- a/drivers/Http.h
+++ b/drivers/Http.h
@@ -33,6 +33,9 @@
   std::string ContentType = "application/json";
   /// Sent as Retry-After, rounded up to seconds.
   std::optional<Duration> RetryAfter = std::nullopt;
+  /// The connection holds open work, such as a transaction, so that a drain
+  /// leaves it open.
+  bool HoldsConnection = false;
   /// If set, the body is streamed: each call gives the next piece, nothing
   /// ends it. Body is then ignored.
   std::function<Awaitable<std::optional<std::string>>()> NextPiece = nullptr;
--- a/drivers/HttpServer.cpp
+++ b/drivers/HttpServer.cpp
@@ -25,13 +25,46 @@
 
 constexpr std::size_t ReadChunk = 4096;
 
-/// A connection's stream and the bytes that belong to its next request.
+/// Counts one thing under way for as long as it lives.
+class CountMark {
+public:
+  explicit CountMark(std::atomic<std::size_t> &Counter) : Counter(Counter) {
+    ++this->Counter;
+  }
+  ~CountMark() { --this->Counter; }
+  CountMark(const CountMark &) = delete;
+  CountMark &operator=(const CountMark &) = delete;
+
+private:
+  std::atomic<std::size_t> &Counter;
+};
+
+/// What a connection is doing.
+enum class ConnectionPhase { Waiting, Reading, Running, Writing };
+
+/// A connection's stream and the bytes that belong to its next request. Used
+/// on the stream's strand only.
 struct ServedConnection {
   ServedConnection(ByteStream::Socket Socket, const TlsContext &Tls)
       : Stream(std::move(Socket), Tls) {}
 
+  /// Nothing of a request has come, and none belongs to open work.
+  [[nodiscard]] bool idle() const {
+    return this->Phase == ConnectionPhase::Waiting && !this->Held &&
+           this->Unread.empty() && !this->Stream.hasUnread();
+  }
+
   ByteStream Stream;
   std::string Unread;
+  ConnectionPhase Phase = ConnectionPhase::Waiting;
+  /// Set while a request is read, run or answered.
+  std::optional<CountMark> Request;
+  /// Set while the connection holds open work, such as a transaction.
+  std::optional<CountMark> Held;
+  /// Requests on it are refused, as it came too late.
+  bool Late = false;
+  /// The request was answered without its handler.
+  bool Ended = false;
 };
 
 /// What reading one request came to.
@@ -42,9 +75,10 @@
   std::optional<Error> Refused;
 };
 
-/// Reads one request into Into.
+/// Reads one request into Into; counts it from its first byte on.
 Awaitable<ReadOutcome> readRequest(ServedConnection &From,
-                                   HttpRequestReader &Into) {
+                                   HttpRequestReader &Into,
+                                   std::atomic<std::size_t> &Requests) {
   ReadOutcome Read;
   std::array<char, ReadChunk> Chunk{};
   while (true) {
@@ -62,6 +96,9 @@
     if (Read.Ended)
       co_return Read;
     From.Unread.append(Chunk.data(), Count.value());
+    From.Phase = ConnectionPhase::Reading;
+    if (!From.Request)
+      From.Request.emplace(Requests);
   }
 }
 
@@ -79,6 +116,20 @@
   }
 }
 
+Error refusedNew() {
+  return {.Kind = ErrorKind::NotRun,
+          .Message = "this instance is shutting down; the request did not run",
+          .Remedy = "send it again on a new connection",
+          .RetryAfter = Duration{0}};
+}
+
+Error endedWhileRunning() {
+  return {.Kind = ErrorKind::OutcomeUnknown,
+          .Message = "this instance ended before the outcome was known",
+          .Remedy = "look whether it ran before sending it again, or repeat "
+                    "it under its idempotency key"};
+}
+
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -89,6 +140,11 @@
   Awaitable<void> acceptLoop();
   Awaitable<void> serve(std::shared_ptr<ServedConnection> Peer);
   Awaitable<bool> serveOne(ServedConnection &Peer, const HttpHandler &Handler);
+  Awaitable<HttpReply> answer(ServedConnection &Peer, HttpRequestReader &Reader,
+                              const HttpHandler &Handler);
+  void noteHeld(ServedConnection &Peer, bool Holds);
+  template <typename Callable> void onEachConnection(Callable Act);
+  Awaitable<void> endOpen(std::shared_ptr<ServedConnection> Peer);
   std::uint64_t enroll(const std::shared_ptr<ServedConnection> &Peer);
   void release(std::uint64_t Id);
 
@@ -97,7 +153,9 @@
   HttpHandlerFactory MakeHandler;
   tcp::acceptor Acceptor;
   std::atomic<bool> Draining = false;
+  std::atomic<bool> Refusing = false;
   std::atomic<std::size_t> InFlight = 0;
+  std::atomic<std::size_t> Holding = 0;
 
   mutable std::mutex Guard;
   std::map<std::uint64_t, std::weak_ptr<ServedConnection>> Connections;
@@ -137,21 +195,64 @@
   return std::monostate{};
 }
 
-void HttpServer::drain() {
+template <typename Callable>
+void HttpServer::State::onEachConnection(Callable Act) {
+  std::lock_guard Lock(this->Guard);
+  for (auto &[Id, Weak] : this->Connections)
+    if (auto Peer = Weak.lock())
+      asio::dispatch(Peer->Stream.executor(), [Act, Peer] { Act(Peer); });
+}
+
+void HttpServer::drain() { this->Shared->Draining = true; }
+
+void HttpServer::refuseNew() {
+  this->Shared->Draining = true;
+  this->Shared->Refusing = true;
+  this->Shared->onEachConnection([](const auto &Peer) {
+    if (Peer->idle())
+      Peer->Stream.close();
+  });
+}
+
+void HttpServer::endOpen() {
+  this->refuseNew();
+  auto Self = this->Shared;
+  this->Shared->onEachConnection([Self](const auto &Peer) {
+    asio::co_spawn(
+        Peer->Stream.executor(),
+        [Self, Peer]() -> Awaitable<void> { co_await Self->endOpen(Peer); },
+        asio::detached);
+  });
+}
+
+void HttpServer::close() {
   auto Self = this->Shared;
   Self->Draining = true;
   asio::dispatch(Self->Acceptor.get_executor(), [Self] {
     ErrorCode Ignored;
     Self->Acceptor.close(Ignored);
   });
+  Self->onEachConnection([](const auto &Peer) { Peer->Stream.close(); });
 }
 
-void HttpServer::close() {
-  this->drain();
-  std::lock_guard Lock(this->Shared->Guard);
-  for (auto &[Id, Weak] : this->Shared->Connections)
-    if (auto Peer = Weak.lock())
-      asio::dispatch(Peer->Stream.executor(), [Peer] { Peer->Stream.close(); });
+Awaitable<void>
+HttpServer::State::endOpen(std::shared_ptr<ServedConnection> Peer) {
+  if (Peer->Phase == ConnectionPhase::Writing)
+    co_return;
+  if (Peer->Phase != ConnectionPhase::Waiting && !Peer->Ended) {
+    bool Ran = Peer->Phase == ConnectionPhase::Running;
+    Peer->Ended = true;
+    Peer->Phase = ConnectionPhase::Writing;
+    HttpReply Reply = replyWith(Ran ? endedWhileRunning() : refusedNew());
+    std::string Bytes = formatReply(Reply, false);
+    co_await Peer->Stream.writeAll(Bytes);
+    Peer->Request.reset();
+  }
+  Peer->Stream.close();
+}
+
+std::size_t HttpServer::connectionsHeld() const {
+  return this->Shared->Holding;
 }
 
 std::size_t HttpServer::requestsInFlight() const {
@@ -191,6 +292,7 @@
     if (this->Options.CurrentTls)
       Tls = this->Options.CurrentTls();
     auto Peer = std::make_shared<ServedConnection>(std::move(Socket), Tls);
+    Peer->Late = this->Refusing;
     asio::co_spawn(
         Peer->Stream.executor(),
         [Self, Peer]() -> Awaitable<void> { co_await Self->serve(Peer); },
@@ -213,34 +315,55 @@
   this->release(Id);
 }
 
+Awaitable<HttpReply> HttpServer::State::answer(ServedConnection &Peer,
+                                               HttpRequestReader &Reader,
+                                               const HttpHandler &Handler) {
+  HttpRequest Request = Reader.take();
+  bool Refused = Peer.Late && !Peer.Held;
+  if (Refused)
+    co_return replyWith(refusedNew());
+  co_return co_await Handler(std::move(Request));
+}
+
+void HttpServer::State::noteHeld(ServedConnection &Peer, bool Holds) {
+  if (!Holds)
+    Peer.Held.reset();
+  else if (!Peer.Held)
+    Peer.Held.emplace(this->Holding);
+}
+
 Awaitable<bool> HttpServer::State::serveOne(ServedConnection &Peer,
                                             const HttpHandler &Handler) {
   Peer.Stream.setLimit(this->Options.IdleLimit);
+  Peer.Phase = ConnectionPhase::Waiting;
   HttpRequestReader Reader(this->Options.Limits);
-  ReadOutcome Read = co_await readRequest(Peer, Reader);
-  if (Read.Ended)
+  if (!Peer.Unread.empty())
+    Peer.Request.emplace(this->InFlight);
+  ReadOutcome Read = co_await readRequest(Peer, Reader, this->InFlight);
+  if (Read.Ended || Peer.Ended)
     co_return false;
-  ++this->InFlight;
+  Peer.Phase = ConnectionPhase::Running;
   Peer.Stream.clearLimit();
+  bool KeepAlive = !Read.Refused && Reader.keepAlive();
   HttpReply Reply;
-  bool KeepAlive = false;
-  if (Read.Refused) {
+  if (Read.Refused)
     Reply = replyWith(*Read.Refused);
-  } else {
-    KeepAlive = Reader.keepAlive();
-    HttpRequest Request = Reader.take();
-    Reply = co_await Handler(std::move(Request));
-  }
+  else
+    Reply = co_await this->answer(Peer, Reader, Handler);
+  if (Peer.Ended)
+    co_return false;
+  Peer.Phase = ConnectionPhase::Writing;
   if (Reply.NextPiece) {
-    --this->InFlight;
+    Peer.Request.reset();
     co_await writePieces(Peer.Stream, Reply);
     co_return false;
   }
-  KeepAlive = KeepAlive && !this->Draining;
+  this->noteHeld(Peer, Reply.HoldsConnection);
+  KeepAlive = KeepAlive && (!this->Draining || Peer.Held);
   std::string Bytes = formatReply(Reply, KeepAlive);
   Peer.Stream.setLimit(this->Options.IdleLimit);
   Status Written = co_await Peer.Stream.writeAll(Bytes);
-  --this->InFlight;
+  Peer.Request.reset();
   co_return KeepAlive &&Written.hasValue();
 }
 
--- a/drivers/HttpServer.h
+++ b/drivers/HttpServer.h
@@ -39,14 +39,23 @@
   /// Listens and begins to accept. Errors: Unavailable if the address can't
   /// be bound.
   Status start();
-  /// Takes no further connections; each open one ends after the reply to its
-  /// request in flight.
+  /// Each connection ends after the reply to its next request, unless it
+  /// holds open work. New connections are still served.
   void drain();
+  /// Beyond drain(), closes connections on which nothing of a request has
+  /// come, and refuses requests on new connections as not run.
+  void refuseNew();
+  /// Beyond refuseNew(), answers every open request: as not run if it was
+  /// not read whole, else as of unknown outcome.
+  void endOpen();
   /// Closes everything at once.
   void close();
 
-  /// Requests read whole whose replies are not yet written.
+  /// Requests of which a byte was read and whose replies are not yet
+  /// written; streamed replies count until their first piece.
   [[nodiscard]] std::size_t requestsInFlight() const;
+  /// Connections that hold open work.
+  [[nodiscard]] std::size_t connectionsHeld() const;
   [[nodiscard]] std::size_t connections() const;
 
 private:
--- a/drivers/MembershipExchange.cpp
+++ b/drivers/MembershipExchange.cpp
@@ -54,7 +54,7 @@
   this->send(this->Controller->beginLeaving(this->Time.now()));
 }
 
-void MembershipExchange::stop() {
+void MembershipExchange::depart() {
   if (!this->Stopped.exchange(true))
     this->send(this->Controller->depart(this->Time.now()));
 }
--- a/drivers/MembershipExchange.h
+++ b/drivers/MembershipExchange.h
@@ -23,7 +23,9 @@
   /// Tells some peers that this instance takes no more work.
   void beginLeaving();
   /// Tells some peers that this instance ends, and stops.
-  void stop();
+  void depart();
+  /// Stops without a word, as a crash does.
+  void stop() { this->Stopped = true; }
 
 private:
   void send(const MembershipSends &Sends);
--- a/drivers/OperatorApi.cpp
+++ b/drivers/OperatorApi.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view StatusTarget = "/v1/status";
 constexpr std::string_view MetricsTarget = "/metrics";
 constexpr unsigned NotFound = 404;
+constexpr std::size_t MostInstances = 100;
 
 HttpReply replyWithJson(const boost::json::object &Json) {
   HttpReply Reply;
@@ -51,6 +52,23 @@
   return Json;
 }
 
+/// Counts by state, and by name whoever isn't live.
+boost::json::object describe(const MembershipSnapshot &Believed) {
+  boost::json::object Counts;
+  boost::json::object Others;
+  for (const InstanceView &Each : Believed.instances()) {
+    boost::json::value &Count = Counts[toString(Each.State)];
+    Count = Count.is_null() ? 1 : Count.as_int64() + 1;
+    if (Each.State != InstanceState::Live && Others.size() < MostInstances)
+      Others[Each.Id.Value] = toString(Each.State);
+  }
+  boost::json::object Json;
+  Json["joined"] = Believed.joined();
+  Json["counts"] = std::move(Counts);
+  Json["not_live"] = std::move(Others);
+  return Json;
+}
+
 } // namespace
 
 OperatorApi::OperatorApi(OperatorApiOptions Options,
@@ -149,6 +167,8 @@
         Databases[Id.Value] = describe(*View);
   Json["databases"] = std::move(Databases);
   Json["platform_calls"] = this->Platform->calls();
+  if (this->Options.Membership)
+    Json["instances"] = describe(*this->Options.Membership());
   return replyWithJson(Json);
 }
 
--- a/drivers/OperatorApi.h
+++ b/drivers/OperatorApi.h
@@ -4,6 +4,7 @@
 #include "configuration/ConfigurationController.h"
 #include "drivers/HttpServer.h"
 #include "drivers/PlatformClient.h"
+#include "membership/MembershipSnapshot.h"
 #include "routing/UpstreamView.h"
 
 namespace turmericpitch {
@@ -12,6 +13,8 @@
   InstanceId Self;
   /// SHA-256 of the operators' bearer credential, in hexadecimal.
   std::string CredentialDigest;
+  /// What this instance believes about all instances; may be unset.
+  std::function<SharedMembership()> Membership = nullptr;
 };
 
 /// POST /v1/tickets          accepts a change ticket (YAML or JSON)
--- a/main/Commands.cpp
+++ b/main/Commands.cpp
@@ -105,16 +105,14 @@
   return ExitSuccess;
 }
 
-/// Serves until the first signal, then drains; a second signal or the drain
-/// limit ends it at once.
-void serveUntilSignalled(Daemon &Running, Duration DrainLimit) {
+/// Serves until the first signal or a leaving mark, then drains; a second
+/// signal or the drain limit ends it with what is known of each outcome.
+void serveUntilSignalled(Daemon &Running) {
   boost::asio::io_context Context;
   boost::asio::signal_set Signals(Context, SIGINT, SIGTERM);
   boost::asio::steady_timer Poll(Context);
-  TimePoint GiveUpAt;
-  MonotonicClock Time;
   std::function<void()> PollDrain = [&] {
-    if (Running.drained() || Time.now() >= GiveUpAt) {
+    if (Running.drained()) {
       Context.stop();
       return;
     }
@@ -139,10 +137,9 @@
   Signals.async_wait([&](const auto &, int) {
     writeInfo("draining");
     Running.beginDrain();
-    GiveUpAt = Time.now() + DrainLimit;
-    Signals.async_wait([&](const auto &, int) { Context.stop(); });
-    PollDrain();
+    Signals.async_wait([&](const auto &, int) { Running.endDrain(); });
   });
+  PollDrain();
   Context.run();
   Running.stop();
 }
@@ -154,7 +151,7 @@
   Options.add_options()("log-file", "write the log here, not to the terminal",
                         cxxopts::value<std::string>());
   Options.add_options()("drain-limit-s", "longest drain, seconds",
-                        cxxopts::value<unsigned>()->default_value("30"));
+                        cxxopts::value<unsigned>());
   int Code = ExitSuccess;
   auto Parsed = parseOptions(Options, Count, Arguments, Code);
   if (!Parsed)
@@ -168,14 +165,16 @@
   auto Settings = loadSettings((*Parsed)["settings"].as<std::string>());
   if (!Settings)
     return reportError(Settings.error(), ExitUsage);
+  if (Parsed->count("drain-limit-s") > 0)
+    Settings.value().Drain.Limit =
+        std::chrono::seconds((*Parsed)["drain-limit-s"].as<unsigned>());
   Daemon Running(Settings.value());
   Status Started = Running.start();
   if (!Started)
     return reportError(Started.error(), ExitUnavailable);
   writeInfo("instance " + Settings.value().Self.Value + " serves on " +
             toString(Settings.value().Callers));
-  serveUntilSignalled(
-      Running, std::chrono::seconds((*Parsed)["drain-limit-s"].as<unsigned>()));
+  serveUntilSignalled(Running);
   return ExitSuccess;
 }
 
--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -1,7 +1,10 @@
 #include "main/Daemon.h"
 
+#include "core/DecisionLog.h"
 #include "drivers/CallerApi.h"
+#include "drivers/ChangeSignal.h"
 #include "drivers/ConfigurationSync.h"
+#include "drivers/MembershipExchange.h"
 #include "drivers/OperatorApi.h"
 #include "drivers/PeerTransport.h"
 #include "drivers/PrimaryKeeper.h"
@@ -22,6 +25,7 @@
 namespace {
 
 constexpr std::size_t ControlConnections = 16;
+constexpr Duration DrainStepInterval = std::chrono::milliseconds(20);
 
 std::string makeStartId() {
   std::random_device Device;
@@ -35,6 +39,20 @@
   return Options;
 }
 
+MembershipOptions membershipOptions(const DaemonSettings &Settings) {
+  using std::chrono::milliseconds;
+  auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  auto Now = std::chrono::duration_cast<milliseconds>(SinceEpoch).count();
+  MembershipOptions Options;
+  Options.Self = {
+      .Id = Settings.Self, .Zone = Settings.Zone, .Peers = Settings.PeerListen};
+  Options.Life = Incarnation{static_cast<std::uint64_t>(Now)};
+  for (const PeerSettings &Peer : Settings.Peers)
+    Options.Seeds.push_back(
+        {.Id = Peer.Id, .Zone = Peer.Zone, .Peers = Peer.Where});
+  return Options;
+}
+
 PrimaryKeeperOptions keeperOptions(const DaemonSettings &Settings,
                                    const std::string &StartId) {
   PrimaryKeeperOptions Options;
@@ -75,6 +93,12 @@
   /// Errors: BadRequest if the TLS keys can't be used.
   Status openServers();
   void applyLimits(const Database &Configured);
+  void beginDrain(DrainReason Reason);
+  void endDrain();
+  DrainStep drainStep();
+  /// Carries out the drain's steps. Runs until the daemon stops.
+  Awaitable<void> watchDrain();
+  void onDrainStep(DrainStep Step);
 
   DaemonSettings Settings;
   std::string StartId = makeStartId();
@@ -93,6 +117,12 @@
   std::shared_ptr<CallerApi> Callers;
   std::shared_ptr<OperatorApi> Operators;
   std::shared_ptr<PeerTransport> Peers;
+  std::shared_ptr<MembershipController> Members;
+  std::shared_ptr<MembershipExchange> Exchange;
+  std::mutex DrainGuard;
+  DrainController Drain{Settings.Drain};
+  std::atomic<bool> Drained = false;
+  std::atomic<bool> Stopping = false;
   std::shared_ptr<TlsKeys> Keys;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> OperatorServer;
@@ -126,13 +156,76 @@
       CallerApiOptions{.Self = this->Settings.Self, .StartId = this->StartId},
       this->Configuration, this->Upstreams, this->Runner, Chain, Codec);
   this->Operators = std::make_shared<OperatorApi>(
-      OperatorApiOptions{.Self = this->Settings.Self,
-                         .CredentialDigest =
-                             this->Settings.OperatorCredentialDigest},
+      OperatorApiOptions{
+          .Self = this->Settings.Self,
+          .CredentialDigest = this->Settings.OperatorCredentialDigest,
+          .Membership = [this] { return this->Members->current(); }},
       this->Configuration, this->Upstreams, this->Platform);
   this->Peers = std::make_shared<PeerTransport>(
       this->On, this->Settings.PeerListen, this->Settings.Self,
       this->Settings.PeerKeys);
+  this->Members = std::make_shared<MembershipController>(
+      membershipOptions(this->Settings), std::random_device()());
+  this->Exchange =
+      std::make_shared<MembershipExchange>(this->Peers, this->Members);
+  this->Exchange->attach();
+}
+
+void Daemon::Parts::beginDrain(DrainReason Reason) {
+  {
+    std::lock_guard Lock(this->DrainGuard);
+    if (!this->Drain.ready())
+      return;
+    this->Drain.onLeave(Reason, MonotonicClock().now());
+  }
+  writeDecision(DecisionLine("drain")
+                    .field("step", toString(DrainStep::Noticing))
+                    .field("reason", toString(Reason)));
+  this->Callers->beginDrain();
+  this->CallerServer->drain();
+  this->Exchange->beginLeaving();
+}
+
+void Daemon::Parts::endDrain() {
+  std::lock_guard Lock(this->DrainGuard);
+  this->Drain.onEnd(MonotonicClock().now());
+}
+
+DrainStep Daemon::Parts::drainStep() {
+  DrainWork Work{.Requests = this->CallerServer->requestsInFlight(),
+                 .Transactions = this->CallerServer->connectionsHeld()};
+  std::lock_guard Lock(this->DrainGuard);
+  return this->Drain.look(Work, MonotonicClock().now());
+}
+
+void Daemon::Parts::onDrainStep(DrainStep Step) {
+  writeDecision(
+      DecisionLine("drain")
+          .field("step", toString(Step))
+          .field("requests", this->CallerServer->requestsInFlight())
+          .field("transactions", this->CallerServer->connectionsHeld()));
+  if (Step == DrainStep::Refusing)
+    this->CallerServer->refuseNew();
+  else if (Step == DrainStep::Ending)
+    this->CallerServer->endOpen();
+  if (Step != DrainStep::Ended)
+    return;
+  this->Exchange->depart();
+  this->Drained = true;
+}
+
+Awaitable<void> Daemon::Parts::watchDrain() {
+  DrainStep Last = DrainStep::Serving;
+  while (!this->Stopping) {
+    if (Last == DrainStep::Serving && this->Members->leaving())
+      this->beginDrain(DrainReason::MarkedLeaving);
+    DrainStep Step = this->drainStep();
+    // The first step was carried out when the drain began.
+    if (Step != Last && Step > DrainStep::Noticing)
+      this->onDrainStep(Step);
+    Last = Step;
+    co_await sleepFor(DrainStepInterval);
+  }
 }
 
 void Daemon::Parts::applyLimits(const Database &Configured) {
@@ -192,6 +285,14 @@
   Status PeersStarted = P.Peers->start();
   if (!PeersStarted)
     return PeersStarted;
+  auto Exchange = P.Exchange;
+  asio::co_spawn(
+      asio::make_strand(P.On),
+      [Exchange]() -> Awaitable<void> { co_await Exchange->run(); },
+      asio::detached);
+  asio::co_spawn(
+      asio::make_strand(P.On),
+      [&P]() -> Awaitable<void> { co_await P.watchDrain(); }, asio::detached);
   auto Sync = P.Sync;
   asio::co_spawn(
       asio::make_strand(P.On),
@@ -201,15 +302,17 @@
   return std::monostate{};
 }
 
-void Daemon::beginDrain() {
-  this->Own->Callers->beginDrain();
-  this->Own->CallerServer->drain();
-}
+void Daemon::beginDrain() { this->Own->beginDrain(DrainReason::Signal); }
 
-bool Daemon::drained() const {
-  return this->Own->CallerServer->requestsInFlight() == 0;
+void Daemon::endDrain() { this->Own->endDrain(); }
+
+bool Daemon::draining() const {
+  std::lock_guard Lock(this->Own->DrainGuard);
+  return !this->Own->Drain.ready();
 }
 
+bool Daemon::drained() const { return this->Own->Drained; }
+
 Status Daemon::reloadKeys() {
   if (!this->Own->Keys)
     return std::monostate{};
@@ -218,11 +321,13 @@
 
 void Daemon::stop() {
   Parts &P = *this->Own;
+  P.Stopping = true;
   P.Sync->stop();
   P.Keeper->stop();
   for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()})
     if (Server)
       Server->close();
+  P.Exchange->stop();
   P.Peers->close();
   P.Context.stop();
   for (std::thread &Each : P.Threads)
--- a/main/Daemon.h
+++ b/main/Daemon.h
@@ -22,9 +22,14 @@
   /// Reads the TLS keys again; on an error the present ones stay. Errors:
   /// BadRequest.
   Status reloadKeys();
-  /// The readiness check says no; no further connections are taken.
+  /// The readiness check says no, peers learn it, and once the balancer has
+  /// noticed new work is refused; see DrainController.
   void beginDrain();
-  /// Whether no request is in flight any more.
+  /// Answers what still runs with what is known of its outcome.
+  void endDrain();
+  /// Whether a drain is under way, also one that a leaving mark began.
+  [[nodiscard]] bool draining() const;
+  /// Whether the drain is over.
   [[nodiscard]] bool drained() const;
   /// Ends everything at once.
   void stop();
--- a/main/DaemonSettings.cpp
+++ b/main/DaemonSettings.cpp
@@ -74,6 +74,13 @@
   Reader.finish();
 }
 
+void readDrain(YamlReader Reader, DrainOptions &Drain) {
+  Drain.BalancerNotice =
+      Reader.duration("balancer_notice", WaitBounds, Drain.BalancerNotice);
+  Drain.Limit = Reader.duration("limit", PatienceBounds, Drain.Limit);
+  Reader.finish();
+}
+
 void readFailover(YamlReader Reader, DaemonSettings &Settings) {
   Settings.ProbeInterval =
       Reader.duration("probe_interval", ProbeBounds, Settings.ProbeInterval);
@@ -113,6 +120,7 @@
       Reader.number("threads", ThreadBounds, Settings.Threads));
   readRouting(Reader.mapping("routing"), Settings);
   readFailover(Reader.mapping("failover"), Settings);
+  readDrain(Reader.mapping("drain"), Settings.Drain);
   Reader.finish();
   if (!Problems.none())
     return boost::leaf::new_error(Problems.asError());
--- a/main/DaemonSettings.h
+++ b/main/DaemonSettings.h
@@ -6,6 +6,7 @@
 #include "core/Identifiers.h"
 #include "core/Time.h"
 #include "drivers/TlsKeys.h"
+#include "membership/DrainController.h"
 #include "membership/PeerFrame.h"
 #include "session/SessionToken.h"
 
@@ -41,6 +42,7 @@
   Duration ProbeLimit = std::chrono::milliseconds(200);
   Duration PrimarySilenceLimit = std::chrono::milliseconds(400);
   Duration PromoterRankDelay = std::chrono::milliseconds(150);
+  DrainOptions Drain;
   Duration MaximumPatience = std::chrono::seconds(30);
 
   bool operator==(const DaemonSettings &) const = default;
--- a/main/StatusTable.cpp
+++ b/main/StatusTable.cpp
@@ -37,6 +37,22 @@
       printMember(To, Member.as_object());
 }
 
+void printInstances(std::ostream &To, const boost::json::object &Json) {
+  To << "instances";
+  for (const char *State :
+       {"live", "leaving", "suspect", "unreachable", "dead"})
+    if (const auto *Counts = Json.if_contains("counts"))
+      if (const auto *Count = Counts->as_object().if_contains(State))
+        To << " " << State << " " << Count->as_int64();
+  To << "\n";
+  const auto *Others = Json.if_contains("not_live");
+  if (!Others)
+    return;
+  for (const auto &Each : Others->as_object())
+    To << "  " << std::left << std::setw(NameWidth) << std::string(Each.key())
+       << Each.value().as_string().c_str() << "\n";
+}
+
 } // namespace
 
 Result<std::string> formatStatus(std::string_view Json) {
@@ -48,7 +64,10 @@
         << Reader.number("newest_in_force", 0) << " in force, "
         << Reader.number("platform_calls", 0) << " platform calls\n";
   const boost::json::object *Databases = Reader.object("databases");
+  const boost::json::object *Instances = Reader.object("instances");
   BOOST_LEAF_CHECK(Reader.finish());
+  if (Instances)
+    printInstances(Table, *Instances);
   if (Databases)
     for (const auto &Entry : *Databases)
       if (Entry.value().is_object())
