--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -8,6 +8,7 @@
 #include "drivers/OperatorApi.h"
 #include "drivers/PeerTransport.h"
 #include "drivers/PrimaryKeeper.h"
+#include "drivers/ShareExchange.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,7 +25,7 @@
 
 namespace {
 
-constexpr std::size_t ControlConnections = 16;
+constexpr std::uint32_t ControlConnections = 16;
 constexpr Duration DrainStepInterval = std::chrono::milliseconds(20);
 
 std::string makeStartId() {
@@ -32,6 +33,24 @@
   return std::to_string(Device());
 }
 
+/// Connections that members count apart wait in order until their deadline.
+MemberPoolOptions controlPoolOptions() {
+  MemberPoolOptions Options;
+  Options.DefaultLimit = ControlConnections;
+  Options.Queue.ShedEarly = false;
+  return Options;
+}
+
+ShareExchangeOptions shareOptions(const DaemonSettings &Settings,
+                                  const std::string &StartId) {
+  ShareExchangeOptions Options;
+  Options.Self = Settings.Self;
+  for (const PeerSettings &Peer : Settings.Peers)
+    Options.Peers.emplace(Peer.Id, Peer.Where);
+  Options.Incarnation = std::stoull(StartId);
+  return Options;
+}
+
 RoutingOptions routingOptions(const DaemonSettings &Settings) {
   RoutingOptions Options;
   Options.Zone = Settings.Zone;
@@ -92,7 +111,6 @@
   void onConfigurationApplied();
   /// Errors: BadRequest if the TLS keys can't be used.
   Status openServers();
-  void applyLimits(const Database &Configured);
   void beginDrain(DrainReason Reason);
   void endDrain();
   DrainStep drainStep();
@@ -123,6 +141,7 @@
   DrainController Drain{Settings.Drain};
   std::atomic<bool> Drained = false;
   std::atomic<bool> Stopping = false;
+  std::shared_ptr<ShareExchange> Shares;
   std::shared_ptr<TlsKeys> Keys;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> OperatorServer;
@@ -131,8 +150,9 @@
 };
 
 Daemon::Parts::Parts(DaemonSettings Given) : Settings(std::move(Given)) {
-  this->Statements = std::make_shared<MemberPool>(this->On, 1);
-  this->Control = std::make_shared<MemberPool>(this->On, ControlConnections);
+  this->Statements =
+      std::make_shared<MemberPool>(this->On, MemberPoolOptions{});
+  this->Control = std::make_shared<MemberPool>(this->On, controlPoolOptions());
   this->Upstreams = std::make_shared<UpstreamController>();
   this->Configuration = std::make_shared<ConfigurationController>();
   PlatformClientOptions PlatformOptions;
@@ -169,6 +189,10 @@
   this->Exchange =
       std::make_shared<MembershipExchange>(this->Peers, this->Members);
   this->Exchange->attach();
+  this->Shares = std::make_shared<ShareExchange>(
+      shareOptions(this->Settings, this->StartId), this->Peers,
+      this->Statements);
+  this->Shares->attach();
 }
 
 void Daemon::Parts::beginDrain(DrainReason Reason) {
@@ -228,14 +252,6 @@
   }
 }
 
-void Daemon::Parts::applyLimits(const Database &Configured) {
-  std::size_t Instances = this->Settings.Peers.size() + 1;
-  std::size_t Share =
-      std::max<std::size_t>(1, Configured.ConnectionLimit / Instances);
-  for (const DatabaseMember &Member : Configured.Members)
-    this->Statements->setLimit(Member.Where, Share);
-}
-
 void Daemon::Parts::onConfigurationApplied() {
   SharedConfiguration Current = this->Configuration->current();
   std::vector<Database> Databases;
@@ -244,13 +260,13 @@
     Databases.push_back(Configured);
     Present.insert(Id);
     this->Upstreams->onConfigured(Configured);
-    this->applyLimits(Configured);
   }
   for (const DatabaseId &Id : this->Known)
     if (!Present.contains(Id))
       this->Upstreams->onRemoved(Id);
   this->Known = std::move(Present);
   this->Keeper->onConfigured(Databases);
+  this->Shares->onConfigured(Databases);
 }
 
 Status Daemon::Parts::openServers() {
@@ -297,6 +313,11 @@
   asio::co_spawn(
       asio::make_strand(P.On),
       [Sync]() -> Awaitable<void> { co_await Sync->run(); }, asio::detached);
+  auto Shares = P.Shares;
+  asio::co_spawn(
+      asio::make_strand(P.On),
+      [Shares]() -> Awaitable<void> { co_await Shares->run(); },
+      asio::detached);
   for (std::uint32_t Index = 0; Index < P.Settings.Threads; ++Index)
     P.Threads.emplace_back([&P] { P.Context.run(); });
   return std::monostate{};
@@ -324,6 +345,7 @@
   P.Stopping = true;
   P.Sync->stop();
   P.Keeper->stop();
+  P.Shares->stop();
   for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()})
     if (Server)
       Server->close();
