--- a/drivers/HttpServer.cpp
+++ b/drivers/HttpServer.cpp
@@ -336,6 +336,9 @@
                                             const HttpHandler &Handler) {
   Peer.Stream.setLimit(this->Options.IdleLimit);
   Peer.Phase = ConnectionPhase::Waiting;
+  bool EndsIdle = this->Refusing && !Peer.Late && Peer.idle();
+  if (EndsIdle)
+    co_return false;
   HttpRequestReader Reader(this->Options.Limits);
   if (!Peer.Unread.empty())
     Peer.Request.emplace(this->InFlight);
--- a/membership/MembershipArrivals.cpp
+++ b/membership/MembershipArrivals.cpp
@@ -179,6 +179,15 @@
   this->Deadlines.emplace(Entry.Until, Heard.Id);
 }
 
+void MembershipProtocol::preload(const std::vector<InstanceRecord> &Records,
+                                 TimePoint Now) {
+  for (const InstanceRecord &Record : Records) {
+    this->learn(Record, Now);
+    this->News.erase(Record.Id);
+  }
+  this->Joining.Done = true;
+}
+
 void MembershipProtocol::applyListed(const InstanceId &Id) {
   auto Found = this->Listed.find(Id);
   if (Found == this->Listed.end() || !Found->second.Leaving)
--- a/membership/MembershipProtocol.h
+++ b/membership/MembershipProtocol.h
@@ -63,6 +63,9 @@
   /// live on the list's word; a leaving mark counts for the incarnation it
   /// was made in.
   void onPlatformList(const std::vector<PlatformInstance> &List, TimePoint Now);
+  /// Takes in records from elsewhere than a peer's message, without passing
+  /// them on, and counts as joined.
+  void preload(const std::vector<InstanceRecord> &Records, TimePoint Now);
   /// Tells some peers at once that this instance takes no more work.
   MembershipSends beginLeaving(TimePoint Now);
   /// Tells some peers at once that this instance ends.
--- a/tools/MembershipFleet.cpp
+++ b/tools/MembershipFleet.cpp
@@ -53,6 +53,11 @@
       Offset, [this, Name, Start = Started.Start] { this->tick(Name, Start); });
 }
 
+void MembershipFleet::teach(const std::vector<InstanceRecord> &Records) {
+  for (auto &[Name, Each] : this->Nodes)
+    Each.Protocol->preload(Records, this->Queue.now());
+}
+
 void MembershipFleet::kill(const std::string &Name) {
   this->Nodes.at(Name).Running = false;
 }
--- a/tools/MembershipFleet.h
+++ b/tools/MembershipFleet.h
@@ -35,6 +35,8 @@
   /// Starts an instance; one of the same name that ran is replaced.
   void start(const std::string &Name, const std::string &Zone,
              const std::vector<std::string> &Seeds);
+  /// Makes all instances know these at once.
+  void teach(const std::vector<InstanceRecord> &Records);
   void kill(const std::string &Name);
   void pause(const std::string &Name);
   void resume(const std::string &Name);
