--- a/drivers/StatementRunner.h
+++ b/drivers/StatementRunner.h
@@ -10,6 +10,9 @@
 
 namespace turmericpitch {
 
+/// How a request asks for a connection. Thread-safe.
+AdmissionRequest admissionOf(const RequestContext &Context);
+
 /// Thread-safe; one for each daemon.
 class StatementRunner {
 public:
@@ -27,6 +30,10 @@
   /// do so in the term it was written under.
   Awaitable<bool> confirm(DatabaseId Id, ConfirmWrite Wanted);
 
+  /// Learns from a member's answer, or from its absence.
+  void note(const DatabaseId &Id, const UpstreamId &Member,
+            const Outcome<MemberAnswer> &Answer, TimePoint AskedAt);
+
 private:
   Awaitable<Outcome<MemberAnswer>>
   runAtMember(DatabaseId Id, RunAtMember Wanted, AdmissionRequest Admitted);
@@ -35,8 +42,6 @@
   /// may be sent.
   Awaitable<bool> mayAttempt(Endpoint Upstream, std::uint32_t Attempt,
                              TimePoint Deadline);
-  void note(const DatabaseId &Id, const UpstreamId &Member,
-            const Outcome<MemberAnswer> &Answer, TimePoint AskedAt);
 
   std::shared_ptr<MemberPool> Statements;
   std::shared_ptr<MemberPool> Control;
