--- a/core/Member.h
+++ b/core/Member.h
@@ -28,6 +28,9 @@
   /// Last entry that reads at the member see.
   LogPosition Applied;
   TermHistory History;
+  /// How long ago a replica last heard from the primary it follows; nothing
+  /// at a primary, and at a replica that follows none or heard none yet.
+  std::optional<Duration> PrimarySilence;
 
   bool operator==(const MemberStatus &) const = default;
 };
--- a/drivers/MemberCodec.cpp
+++ b/drivers/MemberCodec.cpp
@@ -168,6 +168,11 @@
   Json["received"] = toJsonObject(Status.Received);
   Json["applied"] = Status.Applied.Value;
   Json["history"] = toJsonArray(Status.History);
+  if (Status.PrimarySilence)
+    Json["primary_silence_ms"] =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            *Status.PrimarySilence)
+            .count();
   return Json;
 }
 
@@ -183,6 +188,7 @@
   Status.Received = readTermPosition(Reader.object("received"));
   Status.Applied = LogPosition{Reader.number("applied")};
   Status.History = readTermHistory(Reader.array("history"));
+  Status.PrimarySilence = Reader.milliseconds("primary_silence_ms");
   BOOST_LEAF_CHECK(Reader.finish());
   return Status;
 }
--- a/drivers/PrimaryKeeper.cpp
+++ b/drivers/PrimaryKeeper.cpp
@@ -148,11 +148,9 @@
   asio::co_spawn(asio::make_strand(this->On), Ask, asio::detached);
 }
 
-Awaitable<void> PrimaryKeeper::promote(const Database &Target, Term Newest) {
-  std::string Attempt = this->Options.Detector.Self.Value + "-" +
-                        this->Options.StartId + "-" +
-                        std::to_string(this->Attempts++);
-  Promotion Running(Target, Term{Newest.Value + 1}, Attempt);
+template <typename Round>
+Awaitable<void> PrimaryKeeper::drive(const Database &Target, Round &Running,
+                                     Duration Limit) {
   auto Inbox = std::make_shared<PromotionInbox>();
   auto Self = this->shared_from_this();
   auto Send = [&](std::vector<MemberCall> Calls) {
@@ -172,11 +170,9 @@
       asio::co_spawn(asio::make_strand(Self->On), Ask, asio::detached);
     }
   };
-  logStep(Target, Running);
   Send(Running.begin());
-  TimePoint Until = this->Time.now() + PromotionLimit;
-  while (Running.step() != PromotionStep::Done &&
-         Running.step() != PromotionStep::Failed) {
+  TimePoint Until = this->Time.now() + Limit;
+  while (!Running.over()) {
     std::uint64_t Seen = Inbox->Changed.generation();
     std::vector<PromotionInbox::Arrival> Arrived;
     {
@@ -187,10 +183,33 @@
       Send(Running.onOutcome(Each.From, Each.Answer));
     TimePoint Now = this->Time.now();
     if (Now >= Until)
-      break;
+      co_return;
     if (Arrived.empty())
       co_await Inbox->Changed.wait(Seen, Until - Now);
   }
+}
+
+Awaitable<bool> PrimaryKeeper::mayPromote(const Database &Target, Term Newest) {
+  PromotionCheckOptions CheckOptions;
+  CheckOptions.Newest = Newest;
+  PromotionCheck Check(Target, CheckOptions);
+  co_await this->drive(Target, Check, this->Options.ProbeLimit * 2);
+  writeDecision(DecisionLine("promotion_check")
+                    .field("database", Target.Id.Value)
+                    .field("term", Newest.Value)
+                    .field("verdict", toString(Check.verdict())));
+  co_return Check.verdict() == CheckVerdict::Proceed;
+}
+
+Awaitable<void> PrimaryKeeper::promote(const Database &Target, Term Newest) {
+  if (!co_await this->mayPromote(Target, Newest))
+    co_return;
+  std::string Attempt = this->Options.Detector.Self.Value + "-" +
+                        this->Options.StartId + "-" +
+                        std::to_string(this->Attempts++);
+  Promotion Running(Target, Term{Newest.Value + 1}, Attempt);
+  logStep(Target, Running);
+  co_await this->drive(Target, Running, PromotionLimit);
   logStep(Target, Running);
 }
 
--- a/drivers/PrimaryKeeper.h
+++ b/drivers/PrimaryKeeper.h
@@ -3,7 +3,7 @@
 
 #include "drivers/MemberPool.h"
 #include "failover/LossDetector.h"
-#include "failover/Promotion.h"
+#include "failover/PromotionCheck.h"
 
 #include <atomic>
 
@@ -33,6 +33,11 @@
   Awaitable<void> keep(Database Target,
                        std::shared_ptr<std::atomic<bool>> Ended);
   void probe(const DatabaseId &Id, const DatabaseMember &Member);
+  /// Sends what a round asks for and hands it the outcomes until it is over
+  /// or Limit has passed.
+  template <typename Round>
+  Awaitable<void> drive(const Database &Target, Round &Running, Duration Limit);
+  Awaitable<bool> mayPromote(const Database &Target, Term Newest);
   Awaitable<void> promote(const Database &Target, Term Newest);
   Awaitable<Outcome<MemberAnswer>> call(DatabaseId Id, DatabaseMember Member,
                                         MemberRequest Request);
--- a/failover/LossDetector.cpp
+++ b/failover/LossDetector.cpp
@@ -26,6 +26,11 @@
     : Options(std::move(Options)) {}
 
 PrimaryVerdict LossDetector::look(const DatabaseView &View, TimePoint Now) {
+  bool WasPaused =
+      this->LastLook && Now - *this->LastLook > this->Options.OwnPauseLimit;
+  this->LastLook = Now;
+  if (WasPaused)
+    this->SilentSince.reset();
   const MemberView *Primary = View.primary();
   if (Primary && Primary->FailuresInRow == 0) {
     this->SilentSince.reset();
--- a/failover/LossDetector.h
+++ b/failover/LossDetector.h
@@ -11,9 +11,12 @@
   /// All instances that may promote, own included.
   std::vector<InstanceId> Instances;
   /// Silence after which a primary counts as lost.
-  Duration SilenceLimit = std::chrono::milliseconds(400);
+  Duration SilenceLimit = std::chrono::milliseconds(200);
   /// Further silence for each rank, so that promoters seldom duel.
   Duration RankDelay = std::chrono::milliseconds(150);
+  /// A longer gap between two looks means that this process was paused, and
+  /// that what it missed proves nothing.
+  Duration OwnPauseLimit = std::chrono::milliseconds(250);
 };
 
 /// Own place among the instances for a database, from 0, by rendezvous
@@ -36,6 +39,7 @@
 private:
   LossDetectorOptions Options;
   std::optional<TimePoint> SilentSince;
+  std::optional<TimePoint> LastLook;
 };
 
 } // namespace turmericpitch
--- a/failover/Promotion.h
+++ b/failover/Promotion.h
@@ -37,6 +37,10 @@
                                     const Outcome<MemberAnswer> &Answer);
 
   [[nodiscard]] PromotionStep step() const { return this->Step; }
+  [[nodiscard]] bool over() const {
+    return this->Step == PromotionStep::Done ||
+           this->Step == PromotionStep::Failed;
+  }
   /// The member chosen; empty before that.
   [[nodiscard]] const UpstreamId &heir() const { return this->Heir; }
   [[nodiscard]] Term term() const { return this->Next; }
--- a/main/DaemonSettings.h
+++ b/main/DaemonSettings.h
@@ -40,7 +40,7 @@
   Duration ReplicaWait = std::chrono::milliseconds(20);
   Duration ProbeInterval = std::chrono::milliseconds(100);
   Duration ProbeLimit = std::chrono::milliseconds(200);
-  Duration PrimarySilenceLimit = std::chrono::milliseconds(400);
+  Duration PrimarySilenceLimit = std::chrono::milliseconds(200);
   Duration PromoterRankDelay = std::chrono::milliseconds(150);
   DrainOptions Drain;
   Duration MaximumPatience = std::chrono::seconds(30);
--- a/stand_ins/MemberServer.cpp
+++ b/stand_ins/MemberServer.cpp
@@ -18,7 +18,7 @@
 constexpr std::string_view ReplicateTarget = "/replicate";
 constexpr unsigned HttpOk = 200;
 /// How long a primary holds a replica's request while it has nothing new.
-constexpr Duration ReplicationPoll = std::chrono::milliseconds(250);
+constexpr Duration ReplicationPoll = std::chrono::milliseconds(50);
 constexpr Duration ReplicationLimit = std::chrono::seconds(1);
 constexpr Duration ReplicationRetry = std::chrono::milliseconds(20);
 constexpr Duration PausePoll = std::chrono::milliseconds(10);
--- a/stand_ins/MemberStandIn.cpp
+++ b/stand_ins/MemberStandIn.cpp
@@ -357,6 +357,8 @@
     this->SealedBy.clear();
   this->Accepted = Request.Next;
   this->Role = MemberRole::Replica;
+  if (this->Following != Request.Primary)
+    this->HeardAt.reset();
   this->Following = Request.Primary;
   MemberAnswer Answer;
   Answer.Status = this->status(Now);
@@ -374,7 +376,10 @@
 
 MemberStatus MemberStandIn::status(TimePoint Now) {
   this->applyDue(Now);
-  return this->lastStatus();
+  MemberStatus Status = this->lastStatus();
+  if (!this->Following.Value.empty() && this->HeardAt)
+    Status.PrimarySilence = Now - *this->HeardAt;
+  return Status;
 }
 
 MemberStatus MemberStandIn::lastStatus() const {
@@ -383,7 +388,8 @@
           .Accepted = this->Accepted,
           .Received = this->lastEntry(),
           .Applied = this->Applied,
-          .History = this->History};
+          .History = this->History,
+          .PrimarySilence = std::nullopt};
 }
 
 std::optional<ReplicationRequest> MemberStandIn::replicationRequest() const {
@@ -422,6 +428,7 @@
   if (Batch.Accepted != this->Accepted || this->Following.Value.empty() ||
       Batch.After > this->lastEntry().Position)
     return;
+  this->HeardAt = Now;
   // A late batch may lie wholly within what is held: only entries that differ
   // are cut off, never what an earlier batch brought.
   LogPosition At = Batch.After;
--- a/stand_ins/MemberStandIn.h
+++ b/stand_ins/MemberStandIn.h
@@ -159,6 +159,8 @@
   Term Accepted;
   std::string SealedBy;
   UpstreamId Following;
+  /// When a batch last came from the followed primary.
+  std::optional<TimePoint> HeardAt;
   std::vector<LogEntry> Log;
   TermHistory History;
   LogPosition Applied;
--- /dev/null
+++ b/tests/failover/PromotionCheckTest.cpp
@@ -0,0 +1,100 @@
+#include "failover/PromotionCheck.h"
+#include "failover/LossDetector.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::milliseconds;
+
+Database threeMembers() {
+  Database Target;
+  Target.Id = DatabaseId{"bookings"};
+  for (const char *Name : {"a", "b", "c"}) {
+    DatabaseMember Member;
+    Member.Id = UpstreamId{Name};
+    Target.Members.push_back(Member);
+  }
+  return Target;
+}
+
+PromotionCheck newCheck() {
+  PromotionCheckOptions Options;
+  Options.Newest = Term{1};
+  Options.HearingLimit = milliseconds(250);
+  return PromotionCheck(threeMembers(), Options);
+}
+
+MemberAnswer replica(std::optional<Duration> Silence, Term Accepted = Term{1}) {
+  MemberAnswer Answer;
+  Answer.Status.Accepted = Accepted;
+  Answer.Status.PrimarySilence = Silence;
+  return Answer;
+}
+
+Error unreachable() {
+  return {.Kind = ErrorKind::Unavailable, .Message = "", .Remedy = ""};
+}
+
+TEST(PromotionCheck, ProceedsOnceAMajorityHearsNoPrimary) {
+  PromotionCheck Check = newCheck();
+  Check.onOutcome(UpstreamId{"b"}, replica(milliseconds(250)));
+  EXPECT_EQ(Check.verdict(), CheckVerdict::Open);
+  Check.onOutcome(UpstreamId{"c"}, replica(std::nullopt));
+  EXPECT_EQ(Check.verdict(), CheckVerdict::Proceed);
+}
+
+TEST(PromotionCheck, OneSlowLinkDeposesNobody) {
+  PromotionCheck Check = newCheck();
+  Check.onOutcome(UpstreamId{"a"}, unreachable());
+  Check.onOutcome(UpstreamId{"b"}, replica(milliseconds(40)));
+  EXPECT_EQ(Check.verdict(), CheckVerdict::Refuse);
+}
+
+TEST(PromotionCheck, APromoterCutOffFromTheMajoritySealsNothing) {
+  PromotionCheck Check = newCheck();
+  Check.onOutcome(UpstreamId{"c"}, replica(milliseconds(5000)));
+  Check.onOutcome(UpstreamId{"a"}, unreachable());
+  Check.onOutcome(UpstreamId{"b"}, unreachable());
+  EXPECT_EQ(Check.verdict(), CheckVerdict::Refuse);
+}
+
+TEST(PromotionCheck, AnAnsweringPrimaryCountsAgainst) {
+  PromotionCheck Check = newCheck();
+  MemberAnswer Primary = replica(std::nullopt);
+  Primary.Status.Role = MemberRole::Primary;
+  Check.onOutcome(UpstreamId{"a"}, Primary);
+  Check.onOutcome(UpstreamId{"b"}, replica(milliseconds(10)));
+  EXPECT_EQ(Check.verdict(), CheckVerdict::Refuse);
+}
+
+TEST(PromotionCheck, ANewerTermIsLearntFirst) {
+  PromotionCheck Check = newCheck();
+  Check.onOutcome(UpstreamId{"b"}, replica(std::nullopt, Term{2}));
+  Check.onOutcome(UpstreamId{"c"}, replica(std::nullopt));
+  EXPECT_EQ(Check.verdict(), CheckVerdict::Refuse);
+}
+
+TEST(LossDetector, APauseOfItsOwnProvesNothing) {
+  LossDetectorOptions Options;
+  Options.Self = InstanceId{"entry-1"};
+  Options.Instances = {Options.Self};
+  Options.SilenceLimit = milliseconds(400);
+  LossDetector Detector(Options);
+  DatabaseView View;
+  View.Id = DatabaseId{"bookings"};
+  TimePoint Now{};
+  EXPECT_EQ(Detector.look(View, Now), PrimaryVerdict::Wait);
+  Now += std::chrono::seconds(10);
+  EXPECT_EQ(Detector.look(View, Now), PrimaryVerdict::Wait);
+  for (int Look = 0; Look < 3; ++Look) {
+    Now += milliseconds(100);
+    EXPECT_EQ(Detector.look(View, Now), PrimaryVerdict::Wait);
+  }
+  Now += milliseconds(100);
+  EXPECT_EQ(Detector.look(View, Now), PrimaryVerdict::Promote);
+}
+
+} // namespace
+} // namespace turmericpitch
