--- a/membership/MembershipArrivals.cpp
+++ b/membership/MembershipArrivals.cpp
@@ -179,6 +179,15 @@
   this->Deadlines.emplace(Entry.Until, Heard.Id);
 }
 
+void MembershipProtocol::preload(const std::vector<InstanceRecord> &Records,
+                                 TimePoint Now) {
+  for (const InstanceRecord &Record : Records) {
+    this->learn(Record, Now);
+    this->News.erase(Record.Id);
+  }
+  this->Joining.Done = true;
+}
+
 void MembershipProtocol::applyListed(const InstanceId &Id) {
   auto Found = this->Listed.find(Id);
   if (Found == this->Listed.end() || !Found->second.Leaving)
@@ -253,13 +262,18 @@
   const KnownInstance *Target = this->Table.find(Message.Subject);
   if (!Target || Message.Subject == this->Self.Id)
     return {};
+  // Tells a prober that hears nothing else that the fault isn't its own.
+  MembershipMessage Taken = this->make(Kind::Ack, Message.Sender.Id, Now);
+  Taken.Answers = Message.Sequence;
+  Taken.Subject = this->Self.Id;
   MembershipSend Asked = this->ping(Message.Subject, Target->Record.Peers, Now);
   if (this->Relays.size() >= MostRelays)
     this->Relays.erase(this->Relays.begin());
   this->Relays.emplace(
       Asked.Message.Sequence,
       Relay{.Origin = Message.Sender.Id, .Sequence = Message.Sequence});
-  return {std::move(Asked)};
+  return {std::move(Asked),
+          {.To = Message.Sender.Peers, .Message = std::move(Taken)}};
 }
 
 MembershipSends
