Rotate token keys by a stated time; differential tests of the router and tokens

Cause: an old token key was accepted for ever; a session over more than 32 databases ran its statement and then got BadRequest for the token's size, which states that nothing ran. Change: token_keys take accepted_until; the token filter refuses a further database before anything runs.

--- a/drivers/CallerApi.cpp
+++ b/drivers/CallerApi.cpp
@@ -82,6 +82,8 @@
   RequestContext Context;
   Context.Request = Request;
   Context.ArrivedAt = this->Time.now();
+  Context.ArrivedAtWall = std::chrono::floor<std::chrono::seconds>(
+      std::chrono::system_clock::now());
   Context.Configuration = this->Configuration->current();
   Context.View = this->Upstreams->view(Request.Target);
   return keepOutcome([&]() -> Result<RequestContext> {
--- a/main/DaemonSettings.cpp
+++ b/main/DaemonSettings.cpp
@@ -2,6 +2,10 @@
 
 #include "core/YamlReader.h"
 
+#include <ctime>
+#include <iomanip>
+#include <sstream>
+
 namespace turmericpitch {
 
 namespace {
@@ -29,6 +33,20 @@
   return Peer;
 }
 
+/// A time as in "2027-01-31T18:00:00Z"; absent means none.
+std::optional<WallTime> readWallTime(YamlReader &Reader,
+                                     const std::string &Key) {
+  std::string Text = Reader.text(Key, "");
+  if (Text.empty())
+    return std::nullopt;
+  std::tm Parts{};
+  std::istringstream Stream(Text);
+  Stream >> std::get_time(&Parts, "%Y-%m-%dT%H:%M:%SZ");
+  if (Stream.fail() || Stream.peek() != std::istringstream::traits_type::eof())
+    Reader.problem(Key, "not a time", "write it as 2027-01-31T18:00:00Z");
+  return WallTime(std::chrono::seconds(timegm(&Parts)));
+}
+
 /// Reads a list of keys: TokenKey or PeerKey.
 template <typename Key>
 std::vector<Key> readKeys(YamlReader &Parent, const std::string &List) {
@@ -38,6 +56,8 @@
     if (Read.Secret.size() < LeastSecretLength)
       Reader.problem("secret", "too short",
                      "use at least 16 random characters");
+    if constexpr (requires { Read.AcceptedUntil; })
+      Read.AcceptedUntil = readWallTime(Reader, "accepted_until");
     Reader.finish();
     Keys.push_back(std::move(Read));
   }
--- a/routing/Filters.cpp
+++ b/routing/Filters.cpp
@@ -81,9 +81,13 @@
 }
 
 Result<void> TokenFilter::apply(RequestContext &Context) const {
-  BOOST_LEAF_ASSIGN(
-      Context.Token,
-      this->Codec->decode(Context.Request.TokenText, Context.Account->Id));
+  BOOST_LEAF_ASSIGN(Context.Token,
+                    this->Codec->decode(Context.Request.TokenText,
+                                        Context.Account->Id,
+                                        Context.ArrivedAtWall));
+  // Refused before anything runs: the answer could not carry the token.
+  if (!Context.Token.mayHold(Context.Request.Target))
+    return boost::leaf::new_error(tooManyDatabases());
   return {};
 }
 
--- a/routing/RequestContext.h
+++ b/routing/RequestContext.h
@@ -35,6 +35,8 @@
 struct RequestContext {
   StatementRequest Request;
   TimePoint ArrivedAt;
+  /// The same moment by the calendar.
+  WallTime ArrivedAtWall;
   SharedConfiguration Configuration;
   SharedDatabaseView View;
 
--- a/session/SessionToken.cpp
+++ b/session/SessionToken.cpp
@@ -58,6 +58,12 @@
 
 } // namespace
 
+Error tooManyDatabases() {
+  return {.Kind = ErrorKind::BadRequest,
+          .Message = "session spans too many databases",
+          .Remedy = "begin a new session for the further databases"};
+}
+
 SessionToken::SessionToken(std::map<DatabaseId, TermPosition> Seen)
     : Seen(std::move(Seen)) {}
 
@@ -74,6 +80,10 @@
   return SessionToken(std::move(Later));
 }
 
+bool SessionToken::mayHold(const DatabaseId &Id) const {
+  return this->Seen.size() < MaximumTokenDatabases || this->Seen.contains(Id);
+}
+
 SessionTokenCodec::SessionTokenCodec(std::vector<TokenKey> Keys)
     : Keys(std::move(Keys)) {}
 
@@ -81,10 +91,7 @@
 SessionTokenCodec::encode(const SessionToken &Token,
                           const ClientAccountId &Owner) const {
   if (Token.all().size() > MaximumTokenDatabases)
-    return boost::leaf::new_error(
-        Error{.Kind = ErrorKind::BadRequest,
-              .Message = "session spans too many databases",
-              .Remedy = "begin a new session for the further databases"});
+    return boost::leaf::new_error(tooManyDatabases());
   TokenBody Body;
   Body.KeyId = this->Keys.front().Id;
   for (const auto &[Id, Seen] : Token.all())
@@ -98,9 +105,9 @@
   return encodeBase64(signatureOf(this->Keys.front(), Owner, Bytes) + Bytes);
 }
 
-Result<SessionToken>
-SessionTokenCodec::decode(std::string_view Text,
-                          const ClientAccountId &Owner) const {
+Result<SessionToken> SessionTokenCodec::decode(std::string_view Text,
+                                               const ClientAccountId &Owner,
+                                               WallTime Now) const {
   if (Text.empty())
     return SessionToken{};
   if (Text.size() > MaximumTokenSize)
@@ -114,7 +121,9 @@
   // The signature is checked before anything of the body is read.
   bool Genuine =
       std::any_of(this->Keys.begin(), this->Keys.end(), [&](const auto &Key) {
-        return equalInConstantTime(signatureOf(Key, Owner, Signed), Signature);
+        bool Accepted = !Key.AcceptedUntil || Now < *Key.AcceptedUntil;
+        return Accepted &&
+               equalInConstantTime(signatureOf(Key, Owner, Signed), Signature);
       });
   if (!Genuine)
     return boost::leaf::new_error(forbidden());
--- a/session/SessionToken.h
+++ b/session/SessionToken.h
@@ -5,13 +5,20 @@
 #include "core/Identifiers.h"
 #include "core/LogPosition.h"
 
+#include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace turmericpitch {
 
+/// Most databases one token carries.
+inline constexpr std::size_t MaximumTokenDatabases = 32;
+/// Largest token text taken, bytes.
+inline constexpr std::size_t MaximumTokenSize = 8192;
+
 /// Per database the furthest log entry a session has written or read.
 /// Immutable value.
 class SessionToken {
@@ -29,25 +36,34 @@
     return this->Seen;
   }
 
+  /// Whether a further entry of the database leaves the token within
+  /// MaximumTokenDatabases. Thread-safe.
+  [[nodiscard]] bool mayHold(const DatabaseId &Id) const;
+
   bool operator==(const SessionToken &) const = default;
 
 private:
   std::map<DatabaseId, TermPosition> Seen;
 };
 
-/// A key that authenticates tokens.
+/// Calendar time, which instances share well enough to end a key's use.
+using WallTime = std::chrono::sys_seconds;
+
+/// A key that authenticates tokens. To rotate it: put the new one first on
+/// every instance, keep the old one behind it with a time until which its
+/// tokens are still accepted.
 struct TokenKey {
   /// Names the key within tokens.
   std::string Id;
   std::string Secret;
+  /// Its tokens are accepted before this time; not set means always.
+  std::optional<WallTime> AcceptedUntil = std::nullopt;
 
   bool operator==(const TokenKey &) const = default;
 };
 
-/// Most databases one token carries.
-inline constexpr std::size_t MaximumTokenDatabases = 32;
-/// Largest token text taken, bytes.
-inline constexpr std::size_t MaximumTokenSize = 8192;
+/// The error for a session that spans more than MaximumTokenDatabases.
+Error tooManyDatabases();
 
 /// Turns tokens into authenticated text and back. Immutable; thread-safe.
 class SessionTokenCodec {
@@ -62,9 +78,10 @@
                                            const ClientAccountId &Owner) const;
   /// The token of a text; empty text is the empty token. Errors: BadRequest
   /// if malformed, Forbidden if forged, of another client account or of a
-  /// key no longer accepted.
+  /// key no longer accepted at Now.
   [[nodiscard]] Result<SessionToken> decode(std::string_view Text,
-                                            const ClientAccountId &Owner) const;
+                                            const ClientAccountId &Owner,
+                                            WallTime Now) const;
 
 private:
   std::vector<TokenKey> Keys;
--- /dev/null
+++ b/tests/routing/RouterDifferentialTest.cpp
@@ -0,0 +1,199 @@
+// The router against a naive version that looks at whole logs.
+#include "routing/Router.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace turmericpitch {
+
+namespace {
+
+constexpr std::size_t MaximumLogLength = 12;
+const TimePoint Now{std::chrono::seconds(100)};
+
+/// A member with its log written out: the term of each entry.
+struct NaiveMember {
+  UpstreamId Id;
+  std::vector<Term> Log;
+  std::size_t Applied = 0;
+  Term Accepted;
+  bool Primary = false;
+  bool Leaving = false;
+  bool Failing = false;
+};
+
+struct NaiveGroup {
+  std::vector<NaiveMember> Members;
+  /// The newest primary's log before its promotion, and after.
+  std::vector<Term> Lineage;
+};
+
+TermHistory historyOf(const std::vector<Term> &Log) {
+  std::vector<TermStart> Starts;
+  for (std::size_t Index = 0; Index < Log.size(); ++Index)
+    if (Starts.empty() || Starts.back().Began != Log[Index])
+      Starts.push_back({.Began = Log[Index], .After = LogPosition{Index}});
+  return TermHistory(std::move(Starts));
+}
+
+bool naiveHolds(const NaiveMember &Member, const TermPosition &Seen) {
+  if (Seen.Position.Value == 0)
+    return true;
+  return Seen.Position.Value <= Member.Applied &&
+         Member.Log[Seen.Position.Value - 1] == Seen.WrittenIn;
+}
+
+/// Whether the log can never come to hold the entry by growing in terms no
+/// older than its newest.
+bool naiveCutsOff(const std::vector<Term> &Log, const TermPosition &Seen) {
+  if (Seen.Position.Value == 0)
+    return false;
+  if (Seen.Position.Value <= Log.size())
+    return Log[Seen.Position.Value - 1] != Seen.WrittenIn &&
+           !(Log.back() < Seen.WrittenIn);
+  return !Log.empty() && Seen.WrittenIn < Log.back();
+}
+
+/// Two lineages that part at a random point; members hold prefixes of either.
+NaiveGroup randomGroup(RandomSource &Random) {
+  std::vector<Term> Old;
+  Term Current{1};
+  std::size_t Length = Random.below(MaximumLogLength);
+  for (std::size_t Index = 0; Index < Length; ++Index) {
+    if (Random.chance(0.2))
+      Current.Value += 1 + Random.below(2);
+    Old.push_back(Current);
+  }
+  std::size_t Kept = Random.below(static_cast<std::uint32_t>(Length) + 1);
+  NaiveGroup Group;
+  Group.Lineage.assign(Old.begin(),
+                       Old.begin() + static_cast<std::ptrdiff_t>(Kept));
+  Term Newest{Current.Value + 1};
+  std::size_t Written = 1 + Random.below(4);
+  Group.Lineage.insert(Group.Lineage.end(), Written, Newest);
+  std::size_t Count = 1 + Random.below(5);
+  bool HasPrimary = Random.chance(0.8);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    NaiveMember Member;
+    Member.Id = UpstreamId{"m" + std::to_string(Index)};
+    bool Behind = !(HasPrimary && Index == 0) && Random.chance(0.3);
+    Member.Log = Behind ? Old : Group.Lineage;
+    Member.Accepted = Behind ? Current : Newest;
+    Member.Primary = HasPrimary && Index == 0;
+    if (!Member.Primary)
+      Member.Log.resize(
+          Random.below(static_cast<std::uint32_t>(Member.Log.size()) + 1));
+    Member.Applied =
+        Member.Primary
+            ? Member.Log.size()
+            : Random.below(static_cast<std::uint32_t>(Member.Log.size()) + 1);
+    Member.Leaving = Random.chance(0.1);
+    Member.Failing = Random.chance(0.1);
+    Group.Members.push_back(std::move(Member));
+  }
+  return Group;
+}
+
+DatabaseView viewOf(const NaiveGroup &Group) {
+  DatabaseView View;
+  for (const NaiveMember &Each : Group.Members) {
+    MemberView Member;
+    Member.Configured.Id = Each.Id;
+    Member.Configured.Leaving = Each.Leaving;
+    Member.FailuresInRow = Each.Failing ? 9 : 0;
+    Member.LastFailureAt = Now;
+    Member.AskedAt = Now;
+    MemberStatus Status;
+    Status.Id = Each.Id;
+    Status.Role = Each.Primary ? MemberRole::Primary : MemberRole::Replica;
+    Status.Accepted = Each.Accepted;
+    Status.History = historyOf(Each.Log);
+    Status.Received = Status.History.entryAt(LogPosition{Each.Log.size()});
+    Status.Applied = LogPosition{Each.Applied};
+    Member.Last = Status;
+    View.Members.push_back(std::move(Member));
+  }
+  return View;
+}
+
+TermPosition randomSeen(const NaiveGroup &Group, RandomSource &Random) {
+  const auto &From = Group
+                         .Members[Random.below(
+                             static_cast<std::uint32_t>(Group.Members.size()))]
+                         .Log;
+  std::size_t Position =
+      Random.below(static_cast<std::uint32_t>(From.size()) + 1);
+  if (Position == 0)
+    return {};
+  return {.WrittenIn = From[Position - 1], .Position = LogPosition{Position}};
+}
+
+/// What the naive version allows: reason and members, best reason only.
+struct NaiveChoice {
+  bool Stale = false;
+  std::optional<RouteReason> Reason;
+  std::vector<UpstreamId> Members;
+};
+
+NaiveChoice naiveChoice(const NaiveGroup &Group, const TermPosition &Seen) {
+  NaiveChoice Choice;
+  const NaiveMember *Primary = nullptr;
+  Term Newest;
+  for (const NaiveMember &Each : Group.Members)
+    Newest = std::max(Newest, Each.Accepted);
+  for (const NaiveMember &Each : Group.Members)
+    if (Each.Primary && Each.Accepted == Newest)
+      Primary = &Each;
+  if (Primary && naiveCutsOff(Primary->Log, Seen)) {
+    Choice.Stale = true;
+    return Choice;
+  }
+  auto Collect = [&](RouteReason Reason, auto Fits) {
+    for (const NaiveMember &Each : Group.Members)
+      if (!Choice.Reason || *Choice.Reason == Reason)
+        if (!Each.Leaving && !Each.Failing && Fits(Each)) {
+          Choice.Reason = Reason;
+          Choice.Members.push_back(Each.Id);
+        }
+  };
+  Collect(RouteReason::ReplicaHolds, [&](const NaiveMember &Each) {
+    return &Each != Primary && naiveHolds(Each, Seen);
+  });
+  Collect(RouteReason::ReplicaCatchesUp, [&](const NaiveMember &Each) {
+    return &Each != Primary && !naiveHolds(Each, Seen) &&
+           !naiveCutsOff(Each.Log, Seen);
+  });
+  Collect(RouteReason::PrimaryLast,
+          [&](const NaiveMember &Each) { return &Each == Primary; });
+  return Choice;
+}
+
+RC_GTEST_PROP(RouterDifferential, ChoosesWhatWholeLogsAllow, ()) {
+  RandomSource Random(*rc::gen::arbitrary<std::uint64_t>());
+  NaiveGroup Group = randomGroup(Random);
+  TermPosition Seen = randomSeen(Group, Random);
+  DatabaseView View = viewOf(Group);
+  NaiveChoice Expected = naiveChoice(Group, Seen);
+  ReadNeeds Needs;
+  Needs.Seen = Seen;
+  auto Actual = keepOutcome([&] {
+    return chooseForRead(View, Needs, RoutingOptions{}, Now, Random);
+  });
+  RC_ASSERT(Actual.hasValue() == !Expected.Stale);
+  if (Expected.Stale) {
+    RC_ASSERT(Actual.error().Kind == ErrorKind::StaleToken);
+    return;
+  }
+  const std::optional<Route> &Chosen = Actual.value();
+  RC_ASSERT(Chosen.has_value() == Expected.Reason.has_value());
+  if (!Chosen)
+    return;
+  RC_ASSERT(Chosen->Reason == *Expected.Reason);
+  RC_ASSERT(std::count(Expected.Members.begin(), Expected.Members.end(),
+                       Chosen->Target) == 1);
+}
+
+} // namespace
+
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/session/SessionTokenTest.cpp
@@ -0,0 +1,137 @@
+#include "session/SessionToken.h"
+#include "core/Digest.h"
+#include "core/RandomSource.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace turmericpitch {
+
+namespace {
+
+const ClientAccountId Owner{"sabarmati"};
+const WallTime Today{std::chrono::hours(24 * 20'000)};
+const WallTime Tomorrow = Today + std::chrono::hours(24);
+
+TokenKey oldKey() { return {.Id = "old", .Secret = "0123456789abcdef-old"}; }
+TokenKey newKey() { return {.Id = "new", .Secret = "0123456789abcdef-new"}; }
+
+SessionToken sampleToken(std::size_t Databases = 3) {
+  SessionToken Token;
+  for (std::size_t Index = 0; Index < Databases; ++Index)
+    Token = Token.advanced(
+        DatabaseId{"orders-" + std::to_string(Index)},
+        {.WrittenIn = Term{Index + 1}, .Position = LogPosition{100 + Index}});
+  return Token;
+}
+
+std::string encoded(const SessionTokenCodec &Codec, const SessionToken &Token) {
+  auto Text = keepOutcome([&] { return Codec.encode(Token, Owner); });
+  return Text ? Text.value() : std::string();
+}
+
+Outcome<SessionToken> decoded(const SessionTokenCodec &Codec,
+                              const std::string &Text, WallTime Now = Today,
+                              const ClientAccountId &By = Owner) {
+  return keepOutcome([&] { return Codec.decode(Text, By, Now); });
+}
+
+TEST(SessionTokenTest, ComesBackAsItWas) {
+  SessionTokenCodec Codec({newKey()});
+  auto Back = decoded(Codec, encoded(Codec, sampleToken()));
+  ASSERT_TRUE(Back);
+  EXPECT_EQ(Back.value(), sampleToken());
+}
+
+TEST(SessionTokenTest, IsOfNoUseToAnotherAccount) {
+  SessionTokenCodec Codec({newKey()});
+  auto Back = decoded(Codec, encoded(Codec, sampleToken()), Today,
+                      ClientAccountId{"sabarmat"});
+  ASSERT_FALSE(Back);
+  EXPECT_EQ(Back.error().Kind, ErrorKind::Forbidden);
+}
+
+TEST(SessionTokenTest, OldKeyIsAcceptedUntilItsTime) {
+  SessionTokenCodec Before({oldKey()});
+  std::string Text = encoded(Before, sampleToken());
+  TokenKey Leaving = oldKey();
+  Leaving.AcceptedUntil = Tomorrow;
+  SessionTokenCodec After({newKey(), Leaving});
+  EXPECT_TRUE(decoded(After, Text, Today));
+  EXPECT_TRUE(decoded(After, Text, Tomorrow - std::chrono::seconds(1)));
+  auto Late = decoded(After, Text, Tomorrow);
+  ASSERT_FALSE(Late);
+  EXPECT_EQ(Late.error().Kind, ErrorKind::Forbidden);
+}
+
+TEST(SessionTokenTest, FirstKeySigns) {
+  SessionTokenCodec After({newKey(), oldKey()});
+  std::string Text = encoded(After, sampleToken());
+  EXPECT_TRUE(decoded(SessionTokenCodec({newKey()}), Text));
+  EXPECT_FALSE(decoded(SessionTokenCodec({oldKey()}), Text));
+}
+
+TEST(SessionTokenTest, SizeIsBounded) {
+  SessionTokenCodec Codec({newKey()});
+  SessionToken Full = sampleToken(MaximumTokenDatabases);
+  EXPECT_LE(encoded(Codec, Full).size(), MaximumTokenSize);
+  EXPECT_TRUE(Full.mayHold(DatabaseId{"orders-0"}));
+  EXPECT_FALSE(Full.mayHold(DatabaseId{"another"}));
+  EXPECT_EQ(encoded(Codec, sampleToken(MaximumTokenDatabases + 1)), "");
+  auto Huge = decoded(Codec, std::string(MaximumTokenSize + 1, 'A'));
+  ASSERT_FALSE(Huge);
+  EXPECT_EQ(Huge.error().Kind, ErrorKind::BadRequest);
+}
+
+/// Changes, drops or adds some bytes.
+std::string damaged(std::string Bytes, RandomSource &Random) {
+  std::uint32_t Changes = 1 + Random.below(4);
+  while (Changes-- > 0) {
+    auto Size = static_cast<std::uint32_t>(Bytes.size());
+    char Byte = static_cast<char>(Random.below(256));
+    switch (Bytes.empty() ? 2 : Random.below(4)) {
+    case 0:
+      Bytes[Random.below(Size)] = Byte;
+      break;
+    case 1:
+      Bytes.resize(Random.below(Size));
+      break;
+    case 2:
+      Bytes += Byte;
+      break;
+    default:
+      Bytes[Random.below(Size)] ^= static_cast<char>(1U << Random.below(8));
+    }
+  }
+  return Bytes;
+}
+
+RC_GTEST_PROP(SessionTokenTest, DamagedTextIsNeverAnotherToken, ()) {
+  RandomSource Random(*rc::gen::arbitrary<std::uint64_t>());
+  SessionTokenCodec Codec({newKey(), oldKey()});
+  SessionToken Token = sampleToken(Random.below(5));
+  std::string Text = encoded(Codec, Token);
+  std::string Bytes = decodeBase64(Text);
+  std::string Other = Random.chance(0.5) ? damaged(Text, Random)
+                                         : encodeBase64(damaged(Bytes, Random));
+  auto Back = decoded(Codec, Other);
+  // Empty text begins a new session; other spellings of the same bytes are
+  // the same token.
+  bool Refused = !Back || Other.empty();
+  bool Same = Refused || Back.value() == Token;
+  RC_ASSERT(Same);
+}
+
+RC_GTEST_PROP(SessionTokenTest, RandomTextIsRefused, ()) {
+  RandomSource Random(*rc::gen::arbitrary<std::uint64_t>());
+  std::string Bytes(1 + Random.below(300), '\0');
+  for (char &Byte : Bytes)
+    Byte = static_cast<char>(Random.below(256));
+  SessionTokenCodec Codec({newKey()});
+  RC_ASSERT(!decoded(Codec, Bytes));
+  RC_ASSERT(!decoded(Codec, encodeBase64(Bytes)));
+}
+
+} // namespace
+
+} // namespace turmericpitch
