--- a/tools/DecoderFuzz.cpp
+++ b/tools/DecoderFuzz.cpp
@@ -59,7 +59,8 @@
 
 std::string fuzzToken(const std::string &Input) {
   static const SessionTokenCodec Codec(fuzzTokenKeys());
-  return verdictOf([&] { return Codec.decode(Input, ClientAccountId{"a"}); });
+  return verdictOf(
+      [&] { return Codec.decode(Input, ClientAccountId{"a"}, WallTime{}); });
 }
 
 std::string fuzzPeerFrame(const std::string &Input) {
