--- /dev/null
+++ b/tests/routing/IdempotencyDifferentialTest.cpp
@@ -0,0 +1,162 @@
+// Keyed writes under random faults against the naive version: a map from key
+// to its one outcome.
+#include "tests/routing/RequestHarness.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace turmericpitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t Keys = 6;
+constexpr std::uint32_t TriesOfEach = 3;
+constexpr std::uint32_t FaultWindowMs = 3000;
+constexpr Duration Settled = std::chrono::seconds(12);
+
+class KeyedWrites {
+public:
+  explicit KeyedWrites(std::uint64_t Seed) : Random(Seed) {
+    for (const char *Name : {"m1", "m2", "m3"}) {
+      DatabaseMember Member;
+      Member.Id = UpstreamId{Name};
+      this->Ids.push_back(Member.Id);
+      this->Harness.addMember(Member, Duration{0});
+    }
+    this->Harness.start({"a", "b"});
+    this->scheduleWrites();
+    this->scheduleFaults();
+    this->Queue.runUntil(TimePoint(Settled));
+  }
+
+  [[nodiscard]] bool anyAcknowledged(std::uint32_t Key) const {
+    for (std::uint32_t Try = 0; Try < TriesOfEach; ++Try)
+      if (this->outcome(Key, Try) && *this->outcome(Key, Try))
+        return true;
+    return false;
+  }
+  /// The outcome of one try, or nothing if it is still open.
+  [[nodiscard]] const std::optional<Outcome<StatementAnswer>> &
+  outcome(std::uint32_t Key, std::uint32_t Try) const {
+    return this->Harness.result(nameOf(Key, Try)).Answer;
+  }
+  std::string valueOf(std::uint32_t Key) {
+    return this->Harness.valueAt(this->primary(), "k" + std::to_string(Key));
+  }
+
+private:
+  static std::string nameOf(std::uint32_t Key, std::uint32_t Try) {
+    return std::to_string(Key) + "-" + std::to_string(Try);
+  }
+
+  TimePoint moment() {
+    return TimePoint(milliseconds(200 + this->Random.below(FaultWindowMs)));
+  }
+
+  void scheduleWrites() {
+    for (std::uint32_t Key = 0; Key < Keys; ++Key)
+      for (std::uint32_t Try = 0; Try < TriesOfEach; ++Try) {
+        HarnessStatement Write;
+        Write.Name = nameOf(Key, Try);
+        Write.Instance = this->Random.chance(0.5) ? "a" : "b";
+        Write.Request.Statement = "add k" + std::to_string(Key) + " 1";
+        Write.Request.Write = true;
+        Write.Request.Key = IdempotencyKey{"key-" + std::to_string(Key)};
+        Write.Request.Patience = milliseconds(100 + this->Random.below(3000));
+        this->Queue.at(this->moment(),
+                       [this, Write] { this->Harness.run(Write); });
+      }
+  }
+
+  void scheduleFaults() {
+    for (int Fault = 0; Fault < 6; ++Fault) {
+      UpstreamId Member = this->Ids[this->Random.below(
+          static_cast<std::uint32_t>(this->Ids.size()))];
+      std::uint32_t Kind = this->Random.below(4);
+      this->Queue.at(this->moment(),
+                     [this, Member, Kind] { this->inject(Member, Kind); });
+    }
+  }
+
+  void inject(const UpstreamId &Member, std::uint32_t Kind) {
+    switch (Kind) {
+    case 0:
+      return this->Harness.loseNextAnswer(Member);
+    case 1:
+      this->Harness.setReplicationCut(Member, true);
+      this->Queue.after(milliseconds(300), [this, Member] {
+        this->Harness.setReplicationCut(Member, false);
+      });
+      return;
+    case 2:
+      return this->Harness.crossNextAnswer(Member);
+    default:
+      return this->promoteWithout(Member);
+    }
+  }
+
+  /// Promotes the furthest of the other two members.
+  void promoteWithout(const UpstreamId &Unreached) {
+    UpstreamId Heir;
+    TermPosition Furthest;
+    for (const UpstreamId &Id : this->Ids) {
+      MemberStatus Status = this->Harness.member(Id).status(this->Queue.now());
+      bool Further = Heir.Value.empty() || Status.Received > Furthest;
+      if (Id == Unreached || !Further)
+        continue;
+      Heir = Id;
+      Furthest = Status.Received;
+    }
+    this->Harness.promote(Heir, {Unreached});
+  }
+
+  UpstreamId primary() {
+    UpstreamId Newest = this->Ids.front();
+    Term Highest;
+    for (const UpstreamId &Id : this->Ids) {
+      MemberStatus Status = this->Harness.member(Id).status(this->Queue.now());
+      bool Newer =
+          Status.Role == MemberRole::Primary && Status.Accepted > Highest;
+      if (!Newer)
+        continue;
+      Newest = Id;
+      Highest = Status.Accepted;
+    }
+    return Newest;
+  }
+
+  RandomSource Random;
+  EventQueue Queue;
+  RequestHarness Harness{this->Queue};
+  std::vector<UpstreamId> Ids;
+};
+
+RC_GTEST_PROP(IdempotencyDifferential, EachKeyHasOneOutcome, ()) {
+  KeyedWrites Run(*rc::gen::arbitrary<std::uint64_t>());
+  const std::vector<std::string> FirstOutcome{"1"};
+  for (std::uint32_t Key = 0; Key < Keys; ++Key) {
+    std::string Value = Run.valueOf(Key);
+    RC_ASSERT(Value.empty() || Value == "1");
+    bool Kept = !Run.anyAcknowledged(Key) || Value == "1";
+    RC_ASSERT(Kept);
+    bool AllNotRun = true;
+    for (std::uint32_t Try = 0; Try < TriesOfEach; ++Try) {
+      const auto &Result = Run.outcome(Key, Try);
+      RC_ASSERT(Result.has_value());
+      if (*Result)
+        RC_ASSERT(Result->value().Rows == FirstOutcome);
+      else
+        AllNotRun = AllNotRun && provesNotRun(Result->error().Kind);
+      AllNotRun = AllNotRun && !*Result;
+    }
+    // Not run at every try means that nothing is there.
+    bool Honest = !AllNotRun || Value.empty();
+    RC_ASSERT(Honest);
+  }
+}
+
+} // namespace
+
+} // namespace turmericpitch
