Estimate a replica's lag by the middle of what it holds and lacks

Cause: the oldest lacking sample understates the lag, so reads waited in vain. Change: the middle between the newest held and the oldest lacking sample.

--- a/routing/Router.cpp
+++ b/routing/Router.cpp
@@ -75,11 +75,17 @@
   if (!Member.Last)
     return Duration{0};
   const MemberStatus &Known = *Member.Last;
+  std::optional<TimePoint> NewestHeld;
   for (const PositionSample &Sample : View.Samples) {
     if (Sample.At > Member.AskedAt)
       break;
-    if (!Known.History.holds(Sample.Reached, Known.Applied))
-      return Member.AskedAt - Sample.At;
+    if (Known.History.holds(Sample.Reached, Known.Applied)) {
+      NewestHeld = Sample.At;
+      continue;
+    }
+    // What the member shows is from between the two samples.
+    TimePoint Earliest = NewestHeld.value_or(Sample.At);
+    return Member.AskedAt - (Earliest + (Sample.At - Earliest) / 2);
   }
   return Duration{0};
 }
--- a/routing/Router.h
+++ b/routing/Router.h
@@ -64,7 +64,7 @@
 std::optional<Duration> ageBound(const DatabaseView &View,
                                  const MemberStatus &Known, TimePoint Now);
 
-/// Lower bound of how far behind the primary a member was when it was last
+/// Estimate of how far behind the primary a member was when it was last
 /// asked; 0 if it lacked nothing known. Thread-safe.
 Duration observedLag(const DatabaseView &View, const MemberView &Member);
 
