--- a/drivers/TransactionRunner.cpp
+++ b/drivers/TransactionRunner.cpp
@@ -123,8 +123,10 @@
   logStep(State);
   {
     std::lock_guard Lock(Caller->Guard);
-    Caller->Present.emplace(std::move(State), std::move(Where),
-                            std::move(Connection));
+    Caller->Present =
+        CallerTransaction::Held{.State = std::move(State),
+                                .Where = std::move(Where),
+                                .Connection = std::move(Connection)};
   }
   auto On = co_await asio::this_coro::executor;
   auto Watch = [Self = this->shared_from_this(), Weak = std::weak_ptr(Caller),
