--- a/drivers/CallerApi.cpp
+++ b/drivers/CallerApi.cpp
@@ -75,7 +75,9 @@
   if (!Read)
     co_return replyWith(Read.error());
   CallerRequest Whole = std::move(Read.value());
-  co_return co_await this->run(std::move(Whole), Caller);
+  HttpReply Reply = co_await this->run(std::move(Whole), Caller);
+  Reply.HoldsConnection = Caller->open();
+  co_return Reply;
 }
 
 Outcome<RequestContext> CallerApi::prepare(const StatementRequest &Request) {
--- a/drivers/HttpServer.cpp
+++ b/drivers/HttpServer.cpp
@@ -255,6 +255,11 @@
   return this->Shared->Holding;
 }
 
+std::uint16_t HttpServer::port() const {
+  ErrorCode Ignored;
+  return this->Shared->Acceptor.local_endpoint(Ignored).port();
+}
+
 std::size_t HttpServer::requestsInFlight() const {
   return this->Shared->InFlight;
 }
--- a/drivers/HttpServer.h
+++ b/drivers/HttpServer.h
@@ -39,6 +39,9 @@
   /// Listens and begins to accept. Errors: Unavailable if the address can't
   /// be bound.
   Status start();
+  /// The port listened on, which the system chose if the options gave 0.
+  /// Precondition: start() succeeded and close() was not called.
+  [[nodiscard]] std::uint16_t port() const;
   /// Each connection ends after the reply to its next request, unless it
   /// holds open work. New connections are still served.
   void drain();
--- a/drivers/TransactionRunner.cpp
+++ b/drivers/TransactionRunner.cpp
@@ -49,6 +49,11 @@
   this->release();
 }
 
+bool CallerTransaction::open() {
+  std::lock_guard Lock(this->Guard);
+  return this->Present.has_value();
+}
+
 void CallerTransaction::release() {
   logStep(this->Present->State);
   if (!this->Present->State.connectionIsClean())
--- a/drivers/TransactionRunner.h
+++ b/drivers/TransactionRunner.h
@@ -13,6 +13,8 @@
 class CallerTransaction {
 public:
   ~CallerTransaction();
+  /// Whether a transaction is open. Thread-safe.
+  [[nodiscard]] bool open();
 
 private:
   friend class TransactionRunner;
--- a/tests/drivers/HttpServerDrainTest.cpp
+++ b/tests/drivers/HttpServerDrainTest.cpp
@@ -20,13 +20,17 @@
 namespace asio = boost::asio;
 
 constexpr Duration Patience = std::chrono::seconds(30);
-constexpr std::uint16_t Port = 7891;
 
 /// A server whose handler waits until it is released. Verdicts depend on the
 /// order of events alone: each step waits for the one before it.
 class HttpServerDrainTest : public ::testing::Test {
 protected:
   HttpServerDrainTest() {
+    this->Thread = std::thread([this] { this->Context.run(); });
+  }
+
+  /// Takes a free port, as tests run side by side.
+  void start() {
     HttpServerOptions Options;
     Options.Listen = this->Where;
     this->Server = std::make_unique<HttpServer>(
@@ -35,11 +39,13 @@
             return this->handle(std::move(Request));
           };
         });
-    this->Thread = std::thread([this] { this->Context.run(); });
+    ASSERT_TRUE(this->Server->start());
+    this->Where.Port = this->Server->port();
   }
 
   ~HttpServerDrainTest() override {
-    this->Server->close();
+    if (this->Server)
+      this->Server->close();
     this->Work.reset();
     this->Context.stop();
     this->Thread.join();
@@ -91,7 +97,7 @@
     return Reply;
   }
 
-  Endpoint Where{.Address = "127.0.0.1", .Port = Port};
+  Endpoint Where{.Address = "127.0.0.1", .Port = 0};
   asio::io_context Context;
   std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
       Work{Context.get_executor()};
@@ -104,7 +110,7 @@
 };
 
 TEST_F(HttpServerDrainTest, ARequestInFlightGetsItsWholeAnswer) {
-  ASSERT_TRUE(this->Server->start());
+  ASSERT_NO_FATAL_FAILURE(this->start());
   auto Busy = this->open();
   auto Reply = this->askSlowly(Busy);
   this->Server->drain();
@@ -118,7 +124,7 @@
 }
 
 TEST_F(HttpServerDrainTest, NewConnectionsAreServedUntilRefusalBegins) {
-  ASSERT_TRUE(this->Server->start());
+  ASSERT_NO_FATAL_FAILURE(this->start());
   this->Server->drain();
   auto Served = this->ask(this->open(), "/quick").get();
   ASSERT_TRUE(Served);
@@ -132,7 +138,7 @@
 }
 
 TEST_F(HttpServerDrainTest, IdleConnectionsAreClosed) {
-  ASSERT_TRUE(this->Server->start());
+  ASSERT_NO_FATAL_FAILURE(this->start());
   auto Idle = this->open();
   ASSERT_TRUE(this->ask(Idle, "/quick").get());
   EXPECT_TRUE(Idle->usable());
@@ -141,7 +147,7 @@
 }
 
 TEST_F(HttpServerDrainTest, AConnectionThatHoldsWorkGoesOn) {
-  ASSERT_TRUE(this->Server->start());
+  ASSERT_NO_FATAL_FAILURE(this->start());
   auto Holder = this->open();
   ASSERT_TRUE(this->ask(Holder, "/begin").get());
   EXPECT_EQ(this->Server->connectionsHeld(), 1U);
@@ -153,7 +159,7 @@
 }
 
 TEST_F(HttpServerDrainTest, TheEndAnswersWhatStillRunsAsUnknown) {
-  ASSERT_TRUE(this->Server->start());
+  ASSERT_NO_FATAL_FAILURE(this->start());
   auto Reply = this->askSlowly(this->open());
   this->Server->endOpen();
   auto Got = Reply.get();
