Smooth the need for connections

Cause: the need was the largest of many samples over all members, so that instances with little load lent too little. Change: the need is the mean load of the busiest member and one standard deviation; a grant is withheld while more is in use.

--- a/drivers/ShareExchange.cpp
+++ b/drivers/ShareExchange.cpp
@@ -34,6 +34,7 @@
     Now.push_back(Each.Id);
     this->Entries.update(Each.Id, [&](Entry &Of) {
       Of.Members.clear();
+      Of.Demands.clear();
       for (const DatabaseMember &Member : Each.Members)
         Of.Members.push_back(Member.Where);
       if (Of.Shares) {
@@ -73,14 +74,15 @@
   }
 }
 
-void ShareExchange::measure(Entry &Of, TimePoint Now) const {
-  std::size_t Busiest = 0;
+void ShareExchange::measure(Entry &Of) const {
+  std::uint32_t Need = 0;
   for (const Endpoint &Member : Of.Members) {
     MemberLoad Load = this->Pool->load(Member);
-    Busiest = std::max(Busiest, Load.InUse + Load.Waiting);
+    DemandEstimate &Demand = Of.Demands[Member];
+    Demand.onSample(Load.InUse + Load.Waiting);
+    Need = std::max(Need, Demand.need());
   }
-  constexpr std::size_t Most = UINT32_MAX;
-  Of.Shares->onNeed(static_cast<std::uint32_t>(std::min(Busiest, Most)), Now);
+  Of.Shares->onNeed(Need);
 }
 
 bool ShareExchange::openWithin(const Entry &Of, TimePoint Now) const {
@@ -105,7 +107,7 @@
                     .field("usable", Allowance.Usable)
                     .field("borrowed", Of.Shares->borrowed(Now))
                     .field("lent", Of.Shares->lent(Now))
-                    .field("need", Of.Shares->need(Now)));
+                    .field("need", Of.Shares->need()));
 }
 
 void ShareExchange::tick(const DatabaseId &Id) {
@@ -114,7 +116,7 @@
     if (!Of.Shares)
       return;
     TimePoint Now = this->Time.now();
-    this->measure(Of, Now);
+    this->measure(Of);
     this->apply(Id, Of, Now);
     bool Lapsed = Of.Shares->excessLapsed(Now);
     for (const Endpoint &Member : Of.Members) {
@@ -148,7 +150,6 @@
     if (!Of.Shares)
       return;
     TimePoint Now = this->Time.now();
-    this->measure(Of, Now);
     Sends = Of.Shares->onMessage(From, Decoded.value(), Now);
     this->apply(Id, Of, Now);
     // Until fewer are open, what is granted would be used twice.
--- a/drivers/ShareExchange.h
+++ b/drivers/ShareExchange.h
@@ -6,6 +6,7 @@
 #include "drivers/MemberPool.h"
 #include "drivers/PeerTransport.h"
 #include "limits/ConnectionShares.h"
+#include "limits/DemandEstimate.h"
 
 #include <atomic>
 
@@ -49,12 +50,13 @@
   struct Entry {
     std::optional<ConnectionShares> Shares;
     std::vector<Endpoint> Members;
+    std::map<Endpoint, DemandEstimate> Demands;
     std::uint32_t LoggedUsable = 0;
   };
 
   void onPayload(const InstanceId &From, const std::string &Payload);
   void tick(const DatabaseId &Id);
-  void measure(Entry &Of, TimePoint Now) const;
+  void measure(Entry &Of) const;
   void apply(const DatabaseId &Id, Entry &Of, TimePoint Now) const;
   [[nodiscard]] bool openWithin(const Entry &Of, TimePoint Now) const;
   void send(const std::vector<ShareSend> &Sends);
--- a/limits/ConnectionShares.cpp
+++ b/limits/ConnectionShares.cpp
@@ -34,8 +34,7 @@
 }
 
 ConnectionShares::ConnectionShares(ConnectionSharesOptions Given, TimePoint Now)
-    : Options(std::move(Given)), StartedAt(Now), Lender(Options.Lending),
-      NeedSince(Now) {}
+    : Options(std::move(Given)), StartedAt(Now), Lender(Options.Lending) {}
 
 bool ConnectionShares::isPeer(const InstanceId &Instance) const {
   const auto &All = this->Options.Instances;
@@ -88,23 +87,10 @@
   return Result;
 }
 
-std::uint32_t ConnectionShares::need(TimePoint) const {
-  return std::max(this->RecentNeed, this->EarlierNeed);
-}
-
-void ConnectionShares::onNeed(std::uint32_t Count, TimePoint Now) {
-  if (Now - this->NeedSince >= this->Options.NeedMemory) {
-    this->EarlierNeed = this->RecentNeed;
-    this->RecentNeed = Count;
-    this->NeedSince = Now;
-  }
-  this->RecentNeed = std::max(this->RecentNeed, Count);
-}
-
 std::uint32_t ConnectionShares::lendable(TimePoint Now) const {
   if (this->starting(Now))
     return 0;
-  std::uint32_t Kept = std::max(this->floor(), this->need(Now));
+  std::uint32_t Kept = std::max(this->floor(), this->Need);
   std::uint32_t Owned = ownedPart(this->Options);
   return Owned > Kept ? Owned - Kept : 0;
 }
@@ -153,9 +139,8 @@
 
 std::map<InstanceId, std::uint32_t>
 ConnectionShares::plan(TimePoint Now) const {
-  std::uint32_t Need = this->need(Now);
   std::uint32_t Own = this->own(Now);
-  std::uint32_t Lack = Need > Own ? Need - Own : 0;
+  std::uint32_t Lack = this->Need > Own ? this->Need - Own : 0;
   std::map<InstanceId, std::uint32_t> Wanted;
   for (const InstanceId &Peer : this->Options.Instances) {
     if (Peer == this->Options.Self)
@@ -201,7 +186,7 @@
 }
 
 std::vector<ShareSend> ConnectionShares::onTick(TimePoint Now) {
-  bool Lacking = this->need(Now) > this->own(Now);
+  bool Lacking = this->Need > this->own(Now);
   std::vector<ShareSend> Sends;
   for (const auto &[Peer, Wanted] : this->plan(Now)) {
     Held &Loan = this->Loans[Peer];
--- a/limits/ConnectionShares.h
+++ b/limits/ConnectionShares.h
@@ -22,8 +22,6 @@
   Duration Guard = std::chrono::milliseconds(200);
   /// Time between two renewals of a loan.
   Duration RenewInterval = std::chrono::milliseconds(500);
-  /// A need falls no faster than this.
-  Duration NeedMemory = std::chrono::seconds(1);
 };
 
 /// A message to another instance.
@@ -58,8 +56,8 @@
 public:
   ConnectionShares(ConnectionSharesOptions Options, TimePoint Now);
 
-  /// Connections in use and wanted at the busiest member at present.
-  void onNeed(std::uint32_t Count, TimePoint Now);
+  /// Connections needed to the busiest member.
+  void onNeed(std::uint32_t Count) { this->Need = Count; }
   /// Whether no member has more connections open than usable(); only then
   /// may lenders take lowered loans as accepted.
   void onOpenWithin(bool Within) { this->OpenWithin = Within; }
@@ -83,7 +81,7 @@
   [[nodiscard]] std::uint32_t floor() const;
   [[nodiscard]] std::uint32_t borrowed(TimePoint Now) const;
   [[nodiscard]] std::uint32_t lent(TimePoint Now) const;
-  [[nodiscard]] std::uint32_t need(TimePoint Now) const;
+  [[nodiscard]] std::uint32_t need() const { return this->Need; }
 
 private:
   struct Held {
@@ -118,9 +116,7 @@
   ShareLender Lender;
   std::map<InstanceId, Held> Loans;
   std::uint64_t NextSequence = 1;
-  std::uint32_t RecentNeed = 0;
-  std::uint32_t EarlierNeed = 0;
-  TimePoint NeedSince;
+  std::uint32_t Need = 0;
   bool OpenWithin = true;
 };
 
--- /dev/null
+++ b/limits/DemandEstimate.cpp
@@ -0,0 +1,29 @@
+#include "limits/DemandEstimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericpitch {
+
+namespace {
+
+/// Weight of one sample in the mean.
+constexpr double Gain = 0.2;
+/// A load as small as this needs no connection of its own.
+constexpr double Negligible = 0.05;
+
+} // namespace
+
+void DemandEstimate::onSample(std::size_t Load) {
+  this->Mean += Gain * (static_cast<double>(Load) - this->Mean);
+}
+
+std::uint32_t DemandEstimate::need() const {
+  if (this->Mean < Negligible)
+    return 0;
+  double Need = std::ceil(this->Mean + std::sqrt(this->Mean));
+  constexpr double Most = UINT32_MAX;
+  return static_cast<std::uint32_t>(std::min(Need, Most));
+}
+
+} // namespace turmericpitch
--- a/tests/limits/ConnectionSharesTest.cpp
+++ b/tests/limits/ConnectionSharesTest.cpp
@@ -154,11 +154,11 @@
         Borrower.onMessage(InstanceId{"b"}, Given.Message, Now);
     Now += milliseconds(100);
   };
-  Borrower.onNeed(14, Now);
+  Borrower.onNeed(14);
   exchange();
   exchange();
   ASSERT_EQ(Borrower.usable(Now), 14U);
-  Lender.onNeed(10, Now);
+  Lender.onNeed(10);
   // Work in flight still uses the borrowed connections.
   Borrower.onOpenWithin(false);
   Now += Options.RenewInterval;
--- a/tests/limits/ShareSimulation.cpp
+++ b/tests/limits/ShareSimulation.cpp
@@ -57,7 +57,7 @@
   Node &N = this->Nodes[Index];
   if (N.Shares && N.PausedUntil <= this->Queue.now()) {
     TimePoint Now = this->clockOf(N);
-    N.Shares->onNeed(N.Need, Now);
+    N.Shares->onNeed(N.Need);
     this->send(Index, N.Shares->onTick(Now));
   }
   this->check();
--- a/tools/OverloadModel.cpp
+++ b/tools/OverloadModel.cpp
@@ -1,5 +1,7 @@
 #include "tools/OverloadModel.h"
 
+#include "limits/DemandEstimate.h"
+
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -30,6 +32,7 @@
 struct ModelGate {
   std::unique_ptr<Admission> Queue;
   std::map<AdmissionTicket, Work> Waiting;
+  DemandEstimate Demand;
 };
 
 struct ModelInstance {
@@ -53,7 +56,8 @@
   void take(std::uint32_t Instance, std::uint32_t Member,
             const std::vector<AdmissionChange> &Changes);
   void tick(std::uint32_t Instance);
-  void apply(std::uint32_t Instance);
+  /// Whether no more is in use than usable.
+  bool apply(std::uint32_t Instance);
   void send(std::uint32_t From, const std::vector<ShareSend> &Sends);
   void noteOpen();
   [[nodiscard]] bool measuring() const;
@@ -234,10 +238,12 @@
 void OverloadRun::tick(std::uint32_t Index) {
   ModelInstance &Instance = this->Instances[Index];
   TimePoint Now = this->Queue.now();
-  std::size_t Busiest = 0;
-  for (const ModelGate &Gate : Instance.Gates)
-    Busiest = std::max(Busiest, Gate.Queue->inUse() + Gate.Queue->waiting());
-  Instance.Shares->onNeed(static_cast<std::uint32_t>(Busiest), Now);
+  std::uint32_t Need = 0;
+  for (ModelGate &Gate : Instance.Gates) {
+    Gate.Demand.onSample(Gate.Queue->inUse() + Gate.Queue->waiting());
+    Need = std::max(Need, Gate.Demand.need());
+  }
+  Instance.Shares->onNeed(Need);
   this->apply(Index);
   for (std::uint32_t Member = 0; Member < Instance.Gates.size(); ++Member)
     this->take(Index, Member, Instance.Gates[Member].Queue->sweep(Now));
@@ -246,7 +252,7 @@
   this->Queue.after(TickInterval, [this, Index] { this->tick(Index); });
 }
 
-void OverloadRun::apply(std::uint32_t Index) {
+bool OverloadRun::apply(std::uint32_t Index) {
   ModelInstance &Instance = this->Instances[Index];
   TimePoint Now = this->Queue.now();
   std::size_t Usable = Instance.Shares->usable(Now);
@@ -257,6 +263,7 @@
     Within = Within && Gate.inUse() <= Usable;
   }
   Instance.Shares->onOpenWithin(Within);
+  return Within;
 }
 
 void OverloadRun::send(std::uint32_t From,
@@ -269,8 +276,8 @@
     this->Queue.after(this->Options.OneWay, [=, this] {
       ConnectionShares &Shares = *this->Instances[To].Shares;
       auto Answers = Shares.onMessage(nameOf(From), Message, this->Queue.now());
-      this->apply(To);
-      this->send(To, Answers);
+      if (this->apply(To))
+        this->send(To, Answers);
     });
   }
 }
