Ask instances without spare connections less often

Cause: under lasting overload every instance asked every other one twice a second for what none had; 16 messages a second for each database. Change: an instance that had nothing to lend is asked again after 2 s.

--- a/limits/ConnectionShares.cpp
+++ b/limits/ConnectionShares.cpp
@@ -177,8 +177,10 @@
                                  bool Lacking, TimePoint Now) const {
   if (Loan.Settled && !Lacking)
     return false;
-  bool Due =
-      !Loan.AskedAt || *Loan.AskedAt + this->Options.RenewInterval <= Now;
+  bool HadNothing = Loan.Accepted > 0 && Loan.Count == 0 && Loan.Spare == 0;
+  Duration Interval =
+      HadNothing ? this->Options.AskAgainInterval : this->Options.RenewInterval;
+  bool Due = !Loan.AskedAt || *Loan.AskedAt + Interval <= Now;
   // What lenders wait for isn't held back until the next renewal.
   bool Confirms = this->OpenWithin && Loan.LoweredUntil.has_value();
   bool Returned = !Loan.Settled && Loan.Count == 0;
--- a/limits/ConnectionShares.h
+++ b/limits/ConnectionShares.h
@@ -22,6 +22,8 @@
   Duration Guard = std::chrono::milliseconds(200);
   /// Time between two renewals of a loan.
   Duration RenewInterval = std::chrono::milliseconds(500);
+  /// Time between two questions to an instance that had nothing to lend.
+  Duration AskAgainInterval = std::chrono::seconds(2);
 };
 
 /// A message to another instance.
