--- a/limits/ShareLender.h
+++ b/limits/ShareLender.h
@@ -23,7 +23,7 @@
 class ShareLender {
 public:
   explicit ShareLender(ShareLenderOptions Options)
-      : Options(std::move(Options)) {}
+      : Options(Options) {}
 
   /// Answers a request; at most Lendable connections are lent out in all
   /// once earlier loans have ended. Returns nothing for a request that is
--- a/tests/limits/AdmissionTest.cpp
+++ b/tests/limits/AdmissionTest.cpp
@@ -181,7 +181,7 @@
     std::size_t InUse = 0;
     std::size_t Capacity = 0;
     TimePoint Now;
-    auto take = [&](const std::vector<AdmissionChange> &Changes) {
+    auto Take = [&](const std::vector<AdmissionChange> &Changes) {
       for (const AdmissionChange &Each : Changes) {
         RC_ASSERT(Waiting.erase(Each.Ticket.Value) == 1U);
         InUse += Each.Shed ? 0 : 1;
@@ -192,12 +192,12 @@
       Now += milliseconds(Event % 8);
       if (Event % 5 == 0) {
         Capacity = Event / 16;
-        take(Gate.setCapacity(Capacity, Now));
+        Take(Gate.setCapacity(Capacity, Now));
       } else if (Event % 5 == 1 && InUse > 0) {
         --InUse;
-        take(Gate.onReleased(milliseconds(Event), Now));
+        Take(Gate.onReleased(milliseconds(Event), Now));
       } else if (Event % 5 == 2) {
-        take(Gate.sweep(Now));
+        Take(Gate.sweep(Now));
       } else {
         auto Request = request("a" + std::to_string(Event % 4),
                                static_cast<AdmissionClass>(Event % 3),
@@ -250,7 +250,7 @@
   }
   void serve(const AdmissionRequest &Request) {
     constexpr Duration Service = milliseconds(5);
-    this->Queue.after(Service, [this, Request] {
+    this->Queue.after(Service, [this, Request, Service] {
       ++this->Served[Request.Account.Value];
       this->ServedLate += this->Queue.now() > Request.Deadline ? 1 : 0;
       this->take(this->Gate.onReleased(Service, this->Queue.now()));
@@ -267,7 +267,7 @@
 TEST_P(AdmissionScenario, Holds) {
   EventQueue Queue;
   AdmissionStage Stage(Queue);
-  auto classOf = [](const std::string &Name) {
+  auto ClassOf = [](const std::string &Name) {
     return Name == "write"          ? AdmissionClass::Write
            : Name == "session_read" ? AdmissionClass::SessionRead
                                     : AdmissionClass::StatedAgeRead;
@@ -279,7 +279,7 @@
   Handlers["offer"] = [&](YamlReader &Step) {
     AdmissionRequest Request;
     Request.Account = ClientAccountId{Step.name("account")};
-    Request.Class = classOf(Step.text("class"));
+    Request.Class = ClassOf(Step.text("class"));
     Request.Weight = static_cast<std::uint32_t>(Step.number("weight", {}, 1));
     Duration Patience = Step.duration("deadline", {});
     Duration Interval = Step.duration("every", {});
--- a/tests/limits/ConnectionSharesTest.cpp
+++ b/tests/limits/ConnectionSharesTest.cpp
@@ -147,7 +147,7 @@
   Options.Self = InstanceId{"b"};
   ConnectionShares Lender(Options, TimePoint{});
   TimePoint Now = TimePoint{} + seconds(10);
-  auto exchange = [&] {
+  auto Exchange = [&] {
     for (const ShareSend &Asked : Borrower.onTick(Now))
       for (const ShareSend &Given :
            Lender.onMessage(InstanceId{"a"}, Asked.Message, Now))
@@ -155,21 +155,21 @@
     Now += milliseconds(100);
   };
   Borrower.onNeed(14);
-  exchange();
-  exchange();
+  Exchange();
+  Exchange();
   ASSERT_EQ(Borrower.usable(Now), 14U);
   Lender.onNeed(10);
   // Work in flight still uses the borrowed connections.
   Borrower.onOpenWithin(false);
   Now += Options.RenewInterval;
-  exchange();
-  exchange();
+  Exchange();
+  Exchange();
   EXPECT_EQ(Borrower.usable(Now), 10U);
   EXPECT_EQ(Lender.usable(Now), 6U);
   EXPECT_FALSE(Borrower.excessLapsed(Now));
   EXPECT_TRUE(Borrower.excessLapsed(Now + seconds(2)));
   Borrower.onOpenWithin(true);
-  exchange();
+  Exchange();
   EXPECT_EQ(Lender.usable(Now), 10U);
 }
 
@@ -182,47 +182,47 @@
                    .ValidFor = 7,
                    .Spare = 8};
   std::string Bytes = encodeShareMessage(Grant);
-  auto decode = [](const std::string &Text) {
+  auto Decode = [](const std::string &Text) {
     return keepOutcome([&] { return decodeShareMessage(Text); });
   };
-  EXPECT_EQ(std::get<ShareGrant>(decode(Bytes).value()), Grant);
-  EXPECT_FALSE(decode(Bytes.substr(0, Bytes.size() - 1)));
-  EXPECT_FALSE(decode(std::string(600, 'x')));
+  EXPECT_EQ(std::get<ShareGrant>(Decode(Bytes).value()), Grant);
+  EXPECT_FALSE(Decode(Bytes.substr(0, Bytes.size() - 1)));
+  EXPECT_FALSE(Decode(std::string(600, 'x')));
   // The archive puts a byte of its own before the version.
   Bytes[1] = 9;
-  EXPECT_FALSE(decode(Bytes));
+  EXPECT_FALSE(Decode(Bytes));
 }
 
 class SharesScenario : public ::testing::TestWithParam<std::string> {};
 
 TEST_P(SharesScenario, Holds) {
   ShareSimulation Simulation({});
-  auto indexOf = [](YamlReader &Step) {
+  auto IndexOf = [](YamlReader &Step) {
     return static_cast<std::uint32_t>(
         Step.number("instance", {.Least = 0, .Most = 4}));
   };
   StepHandlers Handlers;
   Handlers["need"] = [&](YamlReader &Step) {
-    std::uint32_t Index = indexOf(Step);
+    std::uint32_t Index = IndexOf(Step);
     Simulation.setNeed(
         Index, static_cast<std::uint32_t>(Step.number("connections", {})));
   };
-  Handlers["die"] = [&](YamlReader &Step) { Simulation.die(indexOf(Step)); };
+  Handlers["die"] = [&](YamlReader &Step) { Simulation.die(IndexOf(Step)); };
   Handlers["restart"] = [&](YamlReader &Step) {
-    Simulation.restart(indexOf(Step));
+    Simulation.restart(IndexOf(Step));
   };
   Handlers["pause"] = [&](YamlReader &Step) {
-    std::uint32_t Index = indexOf(Step);
+    std::uint32_t Index = IndexOf(Step);
     Simulation.pause(Index, Step.duration("length", {}));
   };
   Handlers["cut_off"] = [&](YamlReader &Step) {
-    Simulation.cutOff(indexOf(Step), true);
+    Simulation.cutOff(IndexOf(Step), true);
   };
   Handlers["reconnect"] = [&](YamlReader &Step) {
-    Simulation.cutOff(indexOf(Step), false);
+    Simulation.cutOff(IndexOf(Step), false);
   };
   Handlers["expect_usable"] = [&](YamlReader &Step) {
-    std::uint32_t Index = indexOf(Step);
+    std::uint32_t Index = IndexOf(Step);
     EXPECT_EQ(Simulation.usable(Index), Step.number("connections", {}));
   };
   runScenario(GetParam(), Simulation.Queue, Handlers);
