--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -87,6 +87,24 @@
   return Options;
 }
 
+ConfigurationSyncOptions syncOptions(const DaemonSettings &Settings,
+                                     const std::string &StartId) {
+  ConfigurationSyncOptions Options;
+  Options.Spreading.Self = Settings.Self;
+  Options.Spreading.Zone = Settings.Zone;
+  Options.Spreading.Seed = std::hash<std::string>{}(StartId);
+  Options.PeerKeys = Settings.PeerKeys;
+  return Options;
+}
+
+std::vector<ConfigurationPeer>
+configurationPeers(const DaemonSettings &Settings) {
+  std::vector<ConfigurationPeer> Peers;
+  for (const PeerSettings &Peer : Settings.Peers)
+    Peers.push_back({.Id = Peer.Id, .Zone = Peer.Zone, .Where = Peer.Where});
+  return Peers;
+}
+
 HttpServerOptions serverOptions(const Endpoint &Listen,
                                 const std::shared_ptr<TlsKeys> &Keys) {
   HttpServerOptions Options;
@@ -165,6 +183,7 @@
   std::shared_ptr<TlsKeys> Keys;
   std::unique_ptr<HttpServer> CallerServer;
   std::unique_ptr<HttpServer> OperatorServer;
+  std::unique_ptr<HttpServer> CopyServer;
   std::vector<std::thread> Threads;
   std::set<DatabaseId> Known;
 };
@@ -184,9 +203,15 @@
   this->Runner = std::make_shared<StatementRunner>(
       this->Statements, this->Control, this->Upstreams,
       routingOptions(this->Settings));
+  this->Peers = std::make_shared<PeerTransport>(
+      this->On, this->Settings.PeerListen, this->Settings.Self,
+      this->Settings.PeerKeys);
   this->Sync = std::make_shared<ConfigurationSync>(
-      this->Platform, this->Configuration,
+      this->On, syncOptions(this->Settings, this->StartId), this->Platform,
+      this->Configuration, this->Peers,
       [this] { this->onConfigurationApplied(); });
+  this->Sync->attach();
+  this->Sync->onPeers(configurationPeers(this->Settings));
   auto Codec =
       std::make_shared<const SessionTokenCodec>(this->Settings.TokenKeys);
   StatementChain Chain(AccountFilter{},
@@ -204,10 +229,7 @@
           .Self = this->Settings.Self,
           .CredentialDigest = this->Settings.OperatorCredentialDigest,
           .Membership = [this] { return this->Members->current(); }},
-      this->Configuration, this->Upstreams, this->Platform);
-  this->Peers = std::make_shared<PeerTransport>(
-      this->On, this->Settings.PeerListen, this->Settings.Self,
-      this->Settings.PeerKeys);
+      this->Configuration, this->Upstreams, this->Platform, this->Sync);
   this->Members = std::make_shared<MembershipController>(
       membershipOptions(this->Settings), std::random_device()());
   this->Exchange =
@@ -304,6 +326,8 @@
                                         this->Callers, this->Keys);
   this->OperatorServer = makeServer(this->On, this->Settings.Operators,
                                     this->Operators, this->Keys);
+  this->CopyServer = makeServer(this->On, this->Settings.PeerListen,
+                                this->Sync->copies(), nullptr);
   return std::monostate{};
 }
 
@@ -317,7 +341,8 @@
   Status Opened = P.openServers();
   if (!Opened)
     return Opened;
-  for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()}) {
+  for (HttpServer *Server :
+       {P.CallerServer.get(), P.OperatorServer.get(), P.CopyServer.get()}) {
     Status Started = Server->start();
     if (!Started)
       return Started;
@@ -333,10 +358,7 @@
   asio::co_spawn(
       asio::make_strand(P.On),
       [&P]() -> Awaitable<void> { co_await P.watchDrain(); }, asio::detached);
-  auto Sync = P.Sync;
-  asio::co_spawn(
-      asio::make_strand(P.On),
-      [Sync]() -> Awaitable<void> { co_await Sync->run(); }, asio::detached);
+  P.Sync->start();
   auto Shares = P.Shares;
   asio::co_spawn(
       asio::make_strand(P.On),
@@ -370,7 +392,8 @@
   P.Sync->stop();
   P.Keeper->stop();
   P.Shares->stop();
-  for (HttpServer *Server : {P.CallerServer.get(), P.OperatorServer.get()})
+  for (HttpServer *Server :
+       {P.CallerServer.get(), P.OperatorServer.get(), P.CopyServer.get()})
     if (Server)
       Server->close();
   P.Exchange->stop();
