--- a/limits/ShareLender.h
+++ b/limits/ShareLender.h
@@ -22,8 +22,7 @@
 /// thread-safe.
 class ShareLender {
 public:
-  explicit ShareLender(ShareLenderOptions Options)
-      : Options(Options) {}
+  explicit ShareLender(ShareLenderOptions Options) : Options(Options) {}
 
   /// Answers a request; at most Lendable connections are lent out in all
   /// once earlier loans have ended. Returns nothing for a request that is
