--- a/tools/FailoverExperiment.cpp
+++ b/tools/FailoverExperiment.cpp
@@ -324,7 +324,8 @@
 
 Duration quantile(std::vector<Duration> &Sorted, double Share) {
   std::sort(Sorted.begin(), Sorted.end());
-  auto Place = static_cast<std::size_t>(Share * (Sorted.size() - 1));
+  auto Place =
+      static_cast<std::size_t>(Share * static_cast<double>(Sorted.size() - 1));
   return Sorted[Place];
 }
 
