--- a/drivers/ByteStream.h
+++ b/drivers/ByteStream.h
@@ -44,11 +44,17 @@
   /// OutcomeUnknown.
   Awaitable<Status> writeAll(std::string_view Bytes);
 
+  /// Whether the peer has ended the connection, or has sent bytes of plain
+  /// TCP that nobody asked for. Reads nothing.
+  [[nodiscard]] bool endedByPeer();
+
   /// Closes the stream unless another limit is set before this one runs out.
   void setLimit(Duration Limit);
   void clearLimit();
   /// Ends every operation under way.
   void close();
+  /// Whether bytes have arrived that were not read.
+  [[nodiscard]] bool hasUnread() const;
   [[nodiscard]] Executor executor() const;
 
 private:
--- a/drivers/OperatorApi.h
+++ b/drivers/OperatorApi.h
@@ -5,6 +5,7 @@
 #include "drivers/ConfigurationSync.h"
 #include "drivers/HttpServer.h"
 #include "drivers/PlatformClient.h"
+#include "membership/MembershipSnapshot.h"
 #include "routing/UpstreamView.h"
 
 namespace turmericpitch {
@@ -13,6 +14,8 @@
   InstanceId Self;
   /// SHA-256 of the operators' bearer credential, in hexadecimal.
   std::string CredentialDigest;
+  /// What this instance believes about all instances; may be unset.
+  std::function<SharedMembership()> Membership = nullptr;
 };
 
 /// POST /v1/tickets          accepts a change ticket (YAML or JSON)
