--- a/configuration/ConfigurationSnapshot.h
+++ b/configuration/ConfigurationSnapshot.h
@@ -3,8 +3,9 @@
 
 #include "configuration/ConfigurationChange.h"
 
+#include <boost/range/adaptor/transformed.hpp>
+#include <boost/range/iterator_range.hpp>
 #include <memory>
-#include <ranges>
 #include <utility>
 
 namespace turmericpitch {
@@ -60,8 +61,8 @@
   /// The databases as pairs of id and database, in order of their ids.
   [[nodiscard]] auto databases() const {
     auto First = this->firstOf(ObjectKind::Database);
-    return std::ranges::subrange(First, this->Objects.end()) |
-           std::views::transform([](const SharedObject &Object) {
+    return boost::make_iterator_range(First, this->Objects.end()) |
+           boost::adaptors::transformed([](const SharedObject &Object) {
              const auto &Each = std::get<Database>(Object->State);
              return std::pair<const DatabaseId &, const Database &>(Each.Id,
                                                                     Each);
--- a/drivers/ConfigurationSync.cpp
+++ b/drivers/ConfigurationSync.cpp
@@ -28,7 +28,7 @@
     std::shared_ptr<PlatformClient> Platform,
     std::shared_ptr<ConfigurationController> Controller,
     std::shared_ptr<PeerTransport> Transport, std::function<void()> OnApplied)
-    : On(asio::make_strand(std::move(On))), Platform(std::move(Platform)),
+    : On(asio::make_strand(On)), Platform(std::move(Platform)),
       Controller(std::move(Controller)), Transport(std::move(Transport)),
       OnApplied(std::move(OnApplied)),
       Authenticator(std::make_shared<const CopyAuthenticator>(
