--- a/drivers/CallerApi.cpp
+++ b/drivers/CallerApi.cpp
@@ -75,13 +75,17 @@
   if (!Read)
     co_return replyWith(Read.error());
   CallerRequest Whole = std::move(Read.value());
-  co_return co_await this->run(std::move(Whole), Caller);
+  HttpReply Reply = co_await this->run(std::move(Whole), Caller);
+  Reply.HoldsConnection = Caller->open();
+  co_return Reply;
 }
 
 Outcome<RequestContext> CallerApi::prepare(const StatementRequest &Request) {
   RequestContext Context;
   Context.Request = Request;
   Context.ArrivedAt = this->Time.now();
+  Context.ArrivedAtWall = std::chrono::floor<std::chrono::seconds>(
+      std::chrono::system_clock::now());
   Context.Configuration = this->Configuration->current();
   Context.View = this->Upstreams->view(Request.Target);
   return keepOutcome([&]() -> Result<RequestContext> {
