Never move a large ticket's object over a later ticket's

Cause: while a large ticket's objects move to keys of their own, they were taken from the state before the ticket of the same transaction; an object that this ticket set was written again with the large ticket's older content, so the later ticket was reverted for it. Ruled out: the order of reading (the records merge by ticket number). Change: objects are taken from the state after the ticket. The platform stand-in refuses a key written twice in one transaction, as the published service does. MovingALargeTicketNeverUndoesALaterOne failed before (old host) and passes now.

--- a/configuration/TicketAcceptance.cpp
+++ b/configuration/TicketAcceptance.cpp
@@ -43,14 +43,15 @@
 }
 
 /// Moves objects of the oldest large ticket to keys of their own, as far as
-/// the transaction has room. Those that a later ticket has set anew are left.
-void moveLargeObjects(const ConfigurationSnapshot &Base, TicketHead &Head,
+/// the transaction has room. Those that a later ticket has set anew are left
+/// out; Next includes the ticket that the same transaction writes.
+void moveLargeObjects(const ConfigurationSnapshot &Next, TicketHead &Head,
                       std::vector<WriteOperation> &Writes) {
   if (Head.Large.empty())
     return;
   LargeTicket &Oldest = Head.Large.front();
   std::vector<std::pair<std::string, SharedObject>> Left;
-  for (SharedObject &Object : Base.objectsSetBy(Oldest.Number)) {
+  for (SharedObject &Object : Next.objectsSetBy(Oldest.Number)) {
     std::string Path = objectPath(Object->Key);
     if (Path > Oldest.MovedUpTo)
       Left.emplace_back(std::move(Path), std::move(Object));
@@ -235,7 +236,7 @@
     for (const SharedObject &Object : Touched)
       Request.Writes.emplace_back(storedObject(Object->Key, recordOf(*Object)));
   }
-  moveLargeObjects(*this->Base, Head, Request.Writes);
+  moveLargeObjects(Next.value(), Head, Request.Writes);
   if (Large)
     Head.Large.push_back({.Number = this->Change.Id, .MovedUpTo = ""});
   return this->send(std::move(Request), std::move(Head));
--- a/stand_ins/KeyValueStore.cpp
+++ b/stand_ins/KeyValueStore.cpp
@@ -1,6 +1,8 @@
 #include "stand_ins/KeyValueStore.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace turmericpitch {
 
@@ -32,6 +34,21 @@
                                  Transaction->Writes.size()) > Maximum;
 }
 
+/// The published service refuses such transactions.
+bool writesAKeyTwice(const KeyValueRequest &Request) {
+  const auto *Transaction = std::get_if<TransactionRequest>(&Request);
+  if (!Transaction)
+    return false;
+  std::set<std::string_view> Keys;
+  for (const WriteOperation &Write : Transaction->Writes) {
+    std::string_view Key = std::visit(
+        [](const auto &Each) { return std::string_view(Each.Key); }, Write);
+    if (!Keys.insert(Key).second)
+      return true;
+  }
+  return false;
+}
+
 } // namespace
 
 bool KeyValueStore::admit(RateWindow &Window, std::uint32_t PerSecond,
@@ -66,6 +83,8 @@
     return refused(ErrorKind::BadRequest, "value larger than the limit");
   if (tooManyOperations(Request, this->Limits.MaximumOperations))
     return refused(ErrorKind::BadRequest, "too many operations in transaction");
+  if (writesAKeyTwice(Request))
+    return refused(ErrorKind::BadRequest, "duplicate key in transaction");
   this->expireLeases(Now);
   KeyValueAnswer Answer;
   if (const auto *Range = std::get_if<RangeRequest>(&Request))
--- a/tests/configuration/TicketAcceptanceTest.cpp
+++ b/tests/configuration/TicketAcceptanceTest.cpp
@@ -224,6 +224,19 @@
   }
 }
 
+TEST(TicketAcceptance, MovingALargeTicketNeverUndoesALaterOne) {
+  AcceptanceFixture Fixture;
+  constexpr std::size_t Large = 150;
+  Fixture.submit("large", brandTicket(1, "old", Large));
+  Fixture.Queue.runUntil(TimePoint(milliseconds(100)));
+  Fixture.submit("later", brandTicket(2, "new", 1));
+  Fixture.Queue.runUntil(TimePoint(milliseconds(200)));
+  EXPECT_EQ(endOf(Fixture.Submissions["later"]), "accepted");
+  auto Hosts = hostsOf(Fixture.stored());
+  EXPECT_EQ(Hosts.at("extra-0"), "extra-0.new");
+  EXPECT_EQ(Hosts.at("extra-1"), "extra-1.old");
+}
+
 RC_GTEST_PROP(TicketAcceptance, EndsAsTheNaiveSingleCopyDoes, ()) {
   AcceptanceFixture Fixture;
   scheduleFaults(Fixture);
