Probe by duty and activity, hand over from leaving primaries, give up at lost ones

Change: failover/ProbeSchedule (answers to statements take the place of probes; idle databases are probed every 5 s by their five observers alone), membership/DutyBoard for ranks, a planned hand-over to a member that stays (Promotion chooses among them if they are a majority), writes are given up once another primary is known, and a failed primary is asked again only once it answers.

--- a/drivers/CallerApi.cpp
+++ b/drivers/CallerApi.cpp
@@ -90,6 +90,8 @@
   Context.View = this->Upstreams->view(Request.Target);
   return keepOutcome([&]() -> Result<RequestContext> {
     BOOST_LEAF_CHECK(this->Chain.apply(Context));
+    if (this->Options.OnStatement)
+      this->Options.OnStatement(Request.Target);
     return std::move(Context);
   });
 }
--- a/drivers/CallerApi.h
+++ b/drivers/CallerApi.h
@@ -15,6 +15,8 @@
   /// Differs with every start of the instance, so that request ids never
   /// repeat.
   std::string StartId;
+  /// Told of each database that an admitted request is for.
+  std::function<void(const DatabaseId &)> OnStatement = nullptr;
 };
 
 /// Under /v1/services/{service}/databases/{database}:
--- a/drivers/PrimaryKeeper.cpp
+++ b/drivers/PrimaryKeeper.cpp
@@ -59,15 +59,15 @@
     if (Found != this->Loops.end() && Found->second.Target == Target)
       continue;
     if (Found != this->Loops.end())
-      *Found->second.Ended = true;
-    auto Ended = std::make_shared<std::atomic<bool>>(false);
-    this->Loops.insert_or_assign(Target.Id,
-                                 Loop{.Target = Target, .Ended = Ended});
+      this->end(Found->second);
+    auto Own = std::make_shared<Watch>();
+    this->Loops.insert_or_assign(Target.Id, Loop{.Target = Target, .Own = Own});
+    this->Watches.update(Target.Id, [&](SharedWatch &Slot) { Slot = Own; });
     auto Self = this->shared_from_this();
     asio::co_spawn(
         asio::make_strand(this->On),
-        [Self, Target, Ended]() -> Awaitable<void> {
-          co_await Self->keep(Target, Ended);
+        [Self, Target, Own]() -> Awaitable<void> {
+          co_await Self->keep(Target, Own);
         },
         asio::detached);
   }
@@ -76,34 +76,69 @@
       ++At;
       continue;
     }
-    *At->second.Ended = true;
+    this->end(At->second);
+    this->Watches.erase(At->first);
     At = this->Loops.erase(At);
   }
 }
 
+void PrimaryKeeper::end(const Loop &Ended) {
+  Ended.Own->Ended = true;
+  Ended.Own->Wake.notify();
+}
+
 void PrimaryKeeper::stop() {
   std::lock_guard Lock(this->Guard);
   for (auto &[Id, Each] : this->Loops)
-    *Each.Ended = true;
+    this->end(Each);
 }
 
-Awaitable<void> PrimaryKeeper::keep(Database Target,
-                                    std::shared_ptr<std::atomic<bool>> Ended) {
+void PrimaryKeeper::onStatement(const DatabaseId &Id) {
+  SharedWatch Own = this->Watches.read(
+      Id, [](const SharedWatch *Slot) { return Slot ? *Slot : SharedWatch{}; });
+  if (!Own)
+    return;
+  Duration Now = this->Time.now().time_since_epoch();
+  Duration Before(Own->LastStatement.exchange(Now.count()));
+  // An active loop looks again by itself.
+  if (Now - Before >= this->Options.Probes.ActivityMemory)
+    Own->Wake.notify();
+}
+
+Awaitable<void> PrimaryKeeper::keep(Database Target, SharedWatch Own) {
   LossDetector Detector(this->Options.Detector);
-  while (!*Ended) {
-    for (const DatabaseMember &Member : Target.Members)
-      this->probe(Target.Id, Member);
-    co_await sleepFor(this->Options.ProbeInterval);
-    SharedDatabaseView View = this->Upstreams->view(Target.Id);
-    if (!View || *Ended)
-      continue;
-    bool Lost =
-        Detector.look(*View, this->Time.now()) == PrimaryVerdict::Promote;
-    if (Lost && Target.PromotionAllowed)
-      co_await this->promote(Target, View->newestTerm());
+  ProbeSchedule Schedule(this->Options.Probes);
+  while (!Own->Ended) {
+    std::uint64_t Seen = Own->Wake.generation();
+    if (Duration::rep Last = Own->LastStatement)
+      Schedule.onStatement(TimePoint(Duration(Last)));
+    TimePoint Now = this->Time.now();
+    auto Rank = this->Options.RankOf(Target.Id);
+    if (SharedDatabaseView View = this->Upstreams->view(Target.Id))
+      for (const DatabaseMember &Member :
+           Schedule.due(*View, Rank.has_value(), Now))
+        this->probe(Target.Id, Member);
+    co_await Own->Wake.wait(Seen, Schedule.pause(Now));
+    if (!Own->Ended)
+      co_await this->lookAfter(Target, Detector, Rank);
   }
 }
 
+Awaitable<void> PrimaryKeeper::lookAfter(const Database &Target,
+                                         LossDetector &Detector,
+                                         std::optional<std::size_t> Rank) {
+  SharedDatabaseView View = this->Upstreams->view(Target.Id);
+  if (!View || !Target.PromotionAllowed)
+    co_return;
+  // Instances without the duty come last, for when all that have it are gone.
+  std::size_t Place = Rank.value_or(PromoterCount);
+  if (Detector.look(*View, Place, this->Time.now()) == PrimaryVerdict::Promote)
+    co_await this->promote(Target, View->newestTerm(), PromotionCause::Loss);
+  else if (Place == 0 && primaryIsLeaving(*View))
+    co_await this->promote(Target, View->newestTerm(),
+                           PromotionCause::HandOver);
+}
+
 Awaitable<Outcome<MemberAnswer>> PrimaryKeeper::call(DatabaseId Id,
                                                      DatabaseMember Member,
                                                      MemberRequest Request) {
@@ -201,12 +236,13 @@
   co_return Check.verdict() == CheckVerdict::Proceed;
 }
 
-Awaitable<void> PrimaryKeeper::promote(const Database &Target, Term Newest) {
-  if (!co_await this->mayPromote(Target, Newest))
+Awaitable<void> PrimaryKeeper::promote(const Database &Target, Term Newest,
+                                       PromotionCause Cause) {
+  bool Lost = Cause == PromotionCause::Loss;
+  if (Lost && !co_await this->mayPromote(Target, Newest))
     co_return;
-  std::string Attempt = this->Options.Detector.Self.Value + "-" +
-                        this->Options.StartId + "-" +
-                        std::to_string(this->Attempts++);
+  std::string Attempt = this->Options.Self.Value + "-" + this->Options.StartId +
+                        "-" + std::to_string(this->Attempts++);
   Promotion Running(Target, Term{Newest.Value + 1}, Attempt);
   logStep(Target, Running);
   co_await this->drive(Target, Running, PromotionLimit);
--- a/drivers/PrimaryKeeper.h
+++ b/drivers/PrimaryKeeper.h
@@ -3,6 +3,7 @@
 
 #include "drivers/MemberPool.h"
 #include "failover/LossDetector.h"
+#include "failover/ProbeSchedule.h"
 #include "failover/PromotionCheck.h"
 
 #include <atomic>
@@ -10,42 +11,64 @@
 namespace turmericpitch {
 
 struct PrimaryKeeperOptions {
+  InstanceId Self;
   LossDetectorOptions Detector;
-  Duration ProbeInterval = std::chrono::milliseconds(100);
+  ProbeScheduleOptions Probes;
   Duration ProbeLimit = std::chrono::milliseconds(200);
   /// Differs with every start of the instance.
   std::string StartId;
+  /// The own place among a database's observers and promoters, from 0;
+  /// nothing if it is none of them. Called from any thread.
+  std::function<std::optional<std::size_t>(const DatabaseId &)> RankOf;
 };
 
 /// Keeps one loop for each database. Thread-safe. Must be held by a shared
 /// pointer.
 class PrimaryKeeper : public std::enable_shared_from_this<PrimaryKeeper> {
 public:
+  /// Instances that watch a database and stand ready to promote.
+  static constexpr std::size_t PromoterCount = 5;
+
   PrimaryKeeper(Executor On, PrimaryKeeperOptions Options,
                 std::shared_ptr<MemberPool> Control,
                 std::shared_ptr<UpstreamController> Upstreams);
 
   /// Probes exactly these databases from now on.
   void onConfigured(const std::vector<Database> &Databases);
+  /// A statement for the database came in: it is watched closely for a
+  /// while.
+  void onStatement(const DatabaseId &Id);
   void stop();
 
 private:
-  Awaitable<void> keep(Database Target,
-                       std::shared_ptr<std::atomic<bool>> Ended);
+  /// One database's loop, as others reach it.
+  struct Watch {
+    std::atomic<bool> Ended = false;
+    /// TimePoint of the last statement, as its count.
+    std::atomic<Duration::rep> LastStatement = 0;
+    ChangeSignal Wake;
+  };
+  using SharedWatch = std::shared_ptr<Watch>;
+
+  Awaitable<void> keep(Database Target, SharedWatch Own);
+  Awaitable<void> lookAfter(const Database &Target, LossDetector &Detector,
+                            std::optional<std::size_t> Rank);
   void probe(const DatabaseId &Id, const DatabaseMember &Member);
   /// Sends what a round asks for and hands it the outcomes until it is over
   /// or Limit has passed.
   template <typename Round>
   Awaitable<void> drive(const Database &Target, Round &Running, Duration Limit);
   Awaitable<bool> mayPromote(const Database &Target, Term Newest);
-  Awaitable<void> promote(const Database &Target, Term Newest);
+  Awaitable<void> promote(const Database &Target, Term Newest,
+                          PromotionCause Cause);
   Awaitable<Outcome<MemberAnswer>> call(DatabaseId Id, DatabaseMember Member,
                                         MemberRequest Request);
 
   struct Loop {
     Database Target;
-    std::shared_ptr<std::atomic<bool>> Ended;
+    SharedWatch Own;
   };
+  static void end(const Loop &Ended);
 
   Executor On;
   PrimaryKeeperOptions Options;
@@ -53,6 +76,7 @@
   std::shared_ptr<UpstreamController> Upstreams;
   std::mutex Guard;
   std::map<DatabaseId, Loop> Loops;
+  Sharded<DatabaseId, SharedWatch> Watches;
   std::atomic<std::uint64_t> Attempts = 0;
   MonotonicClock Time;
 };
--- a/drivers/StatementRunner.cpp
+++ b/drivers/StatementRunner.cpp
@@ -46,6 +46,23 @@
           .RetryAfter = std::chrono::seconds(1)};
 }
 
+/// A call under way at a member.
+struct PendingCall {
+  std::mutex Guard;
+  std::optional<Outcome<MemberAnswer>> Answer;
+  ChangeSignal Changed;
+};
+
+/// How often a write under way looks for another primary.
+constexpr Duration SupersededPoll = std::chrono::milliseconds(50);
+
+Error supersededMeanwhile() {
+  return {.Kind = ErrorKind::OutcomeUnknown,
+          .Message = "the primary was replaced while the write was under way",
+          .Remedy = "look whether it is there, or repeat it with the same "
+                    "idempotency key"};
+}
+
 /// The shared count of replicas that confirm one write.
 struct Confirmation {
   std::mutex Guard;
@@ -158,12 +175,45 @@
   if (!Leased)
     co_return Leased.error();
   AskedAt = this->Time.now();
-  MemberRequest Request = Wanted.Request;
-  auto Answer = co_await (*Leased.value())->call(Request, Wanted.Limit);
+  auto Answer = co_await this->callWhilePrimary(Id, Wanted, Leased.value());
   this->note(Id, Wanted.Where.Target, Answer, AskedAt);
   co_return Answer;
 }
 
+Awaitable<Outcome<MemberAnswer>> StatementRunner::callWhilePrimary(
+    DatabaseId Id, RunAtMember Wanted,
+    std::shared_ptr<LeasedConnection> Connection) {
+  MemberRequest Request = Wanted.Request;
+  if (!Wanted.Request.Write)
+    co_return co_await (*Connection)->call(std::move(Request), Wanted.Limit);
+  auto On = co_await asio::this_coro::executor;
+  auto Shared = std::make_shared<PendingCall>();
+  auto Ask = [Shared, Connection, Request, Wanted]() -> Awaitable<void> {
+    auto Answer = co_await (*Connection)->call(Request, Wanted.Limit);
+    {
+      std::lock_guard Lock(Shared->Guard);
+      Shared->Answer = std::move(Answer);
+    }
+    Shared->Changed.notify();
+  };
+  asio::co_spawn(On, Ask, asio::detached);
+  while (true) {
+    std::uint64_t Seen = Shared->Changed.generation();
+    {
+      std::lock_guard Lock(Shared->Guard);
+      if (Shared->Answer)
+        co_return *Shared->Answer;
+    }
+    SharedDatabaseView View = this->Upstreams->view(Id);
+    const MemberView *Primary = View ? View->primary() : nullptr;
+    if (Primary && Primary->Configured.Id != Wanted.Where.Target) {
+      (*Connection)->close();
+      co_return supersededMeanwhile();
+    }
+    co_await Shared->Changed.wait(Seen, SupersededPoll);
+  }
+}
+
 Awaitable<bool> StatementRunner::confirm(DatabaseId Id, ConfirmWrite Wanted) {
   auto On = co_await asio::this_coro::executor;
   auto Shared = std::make_shared<Confirmation>();
--- a/drivers/StatementRunner.h
+++ b/drivers/StatementRunner.h
@@ -35,6 +35,11 @@
             const Outcome<MemberAnswer> &Answer, TimePoint AskedAt);
 
 private:
+  /// The member's answer; gives a write up once another member is known to
+  /// be primary, as this one can have nothing confirmed any more.
+  Awaitable<Outcome<MemberAnswer>>
+  callWhilePrimary(DatabaseId Id, RunAtMember Wanted,
+                   std::shared_ptr<LeasedConnection> Connection);
   Awaitable<Outcome<MemberAnswer>>
   runAtMember(DatabaseId Id, RunAtMember Wanted, AdmissionRequest Admitted);
   /// Counts a statement's attempt at an upstream, the first there from 0;
--- a/failover/LossDetector.cpp
+++ b/failover/LossDetector.cpp
@@ -1,31 +1,11 @@
 #include "failover/LossDetector.h"
 
-#include <algorithm>
-#include <xxhash.h>
-
 namespace turmericpitch {
 
-namespace {
-
-std::uint64_t weight(const DatabaseId &Id, const InstanceId &Instance) {
-  std::string Text = Id.Value + "/" + Instance.Value;
-  return XXH3_64bits(Text.data(), Text.size());
-}
-
-} // namespace
-
-std::size_t promoterRank(const DatabaseId &Id,
-                         const LossDetectorOptions &Options) {
-  std::uint64_t Own = weight(Id, Options.Self);
-  return static_cast<std::size_t>(std::count_if(
-      Options.Instances.begin(), Options.Instances.end(),
-      [&](const InstanceId &Instance) { return weight(Id, Instance) > Own; }));
-}
-
-LossDetector::LossDetector(LossDetectorOptions Options)
-    : Options(std::move(Options)) {}
+LossDetector::LossDetector(LossDetectorOptions Options) : Options(Options) {}
 
-PrimaryVerdict LossDetector::look(const DatabaseView &View, TimePoint Now) {
+PrimaryVerdict LossDetector::look(const DatabaseView &View, std::size_t Rank,
+                                  TimePoint Now) {
   bool WasPaused =
       this->LastLook && Now - *this->LastLook > this->Options.OwnPauseLimit;
   this->LastLook = Now;
@@ -38,10 +18,8 @@
   }
   if (!this->SilentSince)
     this->SilentSince = Now;
-  Duration Delay =
-      this->Options.SilenceLimit +
-      this->Options.RankDelay *
-          static_cast<std::int64_t>(promoterRank(View.Id, this->Options));
+  Duration Delay = this->Options.SilenceLimit +
+                   this->Options.RankDelay * static_cast<std::int64_t>(Rank);
   if (Now < *this->SilentSince + Delay)
     return PrimaryVerdict::Wait;
   this->SilentSince = Now;
--- a/failover/LossDetector.h
+++ b/failover/LossDetector.h
@@ -7,9 +7,6 @@
 namespace turmericpitch {
 
 struct LossDetectorOptions {
-  InstanceId Self;
-  /// All instances that may promote, own included.
-  std::vector<InstanceId> Instances;
   /// Silence after which a primary counts as lost.
   Duration SilenceLimit = std::chrono::milliseconds(200);
   /// Further silence for each rank, so that promoters seldom duel.
@@ -19,11 +16,6 @@
   Duration OwnPauseLimit = std::chrono::milliseconds(250);
 };
 
-/// Own place among the instances for a database, from 0, by rendezvous
-/// hashing. Pure; thread-safe.
-std::size_t promoterRank(const DatabaseId &Id,
-                         const LossDetectorOptions &Options);
-
 /// What should be done about one database's primary.
 enum class PrimaryVerdict { Wait, Promote };
 
@@ -32,9 +24,10 @@
 public:
   explicit LossDetector(LossDetectorOptions Options);
 
-  /// Looks at the newest view. Promote is returned at most once for each
-  /// delay that runs out.
-  PrimaryVerdict look(const DatabaseView &View, TimePoint Now);
+  /// Looks at the newest view. Rank is the own place among the promoters,
+  /// from 0. Promote is returned at most once for each delay that runs out.
+  PrimaryVerdict look(const DatabaseView &View, std::size_t Rank,
+                      TimePoint Now);
 
 private:
   LossDetectorOptions Options;
--- a/failover/Promotion.cpp
+++ b/failover/Promotion.cpp
@@ -4,6 +4,18 @@
 
 namespace turmericpitch {
 
+bool primaryIsLeaving(const DatabaseView &View) {
+  const MemberView *Primary = View.primary();
+  if (!Primary || !Primary->Configured.Leaving)
+    return false;
+  auto Staying = std::count_if(
+      View.Members.begin(), View.Members.end(), [](const MemberView &Member) {
+        return !Member.Configured.Leaving && Member.Last &&
+               Member.FailuresInRow == 0;
+      });
+  return static_cast<std::size_t>(Staying) >= View.majority();
+}
+
 std::string_view toString(PromotionStep Step) {
   switch (Step) {
   case PromotionStep::Sealing:
@@ -40,12 +52,15 @@
 Promotion::onOutcome(const UpstreamId &From,
                      const Outcome<MemberAnswer> &Answer) {
   if (this->Step == PromotionStep::Sealing) {
-    if (Answer)
-      return this->onSealed(From, Answer.value().Status);
+    if (Answer) {
+      this->Sealed[From] = Answer.value().Status.Received;
+      return this->choose();
+    }
     this->Refused.insert(From);
     std::size_t Left = this->Target.Members.size() - this->Refused.size();
-    if (Left < this->majority())
-      this->Step = PromotionStep::Failed;
+    if (Left >= this->majority())
+      return this->choose();
+    this->Step = PromotionStep::Failed;
     return {};
   }
   if (this->Step == PromotionStep::Promoting && From == this->Heir) {
@@ -56,13 +71,30 @@
   return {};
 }
 
-std::vector<MemberCall> Promotion::onSealed(const UpstreamId &From,
-                                            const MemberStatus &Status) {
-  this->Sealed[From] = Status.Received;
-  if (this->Sealed.size() < this->majority())
+bool Promotion::leaving(const UpstreamId &Id) const {
+  auto Found = std::find_if(
+      this->Target.Members.begin(), this->Target.Members.end(),
+      [&](const DatabaseMember &Member) { return Member.Id == Id; });
+  return Found != this->Target.Members.end() && Found->Leaving;
+}
+
+std::vector<MemberCall> Promotion::choose() {
+  // Any majority of sealed members holds all that was acknowledged, so one
+  // without those that are leaving will do.
+  std::map<UpstreamId, TermPosition> Staying = this->Sealed;
+  std::erase_if(Staying,
+                [&](const auto &Each) { return this->leaving(Each.first); });
+  std::size_t MayStay = static_cast<std::size_t>(std::count_if(
+      this->Target.Members.begin(), this->Target.Members.end(),
+      [&](const DatabaseMember &Member) {
+        return !Member.Leaving && !this->Refused.contains(Member.Id);
+      }));
+  bool StayingSuffice = MayStay >= this->majority();
+  const auto &Choice = StayingSuffice ? Staying : this->Sealed;
+  if (Choice.size() < this->majority())
     return {};
   auto Furthest = std::max_element(
-      this->Sealed.begin(), this->Sealed.end(),
+      Choice.begin(), Choice.end(),
       [](const auto &L, const auto &R) { return L.second < R.second; });
   this->Heir = Furthest->first;
   this->Step = PromotionStep::Promoting;
--- a/failover/Promotion.h
+++ b/failover/Promotion.h
@@ -3,6 +3,7 @@
 
 #include "configuration/Objects.h"
 #include "core/Member.h"
+#include "routing/UpstreamView.h"
 
 #include <map>
 #include <set>
@@ -15,6 +16,17 @@
   MemberRequest Request;
 };
 
+/// Why a promotion is begun.
+enum class PromotionCause {
+  Loss,
+  /// The primary is marked as leaving.
+  HandOver,
+};
+
+/// Whether the newest primary is marked as leaving and another member could
+/// take its place. Thread-safe.
+bool primaryIsLeaving(const DatabaseView &View);
+
 enum class PromotionStep { Sealing, Promoting, Following, Done, Failed };
 
 /// The step's stable name in the decision log. Thread-safe.
@@ -22,7 +34,8 @@
 
 /// Seals a new term at a majority, promotes the sealed member whose log is
 /// furthest, and has the others follow it. Safe with any number of attempts
-/// at once: a member promises one term to one attempt. Pure; not
+/// at once: a member promises one term to one attempt. A member marked as
+/// leaving is chosen only if the others are no majority. Pure; not
 /// thread-safe.
 class Promotion {
 public:
@@ -46,8 +59,9 @@
   [[nodiscard]] Term term() const { return this->Next; }
 
 private:
-  std::vector<MemberCall> onSealed(const UpstreamId &From,
-                                   const MemberStatus &Status);
+  /// Promotes the furthest sealed member once enough are sealed.
+  std::vector<MemberCall> choose();
+  [[nodiscard]] bool leaving(const UpstreamId &Id) const;
   std::vector<MemberCall> followAll();
   [[nodiscard]] std::size_t majority() const;
 
--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -9,6 +9,7 @@
 #include "drivers/PeerTransport.h"
 #include "drivers/PrimaryKeeper.h"
 #include "drivers/ShareExchange.h"
+#include "membership/DutyBoard.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -73,17 +74,19 @@
 }
 
 PrimaryKeeperOptions keeperOptions(const DaemonSettings &Settings,
-                                   const std::string &StartId) {
+                                   const std::string &StartId,
+                                   std::shared_ptr<DutyBoard> Duties) {
   PrimaryKeeperOptions Options;
-  Options.Detector.Self = Settings.Self;
-  Options.Detector.Instances.push_back(Settings.Self);
-  for (const PeerSettings &Peer : Settings.Peers)
-    Options.Detector.Instances.push_back(Peer.Id);
+  Options.Self = Settings.Self;
   Options.Detector.SilenceLimit = Settings.PrimarySilenceLimit;
   Options.Detector.RankDelay = Settings.PromoterRankDelay;
-  Options.ProbeInterval = Settings.ProbeInterval;
+  Options.Probes.ActiveInterval = Settings.ProbeInterval;
   Options.ProbeLimit = Settings.ProbeLimit;
   Options.StartId = StartId;
+  Options.RankOf = [Duties](const DatabaseId &Id) {
+    return Duties->rank({.Kind = Duty::Promote, .Subject = Id.Value},
+                        PrimaryKeeper::PromoterCount);
+  };
   return Options;
 }
 
@@ -197,9 +200,14 @@
   PlatformClientOptions PlatformOptions;
   PlatformOptions.Platform = this->Settings.Platform;
   this->Platform = std::make_shared<PlatformClient>(this->On, PlatformOptions);
+  this->Members = std::make_shared<MembershipController>(
+      membershipOptions(this->Settings), std::random_device()());
   this->Keeper = std::make_shared<PrimaryKeeper>(
-      this->On, keeperOptions(this->Settings, this->StartId), this->Control,
-      this->Upstreams);
+      this->On,
+      keeperOptions(
+          this->Settings, this->StartId,
+          std::make_shared<DutyBoard>(this->Settings.Self, this->Members)),
+      this->Control, this->Upstreams);
   this->Runner = std::make_shared<StatementRunner>(
       this->Statements, this->Control, this->Upstreams,
       routingOptions(this->Settings));
@@ -221,7 +229,12 @@
       this->Statements, this->Upstreams, this->Runner,
       routingOptions(this->Settings), TransactionLimits{});
   this->Callers = std::make_shared<CallerApi>(
-      CallerApiOptions{.Self = this->Settings.Self, .StartId = this->StartId},
+      CallerApiOptions{.Self = this->Settings.Self,
+                       .StartId = this->StartId,
+                       .OnStatement =
+                           [Keeper = this->Keeper](const DatabaseId &Id) {
+                             Keeper->onStatement(Id);
+                           }},
       this->Configuration, this->Upstreams, this->Runner, Transactions, Chain,
       Codec);
   this->Operators = std::make_shared<OperatorApi>(
@@ -230,8 +243,6 @@
           .CredentialDigest = this->Settings.OperatorCredentialDigest,
           .Membership = [this] { return this->Members->current(); }},
       this->Configuration, this->Upstreams, this->Platform, this->Sync);
-  this->Members = std::make_shared<MembershipController>(
-      membershipOptions(this->Settings), std::random_device()());
   this->Exchange =
       std::make_shared<MembershipExchange>(this->Peers, this->Members);
   this->Exchange->attach();
--- a/routing/StatementFlow.cpp
+++ b/routing/StatementFlow.cpp
@@ -37,6 +37,10 @@
     if (auto Stale = staleness(View, this->needed()))
       return this->refuse(std::move(*Stale));
     Chosen = chooseForWrite(View);
+    // What has just failed is asked again once it is known to answer.
+    if (Chosen && Chosen->Target == this->FailedAt &&
+        View.member(Chosen->Target)->FailuresInRow > 0)
+      return this->awaitView(Now);
   } else {
     ReadNeeds Needs{.Seen = this->needed(),
                     .MaximumAge = Request.MaximumAge,
@@ -152,6 +156,7 @@
     this->Shed = Failure;
   if (Request.Write && this->Shed)
     return this->refuse(*this->Shed);
+  this->FailedAt = this->Target;
   if (Request.Write)
     return this->awaitView(Now);
   this->Excluded.push_back(this->Target);
--- a/routing/StatementFlow.h
+++ b/routing/StatementFlow.h
@@ -83,6 +83,8 @@
   std::optional<Error> Shed;
   /// An earlier attempt at a write may have taken effect.
   bool MayHaveRun = false;
+  /// Where the last attempt at a write failed.
+  UpstreamId FailedAt;
 };
 
 } // namespace turmericpitch
--- /dev/null
+++ b/tests/failover/ProbeScheduleTest.cpp
@@ -0,0 +1,70 @@
+#include "failover/ProbeSchedule.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint Start{seconds(100)};
+
+DatabaseView heardAt(TimePoint AskedAt, std::uint32_t Failures = 0) {
+  DatabaseView View;
+  for (const char *Name : {"a", "b", "c"}) {
+    MemberView Member;
+    Member.Configured.Id = UpstreamId{Name};
+    Member.Last.emplace();
+    Member.Last->Id = Member.Configured.Id;
+    Member.AskedAt = AskedAt;
+    Member.FailuresInRow = Failures;
+    View.Members.push_back(Member);
+  }
+  return View;
+}
+
+TEST(ProbeSchedule, TrafficTakesThePlaceOfProbes) {
+  ProbeSchedule Schedule({});
+  Schedule.onStatement(Start);
+  EXPECT_TRUE(Schedule.due(heardAt(Start), true, Start).empty());
+  TimePoint Later = Start + milliseconds(100);
+  EXPECT_EQ(Schedule.due(heardAt(Start), true, Later).size(), 3U);
+  EXPECT_TRUE(Schedule.due(heardAt(Start), true, Later).empty());
+}
+
+TEST(ProbeSchedule, FailuresCallForProbesWhileStatementsCome) {
+  ProbeSchedule Schedule({});
+  Schedule.onStatement(Start);
+  EXPECT_EQ(Schedule.due(heardAt(Start, 1), false, Start).size(), 3U);
+}
+
+TEST(ProbeSchedule, OnlyObserversProbeAnIdleDatabase) {
+  ProbeSchedule Observer({});
+  ProbeSchedule Other({});
+  TimePoint Later = Start + seconds(5);
+  EXPECT_EQ(Observer.due(heardAt(Start), true, Later).size(), 3U);
+  EXPECT_TRUE(Other.due(heardAt(Start), false, Later).empty());
+  EXPECT_TRUE(Observer.due(heardAt(Start), true, Later + seconds(4)).empty());
+  EXPECT_EQ(Observer.due(heardAt(Start), true, Later + seconds(5)).size(), 3U);
+}
+
+TEST(ProbeSchedule, EveryoneAsksAMemberNeverHeardOfOnce) {
+  ProbeSchedule Schedule({});
+  DatabaseView View = heardAt(Start);
+  View.Members[1].Last.reset();
+  EXPECT_EQ(Schedule.due(View, false, Start).size(), 1U);
+  EXPECT_TRUE(Schedule.due(View, false, Start + seconds(1)).empty());
+}
+
+TEST(ProbeSchedule, AStatementMakesItActiveForAWhile) {
+  ProbeSchedule Schedule({});
+  EXPECT_FALSE(Schedule.active(Start));
+  EXPECT_EQ(Schedule.pause(Start), seconds(5));
+  Schedule.onStatement(Start);
+  EXPECT_EQ(Schedule.pause(Start), milliseconds(100));
+  EXPECT_FALSE(Schedule.active(Start + seconds(5)));
+}
+
+} // namespace
+} // namespace turmericpitch
--- a/tests/failover/PromotionCheckTest.cpp
+++ b/tests/failover/PromotionCheckTest.cpp
@@ -78,22 +78,20 @@
 
 TEST(LossDetector, APauseOfItsOwnProvesNothing) {
   LossDetectorOptions Options;
-  Options.Self = InstanceId{"entry-1"};
-  Options.Instances = {Options.Self};
   Options.SilenceLimit = milliseconds(400);
   LossDetector Detector(Options);
   DatabaseView View;
   View.Id = DatabaseId{"bookings"};
   TimePoint Now{};
-  EXPECT_EQ(Detector.look(View, Now), PrimaryVerdict::Wait);
+  EXPECT_EQ(Detector.look(View, 0, Now), PrimaryVerdict::Wait);
   Now += std::chrono::seconds(10);
-  EXPECT_EQ(Detector.look(View, Now), PrimaryVerdict::Wait);
+  EXPECT_EQ(Detector.look(View, 0, Now), PrimaryVerdict::Wait);
   for (int Look = 0; Look < 3; ++Look) {
     Now += milliseconds(100);
-    EXPECT_EQ(Detector.look(View, Now), PrimaryVerdict::Wait);
+    EXPECT_EQ(Detector.look(View, 0, Now), PrimaryVerdict::Wait);
   }
   Now += milliseconds(100);
-  EXPECT_EQ(Detector.look(View, Now), PrimaryVerdict::Promote);
+  EXPECT_EQ(Detector.look(View, 0, Now), PrimaryVerdict::Promote);
 }
 
 } // namespace
--- /dev/null
+++ b/tests/failover/PromotionHandOverTest.cpp
@@ -0,0 +1,86 @@
+#include "failover/Promotion.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+constexpr Term Next{2};
+
+/// Three members of which "a" is the primary and leaving.
+Database leavingPrimary() {
+  Database Target;
+  Target.Id = DatabaseId{"bookings"};
+  for (const char *Name : {"a", "b", "c"}) {
+    DatabaseMember Member;
+    Member.Id = UpstreamId{Name};
+    Member.Leaving = Member.Id.Value == "a";
+    Target.Members.push_back(Member);
+  }
+  return Target;
+}
+
+Outcome<MemberAnswer> sealedAt(std::uint64_t Position) {
+  MemberAnswer Answer;
+  Answer.Status.Received = {.WrittenIn = Term{1},
+                            .Position = LogPosition{Position}};
+  return Answer;
+}
+
+Error lost() {
+  return {.Kind = ErrorKind::Unavailable, .Message = "", .Remedy = ""};
+}
+
+TEST(PromotionHandOver, ChoosesTheFurthestOfThoseThatStay) {
+  Promotion Running(leavingPrimary(), Next, "attempt");
+  EXPECT_EQ(Running.begin().size(), 3U);
+  EXPECT_TRUE(Running.onOutcome(UpstreamId{"a"}, sealedAt(9)).empty());
+  EXPECT_TRUE(Running.onOutcome(UpstreamId{"b"}, sealedAt(7)).empty());
+  EXPECT_EQ(Running.onOutcome(UpstreamId{"c"}, sealedAt(8)).size(), 1U);
+  EXPECT_EQ(Running.heir(), UpstreamId{"c"});
+}
+
+TEST(PromotionHandOver, KeepsTheLeavingMemberIfTheOthersAreNoMajority) {
+  Promotion Running(leavingPrimary(), Next, "attempt");
+  Running.begin();
+  Running.onOutcome(UpstreamId{"b"}, lost());
+  Running.onOutcome(UpstreamId{"a"}, sealedAt(9));
+  Running.onOutcome(UpstreamId{"c"}, sealedAt(8));
+  EXPECT_EQ(Running.heir(), UpstreamId{"a"});
+}
+
+TEST(PromotionHandOver, LateRefusalStillFindsAnHeir) {
+  Promotion Running(leavingPrimary(), Next, "attempt");
+  Running.begin();
+  Running.onOutcome(UpstreamId{"a"}, sealedAt(9));
+  Running.onOutcome(UpstreamId{"c"}, sealedAt(8));
+  EXPECT_EQ(Running.onOutcome(UpstreamId{"b"}, lost()).size(), 1U);
+  EXPECT_EQ(Running.heir(), UpstreamId{"a"});
+}
+
+DatabaseView viewOf(const Database &Target, std::uint32_t ReplicaFailures) {
+  DatabaseView View;
+  for (const DatabaseMember &Member : Target.Members) {
+    MemberView Known;
+    Known.Configured = Member;
+    MemberStatus Status;
+    Status.Accepted = Term{1};
+    Status.Role = Member.Leaving ? MemberRole::Primary : MemberRole::Replica;
+    Known.Last = Status;
+    Known.FailuresInRow = Member.Leaving ? 0 : ReplicaFailures;
+    View.Members.push_back(Known);
+  }
+  return View;
+}
+
+TEST(PromotionHandOver, BeginsOnlyWhileTheOthersAreAMajority) {
+  EXPECT_TRUE(primaryIsLeaving(viewOf(leavingPrimary(), 0)));
+  EXPECT_FALSE(primaryIsLeaving(viewOf(leavingPrimary(), 1)));
+  Database Staying = leavingPrimary();
+  DatabaseView View = viewOf(Staying, 0);
+  View.Members[0].Configured.Leaving = false;
+  EXPECT_FALSE(primaryIsLeaving(View));
+}
+
+} // namespace
+} // namespace turmericpitch
--- a/tools/FailoverExperiment.cpp
+++ b/tools/FailoverExperiment.cpp
@@ -114,10 +114,7 @@
   }
   LossDetectorOptions Options;
   Options.SilenceLimit = Given.SilenceLimit;
-  for (std::size_t Index = 0; Index < Given.Size.Promoters; ++Index)
-    Options.Instances.push_back(InstanceId{"entry-" + std::to_string(Index)});
-  for (const InstanceId &Self : Options.Instances) {
-    Options.Self = Self;
+  for (std::size_t Index = 0; Index < Given.Size.Promoters; ++Index) {
     this->Promoters.push_back(std::make_unique<Promoter>(Options));
     this->Promoters.back()->Upstreams.onConfigured(this->Target);
   }
@@ -179,7 +176,8 @@
 void Run::tick(std::size_t Index) {
   Promoter &P = *this->Promoters[Index];
   SharedDatabaseView View = P.Upstreams.view(this->Target.Id);
-  if (P.Detector.look(*View, this->Queue.now()) == PrimaryVerdict::Promote) {
+  if (P.Detector.look(*View, Index, this->Queue.now()) ==
+      PrimaryVerdict::Promote) {
     P.Newest = View->newestTerm();
     if (this->Given.Check)
       this->beginCheck(Index);
--- a/tools/LoadPlan.cpp
+++ b/tools/LoadPlan.cpp
@@ -39,7 +39,7 @@
                                         .Most = seconds(30)};
 constexpr DurationBounds LagBounds{.Least = Duration{0}, .Most = seconds(60)};
 
-template <typename T> T narrow(std::int64_t Value) {
+template <typename T, typename From> T narrow(From Value) {
   return static_cast<T>(Value);
 }
 
