Hold neither buffer nor parser for an idle client connection

Cause: 9.7 KiB for each idle client connection, 33 MB at 3,404. Change: the server waits for a first byte before it makes parser and read buffer (plain TCP; TLS reads as before, as bytes may wait inside it).

--- a/drivers/ByteStream.cpp
+++ b/drivers/ByteStream.cpp
@@ -94,6 +94,19 @@
   co_return std::monostate{};
 }
 
+Awaitable<Status> ByteStream::waitReadable() {
+  // TLS may hold bytes that the socket no longer shows.
+  bool Plain = std::holds_alternative<Socket>(this->Own->Channel);
+  if (!Plain || this->hasUnread())
+    co_return std::monostate{};
+  ErrorCode Failure;
+  auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+  co_await this->Own->socket().async_wait(tcp::socket::wait_read, Token);
+  if (Failure)
+    co_return failed(ErrorKind::Unavailable, Failure);
+  co_return std::monostate{};
+}
+
 Awaitable<Outcome<std::size_t>> ByteStream::readSome(std::span<char> Into) {
   ErrorCode Failure;
   auto Token = asio::redirect_error(asio::use_awaitable, Failure);
--- a/drivers/ByteStream.h
+++ b/drivers/ByteStream.h
@@ -37,6 +37,9 @@
   /// Runs the client's side; nothing to do for plain TCP. Errors:
   /// Unavailable, also if the certificate isn't trusted.
   Awaitable<Status> connectTls();
+  /// Waits until something can be read, without a buffer for it; returns at
+  /// once for TLS. Errors: Unavailable.
+  Awaitable<Status> waitReadable();
   /// Reads at least one byte; 0 at the end of the stream. Errors:
   /// Unavailable.
   Awaitable<Outcome<std::size_t>> readSome(std::span<char> Into);
--- a/drivers/HttpServer.cpp
+++ b/drivers/HttpServer.cpp
@@ -139,6 +139,8 @@
 
   Awaitable<void> acceptLoop();
   Awaitable<void> serve(std::shared_ptr<ServedConnection> Peer);
+  /// Waits for a request's first byte; false if the connection is to end.
+  Awaitable<bool> awaitRequest(ServedConnection &Peer);
   Awaitable<bool> serveOne(ServedConnection &Peer, const HttpHandler &Handler);
   Awaitable<HttpReply> answer(ServedConnection &Peer, HttpRequestReader &Reader,
                               const HttpHandler &Handler);
@@ -314,8 +316,11 @@
   Status Accepted = co_await Peer->Stream.acceptTls();
   bool Open = Accepted.hasValue();
   HttpHandler Handler = this->MakeHandler();
-  while (Open)
-    Open = co_await this->serveOne(*Peer, Handler);
+  while (Open) {
+    Open = co_await this->awaitRequest(*Peer);
+    if (Open)
+      Open = co_await this->serveOne(*Peer, Handler);
+  }
   Peer->Stream.close();
   this->release(Id);
 }
@@ -337,13 +342,21 @@
     Peer.Held.emplace(this->Holding);
 }
 
-Awaitable<bool> HttpServer::State::serveOne(ServedConnection &Peer,
-                                            const HttpHandler &Handler) {
+Awaitable<bool> HttpServer::State::awaitRequest(ServedConnection &Peer) {
   Peer.Stream.setLimit(this->Options.IdleLimit);
   Peer.Phase = ConnectionPhase::Waiting;
   bool EndsIdle = this->Refusing && !Peer.Late && Peer.idle();
   if (EndsIdle)
     co_return false;
+  if (!Peer.Unread.empty())
+    co_return true;
+  // An idle connection holds neither buffer nor parser.
+  Status Readable = co_await Peer.Stream.waitReadable();
+  co_return Readable.hasValue() && !Peer.Ended;
+}
+
+Awaitable<bool> HttpServer::State::serveOne(ServedConnection &Peer,
+                                            const HttpHandler &Handler) {
   HttpRequestReader Reader(this->Options.Limits);
   if (!Peer.Unread.empty())
     Peer.Request.emplace(this->InFlight);
