Hand over in the demo; look at a woken database at once

Cause: the demo did not show a planned hand-over; once it did, the loss after it was noticed only 5 s later or, with the members' idle pause renewed, not within 20 s: the keeper slept its idle pause after a statement had woken it. Tests that a leaving upstream is routed no read.

--- a/drivers/PrimaryKeeper.cpp
+++ b/drivers/PrimaryKeeper.cpp
@@ -108,6 +108,8 @@
 Awaitable<void> PrimaryKeeper::keep(Database Target, SharedWatch Own) {
   LossDetector Detector(this->Options.Detector);
   ProbeSchedule Schedule(this->Options.Probes);
+  // What is configured anew is looked at soon, active or not.
+  bool First = true;
   while (!Own->Ended) {
     std::uint64_t Seen = Own->Wake.generation();
     if (Duration::rep Last = Own->LastStatement)
@@ -118,7 +120,10 @@
       for (const DatabaseMember &Member :
            Schedule.due(*View, Rank.has_value(), Now))
         this->probe(Target.Id, Member);
-    co_await Own->Wake.wait(Seen, Schedule.pause(Now));
+    Duration Pause =
+        First ? this->Options.Probes.ActiveInterval : Schedule.pause(Now);
+    First = false;
+    co_await Own->Wake.wait(Seen, Pause);
     if (!Own->Ended)
       co_await this->lookAfter(Target, Detector, Rank);
   }
--- a/main/Demo.cpp
+++ b/main/Demo.cpp
@@ -4,14 +4,16 @@
 #include "drivers/Json.h"
 #include "tools/EmbeddedFleet.h"
 
+#include <thread>
+
 namespace turmericpitch {
 
 namespace {
 
 constexpr unsigned HttpOk = 200;
 constexpr Duration StepLimit = std::chrono::seconds(20);
+constexpr Duration PollStep = std::chrono::milliseconds(5);
 constexpr MemberPlace FirstPrimary{.Database = 0, .Member = 0};
-constexpr MemberPlace LeavingReplica{.Database = 0, .Member = 2};
 
 /// What a statement answered, as the demo looks at it.
 struct DemoAnswer {
@@ -122,7 +124,8 @@
 }
 
 bool DemoPlayer::playPrimaryLoss() {
-  this->Fleet.crashMember(FirstPrimary);
+  std::size_t Primary = this->Fleet.primaryOf(0).value_or(0);
+  this->Fleet.crashMember({.Database = 0, .Member = Primary});
   TimePoint Lost = this->Time.now();
   DemoAnswer Written;
   while (Written.Status != HttpOk && this->Time.now() < Lost + StepLimit)
@@ -140,10 +143,20 @@
 
 bool DemoPlayer::playTicket() {
   TimePoint Before = this->Time.now();
-  bool InForce = this->Fleet.submitTicket(2, {LeavingReplica}).hasValue() &&
+  bool InForce = this->Fleet.submitTicket(2, {FirstPrimary}).hasValue() &&
                  this->Fleet.awaitTicket(2, StepLimit);
-  return this->step(InForce, "ticket 2 in force at both instances after " +
-                                 milliseconds(this->Time.now() - Before));
+  if (!this->step(InForce, "ticket 2 in force at both instances after " +
+                               milliseconds(this->Time.now() - Before)))
+    return false;
+  auto Left = [this] {
+    return this->Fleet.primaryOf(0).value_or(FirstPrimary.Member) !=
+           FirstPrimary.Member;
+  };
+  while (!Left() && this->Time.now() < Before + StepLimit)
+    std::this_thread::sleep_for(PollStep);
+  return this->step(Left(), "the primary that it marks as leaving has handed "
+                            "over after " +
+                                milliseconds(this->Time.now() - Before));
 }
 
 bool DemoPlayer::play() {
@@ -151,8 +164,8 @@
     return false;
   bool Booked = this->playBooking();
   bool Read = this->playRoamingRead();
-  bool Survived = this->playPrimaryLoss();
   bool Changed = this->playTicket();
+  bool Survived = this->playPrimaryLoss();
   return Booked && Read && Survived && Changed;
 }
 
--- /dev/null
+++ b/tests/routing/LeavingUpstreamTest.cpp
@@ -0,0 +1,51 @@
+#include "routing/Router.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+/// A primary "a" and replicas "b" and "c", all caught up.
+DatabaseView caughtUp() {
+  DatabaseView View;
+  for (const char *Name : {"a", "b", "c"}) {
+    MemberView Member;
+    Member.Configured.Id = UpstreamId{Name};
+    MemberStatus Status;
+    Status.Id = UpstreamId{Name};
+    Status.Accepted = Term{1};
+    Status.Role =
+        Status.Id.Value == "a" ? MemberRole::Primary : MemberRole::Replica;
+    Status.History = TermHistory({{Term{1}, LogPosition{0}}});
+    Member.Last = Status;
+    View.Members.push_back(Member);
+  }
+  return View;
+}
+
+std::optional<Route> read(const DatabaseView &View, std::uint64_t Seed) {
+  RandomSource Random(Seed);
+  auto Chosen = keepOutcome([&] {
+    return chooseForRead(View, ReadNeeds{}, RoutingOptions{}, TimePoint{},
+                         Random);
+  });
+  return Chosen ? Chosen.value() : std::nullopt;
+}
+
+TEST(LeavingUpstream, GetsNoRead) {
+  DatabaseView View = caughtUp();
+  View.Members[1].Configured.Leaving = true;
+  for (std::uint64_t Seed = 0; Seed < 50; ++Seed)
+    EXPECT_EQ(read(View, Seed)->Target, UpstreamId{"c"});
+}
+
+TEST(LeavingUpstream, GetsNoReadAsPrimaryEither) {
+  DatabaseView View = caughtUp();
+  View.Members[0].Configured.Leaving = true;
+  View.Members[1].Last.reset();
+  View.Members[2].Last.reset();
+  EXPECT_FALSE(read(View, 1).has_value());
+}
+
+} // namespace
+} // namespace turmericpitch
