--- a/configuration/Ticket.cpp
+++ b/configuration/Ticket.cpp
@@ -1,20 +1,15 @@
 #include "configuration/Ticket.h"
 
 #include "core/Digest.h"
+#include "core/NameTable.h"
 
-#include <array>
 #include <set>
 
 namespace turmericpitch {
 
 namespace {
 
-struct KindName {
-  ObjectKind Kind;
-  std::string_view Text;
-};
-
-constexpr std::array<KindName, 4> KindNames{{
+constexpr NameTable<ObjectKind, 4> KindNames{{
     {ObjectKind::Brand, "brand"},
     {ObjectKind::ClientAccount, "client_account"},
     {ObjectKind::DatabaseService, "database_service"},
@@ -67,18 +62,10 @@
 
 } // namespace
 
-std::string_view toString(ObjectKind Kind) {
-  for (const KindName &Entry : KindNames)
-    if (Entry.Kind == Kind)
-      return Entry.Text;
-  return "brand";
-}
+std::string_view toString(ObjectKind Kind) { return nameIn(KindNames, Kind); }
 
 std::optional<ObjectKind> objectKindFromString(std::string_view Text) {
-  for (const KindName &Entry : KindNames)
-    if (Entry.Text == Text)
-      return Entry.Kind;
-  return std::nullopt;
+  return valueIn(KindNames, Text);
 }
 
 Result<Ticket> parseTicket(std::string_view Text, const std::string &File) {
--- a/core/Error.cpp
+++ b/core/Error.cpp
@@ -1,17 +1,12 @@
 #include "core/Error.h"
 
-#include <array>
+#include "core/NameTable.h"
 
 namespace turmericpitch {
 
 namespace {
 
-struct KindName {
-  ErrorKind Kind;
-  std::string_view Text;
-};
-
-constexpr std::array<KindName, 8> KindNames{{
+constexpr NameTable<ErrorKind, 8> KindNames{{
     {ErrorKind::NotRun, "NotRun"},
     {ErrorKind::OutcomeUnknown, "OutcomeUnknown"},
     {ErrorKind::Superseded, "Superseded"},
@@ -24,18 +19,10 @@
 
 } // namespace
 
-std::string_view toString(ErrorKind Kind) {
-  for (const KindName &Entry : KindNames)
-    if (Entry.Kind == Kind)
-      return Entry.Text;
-  return "Unavailable";
-}
+std::string_view toString(ErrorKind Kind) { return nameIn(KindNames, Kind); }
 
 std::optional<ErrorKind> errorKindFromString(std::string_view Text) {
-  for (const KindName &Entry : KindNames)
-    if (Entry.Text == Text)
-      return Entry.Kind;
-  return std::nullopt;
+  return valueIn(KindNames, Text);
 }
 
 bool provesNotRun(ErrorKind Kind) { return Kind != ErrorKind::OutcomeUnknown; }
--- a/drivers/PrimaryKeeper.h
+++ b/drivers/PrimaryKeeper.h
@@ -27,7 +27,7 @@
 class PrimaryKeeper : public std::enable_shared_from_this<PrimaryKeeper> {
 public:
   /// Instances that watch a database and stand ready to promote.
-  static constexpr std::size_t PromoterCount = 5;
+  static constexpr std::size_t PromoterCount = 3;
 
   PrimaryKeeper(Executor On, PrimaryKeeperOptions Options,
                 std::shared_ptr<MemberPool> Control,
--- a/failover/ProbeSchedule.h
+++ b/failover/ProbeSchedule.h
@@ -12,7 +12,7 @@
   /// Between two signs of life of a member while statements come.
   Duration ActiveInterval = std::chrono::milliseconds(100);
   /// Between two probes by an observer while none come.
-  Duration IdleInterval = std::chrono::seconds(5);
+  Duration IdleInterval = std::chrono::seconds(15);
   /// How long a statement keeps its database active.
   Duration ActivityMemory = std::chrono::seconds(5);
 };
--- a/tools/LoadPlan.cpp
+++ b/tools/LoadPlan.cpp
@@ -1,9 +1,8 @@
 #include "tools/LoadPlan.h"
 
+#include "core/NameTable.h"
 #include "core/YamlReader.h"
 
-#include <array>
-
 namespace turmericpitch {
 
 namespace {
@@ -12,12 +11,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-struct FaultName {
-  LoadFaultKind Kind;
-  std::string_view Text;
-};
-
-constexpr std::array<FaultName, 9> FaultNames{{
+constexpr NameTable<LoadFaultKind, 9> FaultNames{{
     {LoadFaultKind::CrashPrimary, "crash_primary"},
     {LoadFaultKind::PausePrimary, "pause_primary"},
     {LoadFaultKind::ResumeMembers, "resume_members"},
@@ -93,13 +87,9 @@
   LoadFault Fault;
   Fault.At = Reader.duration("at", {.Least = Duration{0}, .Most = hours(1)});
   std::string Name = Reader.text("do");
-  const FaultName *Found = nullptr;
-  for (const FaultName &Each : FaultNames)
-    if (Each.Text == Name)
-      Found = &Each;
-  if (Found)
-    Fault.Kind = Found->Kind;
-  else
+  auto Kind = valueIn(FaultNames, Name);
+  Fault.Kind = Kind.value_or(Fault.Kind);
+  if (!Kind)
     Reader.problem("do", "unknown fault '" + Name + "'",
                    "use crash_primary, pause_primary, resume_members, "
                    "lag_replicas, crash_instance, drain_instance, "
@@ -118,10 +108,7 @@
 } // namespace
 
 std::string_view toString(LoadFaultKind Kind) {
-  for (const FaultName &Each : FaultNames)
-    if (Each.Kind == Kind)
-      return Each.Text;
-  return "unknown";
+  return nameIn(FaultNames, Kind);
 }
 
 Result<LoadPlan> parseLoadPlan(std::string_view Text, const std::string &File) {
