End a replica's request to a primary that it no longer follows

Ruled out: detection (promotion was done after about 500 ms). Change: the member stand-in closes the connection to a primary it no longer follows.

--- a/stand_ins/MemberServer.cpp
+++ b/stand_ins/MemberServer.cpp
@@ -161,6 +161,8 @@
   Awaitable<HttpReply> handleReplicate(const HttpRequest &Request);
   Awaitable<void> replicateForever();
   Awaitable<bool> replicateOnce();
+  /// Ends replication from a member that is no longer followed.
+  void endOldReplication();
   Awaitable<void> waitWhilePaused();
 
   Executor On;
@@ -295,6 +297,7 @@
     Answer = this->Member.handle(From->Id.value_or(ConnectionId{}), Wanted,
                                  this->Time.now());
   }
+  this->endOldReplication();
   this->Changed.notify();
   if (!*Answer)
     co_return refuse(Answer->error(), Wanted);
@@ -395,16 +398,33 @@
   }
 }
 
+void MemberServer::State::endOldReplication() {
+  std::shared_ptr<HttpConnection> Old;
+  {
+    std::lock_guard Lock(this->Guard);
+    auto Wanted = this->Member.replicationRequest();
+    bool Same = Wanted && Wanted->Primary == this->ConnectedTo;
+    if (!Same)
+      Old = std::exchange(this->ToPrimary, nullptr);
+  }
+  // A request under way there would keep the next primary waiting.
+  if (Old)
+    Old->close();
+}
+
 Awaitable<bool> MemberServer::State::replicateOnce() {
   std::optional<ReplicationRequest> Request;
+  std::shared_ptr<HttpConnection> Connection;
+  bool Connected = false;
   {
     std::lock_guard Lock(this->Guard);
     Request = this->Member.replicationRequest();
+    Connection = this->ToPrimary;
+    Connected = Request && Connection && Connection->usable() &&
+                this->ConnectedTo == Request->Primary;
   }
   if (!Request)
     co_return false;
-  bool Connected = this->ToPrimary && this->ToPrimary->usable() &&
-                   this->ConnectedTo == Request->Primary;
   if (!Connected) {
     auto Found = std::find_if(
         this->Options.Others.begin(), this->Options.Others.end(),
@@ -415,14 +435,16 @@
         co_await HttpConnection::open(this->On, Found->Where, ReplicationLimit);
     if (!Opened)
       co_return false;
-    this->ToPrimary = Opened.value();
+    Connection = Opened.value();
+    std::lock_guard Lock(this->Guard);
+    this->ToPrimary = Connection;
     this->ConnectedTo = Request->Primary;
   }
   HttpRequest Message;
   Message.Target = std::string(ReplicateTarget);
   Message.Body = encodeReplicationRequest(*Request);
   auto Reply =
-      co_await this->ToPrimary->exchange(std::move(Message), ReplicationLimit);
+      co_await Connection->exchange(std::move(Message), ReplicationLimit);
   if (!Reply || Reply.value().Status != HttpOk)
     co_return false;
   auto Batch = keepOutcome([&] { return decodeBatch(Reply.value().Body); });
