Take decisions out of the drivers; one mailbox instead of three

Cause: the read-through found that giving up a write at a replaced primary and beginning a hand-over were decided in drivers, against the one rule, and that three drivers each gathered outcomes under a lock and a signal of their own; the error for a replaced primary repeated notConfirmed(). The hand-over's choice of an heir was outside the exhaustive search. Change: routing/Router isSuperseded(), LossDetector's verdict HandOver, and drivers/Mailbox; the search has a leaving first primary and seals that are taken for failed, whether or not they arrive.

--- a/drivers/PrimaryKeeper.cpp
+++ b/drivers/PrimaryKeeper.cpp
@@ -1,6 +1,7 @@
 #include "drivers/PrimaryKeeper.h"
 
 #include "core/DecisionLog.h"
+#include "drivers/Mailbox.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -31,15 +32,10 @@
                     .field("upstream", Attempt.heir().Value));
 }
 
-/// Outcomes that arrive while a promotion runs.
-struct PromotionInbox {
-  struct Arrival {
-    UpstreamId From;
-    Outcome<MemberAnswer> Answer;
-  };
-  std::mutex Guard;
-  std::vector<Arrival> Arrived;
-  ChangeSignal Changed;
+/// A member's outcome while a promotion runs.
+struct PromotionArrival {
+  UpstreamId From;
+  Outcome<MemberAnswer> Answer;
 };
 
 } // namespace
@@ -137,11 +133,9 @@
     co_return;
   // Instances without the duty come last, for when all that have it are gone.
   std::size_t Place = Rank.value_or(PromoterCount);
-  if (Detector.look(*View, Place, this->Time.now()) == PrimaryVerdict::Promote)
-    co_await this->promote(Target, View->newestTerm(), PromotionCause::Loss);
-  else if (Place == 0 && primaryIsLeaving(*View))
-    co_await this->promote(Target, View->newestTerm(),
-                           PromotionCause::HandOver);
+  PrimaryVerdict Verdict = Detector.look(*View, Place, this->Time.now());
+  if (Verdict != PrimaryVerdict::Wait)
+    co_await this->promote(Target, View->newestTerm(), Verdict);
 }
 
 Awaitable<Outcome<MemberAnswer>> PrimaryKeeper::call(DatabaseId Id,
@@ -191,7 +185,7 @@
 template <typename Round>
 Awaitable<void> PrimaryKeeper::drive(const Database &Target, Round &Running,
                                      Duration Limit) {
-  auto Inbox = std::make_shared<PromotionInbox>();
+  auto Inbox = std::make_shared<Mailbox<PromotionArrival>>();
   auto Self = this->shared_from_this();
   auto Send = [&](std::vector<MemberCall> Calls) {
     for (MemberCall &Call : Calls) {
@@ -201,11 +195,8 @@
       auto Ask = [Self, Inbox, Id = Target.Id, To = *Member,
                   Request = Call.Request]() -> Awaitable<void> {
         auto Answer = co_await Self->call(Id, To, Request);
-        {
-          std::lock_guard Lock(Inbox->Guard);
-          Inbox->Arrived.push_back({.From = To.Id, .Answer = Answer});
-        }
-        Inbox->Changed.notify();
+        PromotionArrival Arrival{.From = To.Id, .Answer = Answer};
+        Inbox->put(std::move(Arrival));
       };
       asio::co_spawn(asio::make_strand(Self->On), Ask, asio::detached);
     }
@@ -213,19 +204,12 @@
   Send(Running.begin());
   TimePoint Until = this->Time.now() + Limit;
   while (!Running.over()) {
-    std::uint64_t Seen = Inbox->Changed.generation();
-    std::vector<PromotionInbox::Arrival> Arrived;
-    {
-      std::lock_guard Lock(Inbox->Guard);
-      Arrived.swap(Inbox->Arrived);
-    }
-    for (const auto &Each : Arrived)
-      Send(Running.onOutcome(Each.From, Each.Answer));
     TimePoint Now = this->Time.now();
     if (Now >= Until)
       co_return;
-    if (Arrived.empty())
-      co_await Inbox->Changed.wait(Seen, Until - Now);
+    auto Arrived = co_await Inbox->takeAll(Until - Now);
+    for (const PromotionArrival &Each : Arrived)
+      Send(Running.onOutcome(Each.From, Each.Answer));
   }
 }
 
@@ -242,8 +226,8 @@
 }
 
 Awaitable<void> PrimaryKeeper::promote(const Database &Target, Term Newest,
-                                       PromotionCause Cause) {
-  bool Lost = Cause == PromotionCause::Loss;
+                                       PrimaryVerdict Cause) {
+  bool Lost = Cause == PrimaryVerdict::Promote;
   if (Lost && !co_await this->mayPromote(Target, Newest))
     co_return;
   std::string Attempt = this->Options.Self.Value + "-" + this->Options.StartId +
--- a/drivers/PrimaryKeeper.h
+++ b/drivers/PrimaryKeeper.h
@@ -60,7 +60,7 @@
   Awaitable<void> drive(const Database &Target, Round &Running, Duration Limit);
   Awaitable<bool> mayPromote(const Database &Target, Term Newest);
   Awaitable<void> promote(const Database &Target, Term Newest,
-                          PromotionCause Cause);
+                          PrimaryVerdict Cause);
   Awaitable<Outcome<MemberAnswer>> call(DatabaseId Id, DatabaseMember Member,
                                         MemberRequest Request);
 
--- a/drivers/StatementRunner.cpp
+++ b/drivers/StatementRunner.cpp
@@ -1,6 +1,8 @@
 #include "drivers/StatementRunner.h"
 
 #include "core/DecisionLog.h"
+#include "drivers/Mailbox.h"
+#include "routing/RequestErrors.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -46,32 +48,9 @@
           .RetryAfter = std::chrono::seconds(1)};
 }
 
-/// A call under way at a member.
-struct PendingCall {
-  std::mutex Guard;
-  std::optional<Outcome<MemberAnswer>> Answer;
-  ChangeSignal Changed;
-};
-
 /// How often a write under way looks for another primary.
 constexpr Duration SupersededPoll = std::chrono::milliseconds(50);
 
-Error supersededMeanwhile() {
-  return {.Kind = ErrorKind::OutcomeUnknown,
-          .Message = "the primary was replaced while the write was under way",
-          .Remedy = "look whether it is there, or repeat it with the same "
-                    "idempotency key"};
-}
-
-/// The shared count of replicas that confirm one write.
-struct Confirmation {
-  std::mutex Guard;
-  std::size_t Held = 0;
-  std::size_t Asked = 0;
-  std::size_t Answered = 0;
-  ChangeSignal Changed;
-};
-
 } // namespace
 
 AdmissionRequest admissionOf(const RequestContext &Context) {
@@ -187,39 +166,29 @@
   if (!Wanted.Request.Write)
     co_return co_await (*Connection)->call(std::move(Request), Wanted.Limit);
   auto On = co_await asio::this_coro::executor;
-  auto Shared = std::make_shared<PendingCall>();
-  auto Ask = [Shared, Connection, Request, Wanted]() -> Awaitable<void> {
+  auto Inbox = std::make_shared<Mailbox<Outcome<MemberAnswer>>>();
+  auto Ask = [Inbox, Connection, Request, Wanted]() -> Awaitable<void> {
     auto Answer = co_await (*Connection)->call(Request, Wanted.Limit);
-    {
-      std::lock_guard Lock(Shared->Guard);
-      Shared->Answer = std::move(Answer);
-    }
-    Shared->Changed.notify();
+    Inbox->put(std::move(Answer));
   };
   asio::co_spawn(On, Ask, asio::detached);
   while (true) {
-    std::uint64_t Seen = Shared->Changed.generation();
-    {
-      std::lock_guard Lock(Shared->Guard);
-      if (Shared->Answer)
-        co_return *Shared->Answer;
-    }
+    auto Answers = co_await Inbox->takeAll(SupersededPoll);
+    if (!Answers.empty())
+      co_return Answers.front();
     SharedDatabaseView View = this->Upstreams->view(Id);
-    const MemberView *Primary = View ? View->primary() : nullptr;
-    if (Primary && Primary->Configured.Id != Wanted.Where.Target) {
+    if (View && isSuperseded(*View, Wanted.Where.Target)) {
       (*Connection)->close();
-      co_return supersededMeanwhile();
+      co_return notConfirmed();
     }
-    co_await Shared->Changed.wait(Seen, SupersededPoll);
   }
 }
 
 Awaitable<bool> StatementRunner::confirm(DatabaseId Id, ConfirmWrite Wanted) {
   auto On = co_await asio::this_coro::executor;
-  auto Shared = std::make_shared<Confirmation>();
-  Shared->Asked = Wanted.Replicas.size();
+  auto Inbox = std::make_shared<Mailbox<bool>>();
   for (const DatabaseMember &Replica : Wanted.Replicas) {
-    auto Ask = [this, Shared, Replica, Id, Wanted]() -> Awaitable<void> {
+    auto Ask = [this, Inbox, Replica, Id, Wanted]() -> Awaitable<void> {
       TimePoint AskedAt = this->Time.now();
       auto Leased =
           co_await this->Control->acquire(Replica.Where, Wanted.Limit);
@@ -232,33 +201,25 @@
         this->note(Id, Replica.Id, Answer, AskedAt);
         Held = Answer && confirms(Wanted, Answer.value().Status);
       }
-      {
-        std::lock_guard Lock(Shared->Guard);
-        ++Shared->Answered;
-        if (Held)
-          ++Shared->Held;
-      }
-      Shared->Changed.notify();
+      Inbox->put(Held);
     };
     asio::co_spawn(On, Ask, asio::detached);
   }
   TimePoint Until = this->Time.now() + Wanted.Limit;
-  while (true) {
-    std::uint64_t Seen = Shared->Changed.generation();
-    {
-      std::lock_guard Lock(Shared->Guard);
-      if (Shared->Held >= Wanted.Needed)
-        co_return true;
-      // Answered no more often than leaves enough replicas to hear from.
-      std::size_t Open = Shared->Asked - Shared->Answered;
-      if (Shared->Held + Open < Wanted.Needed)
-        co_return false;
-    }
+  std::size_t Held = 0;
+  std::size_t Open = Wanted.Replicas.size();
+  // Ends as soon as the replicas still open can't make it enough.
+  while (Held < Wanted.Needed && Held + Open >= Wanted.Needed) {
     TimePoint Now = this->Time.now();
     if (Now >= Until)
       co_return false;
-    co_await Shared->Changed.wait(Seen, Until - Now);
+    std::vector<bool> Answers = co_await Inbox->takeAll(Until - Now);
+    for (bool Each : Answers) {
+      --Open;
+      Held += Each ? 1 : 0;
+    }
   }
+  co_return Held >= Wanted.Needed;
 }
 
 } // namespace turmericpitch
--- a/failover/LossDetector.cpp
+++ b/failover/LossDetector.cpp
@@ -1,7 +1,27 @@
 #include "failover/LossDetector.h"
 
+#include <algorithm>
+
 namespace turmericpitch {
 
+namespace {
+
+/// Whether the newest primary is marked as leaving and the members that stay
+/// are a majority that answers.
+bool primaryIsLeaving(const DatabaseView &View) {
+  const MemberView *Primary = View.primary();
+  if (!Primary || !Primary->Configured.Leaving)
+    return false;
+  auto Staying = std::count_if(
+      View.Members.begin(), View.Members.end(), [](const MemberView &Member) {
+        return !Member.Configured.Leaving && Member.Last &&
+               Member.FailuresInRow == 0;
+      });
+  return static_cast<std::size_t>(Staying) >= View.majority();
+}
+
+} // namespace
+
 LossDetector::LossDetector(LossDetectorOptions Options) : Options(Options) {}
 
 PrimaryVerdict LossDetector::look(const DatabaseView &View, std::size_t Rank,
@@ -14,7 +34,8 @@
   const MemberView *Primary = View.primary();
   if (Primary && Primary->FailuresInRow == 0) {
     this->SilentSince.reset();
-    return PrimaryVerdict::Wait;
+    return Rank == 0 && primaryIsLeaving(View) ? PrimaryVerdict::HandOver
+                                               : PrimaryVerdict::Wait;
   }
   if (!this->SilentSince)
     this->SilentSince = Now;
--- a/failover/LossDetector.h
+++ b/failover/LossDetector.h
@@ -1,4 +1,4 @@
-// Decides when a database's primary is lost and who promotes.
+// Decides when a database's primary is to be replaced and by whom.
 #pragma once
 
 #include "core/Identifiers.h"
@@ -17,7 +17,13 @@
 };
 
 /// What should be done about one database's primary.
-enum class PrimaryVerdict { Wait, Promote };
+enum class PrimaryVerdict {
+  Wait,
+  /// The primary is lost.
+  Promote,
+  /// The primary is marked as leaving and the others can do without it.
+  HandOver,
+};
 
 /// Watches one database. Pure; not thread-safe.
 class LossDetector {
@@ -25,7 +31,8 @@
   explicit LossDetector(LossDetectorOptions Options);
 
   /// Looks at the newest view. Rank is the own place among the promoters,
-  /// from 0. Promote is returned at most once for each delay that runs out.
+  /// from 0; only the first one hands over. Promote is returned at most once
+  /// for each delay that runs out.
   PrimaryVerdict look(const DatabaseView &View, std::size_t Rank,
                       TimePoint Now);
 
--- a/failover/Promotion.cpp
+++ b/failover/Promotion.cpp
@@ -4,18 +4,6 @@
 
 namespace turmericpitch {
 
-bool primaryIsLeaving(const DatabaseView &View) {
-  const MemberView *Primary = View.primary();
-  if (!Primary || !Primary->Configured.Leaving)
-    return false;
-  auto Staying = std::count_if(
-      View.Members.begin(), View.Members.end(), [](const MemberView &Member) {
-        return !Member.Configured.Leaving && Member.Last &&
-               Member.FailuresInRow == 0;
-      });
-  return static_cast<std::size_t>(Staying) >= View.majority();
-}
-
 std::string_view toString(PromotionStep Step) {
   switch (Step) {
   case PromotionStep::Sealing:
--- a/failover/Promotion.h
+++ b/failover/Promotion.h
@@ -3,7 +3,6 @@
 
 #include "configuration/Objects.h"
 #include "core/Member.h"
-#include "routing/UpstreamView.h"
 
 #include <map>
 #include <set>
@@ -16,17 +15,6 @@
   MemberRequest Request;
 };
 
-/// Why a promotion is begun.
-enum class PromotionCause {
-  Loss,
-  /// The primary is marked as leaving.
-  HandOver,
-};
-
-/// Whether the newest primary is marked as leaving and another member could
-/// take its place. Thread-safe.
-bool primaryIsLeaving(const DatabaseView &View);
-
 enum class PromotionStep { Sealing, Promoting, Following, Done, Failed };
 
 /// The step's stable name in the decision log. Thread-safe.
--- a/routing/Router.cpp
+++ b/routing/Router.cpp
@@ -139,6 +139,11 @@
   return std::optional<Route>();
 }
 
+bool isSuperseded(const DatabaseView &View, const UpstreamId &Target) {
+  const MemberView *Primary = View.primary();
+  return Primary && Primary->Configured.Id != Target;
+}
+
 std::optional<Route> chooseForWrite(const DatabaseView &View) {
   const MemberView *Primary = View.primary();
   if (!Primary)
--- a/routing/Router.h
+++ b/routing/Router.h
@@ -81,6 +81,11 @@
                                            const RoutingOptions &Options,
                                            TimePoint Now, RandomSource &Random);
 
+/// Whether a write under way at a member can be given up: another member is
+/// primary of a newer term, so this one can have nothing confirmed any more.
+/// Thread-safe.
+bool isSuperseded(const DatabaseView &View, const UpstreamId &Target);
+
 /// The primary for a write, or nothing while there is none. Thread-safe.
 std::optional<Route> chooseForWrite(const DatabaseView &View);
 
--- a/tests/failover/PromotionHandOverTest.cpp
+++ b/tests/failover/PromotionHandOverTest.cpp
@@ -1,3 +1,4 @@
+#include "failover/LossDetector.h"
 #include "failover/Promotion.h"
 
 #include <gtest/gtest.h>
@@ -73,13 +74,23 @@
   return View;
 }
 
+PrimaryVerdict lookAt(const DatabaseView &View, std::size_t Rank) {
+  return LossDetector(LossDetectorOptions{}).look(View, Rank, TimePoint{});
+}
+
 TEST(PromotionHandOver, BeginsOnlyWhileTheOthersAreAMajority) {
-  EXPECT_TRUE(primaryIsLeaving(viewOf(leavingPrimary(), 0)));
-  EXPECT_FALSE(primaryIsLeaving(viewOf(leavingPrimary(), 1)));
-  Database Staying = leavingPrimary();
-  DatabaseView View = viewOf(Staying, 0);
+  EXPECT_EQ(lookAt(viewOf(leavingPrimary(), 0), 0), PrimaryVerdict::HandOver);
+  EXPECT_EQ(lookAt(viewOf(leavingPrimary(), 1), 0), PrimaryVerdict::Wait);
+}
+
+TEST(PromotionHandOver, IsTheFirstPromotersAlone) {
+  EXPECT_EQ(lookAt(viewOf(leavingPrimary(), 0), 1), PrimaryVerdict::Wait);
+}
+
+TEST(PromotionHandOver, IsNotBegunForAPrimaryThatStays) {
+  DatabaseView View = viewOf(leavingPrimary(), 0);
   View.Members[0].Configured.Leaving = false;
-  EXPECT_FALSE(primaryIsLeaving(View));
+  EXPECT_EQ(lookAt(View, 0), PrimaryVerdict::Wait);
 }
 
 } // namespace
--- a/tests/failover/PromotionModel.cpp
+++ b/tests/failover/PromotionModel.cpp
@@ -53,11 +53,12 @@
          std::equal(Of.begin(), Of.end(), Whole.begin());
 }
 
-Database threeMembers() {
+Database threeMembers(bool FirstLeaves) {
   Database Target;
   for (const char *Name : Names) {
     DatabaseMember Member;
     Member.Id = UpstreamId{Name};
+    Member.Leaving = FirstLeaves && Target.Members.empty();
     Target.Members.push_back(Member);
   }
   return Target;
@@ -99,7 +100,8 @@
     std::size_t Index = First.Attempts.size();
     bool Shared = this->Options.Broken == BrokenRule::SealWithoutAttempt;
     std::string Name(1, static_cast<char>(Shared ? 'X' : 'P' + Index));
-    Promotion Running(threeMembers(), Next, Name);
+    Promotion Running(threeMembers(this->Options.FirstPrimaryLeaves), Next,
+                      Name);
     std::vector<MemberCall> Calls = Running.begin();
     First.Attempts.push_back(std::make_shared<const AttemptState>(
         AttemptState{.Running = std::move(Running), .Seen = {}}));
@@ -135,6 +137,8 @@
         What.Attempt && std::holds_alternative<SealRequest>(What.Request);
     if (Seal && this->Options.AnswersMayBeLost)
       this->deliver(From, Index, false, false);
+    if (Seal && this->Options.SealsMayFail)
+      this->failSeal(From, What);
     if (From.DuplicatesLeft > 0)
       this->deliver(From, Index, true, true);
   }
@@ -262,6 +266,26 @@
       Step{.Text = std::move(Text), .Before = Next.Trail});
 }
 
+void PromotionModel::failSeal(const State &From, const Message &What) {
+  AttemptState Attempt = *From.Attempts[*What.Attempt];
+  std::string Mark = std::string("!") + Names[What.Target];
+  bool New = Attempt.Running.step() == PromotionStep::Sealing &&
+             Attempt.Seen.insert(Mark).second;
+  if (!New)
+    return;
+  State To = From;
+  note(To, What.Text + " taken for failed");
+  Error Failure{.Kind = ErrorKind::Unavailable, .Message = "", .Remedy = ""};
+  auto Calls =
+      Attempt.Running.onOutcome(UpstreamId{Names[What.Target]}, Failure);
+  if (Attempt.Running.step() != PromotionStep::Sealing)
+    Attempt.Seen.clear();
+  To.Attempts[*What.Attempt] =
+      std::make_shared<const AttemptState>(std::move(Attempt));
+  this->sendCalls(To, *What.Attempt, Calls);
+  this->reach(From, std::move(To));
+}
+
 void PromotionModel::deliver(const State &From, std::size_t Index, bool Keep,
                              bool Answered) {
   State To = From;
--- a/tests/failover/PromotionModel.h
+++ b/tests/failover/PromotionModel.h
@@ -40,6 +40,11 @@
   unsigned BatchesInFlight = 0;
   /// Whether a seal's answer may be lost; if not, only the seal itself may.
   bool AnswersMayBeLost = true;
+  /// The first primary is marked as leaving: it hands over to a member that
+  /// stays.
+  bool FirstPrimaryLeaves = false;
+  /// An attempt may take a seal for failed, whether or not it arrives later.
+  bool SealsMayFail = false;
   /// A batch carries one entry, else all that the replica lacks.
   bool ShortBatches = false;
   BrokenRule Broken = BrokenRule::None;
@@ -137,6 +142,7 @@
                                              std::size_t Member) const;
   void replicate(const State &From);
   void deliver(const State &From, std::size_t Index, bool Keep, bool Answered);
+  void failSeal(const State &From, const Message &What);
   void deliverCall(State &Next, const Message &What, bool Answered) const;
   void send(State &Next, Message What) const;
   void sendCalls(State &Next, std::size_t Attempt,
--- a/tests/routing/LeavingUpstreamTest.cpp
+++ b/tests/routing/LeavingUpstreamTest.cpp
@@ -47,5 +47,16 @@
   EXPECT_FALSE(read(View, 1).has_value());
 }
 
+TEST(SupersededPrimary, IsKnownOnceAnotherIsPrimaryOfANewerTerm) {
+  DatabaseView View = caughtUp();
+  EXPECT_FALSE(isSuperseded(View, UpstreamId{"a"}));
+  // Sealed members alone name no successor.
+  View.Members[1].Last->Accepted = Term{2};
+  EXPECT_FALSE(isSuperseded(View, UpstreamId{"a"}));
+  View.Members[1].Last->Role = MemberRole::Primary;
+  EXPECT_TRUE(isSuperseded(View, UpstreamId{"a"}));
+  EXPECT_FALSE(isSuperseded(View, UpstreamId{"b"}));
+}
+
 } // namespace
 } // namespace turmericpitch
