--- a/main/Daemon.cpp
+++ b/main/Daemon.cpp
@@ -9,6 +9,7 @@
 #include "drivers/PeerTransport.h"
 #include "drivers/PrimaryKeeper.h"
 #include "drivers/ShareExchange.h"
+#include "main/DaemonDrain.h"
 #include "membership/DutyBoard.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,7 +28,6 @@
 namespace {
 
 constexpr std::uint32_t ControlConnections = 16;
-constexpr Duration DrainStepInterval = std::chrono::milliseconds(20);
 
 std::string makeStartId() {
   std::random_device Device;
@@ -152,12 +152,6 @@
   void onConfigurationApplied();
   /// Errors: BadRequest if the TLS keys can't be used.
   Status openServers();
-  void beginDrain(DrainReason Reason);
-  void endDrain();
-  DrainStep drainStep();
-  /// Carries out the drain's steps. Runs until the daemon stops.
-  Awaitable<void> watchDrain();
-  void onDrainStep(DrainStep Step);
 
   DaemonSettings Settings;
   std::string StartId = makeStartId();
@@ -178,13 +172,10 @@
   std::shared_ptr<PeerTransport> Peers;
   std::shared_ptr<MembershipController> Members;
   std::shared_ptr<MembershipExchange> Exchange;
-  std::mutex DrainGuard;
-  DrainController Drain{Settings.Drain};
-  std::atomic<bool> Drained = false;
-  std::atomic<bool> Stopping = false;
   std::shared_ptr<ShareExchange> Shares;
   std::shared_ptr<TlsKeys> Keys;
-  std::unique_ptr<HttpServer> CallerServer;
+  std::shared_ptr<HttpServer> CallerServer;
+  std::shared_ptr<DaemonDrain> Drain;
   std::unique_ptr<HttpServer> OperatorServer;
   std::unique_ptr<HttpServer> CopyServer;
   std::vector<std::thread> Threads;
@@ -252,63 +243,6 @@
   this->Shares->attach();
 }
 
-void Daemon::Parts::beginDrain(DrainReason Reason) {
-  {
-    std::lock_guard Lock(this->DrainGuard);
-    if (!this->Drain.ready())
-      return;
-    this->Drain.onLeave(Reason, MonotonicClock().now());
-  }
-  writeDecision(DecisionLine("drain")
-                    .field("step", toString(DrainStep::Noticing))
-                    .field("reason", toString(Reason)));
-  this->Callers->beginDrain();
-  this->CallerServer->drain();
-  this->Exchange->beginLeaving();
-}
-
-void Daemon::Parts::endDrain() {
-  std::lock_guard Lock(this->DrainGuard);
-  this->Drain.onEnd(MonotonicClock().now());
-}
-
-DrainStep Daemon::Parts::drainStep() {
-  DrainWork Work{.Requests = this->CallerServer->requestsInFlight(),
-                 .Transactions = this->CallerServer->connectionsHeld()};
-  std::lock_guard Lock(this->DrainGuard);
-  return this->Drain.look(Work, MonotonicClock().now());
-}
-
-void Daemon::Parts::onDrainStep(DrainStep Step) {
-  writeDecision(
-      DecisionLine("drain")
-          .field("step", toString(Step))
-          .field("requests", this->CallerServer->requestsInFlight())
-          .field("transactions", this->CallerServer->connectionsHeld()));
-  if (Step == DrainStep::Refusing)
-    this->CallerServer->refuseNew();
-  else if (Step == DrainStep::Ending)
-    this->CallerServer->endOpen();
-  if (Step != DrainStep::Ended)
-    return;
-  this->Exchange->depart();
-  this->Drained = true;
-}
-
-Awaitable<void> Daemon::Parts::watchDrain() {
-  DrainStep Last = DrainStep::Serving;
-  while (!this->Stopping) {
-    if (Last == DrainStep::Serving && this->Members->leaving())
-      this->beginDrain(DrainReason::MarkedLeaving);
-    DrainStep Step = this->drainStep();
-    // The first step was carried out when the drain began.
-    if (Step != Last && Step > DrainStep::Noticing)
-      this->onDrainStep(Step);
-    Last = Step;
-    co_await sleepFor(DrainStepInterval);
-  }
-}
-
 void Daemon::Parts::onConfigurationApplied() {
   SharedConfiguration Current = this->Configuration->current();
   std::vector<Database> Databases;
@@ -339,6 +273,11 @@
                                     this->Operators, this->Keys);
   this->CopyServer = makeServer(this->On, this->Settings.PeerListen,
                                 this->Sync->copies(), nullptr);
+  this->Drain = std::make_shared<DaemonDrain>(
+      this->Settings.Drain, DaemonDrainParts{.Callers = this->Callers,
+                                             .CallerServer = this->CallerServer,
+                                             .Members = this->Members,
+                                             .Exchange = this->Exchange});
   return std::monostate{};
 }
 
@@ -366,9 +305,10 @@
       asio::make_strand(P.On),
       [Exchange]() -> Awaitable<void> { co_await Exchange->run(); },
       asio::detached);
+  auto Drain = P.Drain;
   asio::co_spawn(
       asio::make_strand(P.On),
-      [&P]() -> Awaitable<void> { co_await P.watchDrain(); }, asio::detached);
+      [Drain]() -> Awaitable<void> { co_await Drain->run(); }, asio::detached);
   P.Sync->start();
   auto Shares = P.Shares;
   asio::co_spawn(
@@ -380,16 +320,13 @@
   return std::monostate{};
 }
 
-void Daemon::beginDrain() { this->Own->beginDrain(DrainReason::Signal); }
+void Daemon::beginDrain() { this->Own->Drain->begin(DrainReason::Signal); }
 
-void Daemon::endDrain() { this->Own->endDrain(); }
+void Daemon::endDrain() { this->Own->Drain->end(); }
 
-bool Daemon::draining() const {
-  std::lock_guard Lock(this->Own->DrainGuard);
-  return !this->Own->Drain.ready();
-}
+bool Daemon::draining() const { return this->Own->Drain->draining(); }
 
-bool Daemon::drained() const { return this->Own->Drained; }
+bool Daemon::drained() const { return this->Own->Drain->drained(); }
 
 Status Daemon::reloadKeys() {
   if (!this->Own->Keys)
@@ -399,7 +336,8 @@
 
 void Daemon::stop() {
   Parts &P = *this->Own;
-  P.Stopping = true;
+  if (P.Drain)
+    P.Drain->stop();
   P.Sync->stop();
   P.Keeper->stop();
   P.Shares->stop();
--- a/main/Daemon.h
+++ b/main/Daemon.h
@@ -23,7 +23,8 @@
   /// BadRequest.
   Status reloadKeys();
   /// The readiness check says no, peers learn it, and once the balancer has
-  /// noticed new work is refused; see DrainController.
+  /// noticed new work is refused; see DrainController. Precondition for this
+  /// and the three below: start() succeeded.
   void beginDrain();
   /// Answers what still runs with what is known of its outcome.
   void endDrain();
