--- a/core/Time.h
+++ b/core/Time.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
+#include <ctime>
 
 namespace turmericpitch {
 
@@ -33,6 +34,19 @@
   }
 };
 
+/// The machine's clock that also counts the time of a suspend, for promises
+/// that end at a time. Thread-safe.
+class BootClock {
+public:
+  [[nodiscard]] TimePoint now() const {
+    timespec Read{};
+    clock_gettime(CLOCK_BOOTTIME, &Read);
+    return TimePoint(std::chrono::seconds(Read.tv_sec) +
+                     std::chrono::duration_cast<Duration>(
+                         std::chrono::nanoseconds(Read.tv_nsec)));
+  }
+};
+
 /// A clock that moves only when told. Not thread-safe.
 class VirtualClock {
 public:
--- /dev/null
+++ b/drivers/CallerSession.cpp
@@ -0,0 +1,200 @@
+#include "drivers/CallerSession.h"
+
+#include "core/DecisionLog.h"
+#include "drivers/SessionServer.h"
+
+namespace turmericpitch {
+
+namespace {
+
+/// Bytes of further lines kept while a statement is under way; a caller that
+/// sends more without waiting for replies is cut off.
+constexpr std::size_t MostLaterBytes = 2 * MaximumLine;
+
+} // namespace
+
+CallerSession::CallerSession(SessionServer &Owner,
+                             boost::asio::ip::tcp::socket Connected)
+    : Owner(Owner), Context(std::make_shared<SessionContext>()),
+      IdleTimer(Connected.get_executor()) {
+  this->Lines = std::make_shared<LineConnection>(
+      std::move(Connected), LineConnectionOptions{.MaximumLine = MaximumLine});
+}
+
+void CallerSession::start() {
+  auto Self = this->shared_from_this();
+  this->Lines->start([Self](std::string_view Line) { Self->onLine(Line); },
+                     [Self](const std::string &) { Self->end(); });
+}
+
+bool CallerSession::busy() const {
+  return this->UnderWay || this->Context->State.inTransaction();
+}
+
+void CallerSession::onLine(std::string_view Line) {
+  CallerLine Decoded = decodeCallerLine(Line);
+  if (!this->UnderWay)
+    return this->process(Decoded);
+  if (std::holds_alternative<SessionEnding>(Decoded))
+    return this->end();
+  this->LaterBytes += Line.size();
+  if (this->LaterBytes > MostLaterBytes)
+    return this->end();
+  this->Later.push_back(std::move(Decoded));
+}
+
+void CallerSession::process(const CallerLine &Line) {
+  if (const auto *Opening = std::get_if<SessionOpening>(&Line))
+    return this->onOpening(*Opening);
+  if (const auto *Asked = std::get_if<Statement>(&Line))
+    return this->onStatement(*Asked);
+  if (const auto *Malformed = std::get_if<MalformedLine>(&Line))
+    return this->onMalformed(*Malformed);
+  this->end();
+}
+
+void CallerSession::onMalformed(const MalformedLine &Line) {
+  this->Lines->send(encodeSessionRefused(
+      {.Code = ReplyError::Malformed, .Spelled = {}, .Text = Line.Why}));
+  this->Lines->finish();
+  this->end();
+}
+
+void CallerSession::onOpening(const SessionOpening &Opening) {
+  if (this->Opened)
+    return this->onMalformed({"the session is open already"});
+  if (!this->Owner.Routes.route(Opening.Database)) {
+    this->Lines->send(
+        encodeSessionRefused({.Code = ReplyError::DatabaseUnknown,
+                              .Spelled = {},
+                              .Text = "no route to this database"}));
+    this->Lines->finish();
+    return this->end();
+  }
+  this->Opened = true;
+  this->Database = Opening.Database;
+  this->Lines->send(encodeSessionOpened());
+}
+
+void CallerSession::onStatement(const Statement &Asked) {
+  if (!this->Opened)
+    return this->onMalformed({"the session is not open"});
+  this->IdleTimer.cancel();
+  auto Local = this->Context->State.answerLocally(Asked);
+  if (!Local)
+    return this->forward(Asked);
+  this->reply(*Local);
+}
+
+void CallerSession::forward(const Statement &Asked) {
+  SessionContext &Session = *this->Context;
+  if (Asked.Kind == StatementKind::Rollback) {
+    Session.State.onTransactionEnded();
+    this->Owner.Dispatcher.rollBack(this->Context);
+    return this->reply(StatementReply{});
+  }
+  // A running transaction keeps the route that it began on.
+  if (Session.State.transaction() != SessionTransaction::Running) {
+    const RouteRule *Route = this->Owner.Routes.route(this->Database);
+    if (!Route) {
+      Session.State.onTransactionFailed();
+      StatementReply Refusal;
+      Refusal.Failure = ReplyFailure{.Code = ReplyError::DatabaseUnknown,
+                                     .Spelled = {},
+                                     .Text = "no route to this database"};
+      Refusal.Mark = Session.State.mark();
+      return this->reply(Refusal);
+    }
+    Session.Route = *Route;
+  }
+  TimePoint Now = BootClock().now();
+  auto Call = std::make_shared<StatementCall>(this->IdleTimer.get_executor());
+  Call->Session = this->Context;
+  Call->Asked = Asked;
+  Call->Terms = {.ArrivedAt = Now,
+                 .Goal = Now + Session.Route.LatencyGoal,
+                 .Deadline = Now + Session.Route.StatementLimit,
+                 .Priority = Session.Route.Priority};
+  Call->OnReply = [Weak = this->weak_from_this()](const StatementReply &Reply) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->UnderWay.reset();
+    Self->reply(Reply);
+    Self->afterReply();
+  };
+  this->UnderWay = Call;
+  this->Owner.Dispatcher.submit(Call);
+}
+
+void CallerSession::reply(const StatementReply &Reply) {
+  this->Lines->send(encodeReply(Reply));
+  this->watchIdleTransaction();
+  if (this->Finishing && !this->busy()) {
+    this->Lines->finish();
+    this->end();
+  }
+}
+
+void CallerSession::afterReply() {
+  while (!this->UnderWay && !this->Later.empty() && !this->Ended) {
+    CallerLine Next = std::move(this->Later.front());
+    this->Later.pop_front();
+    this->process(Next);
+  }
+  if (this->Later.empty())
+    this->LaterBytes = 0;
+}
+
+void CallerSession::watchIdleTransaction() {
+  const auto &Table = this->Owner.Routes.present();
+  bool Running =
+      this->Context->State.transaction() == SessionTransaction::Running;
+  if (!Running || !Table || !Table->TransactionIdleLimit)
+    return;
+  this->IdleTimer.expires_after(*Table->TransactionIdleLimit);
+  this->IdleTimer.async_wait([Weak = this->weak_from_this()](
+                                 const boost::system::error_code &Failure) {
+    auto Self = Weak.lock();
+    if (Failure || !Self || Self->UnderWay)
+      return;
+    writeDecision(DecisionLine("end_idle_transaction")
+                      .field("route", Self->Context->Route.Name));
+    Self->Context->State.onTransactionFailed();
+    Self->Owner.Dispatcher.rollBack(Self->Context);
+  });
+}
+
+void CallerSession::finishWhenIdle() {
+  this->Finishing = true;
+  if (this->busy())
+    return;
+  this->Lines->finish();
+  this->end();
+}
+
+void CallerSession::endResting() {
+  this->Finishing = true;
+  if (this->UnderWay)
+    return;
+  this->Lines->finish();
+  this->end();
+}
+
+void CallerSession::end() {
+  if (this->Ended)
+    return;
+  this->Ended = true;
+  auto Self = this->shared_from_this();
+  this->IdleTimer.cancel();
+  if (this->UnderWay) {
+    this->Owner.Dispatcher.abandon(this->UnderWay);
+    this->UnderWay.reset();
+  }
+  this->Context->State.onTransactionFailed();
+  this->Owner.Dispatcher.rollBack(this->Context);
+  this->Lines->finish();
+  this->Owner.remove(Self);
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/CallerSession.h
@@ -0,0 +1,53 @@
+// One caller's session over its connection.
+#pragma once
+
+#include "drivers/LineConnection.h"
+#include "drivers/StatementDispatcher.h"
+#include "platform/SessionLines.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+
+namespace turmericpitch {
+
+class SessionServer;
+
+/// Belongs to one thread's executor.
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+public:
+  CallerSession(SessionServer &Owner, boost::asio::ip::tcp::socket Connected);
+
+  void start();
+  /// Ends the session if no work of it is open, else once it is done.
+  void finishWhenIdle();
+  /// Rolls back a transaction that rests between two statements and ends.
+  void endResting();
+  [[nodiscard]] bool busy() const;
+
+private:
+  void onLine(std::string_view Line);
+  void process(const CallerLine &Line);
+  void onOpening(const SessionOpening &Opening);
+  void onStatement(const Statement &Asked);
+  void onMalformed(const MalformedLine &Line);
+  void forward(const Statement &Asked);
+  void reply(const StatementReply &Reply);
+  void afterReply();
+  void watchIdleTransaction();
+  void end();
+
+  SessionServer &Owner;
+  std::shared_ptr<LineConnection> Lines;
+  std::shared_ptr<SessionContext> Context;
+  std::string Database;
+  SharedCall UnderWay;
+  /// Lines that came while a statement was under way.
+  std::deque<CallerLine> Later;
+  std::size_t LaterBytes = 0;
+  boost::asio::steady_timer IdleTimer;
+  bool Opened = false;
+  bool Finishing = false;
+  bool Ended = false;
+};
+
+} // namespace turmericpitch
--- a/drivers/Http.h
+++ b/drivers/Http.h
@@ -9,21 +9,32 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace turmericpitch {
 
 template <typename T> using Awaitable = boost::asio::awaitable<T>;
 using Executor = boost::asio::any_io_executor;
 
+/// A header field beyond those that every request has.
+struct HttpField {
+  std::string Name;
+  std::string Value;
+
+  bool operator==(const HttpField &) const = default;
+};
+
 /// A request as received or to be sent.
 struct HttpRequest {
   std::string Method = "POST";
-  std::string Target;
+  std::string Target = {};
   /// The Host header.
-  std::string Host;
+  std::string Host = {};
   /// The Authorization header; may be empty.
-  std::string Authorization;
-  std::string Body;
+  std::string Authorization = {};
+  std::string Body = {};
+  /// Sent besides; not filled in for received requests.
+  std::vector<HttpField> Fields = {};
 };
 
 /// A reply as received or to be sent.
--- /dev/null
+++ b/drivers/HttpCaller.h
@@ -0,0 +1,40 @@
+// Calls one HTTP service over kept-alive connections.
+#pragma once
+
+#include "drivers/HttpConnection.h"
+
+#include <mutex>
+#include <vector>
+
+namespace turmericpitch {
+
+struct HttpCallerOptions {
+  Endpoint Service;
+  /// Idle connections kept.
+  std::size_t MostIdle = 4;
+  Duration ConnectLimit = std::chrono::seconds(1);
+};
+
+/// Thread-safe.
+class HttpCaller {
+public:
+  HttpCaller(Executor On, HttpCallerOptions Options);
+
+  /// Sends on an idle connection or a new one. Errors: NotRun or Unavailable
+  /// if nothing was sent, OutcomeUnknown if the reply did not come.
+  Awaitable<Outcome<HttpReply>> call(HttpRequest Request, Duration Limit);
+  /// Calls made since the start.
+  [[nodiscard]] std::uint64_t calls() const;
+
+private:
+  std::shared_ptr<HttpConnection> takeIdle();
+  void giveBack(std::shared_ptr<HttpConnection> Connection);
+
+  Executor On;
+  HttpCallerOptions Options;
+  mutable std::mutex Guard;
+  std::vector<std::shared_ptr<HttpConnection>> Idle;
+  std::uint64_t Calls = 0;
+};
+
+} // namespace turmericpitch
--- a/drivers/HttpMessages.cpp
+++ b/drivers/HttpMessages.cpp
@@ -132,6 +132,8 @@
   Message.set(http::field::host, Request.Host);
   if (!Request.Authorization.empty())
     Message.set(http::field::authorization, Request.Authorization);
+  for (const HttpField &Each : Request.Fields)
+    Message.set(Each.Name, Each.Value);
   Message.set(http::field::content_type, "application/json");
   Message.keep_alive(true);
   Message.body() = Request.Body;
--- /dev/null
+++ b/drivers/LineConnection.cpp
@@ -0,0 +1,171 @@
+#include "drivers/LineConnection.h"
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t ReadChunk = 16 * 1024;
+constexpr int KeepAliveProbes = 3;
+
+void setOption(int Socket, int Level, int Name, int Value) {
+  // Not supported on some systems; the limits of the requests then stand
+  // alone.
+  static_cast<void>(setsockopt(Socket, Level, Name, &Value, sizeof(Value)));
+}
+
+} // namespace
+
+void prepareSocket(asio::ip::tcp::socket &Connected,
+                   Duration PeerSilenceLimit) {
+  int Handle = Connected.native_handle();
+  auto Milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(PeerSilenceLimit)
+          .count();
+  setOption(Handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(Milliseconds));
+}
+
+LineConnection::LineConnection(Socket Connected, LineConnectionOptions Options)
+    : Stream(std::move(Connected)), Options(Options) {}
+
+LineConnection::~LineConnection() = default;
+
+void LineConnection::start(LineHandler OnLine, EndHandler OnEnd) {
+  this->OnLine = std::move(OnLine);
+  this->OnEnd = std::move(OnEnd);
+  ErrorCode Ignored;
+  prepareSocket(this->Stream, this->Options.PeerSilenceLimit);
+  this->Stream.non_blocking(true, Ignored);
+  this->waitForBytes();
+}
+
+void LineConnection::waitForBytes() {
+  this->Stream.async_wait(
+      Socket::wait_read,
+      [Self = this->shared_from_this()](const ErrorCode &Failure) {
+        if (Failure)
+          return Self->end(Failure.message());
+        Self->readBytes();
+      });
+}
+
+void LineConnection::readBytes() {
+  std::array<char, ReadChunk> Chunk; // NOLINT: filled before it is read
+  ErrorCode Failure;
+  std::size_t Count = this->Stream.read_some(asio::buffer(Chunk), Failure);
+  if (Failure == asio::error::would_block)
+    return this->waitForBytes();
+  if (Failure)
+    return this->end(Failure == asio::error::eof ? "ended by the peer"
+                                                 : Failure.message());
+  this->deliverLines(std::string_view(Chunk.data(), Count));
+  if (this->Stream.is_open())
+    this->waitForBytes();
+}
+
+void LineConnection::deliverLines(std::string_view Bytes) {
+  while (!Bytes.empty() && this->Stream.is_open()) {
+    std::size_t End = Bytes.find('\n');
+    if (End == std::string_view::npos) {
+      this->Partial.append(Bytes);
+      if (this->Partial.size() > this->Options.MaximumLine)
+        this->end("line longer than the limit");
+      return;
+    }
+    std::string_view Line = Bytes.substr(0, End);
+    std::string Joined;
+    if (!this->Partial.empty()) {
+      Joined = std::move(this->Partial);
+      this->Partial = std::string();
+      Joined.append(Line);
+      Line = Joined;
+    }
+    if (!Line.empty() && Line.back() == '\r')
+      Line.remove_suffix(1);
+    Bytes.remove_prefix(End + 1);
+    this->OnLine(Line);
+  }
+}
+
+void LineConnection::send(std::string Bytes) {
+  if (!this->Stream.is_open() || this->Finishing)
+    return;
+  if (this->Kept.empty())
+    this->Kept = std::move(Bytes);
+  else
+    this->Kept += Bytes;
+  if (!this->Writing)
+    this->writeKept();
+}
+
+void LineConnection::writeKept() {
+  ErrorCode Failure;
+  std::size_t Count =
+      this->Stream.write_some(asio::buffer(this->Kept), Failure);
+  if (Failure && Failure != asio::error::would_block) {
+    asio::post(this->Stream.get_executor(),
+               [Self = this->shared_from_this(), Failure] {
+                 Self->end(Failure.message());
+               });
+    return;
+  }
+  this->Kept.erase(0, Count);
+  if (this->Kept.empty()) {
+    this->Kept.shrink_to_fit();
+    if (this->Finishing)
+      this->close();
+    return;
+  }
+  this->Writing = true;
+  this->Stream.async_wait(
+      Socket::wait_write,
+      [Self = this->shared_from_this()](const ErrorCode &Waited) {
+        Self->Writing = false;
+        if (Waited)
+          return Self->end(Waited.message());
+        Self->writeKept();
+      });
+}
+
+void LineConnection::finish() {
+  this->Finishing = true;
+  if (this->Kept.empty())
+    this->close();
+}
+
+void LineConnection::end(const std::string &Reason) {
+  if (!this->Stream.is_open())
+    return;
+  EndHandler Handle = std::move(this->OnEnd);
+  this->close();
+  if (Handle)
+    Handle(Reason);
+}
+
+void LineConnection::close() {
+  if (!this->Stream.is_open())
+    return;
+  ErrorCode Ignored;
+  this->Stream.shutdown(Socket::shutdown_both, Ignored);
+  this->Stream.close(Ignored);
+  // The handlers may own this connection; they go once no call is under way.
+  asio::post(this->Stream.get_executor(), [Self = this->shared_from_this()] {
+    Self->OnLine = nullptr;
+    Self->OnEnd = nullptr;
+  });
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/MemberPort.cpp
@@ -0,0 +1,187 @@
+#include "drivers/MemberPort.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+/// Weight of the newest observation in a member's typical time.
+constexpr int ObservationShare = 8;
+
+Duration doubled(Duration Pause, Duration First, Duration Most) {
+  return Pause == Duration{0} ? First : std::min(Most, 2 * Pause);
+}
+
+} // namespace
+
+MemberPort::MemberPort(boost::asio::any_io_executor On, RegisteredMember Member,
+                       ConnectionAllowanceOptions Allowance,
+                       MemberPortOptions Options)
+    : On(std::move(On)), Member(std::move(Member)), Options(Options),
+      Allowance(Allowance), Typical(Options.FirstTypical) {}
+
+MemberPort::~MemberPort() { this->dropIdle(); }
+
+void MemberPort::dropIdle() {
+  for (const auto &Link : this->Idle)
+    Link->close();
+  this->Open -= this->Idle.size();
+  this->Idle.clear();
+}
+
+void MemberPort::onEntryChanged(const RegisteredMember &Now) {
+  bool Another =
+      Now.Where != this->Member.Where || Now.BornAt != this->Member.BornAt;
+  this->Member = Now;
+  if (Another) {
+    this->Reached.reset();
+    this->PausedUntil = {};
+    this->Failures = 0;
+  }
+  if (Another || Now.Draining)
+    this->dropIdle();
+}
+
+void MemberPort::setAllowance(ConnectionAllowanceOptions Allowance) {
+  this->Allowance.configure(Allowance);
+}
+
+MemberCandidate MemberPort::candidate(const ZoneId &OwnZone,
+                                      TimePoint Now) const {
+  std::size_t Allowed = this->Allowance.allowed(Now);
+  std::size_t Room = this->Idle.size() +
+                     (Allowed > this->Open ? Allowed - this->Open : 0);
+  return {.Id = this->Member.Id,
+          .SameZone = this->Member.Zone == OwnZone,
+          .Excluded = this->Member.Draining || Now < this->PausedUntil,
+          .InFlight = this->InFlight,
+          .MostInFlight = std::min<std::size_t>(this->Member.Slots,
+                                                this->InFlight + Room),
+          .Typical = this->Typical,
+          .Reached = this->Reached,
+          .ShortUntil = this->ShortUntil};
+}
+
+std::shared_ptr<MemberLink>
+MemberPort::takeIdle(const std::map<std::string, std::string> &Values) {
+  std::erase_if(this->Idle, [this](const auto &Link) {
+    if (Link->idle())
+      return false;
+    this->onLinkClosed();
+    return true;
+  });
+  PreparedNames Unused;
+  std::size_t Best = this->Idle.size();
+  std::size_t Fewest = SIZE_MAX;
+  // The link used last is looked at first, so that the others age out.
+  for (std::size_t Back = this->Idle.size(); Back > 0; --Back) {
+    std::size_t Steps =
+        this->Idle[Back - 1]->Fitted.stepsFor(Values, nullptr, Unused).size();
+    if (Steps < Fewest) {
+      Fewest = Steps;
+      Best = Back - 1;
+    }
+  }
+  if (Best == this->Idle.size())
+    return nullptr;
+  auto Link = this->Idle[Best];
+  this->Idle.erase(this->Idle.begin() + static_cast<std::ptrdiff_t>(Best));
+  Link->Pooled = false;
+  return Link;
+}
+
+std::shared_ptr<MemberLink>
+MemberPort::openLink(MemberLink::OpenHandler OnOpened) {
+  auto Link = std::make_shared<MemberLink>(this->On, this->Member);
+  ++this->Open;
+  ++this->Opened;
+  Link->open(this->Options.OpenLimit,
+             [Self = this->shared_from_this(),
+              Handle = std::move(OnOpened)](LinkOpening How) {
+               Self->noteOpening(How);
+               Handle(How);
+             });
+  return Link;
+}
+
+void MemberPort::noteOpening(LinkOpening How) {
+  TimePoint Now = this->Clock.now();
+  if (How == LinkOpening::Opened)
+    return this->onAnswered(Now);
+  this->onLinkClosed();
+  if (How != LinkOpening::RefusedAtLimit)
+    return this->onUnanswered(Now);
+  this->onAnswered(Now);
+  this->Allowance.onRefused(this->Open, Now);
+}
+
+void MemberPort::giveBack(const std::shared_ptr<MemberLink> &Link,
+                          TimePoint Now) {
+  if (Link->Pooled)
+    return;
+  Link->Pooled = true;
+  bool Same = Link->member().Where == this->Member.Where &&
+              Link->member().BornAt == this->Member.BornAt;
+  bool Keep = Link->idle() && Link->mark() == TransactionMark::None && Same &&
+              !this->Member.Draining;
+  if (!Keep) {
+    Link->close();
+    return this->onLinkClosed();
+  }
+  Link->IdleSince = Now;
+  this->Idle.push_back(Link);
+}
+
+void MemberPort::onLinkClosed() { this->Open -= this->Open > 0 ? 1 : 0; }
+
+void MemberPort::onStatementOver(std::optional<Duration> Took) {
+  --this->InFlight;
+  if (Took)
+    this->Typical += (*Took - this->Typical) / ObservationShare;
+}
+
+void MemberPort::onReached(const TermPosition &Position) {
+  if (!this->Reached || *this->Reached < Position)
+    this->Reached = Position;
+  this->ShortPause = Duration{0};
+}
+
+void MemberPort::onShort(TimePoint Now) {
+  this->ShortPause = doubled(this->ShortPause, this->Options.FirstShortPause,
+                             this->Options.MostShortPause);
+  this->ShortUntil = Now + this->ShortPause;
+}
+
+void MemberPort::onBusy(TimePoint Now) {
+  this->PausedUntil = Now + this->Options.BusyPause;
+}
+
+void MemberPort::onAnswered(TimePoint Now) {
+  this->AnsweredAt = Now;
+  this->Failures = 0;
+  this->Pause = Duration{0};
+}
+
+void MemberPort::onUnanswered(TimePoint Now) {
+  ++this->Failures;
+  this->Pause =
+      doubled(this->Pause, this->Options.FirstPause, this->Options.MostPause);
+  this->PausedUntil = Now + this->Pause;
+  this->dropIdle();
+}
+
+void MemberPort::closeExtraIdle(TimePoint Now) {
+  std::size_t Even = this->Allowance.evenShare();
+  std::erase_if(this->Idle, [&](const auto &Link) {
+    bool Extra = this->Open > Even &&
+                 Now - Link->IdleSince > this->Options.ExtraIdleLimit;
+    if (!Extra && Link->idle())
+      return false;
+    Link->close();
+    this->onLinkClosed();
+    return true;
+  });
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/MemberPort.h
@@ -0,0 +1,111 @@
+// The links of this instance to one member.
+#pragma once
+
+#include "drivers/MemberLink.h"
+#include "limits/ConnectionAllowance.h"
+#include "routing/Placement.h"
+
+#include <vector>
+
+namespace turmericpitch {
+
+struct MemberPortOptions {
+  /// Limit for connecting and opening a session: an answer takes about 15 ms
+  /// when all is well.
+  Duration OpenLimit = std::chrono::milliseconds(400);
+  /// A member that can't be reached is left alone this long, twice as long
+  /// after each further failure, up to MostPause.
+  Duration FirstPause = std::chrono::milliseconds(100);
+  Duration MostPause = std::chrono::milliseconds(1000);
+  /// Pause after the member refused for lack of capacity; about the work of
+  /// one statement.
+  Duration BusyPause = std::chrono::milliseconds(15);
+  /// A replica whose log fell short is not asked for further positions for
+  /// this long, twice as long after each further time, up to MostShortPause.
+  Duration FirstShortPause = std::chrono::milliseconds(10);
+  Duration MostShortPause = std::chrono::milliseconds(320);
+  /// Idle links beyond the even share are closed after this.
+  Duration ExtraIdleLimit = std::chrono::seconds(2);
+  /// Taken for the time of a statement until one was observed.
+  Duration FirstTypical = std::chrono::milliseconds(25);
+};
+
+/// Belongs to one thread's executor.
+class MemberPort : public std::enable_shared_from_this<MemberPort> {
+public:
+  MemberPort(boost::asio::any_io_executor On, RegisteredMember Member,
+             ConnectionAllowanceOptions Allowance,
+             MemberPortOptions Options = {});
+  ~MemberPort();
+  MemberPort(const MemberPort &) = delete;
+  MemberPort &operator=(const MemberPort &) = delete;
+
+  /// The member's entry has changed; another life or address closes all
+  /// links, draining the idle ones.
+  void onEntryChanged(const RegisteredMember &Now);
+  void setAllowance(ConnectionAllowanceOptions Allowance);
+
+  /// The member as placement sees it.
+  [[nodiscard]] MemberCandidate candidate(const ZoneId &OwnZone,
+                                          TimePoint Now) const;
+  /// An idle link, the one that fits the session with the fewest steps first,
+  /// or nullptr. It counts as in use until giveBack().
+  std::shared_ptr<MemberLink>
+  takeIdle(const std::map<std::string, std::string> &Values);
+  /// Opens a link; OnOpened runs later. On success it is in use.
+  std::shared_ptr<MemberLink> openLink(MemberLink::OpenHandler OnOpened);
+  /// A link in use is free again; one that can't serve others is closed.
+  void giveBack(const std::shared_ptr<MemberLink> &Link, TimePoint Now);
+
+  void onStatementSent() { ++this->InFlight; }
+  /// A statement sent is over. Took: set if the member ran it.
+  void onStatementOver(std::optional<Duration> Took);
+  /// The member's log was seen to reach a position.
+  void onReached(const TermPosition &Position);
+  void onShort(TimePoint Now);
+  void onBusy(TimePoint Now);
+  void onAnswered(TimePoint Now);
+  void onUnanswered(TimePoint Now);
+  /// Closes idle links that are not needed.
+  void closeExtraIdle(TimePoint Now);
+
+  [[nodiscard]] const RegisteredMember &member() const { return this->Member; }
+  [[nodiscard]] std::size_t openLinks() const { return this->Open; }
+  [[nodiscard]] std::uint64_t linksOpened() const { return this->Opened; }
+  [[nodiscard]] TimePoint pausedUntil() const { return this->PausedUntil; }
+  [[nodiscard]] std::uint32_t failuresInRow() const { return this->Failures; }
+  /// When the member last answered anything; nothing before.
+  [[nodiscard]] std::optional<TimePoint> answeredAt() const {
+    return this->AnsweredAt;
+  }
+  [[nodiscard]] std::size_t statementsInFlight() const {
+    return this->InFlight;
+  }
+  [[nodiscard]] Duration typical() const { return this->Typical; }
+
+private:
+  void noteOpening(LinkOpening How);
+  void dropIdle();
+  void onLinkClosed();
+
+  boost::asio::any_io_executor On;
+  RegisteredMember Member;
+  MemberPortOptions Options;
+  ConnectionAllowance Allowance;
+  std::vector<std::shared_ptr<MemberLink>> Idle;
+  /// Links idle, in use and being opened.
+  std::size_t Open = 0;
+  std::size_t InFlight = 0;
+  std::uint64_t Opened = 0;
+  Duration Typical;
+  std::optional<TermPosition> Reached;
+  Duration ShortPause{0};
+  TimePoint ShortUntil;
+  TimePoint PausedUntil;
+  Duration Pause{0};
+  std::uint32_t Failures = 0;
+  std::optional<TimePoint> AnsweredAt;
+  BootClock Clock;
+};
+
+} // namespace turmericpitch
--- a/drivers/PlatformClient.h
+++ b/drivers/PlatformClient.h
@@ -2,10 +2,9 @@
 #pragma once
 
 #include "core/KeyValue.h"
-#include "drivers/HttpConnection.h"
+#include "drivers/HttpCaller.h"
 
 #include <atomic>
-#include <mutex>
 
 namespace turmericpitch {
 
@@ -33,17 +32,15 @@
                           std::function<bool(const WatchBatch &)> OnBatch);
 
   /// Calls made since the start, each watch counted once.
-  [[nodiscard]] std::uint64_t calls() const { return this->Calls; }
+  [[nodiscard]] std::uint64_t calls() const {
+    return this->Caller.calls() + this->Watches;
+  }
 
 private:
-  std::shared_ptr<HttpConnection> takeIdle();
-  void giveBack(std::shared_ptr<HttpConnection> Connection);
-
   Executor On;
   PlatformClientOptions Options;
-  std::atomic<std::uint64_t> Calls = 0;
-  std::mutex Guard;
-  std::vector<std::shared_ptr<HttpConnection>> Idle;
+  HttpCaller Caller;
+  std::atomic<std::uint64_t> Watches = 0;
 };
 
 } // namespace turmericpitch
--- /dev/null
+++ b/drivers/SessionServer.cpp
@@ -0,0 +1,103 @@
+#include "drivers/SessionServer.h"
+
+#include "core/DecisionLog.h"
+#include "drivers/CallerSession.h"
+
+#include <boost/asio/post.hpp>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+
+SessionServer::SessionServer(asio::any_io_executor On,
+                             SessionServerOptions Options,
+                             const RouteController &Routes,
+                             StatementDispatcher &Dispatcher)
+    : On(On), Options(std::move(Options)), Routes(Routes),
+      Dispatcher(Dispatcher), Acceptor(On) {}
+
+SessionServer::~SessionServer() = default;
+
+Status SessionServer::start() {
+  ErrorCode Failure;
+  asio::ip::tcp::endpoint Where(
+      asio::ip::make_address(this->Options.Listen.Address, Failure),
+      this->Options.Listen.Port);
+  if (!Failure)
+    this->Acceptor.open(Where.protocol(), Failure);
+  if (!Failure)
+    this->Acceptor.set_option(asio::socket_base::reuse_address(true), Failure);
+  if (!Failure)
+    this->Acceptor.bind(Where, Failure);
+  if (!Failure)
+    this->Acceptor.listen(this->Options.Backlog, Failure);
+  if (Failure)
+    return Error{.Kind = ErrorKind::Unavailable,
+                 .Message = "can't listen on " + toString(this->Options.Listen) +
+                            ": " + Failure.message(),
+                 .Remedy = "free the address or set another one"};
+  this->accept();
+  return std::monostate{};
+}
+
+void SessionServer::accept() {
+  this->Acceptor.async_accept(
+      [this](const ErrorCode &Failure, asio::ip::tcp::socket Connected) {
+        if (Failure == asio::error::operation_aborted)
+          return;
+        if (Failure)
+          writeWarning("event=accept_failed reason=\"" + Failure.message() +
+                       "\"");
+        else
+          this->onAccepted(std::move(Connected));
+        this->accept();
+      });
+}
+
+void SessionServer::onAccepted(asio::ip::tcp::socket Connected) {
+  if (this->Sessions.size() >= this->Options.MaximumSessions) {
+    writeWarning("event=session_refused reason=\"too many sessions\"");
+    return;
+  }
+  auto Session =
+      std::make_shared<CallerSession>(*this, std::move(Connected));
+  this->Sessions.insert(Session);
+  Session->start();
+  // Sessions that come while the balancer has not noticed yet are served
+  // and end with their first operation.
+  if (this->Draining)
+    return;
+}
+
+void SessionServer::remove(const std::shared_ptr<CallerSession> &Session) {
+  // Called from within the session.
+  asio::post(this->On, [this, Session] { this->Sessions.erase(Session); });
+}
+
+void SessionServer::closeIdle() {
+  this->Draining = true;
+  auto All = this->Sessions;
+  for (const auto &Session : All)
+    Session->finishWhenIdle();
+}
+
+void SessionServer::endResting() {
+  auto All = this->Sessions;
+  for (const auto &Session : All)
+    Session->endResting();
+}
+
+void SessionServer::stopAccepting() {
+  ErrorCode Ignored;
+  this->Acceptor.close(Ignored);
+}
+
+std::size_t SessionServer::busySessions() const {
+  std::size_t Busy = 0;
+  for (const auto &Session : this->Sessions)
+    Busy += Session->busy() ? 1 : 0;
+  return Busy;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/StatementCall.h
@@ -0,0 +1,68 @@
+// One statement on its way through the proxy.
+#pragma once
+
+#include "configuration/RouteTable.h"
+#include "drivers/MemberLink.h"
+#include "limits/WaitQueue.h"
+#include "session/SessionState.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace turmericpitch {
+
+class MemberPort;
+
+/// What the parts of the proxy share about one caller's session.
+struct SessionContext {
+  SessionState State;
+  /// The route of the present operation.
+  RouteRule Route;
+  /// The link that carries the open transaction, if one does.
+  std::shared_ptr<MemberLink> Pinned;
+  std::shared_ptr<MemberPort> PinnedPort;
+  /// The reign that the transaction's primary belongs to; 0 at a replica.
+  std::uint64_t PinnedReign = 0;
+};
+
+/// Not thread-safe.
+struct StatementCall {
+  using ReplyHandler = std::function<void(StatementReply)>;
+
+  explicit StatementCall(const boost::asio::any_io_executor &On)
+      : Timer(On) {}
+
+  std::shared_ptr<SessionContext> Session;
+  Statement Asked;
+  WaitTerms Terms;
+  ReplyHandler OnReply;
+
+  /// Only the primary will do.
+  bool NeedsPrimary = false;
+  /// Running it may have a lasting effect.
+  bool LastingEffect = false;
+  /// Members tried in vain.
+  std::vector<UpstreamId> Excluded;
+  std::uint32_t Attempts = 0;
+
+  /// The present attempt.
+  std::shared_ptr<MemberLink> Link;
+  std::shared_ptr<MemberPort> Port;
+  std::uint64_t Reign = 0;
+  std::optional<TermPosition> AtLeast;
+  std::deque<FittingStep> Steps;
+  /// Counted among the statements at the member.
+  bool Counted = false;
+  /// The caller's own text is with the member.
+  bool Sent = false;
+  TimePoint SentAt;
+
+  boost::asio::steady_timer Timer;
+  bool Over = false;
+};
+
+using SharedCall = std::shared_ptr<StatementCall>;
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/StatementDispatcher.cpp
@@ -0,0 +1,653 @@
+#include "drivers/StatementDispatcher.h"
+
+#include "core/DecisionLog.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::int64_t inMilliseconds(Duration Length) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
+}
+
+std::string positionText(const std::optional<TermPosition> &Position) {
+  if (!Position)
+    return "none";
+  return std::to_string(Position->WrittenIn.Value) + "." +
+         std::to_string(Position->Position.Value);
+}
+
+/// What a replica's log must reach for the statement; nothing if no sample
+/// proves any position enough.
+std::optional<TermPosition> replicaNeed(const ServiceDesk &Desk,
+                                        const StatementCall &Call) {
+  const RouteRule &Route = Call.Session->Route;
+  auto Needed =
+      Desk.Freshness.positionFor(Route.MaximumAge, Call.Terms.ArrivedAt);
+  const auto &Written = Call.Session->State.written();
+  if (Route.Level != Consistency::ReadYourWrites || !Written || !Needed)
+    return Needed;
+  auto Own = Desk.Freshness.positionFor(*Written);
+  if (!Own)
+    return std::nullopt;
+  return std::max(*Needed, *Own);
+}
+
+/// Counts the statement among those at its member.
+void countIn(StatementCall &Call) {
+  if (Call.Counted)
+    return;
+  Call.Counted = true;
+  Call.Port->onStatementSent();
+}
+
+/// The statement is no longer at its member. Took: set if it ran.
+void settle(StatementCall &Call, std::optional<Duration> Took) {
+  if (!Call.Counted)
+    return;
+  Call.Counted = false;
+  Call.Port->onStatementOver(Took);
+}
+
+} // namespace
+
+StatementDispatcher::StatementDispatcher(asio::any_io_executor On,
+                                         StatementDispatcherOptions Options,
+                                         RightLookup RightOf)
+    : On(On), Options(std::move(Options)), RightOf(std::move(RightOf)),
+      WakeTimer(On) {}
+
+std::uint64_t StatementDispatcher::linksOpened() const {
+  std::uint64_t Sum = 0;
+  for (const auto &[Id, Desk] : this->Desks)
+    for (const auto &[Member, Port] : Desk.Ports)
+      Sum += Port->linksOpened();
+  return Sum;
+}
+
+bool StatementDispatcher::holdsRight(const ServiceId &Service,
+                                     std::uint64_t Reign) const {
+  auto Right = this->RightOf(Service);
+  return Right && Right->Reign == Reign && Right->Until > this->Clock.now();
+}
+
+void StatementDispatcher::onRegistry(const RegistryChange &Change,
+                                     const RouteController &Routes,
+                                     std::size_t Instances) {
+  auto AllowanceOf = [&](const ServiceId &Service) {
+    const ServiceRule *Rule = Routes.service(Service);
+    return ConnectionAllowanceOptions{
+        .MemberLimit = Rule ? Rule->MaximumConnections : 1,
+        .Instances = Instances};
+  };
+  auto Update = [&](const RegisteredMember &Member) {
+    ServiceDesk &Desk = this->Desks[Member.Service];
+    Desk.Id = Member.Service;
+    auto Found = Desk.Ports.find(Member.Id);
+    if (Found != Desk.Ports.end())
+      return Found->second->onEntryChanged(Member);
+    Desk.Ports.emplace(Member.Id,
+                       std::make_shared<MemberPort>(
+                           this->On, Member, AllowanceOf(Member.Service)));
+  };
+  std::for_each(Change.Joined.begin(), Change.Joined.end(), Update);
+  std::for_each(Change.Changed.begin(), Change.Changed.end(), Update);
+  for (const RegisteredMember &Member : Change.Left)
+    this->Desks[Member.Service].Ports.erase(Member.Id);
+  for (auto &[Service, Desk] : this->Desks)
+    for (auto &[Id, Port] : Desk.Ports)
+      Port->setAllowance(AllowanceOf(Service));
+}
+
+void StatementDispatcher::submit(const SharedCall &Call) {
+  SessionContext &Session = *Call->Session;
+  const SessionState &State = Session.State;
+  bool Strong = Session.Route.Level == Consistency::Strong;
+  Call->NeedsPrimary = Strong || State.mayWrite(Call->Asked);
+  Call->LastingEffect = State.inTransaction()
+                            ? Call->Asked.Kind == StatementKind::Commit &&
+                                  !State.onlyReads()
+                            : State.isWrite(Call->Asked);
+  Duration Left = Call->Terms.Deadline - this->Clock.now();
+  Call->Timer.expires_after(Left);
+  Call->Timer.async_wait(
+      [this, Call](const boost::system::error_code &Failure) {
+        if (!Failure)
+          this->onDeadline(Call);
+      });
+  if (!Session.Pinned)
+    return this->enqueue(Call);
+  Call->Link = Session.Pinned;
+  Call->Port = Session.PinnedPort;
+  Call->Reign = Session.PinnedReign;
+  if (!Call->Link->idle())
+    return this->onLost(Call);
+  this->startOnLink(Call);
+}
+
+void StatementDispatcher::enqueue(const SharedCall &Call) {
+  ServiceDesk &Desk = this->Desks[Call->Session->Route.Service];
+  Desk.Id = Call->Session->Route.Service;
+  if (Desk.Queue.empty() && this->tryPlace(Desk, Call))
+    return;
+  Desk.Queue.push(Call, Call->Terms);
+  this->serve(Desk);
+}
+
+void StatementDispatcher::wakeSoon() {
+  if (this->WakeSet)
+    return;
+  this->WakeSet = true;
+  this->WakeTimer.expires_after(this->Options.WakeInterval);
+  this->WakeTimer.async_wait([this](const boost::system::error_code &Failure) {
+    this->WakeSet = false;
+    if (Failure)
+      return;
+    for (auto &[Id, Desk] : this->Desks)
+      this->serve(Desk);
+  });
+}
+
+void StatementDispatcher::serve(ServiceDesk &Desk) {
+  if (Desk.Serving || Desk.Queue.empty())
+    return;
+  Desk.Serving = true;
+  Desk.Queue.serve(this->Clock.now(), [&](const SharedCall &Call) {
+    return Call->Over || this->tryPlace(Desk, Call);
+  });
+  Desk.Serving = false;
+  if (!Desk.Queue.empty())
+    this->wakeSoon();
+}
+
+bool StatementDispatcher::tryPlace(ServiceDesk &Desk, const SharedCall &Call) {
+  TimePoint Now = this->Clock.now();
+  auto Right = this->RightOf(Desk.Id);
+  if (Right && Right->Until <= Now)
+    Right.reset();
+  std::vector<MemberCandidate> Candidates;
+  std::vector<std::shared_ptr<MemberPort>> Ports;
+  for (const auto &[Id, Port] : Desk.Ports) {
+    MemberCandidate Each = Port->candidate(this->Options.Zone, Now);
+    Each.UsablePrimary = Right && Right->Primary == Id;
+    Each.Primary =
+        Each.UsablePrimary || Port->member().Role == MemberRole::Primary;
+    Each.Excluded =
+        Each.Excluded || std::find(Call->Excluded.begin(), Call->Excluded.end(),
+                                   Id) != Call->Excluded.end();
+    Candidates.push_back(std::move(Each));
+    Ports.push_back(Port);
+  }
+  PlacementNeed Need{.Primary = Call->NeedsPrimary,
+                     .AtLeast = replicaNeed(Desk, *Call)};
+  Placement Chosen =
+      placeStatement(Candidates, Need, this->Options.Placing, Now);
+  if (Chosen.Verdict == PlacementVerdict::Wait)
+    return false;
+  if (Chosen.Verdict == PlacementVerdict::NoMember) {
+    if (Now - Call->Terms.ArrivedAt < this->Options.NoMemberPatience &&
+        Call->Excluded.size() < Ports.size())
+      return false;
+    this->refuse(Call, ReplyError::Busy,
+                 Call->NeedsPrimary ? "no primary at present"
+                                    : "no member recent enough at present",
+                 this->Options.ComeBackAfter);
+    return true;
+  }
+  bool AtPrimary = Candidates[Chosen.Index].UsablePrimary;
+  Call->AtLeast = AtPrimary ? std::nullopt : Need.AtLeast;
+  this->startAt(Call, Ports[Chosen.Index],
+                AtPrimary ? Right : std::nullopt);
+  return true;
+}
+
+void StatementDispatcher::startAt(const SharedCall &Call,
+                                  const std::shared_ptr<MemberPort> &Port,
+                                  const std::optional<PrimaryRight> &Right) {
+  Call->Port = Port;
+  Call->Reign = Right ? Right->Reign : 0;
+  ++Call->Attempts;
+  countIn(*Call);
+  Call->Link = Port->takeIdle(Call->Session->State.values());
+  if (Call->Link)
+    return this->startOnLink(Call);
+  Call->Link = Port->openLink([this, Call](LinkOpening How) {
+    if (How == LinkOpening::Opened) {
+      if (Call->Over)
+        return this->releaseLink(Call);
+      return this->startOnLink(Call);
+    }
+    Call->Link.reset();
+    settle(*Call, std::nullopt);
+    if (Call->Over)
+      return;
+    this->retry(Call, How != LinkOpening::RefusedAtLimit);
+  });
+}
+
+void StatementDispatcher::startOnLink(const SharedCall &Call) {
+  const PreparedStatement *Prepared =
+      Call->Asked.Kind == StatementKind::Execute
+          ? Call->Session->State.prepared(Call->Asked.Name)
+          : nullptr;
+  auto Steps = Call->Link->Fitted.stepsFor(Call->Session->State.values(),
+                                           Prepared, this->Names);
+  Call->Steps.assign(Steps.begin(), Steps.end());
+  Call->Sent = false;
+  this->next(Call);
+}
+
+void StatementDispatcher::next(const SharedCall &Call) {
+  if (!Call->Link->idle())
+    return this->onLost(Call);
+  if (!Call->Steps.empty()) {
+    FittingStep Step = std::move(Call->Steps.front());
+    Call->Steps.pop_front();
+    return this->sendStep(Call, Step);
+  }
+  if (Call->Session->State.transaction() == SessionTransaction::Opened)
+    return this->sendBegin(Call);
+  this->sendStatement(Call);
+}
+
+void StatementDispatcher::sendStep(const SharedCall &Call,
+                                   const FittingStep &Step) {
+  Call->Link->run(encodeFitting(Step),
+                  [this, Call, Step](Outcome<StatementReply> Reply) {
+                    if (!Reply || Reply.value().Failure)
+                      return this->onLost(Call);
+                    Call->Link->Fitted.onStepDone(Step);
+                    if (Call->Over)
+                      return this->releaseLink(Call);
+                    this->next(Call);
+                  });
+}
+
+void StatementDispatcher::sendBegin(const SharedCall &Call) {
+  if (Call->Reign != 0 &&
+      !this->holdsRight(Call->Session->Route.Service, Call->Reign)) {
+    this->releaseLink(Call);
+    return this->retry(Call, false);
+  }
+  Call->Link->run(
+      encodeBegin(Call->Session->State.onlyReads(), Call->AtLeast),
+      [this, Call](Outcome<StatementReply> Reply) {
+        if (!Reply)
+          return this->onLost(Call);
+        if (Call->Over)
+          return this->releaseLink(Call);
+        if (Reply.value().Failure) {
+          ReplyFailure Failure = *Reply.value().Failure;
+          return this->onFailure(Call, Failure, std::move(Reply.value()));
+        }
+        SessionContext &Session = *Call->Session;
+        Session.State.onTransactionStarted();
+        Session.Pinned = Call->Link;
+        Session.PinnedPort = Call->Port;
+        Session.PinnedReign = Call->Reign;
+        // From here on the transaction holds the link; the statement counts
+        // for its own time only.
+        this->sendStatement(Call);
+      });
+}
+
+void StatementDispatcher::sendStatement(const SharedCall &Call) {
+  SessionContext &Session = *Call->Session;
+  const ServiceId &Service = Session.Route.Service;
+  bool Running = Session.State.transaction() == SessionTransaction::Running;
+  if (Call->Reign != 0 && !Running && !this->holdsRight(Service, Call->Reign)) {
+    this->releaseLink(Call);
+    return this->retry(Call, false);
+  }
+  std::optional<std::string> PreparedAs;
+  if (Call->Asked.Kind == StatementKind::Execute)
+    PreparedAs =
+        this->Names.nameOf(*Session.State.prepared(Call->Asked.Name));
+  countIn(*Call);
+  Call->Sent = true;
+  Call->SentAt = this->Clock.now();
+  Call->Link->run(
+      encodeForMember(Call->Asked, PreparedAs,
+                      Running ? std::nullopt : Call->AtLeast),
+      [this, Call](Outcome<StatementReply> Reply) {
+        this->onReply(Call, std::move(Reply));
+      });
+}
+
+void StatementDispatcher::noteReply(const SharedCall &Call,
+                                    const StatementReply &Reply) {
+  TimePoint Now = this->Clock.now();
+  Call->Port->onAnswered(Now);
+  if (!Reply.Position)
+    return;
+  Call->Port->onReached(*Reply.Position);
+  const ServiceId &Service = Call->Session->Route.Service;
+  if (Call->Reign == 0)
+    return;
+  // A right that holds now for the same reign held when the statement went.
+  if (this->holdsRight(Service, Call->Reign))
+    this->Desks[Service].Freshness.onPrimaryAnswer(Call->Reign, *Reply.Position,
+                                                   Call->SentAt);
+}
+
+void StatementDispatcher::onReply(const SharedCall &Call,
+                                  Outcome<StatementReply> Reply) {
+  TimePoint Now = this->Clock.now();
+  bool Answered = Reply.hasValue();
+  settle(*Call, Answered && !Reply.value().Failure
+                    ? std::optional<Duration>(Now - Call->SentAt)
+                    : std::nullopt);
+  if (!Answered)
+    return this->onLost(Call);
+  this->noteReply(Call, Reply.value());
+  if (Call->Over) {
+    if (Call->Session->Pinned != Call->Link)
+      this->releaseLink(Call);
+    return;
+  }
+  if (Reply.value().Failure) {
+    ReplyFailure Failure = *Reply.value().Failure;
+    return this->onFailure(Call, Failure, std::move(Reply.value()));
+  }
+  SessionContext &Session = *Call->Session;
+  bool Ends = Call->Asked.Kind == StatementKind::Commit;
+  if (Ends)
+    this->endTransaction(Call, false);
+  else if (!Session.Pinned)
+    this->releaseLink(Call);
+  if (!Call->LastingEffect)
+    return this->deliver(Call, std::move(Reply.value()));
+  this->confirmOrHold(Call, std::move(Reply.value()));
+}
+
+void StatementDispatcher::confirmOrHold(const SharedCall &Call,
+                                        StatementReply Reply) {
+  const ServiceId &Service = Call->Session->Route.Service;
+  if (this->holdsRight(Service, Call->Reign)) {
+    if (Reply.Position)
+      Call->Session->State.onWritten(
+          {.Reign = Call->Reign, .Entry = *Reply.Position});
+    return this->deliver(Call, std::move(Reply));
+  }
+  writeDecision(DecisionLine("hold_acknowledgement")
+                    .field("request", Call->Asked.Id)
+                    .field("service", Service.Value)
+                    .field("reign", Call->Reign)
+                    .field("reason", "right to the primary ran out"));
+  this->Held.push_back(
+      {.Call = Call,
+       .Reply = std::move(Reply),
+       .Reign = Call->Reign,
+       .GivenUpAt = std::min(Call->Terms.Deadline,
+                             this->Clock.now() +
+                                 this->Options.ConfirmationLimit)});
+}
+
+void StatementDispatcher::onRightsChanged() {
+  std::vector<Unconfirmed> Waiting = std::move(this->Held);
+  this->Held.clear();
+  for (Unconfirmed &Each : Waiting) {
+    if (Each.Call->Over)
+      continue;
+    const ServiceId &Service = Each.Call->Session->Route.Service;
+    auto Right = this->RightOf(Service);
+    bool Superseded = Right && Right->Reign != Each.Reign;
+    if (this->holdsRight(Service, Each.Reign))
+      this->confirmOrHold(Each.Call, std::move(Each.Reply));
+    else if (Superseded || this->Clock.now() >= Each.GivenUpAt)
+      this->refuse(Each.Call, ReplyError::InDoubt,
+                   "the primary may have been replaced", Duration{0});
+    else
+      this->Held.push_back(std::move(Each));
+  }
+  for (auto &[Id, Desk] : this->Desks)
+    this->serve(Desk);
+}
+
+void StatementDispatcher::onFailure(const SharedCall &Call,
+                                    const ReplyFailure &Failure,
+                                    StatementReply Reply) {
+  TimePoint Now = this->Clock.now();
+  SessionContext &Session = *Call->Session;
+  bool Running = Session.State.transaction() == SessionTransaction::Running;
+  bool NotRun = provesMemberDidNotRun(Failure.Code);
+  if (Failure.Code == ReplyError::Lagging)
+    Call->Port->onShort(Now);
+  if (Failure.Code == ReplyError::Busy)
+    Call->Port->onBusy(Now);
+  if (!Running) {
+    this->releaseLink(Call);
+    if (NotRun)
+      return this->retry(Call, false);
+    return this->deliver(Call, std::move(Reply));
+  }
+  bool Open = Reply.Mark == TransactionMark::Open;
+  if (Failure.Code == ReplyError::Busy && Open &&
+      Call->Terms.Deadline - Now > 2 * this->Options.WakeInterval) {
+    auto Again = std::make_shared<asio::steady_timer>(
+        this->On, this->Options.WakeInterval);
+    Again->async_wait([this, Call, Again](const boost::system::error_code &) {
+      if (Call->Over)
+        return;
+      if (!Call->Link->idle())
+        return this->onLost(Call);
+      this->sendStatement(Call);
+    });
+    return;
+  }
+  bool Ends = Call->Asked.Kind == StatementKind::Commit;
+  if (Ends || !Open || provesNotKept(Failure.Code))
+    this->endTransaction(Call, !Ends);
+  this->deliver(Call, std::move(Reply));
+}
+
+void StatementDispatcher::endTransaction(const SharedCall &Call, bool Failed) {
+  SessionContext &Session = *Call->Session;
+  if (Failed)
+    Session.State.onTransactionFailed();
+  else
+    Session.State.onTransactionEnded();
+  this->rollBack(Call->Session);
+}
+
+void StatementDispatcher::onLost(const SharedCall &Call) {
+  SessionContext &Session = *Call->Session;
+  bool Running = Session.State.transaction() == SessionTransaction::Running;
+  bool Sent = Call->Sent;
+  this->releaseLink(Call);
+  Call->Port->onUnanswered(this->Clock.now());
+  if (Call->Over)
+    return;
+  if (Sent && Call->LastingEffect) {
+    if (Running)
+      this->endTransaction(Call, false);
+    return this->refuse(Call, ReplyError::InDoubt,
+                        "the member's connection ended before its answer",
+                        Duration{0});
+  }
+  if (!Running)
+    return this->retry(Call, true);
+  this->endTransaction(Call, Call->Asked.Kind != StatementKind::Commit);
+  this->refuse(Call, ReplyError::Aborted,
+               "the transaction's connection to its member ended",
+               this->Options.ComeBackAfter);
+}
+
+void StatementDispatcher::retry(const SharedCall &Call, bool ExcludeMember) {
+  // The only primary is not excluded: it may be the one that answers next.
+  if (ExcludeMember && Call->Reign == 0)
+    Call->Excluded.push_back(Call->Port->member().Id);
+  Call->Link.reset();
+  Call->Sent = false;
+  writeDecision(DecisionLine("retry")
+                    .field("request", Call->Asked.Id)
+                    .field("member", Call->Port->member().Id.Value)
+                    .field("attempts", Call->Attempts));
+  if (Call->Attempts >= this->Options.MostAttempts)
+    return this->refuse(Call, ReplyError::Busy, "no attempt succeeded",
+                        this->Options.ComeBackAfter);
+  ServiceDesk &Desk = this->Desks[Call->Session->Route.Service];
+  Desk.Queue.push(Call, Call->Terms);
+  this->wakeSoon();
+  this->serve(Desk);
+}
+
+void StatementDispatcher::releaseLink(const SharedCall &Call) {
+  settle(*Call, std::nullopt);
+  if (!Call->Link)
+    return;
+  auto Link = std::move(Call->Link);
+  Call->Link.reset();
+  if (Call->Session->Pinned == Link) {
+    Call->Session->Pinned.reset();
+    Call->Session->PinnedPort.reset();
+  }
+  Call->Port->giveBack(Link, this->Clock.now());
+  asio::post(this->On, [this, Service = Call->Session->Route.Service] {
+    this->serve(this->Desks[Service]);
+  });
+}
+
+void StatementDispatcher::rollBack(
+    const std::shared_ptr<SessionContext> &Session) {
+  auto Link = std::move(Session->Pinned);
+  auto Port = std::move(Session->PinnedPort);
+  Session->Pinned.reset();
+  Session->PinnedPort.reset();
+  if (!Link)
+    return;
+  if (!Link->idle() || Link->mark() == TransactionMark::None)
+    return Port->giveBack(Link, this->Clock.now());
+  Link->run(encodeRollback(),
+            [this, Link, Port](const Outcome<StatementReply> &) {
+              Port->giveBack(Link, this->Clock.now());
+            });
+}
+
+void StatementDispatcher::abandon(const SharedCall &Call) {
+  Call->Over = true;
+  Call->Timer.cancel();
+}
+
+void StatementDispatcher::onDeadline(const SharedCall &Call) {
+  if (Call->Over)
+    return;
+  bool Waiting = !Call->Link;
+  bool Running =
+      Call->Session->State.transaction() == SessionTransaction::Running;
+  if (Call->Sent || Running) {
+    bool Doubt = Call->Sent && Call->LastingEffect;
+    if (Running) {
+      if (Call->Link)
+        Call->Link->close();
+      this->endTransaction(Call, Call->Asked.Kind != StatementKind::Commit);
+    } else if (Call->Link) {
+      Call->Link->close();
+    }
+    return this->refuse(Call,
+                        Doubt ? ReplyError::InDoubt : ReplyError::TimedOut,
+                        "the member did not answer in time", Duration{0});
+  }
+  this->refuse(Call, ReplyError::Busy,
+               Waiting ? "no member was free in time"
+                       : "no connection was ready in time",
+               this->Options.ComeBackAfter);
+}
+
+void StatementDispatcher::refuse(const SharedCall &Call, ReplyError Code,
+                                 std::string_view Reason,
+                                 Duration ComeBackAfter) {
+  StatementReply Reply;
+  std::string Text(Reason);
+  if (provesNotKept(Code))
+    Text += "; not run, come back after " +
+            std::to_string(inMilliseconds(ComeBackAfter)) + " ms";
+  Reply.Failure =
+      ReplyFailure{.Code = Code, .Spelled = {}, .Text = std::move(Text)};
+  if (Call->Asked.Kind == StatementKind::Commit)
+    Call->Session->State.onTransactionEnded();
+  else
+    Call->Session->State.onTransactionFailed();
+  this->deliver(Call, std::move(Reply));
+}
+
+void StatementDispatcher::deliver(const SharedCall &Call,
+                                  StatementReply Reply) {
+  if (Call->Over)
+    return;
+  Call->Over = true;
+  Call->Timer.cancel();
+  Reply.Mark = Call->Session->State.mark();
+  if (Reply.Failure) {
+    const SessionContext &Session = *Call->Session;
+    writeDecision(
+        DecisionLine("reply")
+            .field("request", Call->Asked.Id)
+            .field("route", Session.Route.Name)
+            .field("service", Session.Route.Service.Value)
+            .field("outcome", toString(Reply.Failure->Code))
+            .field("reason", Reply.Failure->Text)
+            .field("member",
+                   Call->Port ? Call->Port->member().Id.Value : "none")
+            .field("reign", Call->Reign)
+            .field("at_least", positionText(Call->AtLeast))
+            .field("attempts", Call->Attempts)
+            .field("took_ms",
+                   inMilliseconds(this->Clock.now() - Call->Terms.ArrivedAt)));
+  }
+  Call->OnReply(std::move(Reply));
+}
+
+void StatementDispatcher::maintain() {
+  TimePoint Now = this->Clock.now();
+  for (auto &[Id, Desk] : this->Desks) {
+    for (auto &[Member, Port] : Desk.Ports)
+      Port->closeExtraIdle(Now);
+    this->askForSample(Desk, Now);
+  }
+  this->onRightsChanged();
+}
+
+void StatementDispatcher::askForSample(ServiceDesk &Desk, TimePoint Now) {
+  auto Right = this->RightOf(Desk.Id);
+  auto Newest = Desk.Freshness.newestAskedAt();
+  bool Recent = Newest && Desk.Freshness.reign() == (Right ? Right->Reign : 0) &&
+                Now - *Newest < this->Options.SampleLimit;
+  if (!Right || Right->Until <= Now || Recent ||
+      Now - Desk.SampleAskedAt < this->Options.SampleLimit)
+    return;
+  auto Found = Desk.Ports.find(Right->Primary);
+  if (Found == Desk.Ports.end() || Now < Found->second->pausedUntil())
+    return;
+  Desk.SampleAskedAt = Now;
+  auto Port = Found->second;
+  std::uint64_t Reign = Right->Reign;
+  auto Ask = [this, Port, Reign, Service = Desk.Id](
+                 const std::shared_ptr<MemberLink> &Link) {
+    TimePoint AskedAt = this->Clock.now();
+    Link->run(encodeStatusQuestion(), [=, this](Outcome<StatementReply> Reply) {
+      Port->giveBack(Link, this->Clock.now());
+      if (!Reply)
+        return Port->onUnanswered(this->Clock.now());
+      Port->onAnswered(this->Clock.now());
+      if (Reply.value().Position && this->holdsRight(Service, Reign))
+        this->Desks[Service].Freshness.onPrimaryAnswer(
+            Reign, *Reply.value().Position, AskedAt);
+    });
+  };
+  if (auto Link = Port->takeIdle({}))
+    return Ask(Link);
+  auto Opening = std::make_shared<std::shared_ptr<MemberLink>>();
+  *Opening = Port->openLink([Ask, Opening](LinkOpening How) {
+    auto Link = std::move(*Opening);
+    if (How == LinkOpening::Opened)
+      Ask(Link);
+  });
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/StatementDispatcher.h
@@ -0,0 +1,124 @@
+// Carries statements of sessions to members.
+#pragma once
+
+#include "configuration/RouteTable.h"
+#include "drivers/MemberPort.h"
+#include "drivers/StatementCall.h"
+#include "failover/PrimaryRight.h"
+#include "routing/FreshnessTracker.h"
+#include "routing/MemberRegistry.h"
+
+#include <map>
+
+namespace turmericpitch {
+
+struct StatementDispatcherOptions {
+  ZoneId Zone;
+  PlacementOptions Placing = {};
+  /// Attempts at members for one statement.
+  std::uint32_t MostAttempts = 6;
+  /// How long the answer to a write waits for the right to the primary to be
+  /// renewed once it has run out.
+  Duration ConfirmationLimit = std::chrono::milliseconds(1500);
+  /// How long a statement waits where no member can take it at present.
+  Duration NoMemberPatience = std::chrono::milliseconds(300);
+  /// What a refused caller is told to wait.
+  Duration ComeBackAfter = std::chrono::milliseconds(100);
+  /// How often waiting statements are looked at while no reply comes in.
+  Duration WakeInterval = std::chrono::milliseconds(10);
+  /// A primary that was not heard for this long is asked for its position,
+  /// so that replicas can go on serving reads of a stated age.
+  Duration SampleLimit = std::chrono::milliseconds(500);
+};
+
+/// One service as the dispatcher keeps it.
+struct ServiceDesk {
+  ServiceId Id;
+  std::map<UpstreamId, std::shared_ptr<MemberPort>> Ports;
+  WaitQueue<SharedCall> Queue;
+  FreshnessTracker Freshness;
+  TimePoint SampleAskedAt;
+  bool Serving = false;
+};
+
+/// Belongs to one thread's executor.
+class StatementDispatcher {
+public:
+  /// The right to a service's primary at present; nothing while there is
+  /// none.
+  using RightLookup =
+      std::function<std::optional<PrimaryRight>(const ServiceId &)>;
+
+  StatementDispatcher(boost::asio::any_io_executor On,
+                      StatementDispatcherOptions Options, RightLookup RightOf);
+
+  /// Runs a statement that a member must run; OnReply runs once, maybe at
+  /// once.
+  void submit(const SharedCall &Call);
+  /// The caller has gone: the statement is not run if it waits, and no reply
+  /// is given.
+  void abandon(const SharedCall &Call);
+  /// Rolls back the session's transaction at its member, if one is open.
+  void rollBack(const std::shared_ptr<SessionContext> &Session);
+
+  /// Takes over what the members' list and the routes say.
+  void onRegistry(const RegistryChange &Change, const RouteController &Routes,
+                  std::size_t Instances);
+  /// Rights have changed: what waits for one is looked at again.
+  void onRightsChanged();
+  /// Closes idle links and asks for samples; call about ten times a second.
+  void maintain();
+
+  [[nodiscard]] const std::map<ServiceId, ServiceDesk> &desks() const {
+    return this->Desks;
+  }
+  [[nodiscard]] std::uint64_t linksOpened() const;
+
+private:
+  struct Unconfirmed {
+    SharedCall Call;
+    StatementReply Reply;
+    std::uint64_t Reign = 0;
+    TimePoint GivenUpAt;
+  };
+
+  void enqueue(const SharedCall &Call);
+  void serve(ServiceDesk &Desk);
+  bool tryPlace(ServiceDesk &Desk, const SharedCall &Call);
+  void startAt(const SharedCall &Call, const std::shared_ptr<MemberPort> &Port,
+               const std::optional<PrimaryRight> &Right);
+  void startOnLink(const SharedCall &Call);
+  void next(const SharedCall &Call);
+  void sendStep(const SharedCall &Call, const FittingStep &Step);
+  void sendBegin(const SharedCall &Call);
+  void sendStatement(const SharedCall &Call);
+  void onReply(const SharedCall &Call, Outcome<StatementReply> Reply);
+  void onFailure(const SharedCall &Call, const ReplyFailure &Failure,
+                 StatementReply Reply);
+  void onLost(const SharedCall &Call);
+  void retry(const SharedCall &Call, bool ExcludeMember);
+  void releaseLink(const SharedCall &Call);
+  void onDeadline(const SharedCall &Call);
+  void refuse(const SharedCall &Call, ReplyError Code, std::string_view Reason,
+              Duration ComeBackAfter);
+  void deliver(const SharedCall &Call, StatementReply Reply);
+  void confirmOrHold(const SharedCall &Call, StatementReply Reply);
+  void endTransaction(const SharedCall &Call, bool Failed);
+  [[nodiscard]] bool holdsRight(const ServiceId &Service,
+                                std::uint64_t Reign) const;
+  void noteReply(const SharedCall &Call, const StatementReply &Reply);
+  void askForSample(ServiceDesk &Desk, TimePoint Now);
+  void wakeSoon();
+
+  boost::asio::any_io_executor On;
+  StatementDispatcherOptions Options;
+  RightLookup RightOf;
+  std::map<ServiceId, ServiceDesk> Desks;
+  std::vector<Unconfirmed> Held;
+  PreparedNames Names;
+  boost::asio::steady_timer WakeTimer;
+  bool WakeSet = false;
+  BootClock Clock;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/StoreClient.cpp
@@ -0,0 +1,84 @@
+#include "drivers/StoreClient.h"
+
+namespace turmericpitch {
+
+StoreClient::StoreClient(const Executor &On, StoreClientOptions Options)
+    : Options(Options), Store(On, {.Service = Options.Store}),
+      Promotions(On, {.Service = Options.Promotions}) {}
+
+Awaitable<Outcome<std::vector<KeyValueEntry>>>
+StoreClient::readAll(std::string Prefix, ReadAge Age) {
+  std::vector<KeyValueEntry> All;
+  std::string After;
+  while (true) {
+    auto Reply = co_await this->Store.call(encodePageRead(Prefix, After, Age),
+                                           this->Options.CallLimit);
+    if (!Reply)
+      co_return Reply.error();
+    auto Page = decodePage(Reply.value());
+    if (!Page)
+      co_return Page.error();
+    for (KeyValueEntry &Each : Page.value().Entries)
+      All.push_back(std::move(Each));
+    if (!Page.value().More || All.empty())
+      co_return All;
+    After = All.back().Key;
+  }
+}
+
+Awaitable<Outcome<std::optional<KeyValueEntry>>>
+StoreClient::readKey(std::string Key) {
+  auto Reply =
+      co_await this->Store.call(encodeKeyRead(Key), this->Options.CallLimit);
+  if (!Reply)
+    co_return Reply.error();
+  co_return decodeKeyRead(Reply.value());
+}
+
+Awaitable<Outcome<WatchAnswer>>
+StoreClient::watch(std::string Prefix, Revision After,
+                   std::chrono::milliseconds Wait) {
+  auto Reply = co_await this->Store.call(encodeWatch(Prefix, After, Wait),
+                                         Wait + this->Options.WatchSlack);
+  if (!Reply)
+    co_return Reply.error();
+  co_return decodeWatch(Reply.value());
+}
+
+Awaitable<Outcome<CommitAnswer>>
+StoreClient::commit(TransactionRequest Request) {
+  auto Reply =
+      co_await this->Store.call(encodeCommit(Request), this->Options.CallLimit);
+  if (!Reply)
+    co_return Reply.error();
+  co_return decodeCommit(Reply.value());
+}
+
+Awaitable<Outcome<GrantedLease>>
+StoreClient::grantLease(std::chrono::milliseconds TimeToLive) {
+  auto Reply = co_await this->Store.call(encodeLeaseGrant(TimeToLive),
+                                         this->Options.CallLimit);
+  if (!Reply)
+    co_return Reply.error();
+  co_return decodeLeaseGrant(Reply.value());
+}
+
+Awaitable<Outcome<bool>> StoreClient::renewLease(LeaseId Lease) {
+  auto Reply = co_await this->Store.call(encodeLeaseRenewal(Lease),
+                                         this->Options.CallLimit);
+  if (!Reply)
+    co_return Reply.error();
+  co_return decodeLeaseRenewal(Reply.value());
+}
+
+Awaitable<Outcome<bool>> StoreClient::promote(PromotionOrder Order,
+                                              Duration Limit) {
+  auto Reply = co_await this->Promotions.call(encodePromotion(Order), Limit);
+  if (!Reply)
+    co_return Reply.error();
+  co_return decodePromotion(Reply.value());
+}
+
+std::uint64_t StoreClient::calls() const { return this->Store.calls(); }
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/StoreClient.h
@@ -0,0 +1,47 @@
+// The platform's key-value service, as an instance of the platform calls it.
+#pragma once
+
+#include "drivers/HttpCaller.h"
+#include "platform/StoreCalls.h"
+
+namespace turmericpitch {
+
+struct StoreClientOptions {
+  Endpoint Store;
+  Endpoint Promotions;
+  /// Limit for one call; the store answers in about 4 ms, in 400 ms when it
+  /// is a hundred times slower.
+  Duration CallLimit = std::chrono::milliseconds(1500);
+  /// Beyond the time a watch is asked to wait.
+  Duration WatchSlack = std::chrono::milliseconds(700);
+};
+
+/// Thread-safe. Errors of all calls: Unavailable, NotRun or Overloaded if
+/// nothing was done, OutcomeUnknown otherwise.
+class StoreClient {
+public:
+  StoreClient(const Executor &On, StoreClientOptions Options);
+
+  /// All entries below a prefix, page by page.
+  Awaitable<Outcome<std::vector<KeyValueEntry>>> readAll(std::string Prefix,
+                                                         ReadAge Age);
+  Awaitable<Outcome<std::optional<KeyValueEntry>>> readKey(std::string Key);
+  Awaitable<Outcome<WatchAnswer>> watch(std::string Prefix, Revision After,
+                                        std::chrono::milliseconds Wait);
+  Awaitable<Outcome<CommitAnswer>> commit(TransactionRequest Request);
+  Awaitable<Outcome<GrantedLease>>
+  grantLease(std::chrono::milliseconds TimeToLive);
+  Awaitable<Outcome<bool>> renewLease(LeaseId Lease);
+  /// Orders a promotion; false if the member isn't running.
+  Awaitable<Outcome<bool>> promote(PromotionOrder Order, Duration Limit);
+
+  /// Calls made since the start.
+  [[nodiscard]] std::uint64_t calls() const;
+
+private:
+  StoreClientOptions Options;
+  HttpCaller Store;
+  HttpCaller Promotions;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/failover/PrimaryRight.h
@@ -0,0 +1,23 @@
+// The right of an instance to use a service's primary.
+#pragma once
+
+#include "core/Identifiers.h"
+#include "core/Time.h"
+
+#include <cstdint>
+
+namespace turmericpitch {
+
+/// Until when it is certain that no other member was promoted. Immutable
+/// value.
+struct PrimaryRight {
+  /// Counts the primaries of a service; grows with each promotion.
+  std::uint64_t Reign = 0;
+  UpstreamId Primary;
+  /// By the clock that also counts a suspend.
+  TimePoint Until;
+
+  auto operator<=>(const PrimaryRight &) const = default;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/limits/WaitQueue.h
@@ -0,0 +1,96 @@
+// The order in which statements that wait for a member are served.
+#pragma once
+
+#include "core/Time.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace turmericpitch {
+
+/// When a waiting statement is of use to its caller. Immutable value.
+struct WaitTerms {
+  TimePoint ArrivedAt;
+  /// By when the caller wants the whole operation done.
+  TimePoint Goal;
+  /// When the statement is given up.
+  TimePoint Deadline;
+  /// 0 is the most urgent.
+  std::uint32_t Priority = 0;
+
+  bool operator==(const WaitTerms &) const = default;
+};
+
+/// Statements that wait, in the order that serves the most callers in time:
+/// first those that can still meet their goal, the nearest goal first; then
+/// those that are late already, by urgency and then the latest arrival
+/// first, as that one has the most of its time left. Not thread-safe.
+template <typename Item> class WaitQueue {
+public:
+  void push(Item Waiting, const WaitTerms &Terms) {
+    this->Waiting.push_back({.What = std::move(Waiting), .Terms = Terms});
+  }
+
+  /// Offers each waiting statement, best first, to Take, which returns
+  /// whether it took it; those taken leave the queue.
+  template <typename Callable> void serve(TimePoint Now, Callable &&Take) {
+    this->order(Now);
+    std::vector<Entry> Kept;
+    std::vector<Entry> All = std::move(this->Waiting);
+    this->Waiting.clear();
+    for (Entry &Each : All)
+      if (!Take(Each.What))
+        Kept.push_back(std::move(Each));
+    // Taking one may have pushed others.
+    for (Entry &Added : this->Waiting)
+      Kept.push_back(std::move(Added));
+    this->Waiting = std::move(Kept);
+  }
+
+  /// Removes and returns the statements for which Match holds.
+  template <typename Callable> std::vector<Item> extract(Callable &&Match) {
+    std::vector<Item> Found;
+    auto Last = std::stable_partition(
+        this->Waiting.begin(), this->Waiting.end(),
+        [&](const Entry &Each) { return !Match(Each.What, Each.Terms); });
+    for (auto It = Last; It != this->Waiting.end(); ++It)
+      Found.push_back(std::move(It->What));
+    this->Waiting.erase(Last, this->Waiting.end());
+    return Found;
+  }
+
+  [[nodiscard]] std::size_t size() const { return this->Waiting.size(); }
+  [[nodiscard]] bool empty() const { return this->Waiting.empty(); }
+
+private:
+  struct Entry {
+    Item What;
+    WaitTerms Terms;
+  };
+
+  void order(TimePoint Now) {
+    std::stable_sort(this->Waiting.begin(), this->Waiting.end(),
+                     [Now](const Entry &Left, const Entry &Right) {
+                       return precedes(Left.Terms, Right.Terms, Now);
+                     });
+  }
+  static bool precedes(const WaitTerms &Left, const WaitTerms &Right,
+                       TimePoint Now) {
+    bool LeftLate = Left.Goal <= Now;
+    bool RightLate = Right.Goal <= Now;
+    if (LeftLate != RightLate)
+      return RightLate;
+    if (!LeftLate)
+      return Left.Goal < Right.Goal;
+    if (Left.Priority != Right.Priority)
+      return Left.Priority < Right.Priority;
+    return Left.ArrivedAt > Right.ArrivedAt;
+  }
+
+  std::vector<Entry> Waiting;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/main/SessionDaemon.cpp
@@ -0,0 +1,259 @@
+#include "main/SessionDaemon.h"
+
+#include "core/DecisionLog.h"
+#include "core/Metrics.h"
+#include "drivers/HttpServer.h"
+#include "drivers/SessionServer.h"
+#include "drivers/StoreClient.h"
+#include "platform/StoredObjects.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned ServiceUnavailable = 503;
+/// A watch waits this long; twice as long and a read must fit the three
+/// seconds within which a configuration has to be in force.
+constexpr std::chrono::milliseconds WatchWait(1000);
+constexpr Duration ListingInterval = std::chrono::milliseconds(1000);
+constexpr Duration MaintainInterval = std::chrono::milliseconds(100);
+constexpr Duration RetryInterval = std::chrono::milliseconds(200);
+/// The balancer asks once a second and needs two misses.
+constexpr Duration BalancerNotice = std::chrono::milliseconds(2300);
+constexpr Duration DrainLook = std::chrono::milliseconds(100);
+/// Kept free before the process would be killed.
+constexpr Duration StopMargin = std::chrono::milliseconds(500);
+
+} // namespace
+
+struct SessionDaemon::Parts {
+  explicit Parts(InstanceSettings Settings)
+      : Settings(std::move(Settings)),
+        Store(this->Loop.get_executor(),
+              {.Store = this->Settings.Store,
+               .Promotions = this->Settings.Promotions}),
+        Dispatcher(this->Loop.get_executor(), {.Zone = this->Settings.Zone},
+                   [this](const ServiceId &Id) { return this->rightTo(Id); }),
+        Sessions(this->Loop.get_executor(),
+                 {.Listen = this->Settings.Sessions}, this->Routes,
+                 this->Dispatcher),
+        Readiness(
+            this->Loop.get_executor(), {.Listen = this->Settings.Readiness},
+            [this] {
+              return [this](HttpRequest Request) -> Awaitable<HttpReply> {
+                co_return this->answer(Request);
+              };
+            }),
+        Signals(this->Loop, SIGTERM, SIGINT, SIGHUP) {}
+
+  std::optional<PrimaryRight> rightTo(const ServiceId &Id) const;
+  HttpReply answer(const HttpRequest &Request);
+  void awaitSignal();
+  Awaitable<void> pause(Duration Length);
+  Awaitable<void> followConfiguration();
+  Awaitable<void> readConfiguration();
+  Awaitable<void> followMembers();
+  Awaitable<void> maintain();
+  Awaitable<void> stop();
+
+  template <typename Work> void spawn(Work Run) {
+    asio::co_spawn(this->Loop, std::move(Run), [](std::exception_ptr Failure) {
+      if (Failure)
+        std::rethrow_exception(Failure);
+    });
+  }
+
+  InstanceSettings Settings;
+  asio::io_context Loop{1};
+  RouteController Routes;
+  Revision ConfigurationRevision;
+  MemberRegistry Registry;
+  StoreClient Store;
+  StatementDispatcher Dispatcher;
+  SessionServer Sessions;
+  HttpServer Readiness;
+  asio::signal_set Signals;
+  bool Stopping = false;
+};
+
+std::optional<PrimaryRight>
+SessionDaemon::Parts::rightTo(const ServiceId &Id) const {
+  for (const RegisteredMember *Each : this->Registry.membersOf(Id))
+    if (Each->Role == MemberRole::Primary)
+      return PrimaryRight{.Reign = 1,
+                          .Primary = Each->Id,
+                          .Until = BootClock().now() + std::chrono::seconds(1)};
+  return std::nullopt;
+}
+
+HttpReply SessionDaemon::Parts::answer(const HttpRequest &Request) {
+  HttpReply Reply;
+  if (Request.Target == "/metrics") {
+    Reply.Body = processMetrics().scrape();
+    Reply.ContentType = "text/plain";
+    return Reply;
+  }
+  bool Ready =
+      !this->Stopping && this->Routes.loaded() && this->Registry.loaded();
+  if (!Ready)
+    Reply.Status = ServiceUnavailable;
+  Reply.Body = "{}";
+  return Reply;
+}
+
+Awaitable<void> SessionDaemon::Parts::pause(Duration Length) {
+  asio::steady_timer Timer(this->Loop, Length);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+Awaitable<void> SessionDaemon::Parts::readConfiguration() {
+  auto Read = co_await this->Store.readKey(std::string(ConfigurationKey));
+  if (!Read || !Read.value()) {
+    writeWarning("event=configuration_read_failed reason=\"" +
+                 (Read ? std::string("no such key") : Read.error().Message) +
+                 "\"");
+    co_return;
+  }
+  const KeyValueEntry &Entry = *Read.value();
+  this->ConfigurationRevision =
+      std::max(this->ConfigurationRevision, Entry.Modified);
+  auto Table = keepOutcome([&] { return decodeRouteTable(Entry.Value); });
+  if (!Table) {
+    writeWarning("event=configuration_refused reason=\"" +
+                 Table.error().Message + "\"");
+    co_return;
+  }
+  std::size_t Count = Table.value().Routes.size();
+  std::uint64_t Version = Table.value().Version;
+  if (!this->Routes.offer(std::move(Table.value())))
+    co_return;
+  writeDecision(DecisionLine("configuration_in_force")
+                    .field("version", Version)
+                    .field("routes", Count)
+                    .field("revision", Entry.Modified.Value));
+  this->Dispatcher.onRegistry({}, this->Routes, 5);
+}
+
+Awaitable<void> SessionDaemon::Parts::followConfiguration() {
+  while (true) {
+    co_await this->readConfiguration();
+    if (!this->Routes.loaded()) {
+      co_await this->pause(RetryInterval);
+      continue;
+    }
+    bool Quiet = true;
+    while (Quiet) {
+      auto Seen = co_await this->Store.watch(std::string(ConfigurationKey),
+                                             this->ConfigurationRevision,
+                                             WatchWait);
+      Quiet = Seen && !Seen.value().HistoryGone && Seen.value().Events.empty();
+      if (Quiet)
+        this->ConfigurationRevision = Seen.value().AsOf;
+      if (!Seen)
+        co_await this->pause(RetryInterval);
+    }
+  }
+}
+
+Awaitable<void> SessionDaemon::Parts::followMembers() {
+  while (true) {
+    TimePoint AskedAt = BootClock().now();
+    auto Listed = co_await this->Store.readAll(std::string(MembersPrefix),
+                                               ReadAge::Current);
+    if (!Listed) {
+      writeWarning("event=members_read_failed reason=\"" +
+                   Listed.error().Message + "\"");
+      co_await this->pause(RetryInterval);
+      continue;
+    }
+    std::vector<RegisteredMember> Members;
+    for (const KeyValueEntry &Entry : Listed.value()) {
+      auto Member = keepOutcome([&] { return decodeMemberEntry(Entry); });
+      if (Member)
+        Members.push_back(std::move(Member.value()));
+      else
+        writeWarning("event=member_entry_skipped key=" + Entry.Key +
+                     " reason=\"" + Member.error().Message + "\"");
+    }
+    RegistryChange Change =
+        this->Registry.onListing(std::move(Members), AskedAt);
+    if (!Change.empty())
+      this->Dispatcher.onRegistry(Change, this->Routes, 5);
+    this->Dispatcher.onRightsChanged();
+    co_await this->pause(ListingInterval);
+  }
+}
+
+Awaitable<void> SessionDaemon::Parts::maintain() {
+  while (true) {
+    co_await this->pause(MaintainInterval);
+    this->Dispatcher.maintain();
+  }
+}
+
+Awaitable<void> SessionDaemon::Parts::stop() {
+  TimePoint AskedAt = BootClock().now();
+  this->Stopping = true;
+  writeDecision(DecisionLine("stop").field("sessions",
+                                           this->Sessions.sessions()));
+  co_await this->pause(BalancerNotice);
+  TimePoint HalfTime = AskedAt + this->Settings.StopLimit / 2;
+  TimePoint Last = AskedAt + this->Settings.StopLimit - StopMargin;
+  while (this->Sessions.sessions() > 0 && BootClock().now() < Last) {
+    this->Sessions.closeIdle();
+    if (BootClock().now() >= HalfTime)
+      this->Sessions.endResting();
+    co_await this->pause(DrainLook);
+  }
+  this->Sessions.stopAccepting();
+  writeDecision(DecisionLine("stopped").field("sessions_cut",
+                                              this->Sessions.sessions()));
+  this->Loop.stop();
+}
+
+void SessionDaemon::Parts::awaitSignal() {
+  this->Signals.async_wait(
+      [this](const boost::system::error_code &Failure, int Signal) {
+        if (Failure)
+          return;
+        if (Signal == SIGHUP)
+          writeDecision(DecisionLine("reload").field("outcome", "unchanged"));
+        else if (!this->Stopping)
+          this->spawn(this->stop());
+        this->awaitSignal();
+      });
+}
+
+SessionDaemon::SessionDaemon(InstanceSettings Settings)
+    : Own(std::make_unique<Parts>(std::move(Settings))) {}
+SessionDaemon::~SessionDaemon() = default;
+
+Status SessionDaemon::run() {
+  Parts &P = *this->Own;
+  writeDecision(DecisionLine("start")
+                    .field("instance", P.Settings.Self.Value)
+                    .field("zone", P.Settings.Zone.Value));
+  Status Started = P.Sessions.start();
+  if (Started)
+    Started = P.Readiness.start();
+  if (!Started)
+    return Started;
+  P.awaitSignal();
+  P.spawn(P.followConfiguration());
+  P.spawn(P.followMembers());
+  P.spawn(P.maintain());
+  P.Loop.run();
+  return std::monostate{};
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/main/SessionDaemon.h
@@ -0,0 +1,27 @@
+// The daemon that serves sessions on the users' platform.
+#pragma once
+
+#include "platform/InstanceSettings.h"
+
+#include <memory>
+
+namespace turmericpitch {
+
+/// Runs on one thread, as its instances have one core. Not thread-safe.
+class SessionDaemon {
+public:
+  explicit SessionDaemon(InstanceSettings Settings);
+  ~SessionDaemon();
+  SessionDaemon(const SessionDaemon &) = delete;
+  SessionDaemon &operator=(const SessionDaemon &) = delete;
+
+  /// Serves until a stop is asked for by signal and done. Errors:
+  /// Unavailable if an address can't be bound.
+  Status run();
+
+private:
+  struct Parts;
+  std::unique_ptr<Parts> Own;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/routing/FreshnessTracker.cpp
@@ -0,0 +1,62 @@
+#include "routing/FreshnessTracker.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+void FreshnessTracker::onPrimaryAnswer(std::uint64_t Reign,
+                                       const TermPosition &Reached,
+                                       TimePoint AskedAt) {
+  if (Reign < this->Reign)
+    return;
+  if (Reign != this->Reign) {
+    this->Reign = Reign;
+    this->Samples.clear();
+    this->FirstOfReign.reset();
+  }
+  if (!this->FirstOfReign)
+    this->FirstOfReign = Reached;
+  // Answers can overtake one another; only a later question with at least the
+  // position known says something new.
+  if (!this->Samples.empty()) {
+    const Sample &Newest = this->Samples.back();
+    if (AskedAt - Newest.AskedAt < this->Options.Spacing ||
+        Reached < Newest.Reached)
+      return;
+  }
+  this->Samples.push_back({.AskedAt = AskedAt, .Reached = Reached});
+  if (this->Samples.size() > this->Options.MostSamples)
+    this->Samples.pop_front();
+}
+
+std::optional<TermPosition>
+FreshnessTracker::positionFor(Duration MaximumAge, TimePoint BeganAt) const {
+  TimePoint Earliest = BeganAt - MaximumAge + this->Options.Margin;
+  auto Found = std::find_if(
+      this->Samples.begin(), this->Samples.end(),
+      [&](const Sample &Each) { return Each.AskedAt >= Earliest; });
+  if (Found == this->Samples.end())
+    return std::nullopt;
+  return Found->Reached;
+}
+
+std::optional<TermPosition>
+FreshnessTracker::positionFor(const ReignPosition &Written) const {
+  if (Written.Reign == this->Reign)
+    return Written.Entry;
+  return this->FirstOfReign;
+}
+
+std::optional<TimePoint> FreshnessTracker::newestAskedAt() const {
+  if (this->Samples.empty())
+    return std::nullopt;
+  return this->Samples.back().AskedAt;
+}
+
+std::optional<TermPosition> FreshnessTracker::newest() const {
+  if (this->Samples.empty())
+    return std::nullopt;
+  return this->Samples.back().Reached;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/routing/Placement.cpp
@@ -0,0 +1,57 @@
+#include "routing/Placement.h"
+
+namespace turmericpitch {
+
+namespace {
+
+/// Whether a member may serve the statement, leaving aside how busy it is.
+bool maySuffice(const MemberCandidate &Each, const PlacementNeed &Need,
+                TimePoint Now) {
+  if (Each.Excluded)
+    return false;
+  if (Each.UsablePrimary)
+    return true;
+  if (Need.Primary || Each.Primary || !Need.AtLeast)
+    return false;
+  bool Reaches = Each.Reached && *Each.Reached >= *Need.AtLeast;
+  return Reaches || Now >= Each.ShortUntil;
+}
+
+double expectedTime(const MemberCandidate &Each, const PlacementNeed &Need,
+                    const PlacementOptions &Options) {
+  double Time = static_cast<double>(Each.Typical.count()) *
+                static_cast<double>(Each.InFlight + 1) /
+                static_cast<double>(Each.MostInFlight);
+  if (!Each.SameZone)
+    Time += static_cast<double>(Options.OtherZoneCost.count());
+  if (Each.UsablePrimary && !Need.Primary)
+    Time *= Options.PrimaryReadFactor;
+  return Time;
+}
+
+} // namespace
+
+Placement placeStatement(std::span<const MemberCandidate> Candidates,
+                         const PlacementNeed &Need,
+                         const PlacementOptions &Options, TimePoint Now) {
+  Placement Best;
+  double BestTime = 0;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    const MemberCandidate &Each = Candidates[Index];
+    if (!maySuffice(Each, Need, Now))
+      continue;
+    if (Each.InFlight >= Each.MostInFlight) {
+      if (Best.Verdict == PlacementVerdict::NoMember)
+        Best.Verdict = PlacementVerdict::Wait;
+      continue;
+    }
+    double Time = expectedTime(Each, Need, Options);
+    if (Best.Verdict == PlacementVerdict::Place && Time >= BestTime)
+      continue;
+    Best = {.Verdict = PlacementVerdict::Place, .Index = Index};
+    BestTime = Time;
+  }
+  return Best;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/routing/Placement.h
@@ -0,0 +1,74 @@
+// Chooses the member for a statement of a session.
+#pragma once
+
+#include "core/Identifiers.h"
+#include "core/LogPosition.h"
+#include "core/Time.h"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+
+namespace turmericpitch {
+
+/// A member as placement sees it at one moment. Immutable value.
+struct MemberCandidate {
+  UpstreamId Id;
+  /// The primary of the present reign, and the right to use it holds.
+  bool UsablePrimary = false;
+  /// Any primary, usable or not; never serves as a replica.
+  bool Primary = false;
+  bool SameZone = false;
+  /// Draining, paused after a failure, or tried in vain already.
+  bool Excluded = false;
+  /// Statements of this instance that are there now.
+  std::size_t InFlight = 0;
+  /// How many may be.
+  std::size_t MostInFlight = 1;
+  /// Typical time of a statement there, as observed.
+  Duration Typical{0};
+  /// The furthest position that its log is known to reach.
+  std::optional<TermPosition> Reached;
+  /// Its log fell short of a position lately; until then it is only asked
+  /// for positions that it is known to reach.
+  TimePoint ShortUntil;
+};
+
+/// What a statement needs of the member.
+struct PlacementNeed {
+  /// Writes, strong reads and transactions that may write.
+  bool Primary = true;
+  /// For a replica: what its log must reach; nothing if no position proves
+  /// enough, and then only the primary will do.
+  std::optional<TermPosition> AtLeast;
+};
+
+struct PlacementOptions {
+  /// A member in another zone is taken as slower by this: two crossings of
+  /// about 1.4 ms each way, and bytes between zones are paid for.
+  Duration OtherZoneCost = std::chrono::milliseconds(4);
+  /// A read at the primary is taken as this much dearer, as writes have no
+  /// other place.
+  double PrimaryReadFactor = 1.6;
+};
+
+enum class PlacementVerdict {
+  /// Candidates[Index] takes it.
+  Place,
+  /// A member that could take it is full.
+  Wait,
+  /// No member can take it at present.
+  NoMember,
+};
+
+struct Placement {
+  PlacementVerdict Verdict = PlacementVerdict::NoMember;
+  std::size_t Index = 0;
+};
+
+/// The member with the least expected time. Pure; thread-safe.
+Placement placeStatement(std::span<const MemberCandidate> Candidates,
+                         const PlacementNeed &Need,
+                         const PlacementOptions &Options, TimePoint Now);
+
+} // namespace turmericpitch
