Replace lost and leaving primaries under rights read from the store

Change: a record a service in the store; an instance may use a primary for 1 s from the read that showed its record open; a promoter closes the record, waits for longer, orders the promotion and opens the next reign.

--- a/drivers/HttpCaller.cpp
+++ b/drivers/HttpCaller.cpp
@@ -31,8 +31,14 @@
 }
 
 Awaitable<Outcome<HttpReply>> HttpCaller::call(HttpRequest Request,
-                                               Duration Limit) {
+                                               Duration Limit,
+                                               std::function<bool()>
+                                                   StillWanted) {
   std::shared_ptr<HttpConnection> Connection = this->takeIdle();
+  // A kept connection may have gone silent; what must go at once doesn't
+  // take the risk.
+  if (StillWanted)
+    Connection.reset();
   Request.Host = toString(this->Options.Service);
   if (Connection) {
     auto Reply = co_await Connection->exchange(Request, Limit);
@@ -47,6 +53,10 @@
   if (!Opened)
     co_return Opened.error();
   Connection = Opened.value();
+  if (StillWanted && !StillWanted())
+    co_return Error{.Kind = ErrorKind::NotRun,
+                    .Message = "too late to send the request",
+                    .Remedy = "begin anew"};
   auto Reply = co_await Connection->exchange(std::move(Request), Limit);
   if (Reply)
     this->giveBack(Connection);
--- a/drivers/HttpCaller.h
+++ b/drivers/HttpCaller.h
@@ -21,8 +21,12 @@
   HttpCaller(Executor On, HttpCallerOptions Options);
 
   /// Sends on an idle connection or a new one. Errors: NotRun or Unavailable
-  /// if nothing was sent, OutcomeUnknown if the reply did not come.
-  Awaitable<Outcome<HttpReply>> call(HttpRequest Request, Duration Limit);
+  /// if nothing was sent, OutcomeUnknown if the reply did not come. If
+  /// StillWanted is given, it is asked on a new connection right before the
+  /// request is sent, and the request isn't sent if it says no.
+  Awaitable<Outcome<HttpReply>>
+  call(HttpRequest Request, Duration Limit,
+       std::function<bool()> StillWanted = nullptr);
   /// Calls made since the start.
   [[nodiscard]] std::uint64_t calls() const;
 
--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -96,6 +96,7 @@
   auto Link = std::make_shared<MemberLink>(this->On, this->Member);
   ++this->Open;
   ++this->Opened;
+  this->noteAsked();
   Link->open(this->Options.OpenLimit,
              [Self = this->shared_from_this(),
               Handle = std::move(OnOpened)](LinkOpening How) {
@@ -135,6 +136,59 @@
 
 void MemberPort::onLinkClosed() { this->Open -= this->Open > 0 ? 1 : 0; }
 
+void MemberPort::noteAsked() {
+  if (!this->SilentSince)
+    this->SilentSince = this->Clock.now();
+}
+
+void MemberPort::onStatementSent() {
+  ++this->InFlight;
+  this->noteAsked();
+}
+
+void MemberPort::askStatus(
+    std::function<void(std::optional<MemberReport>, TimePoint)> OnReport) {
+  auto Ask = [Self = this->shared_from_this(),
+              OnReport](const std::shared_ptr<MemberLink> &Link) {
+    ++Self->Questions;
+    Self->noteAsked();
+    TimePoint AskedAt = Self->Clock.now();
+    auto GiveUp = std::make_shared<boost::asio::steady_timer>(
+        Self->On, Self->Options.OpenLimit);
+    GiveUp->async_wait([Link](const boost::system::error_code &Failure) {
+      if (!Failure)
+        Link->close();
+    });
+    Link->run(encodeStatusQuestion(),
+              [Self, Link, OnReport, AskedAt,
+               GiveUp](const Outcome<StatementReply> &Reply) {
+                --Self->Questions;
+                GiveUp->cancel();
+                Self->giveBack(Link, Self->Clock.now());
+                std::optional<MemberReport> Report;
+                if (Reply) {
+                  Self->onAnswered(Self->Clock.now());
+                  auto Decoded = keepOutcome(
+                      [&] { return decodeMemberReport(Reply.value()); });
+                  if (Decoded)
+                    Report = Decoded.value();
+                } else {
+                  Self->onUnanswered(Self->Clock.now());
+                }
+                OnReport(Report, AskedAt);
+              });
+  };
+  if (auto Link = this->takeIdle({}))
+    return Ask(Link);
+  auto Opening = std::make_shared<std::shared_ptr<MemberLink>>();
+  *Opening = this->openLink([Ask, Opening, OnReport](LinkOpening How) {
+    auto Link = std::move(*Opening);
+    if (How == LinkOpening::Opened)
+      return Ask(Link);
+    OnReport(std::nullopt, TimePoint{});
+  });
+}
+
 void MemberPort::onStatementOver(std::optional<Duration> Took) {
   --this->InFlight;
   if (Took)
@@ -159,6 +213,9 @@
 
 void MemberPort::onAnswered(TimePoint Now) {
   this->AnsweredAt = Now;
+  this->SilentSince.reset();
+  if (this->InFlight + this->Questions > 0)
+    this->SilentSince = Now;
   this->Failures = 0;
   this->Pause = Duration{0};
 }
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -57,7 +57,7 @@
   /// A link in use is free again; one that can't serve others is closed.
   void giveBack(const std::shared_ptr<MemberLink> &Link, TimePoint Now);
 
-  void onStatementSent() { ++this->InFlight; }
+  void onStatementSent();
   /// A statement sent is over. Took: set if the member ran it.
   void onStatementOver(std::optional<Duration> Took);
   /// The member's log was seen to reach a position.
@@ -78,6 +78,17 @@
   [[nodiscard]] std::optional<TimePoint> answeredAt() const {
     return this->AnsweredAt;
   }
+  /// Since when the member owes an answer to everything asked of it; nothing
+  /// if it owes none.
+  [[nodiscard]] const std::optional<TimePoint> &silentSince() const {
+    return this->SilentSince;
+  }
+  /// Asks the member for its status, on an idle link or a new one, unless
+  /// such a question is under way. OnReport runs later, with nothing if no
+  /// answer came or the member had no capacity for one.
+  void askStatus(std::function<void(std::optional<MemberReport>,
+                                    TimePoint AskedAt)>
+                     OnReport);
   [[nodiscard]] std::size_t statementsInFlight() const {
     return this->InFlight;
   }
@@ -85,6 +96,7 @@
 
 private:
   void noteOpening(LinkOpening How);
+  void noteAsked();
   void dropIdle();
   void onLinkClosed();
 
@@ -105,6 +117,8 @@
   Duration Pause{0};
   std::uint32_t Failures = 0;
   std::optional<TimePoint> AnsweredAt;
+  std::optional<TimePoint> SilentSince;
+  std::size_t Questions = 0;
   BootClock Clock;
 };
 
--- /dev/null
+++ b/drivers/ReignKeeper.cpp
@@ -0,0 +1,410 @@
+#include "drivers/ReignKeeper.h"
+
+#include "core/DecisionLog.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::uint32_t MostAttempts = 1U << 30;
+constexpr std::uint64_t FirstReign = 1;
+
+std::string positionText(const TermPosition &Position) {
+  return std::to_string(Position.WrittenIn.Value) + "." +
+         std::to_string(Position.Position.Value);
+}
+
+} // namespace
+
+/// A change of primary under way.
+struct ReignKeeper::Change {
+  ReignRecord Record;
+  ReplaceReason Reason = ReplaceReason::None;
+  /// Whether an earlier promoter may have ordered a promotion already.
+  bool WasOrdered = false;
+  /// When the closing write was acknowledged.
+  TimePoint ClosedAt;
+  /// What is known to have been acknowledged to callers.
+  std::optional<TermPosition> Acknowledged;
+  /// Members that refused the order.
+  std::set<UpstreamId> Refused;
+  /// The old primary leads and answers again.
+  bool OldIsBack = false;
+};
+
+ReignKeeper::ReignKeeper(Executor On, ReignKeeperOptions Options,
+                         StoreClient &Store, const MemberRegistry &Registry,
+                         StatementDispatcher &Dispatcher, RankLookup Rank)
+    : On(std::move(On)), Options(Options), Store(Store), Registry(Registry),
+      Dispatcher(Dispatcher), Rank(std::move(Rank)), Rights(Options.Rights),
+      Random(Options.Seed) {}
+
+void ReignKeeper::spawn(Awaitable<void> Work) {
+  asio::co_spawn(this->On, std::move(Work), [](std::exception_ptr Failure) {
+    if (Failure)
+      std::rethrow_exception(Failure);
+  });
+}
+
+Awaitable<void> ReignKeeper::pause(Duration Length) {
+  asio::steady_timer Timer(this->On, Length);
+  co_await Timer.async_wait(asio::use_awaitable);
+}
+
+void ReignKeeper::start() {
+  this->spawn(this->renew());
+  this->spawn(this->look());
+}
+
+Awaitable<void> ReignKeeper::renew() {
+  while (true) {
+    TimePoint Began = this->Clock.now();
+    bool Read = co_await this->readRecords();
+    if (Read == this->StoreLost) {
+      this->StoreLost = !Read;
+      writeDecision(DecisionLine(Read ? "store_regained" : "store_lost"));
+    }
+    Duration Took = this->Clock.now() - Began;
+    co_await this->pause(
+        std::max(Duration{0}, this->Options.RenewInterval - Took));
+  }
+}
+
+Awaitable<bool> ReignKeeper::readRecords() {
+  TimePoint AskedAt = this->Clock.now();
+  auto Read = co_await this->Store.readAll(std::string(ReignPrefix),
+                                           ReadAge::Current);
+  if (!Read)
+    co_return false;
+  std::vector<ReignRecord> Records;
+  Revision Promoter;
+  for (const KeyValueEntry &Entry : Read.value()) {
+    if (Entry.Key == PromoterKey) {
+      Promoter = Entry.Modified;
+      this->Promoter = Entry.Value;
+      continue;
+    }
+    auto Record = keepOutcome([&] { return decodeReign(Entry); });
+    if (Record)
+      Records.push_back(std::move(Record.value()));
+    else
+      writeWarning("event=reign_record_skipped reason=\"" +
+                   Record.error().Message + "\"");
+  }
+  if (Promoter != this->PromoterRevision)
+    this->PromoterSeenAt = this->Clock.now();
+  this->PromoterRevision = Promoter;
+  bool Changed = this->Rights.onListing(Records, AskedAt);
+  if (Changed)
+    for (const ReignRecord &Record : Records)
+      writeDecision(DecisionLine("reign_known")
+                        .field("service", Record.Service.Value)
+                        .field("reign", Record.Reign)
+                        .field("primary", Record.Primary.Value)
+                        .field("phase", static_cast<int>(Record.Phase))
+                        .field("revision", Record.Stored.Value));
+  this->Dispatcher.onRightsChanged();
+  co_return true;
+}
+
+Awaitable<void> ReignKeeper::look() {
+  while (true) {
+    co_await this->pause(this->Options.LookInterval);
+    if (this->Stopping || !this->Rights.askedAt())
+      continue;
+    TimePoint Now = this->Clock.now();
+    for (const auto &[Id, Desk] : this->Dispatcher.desks())
+      if (!Desk.Ports.empty() && !this->UnderWay.contains(Id))
+        this->lookAt(Id, Now);
+  }
+}
+
+bool ReignKeeper::mayBegin(TimePoint Now) const {
+  bool Fresh = Now - *this->Rights.askedAt() < this->Options.Rights.Validity;
+  bool Own = this->Promoter == this->Options.Self.Value;
+  return Fresh && (Own || this->PromoterRevision.Value == 0 ||
+                   Now - this->PromoterSeenAt >
+                       this->Options.PromoterDistance);
+}
+
+void ReignKeeper::lookAt(const ServiceId &Id, TimePoint Now) {
+  const ReignRecord *Record = this->Rights.record(Id);
+  if (!Record) {
+    this->UnderWay.insert(Id);
+    return this->spawn(this->install(Id));
+  }
+  if (Record->Phase != ReignPhase::Open)
+    return this->lookAtUnfinished(*Record, Now);
+  this->UnfinishedRecords.erase(Id);
+  const auto &Ports = this->Dispatcher.desks().at(Id).Ports;
+  auto Port = Ports.find(Record->Primary);
+  PrimarySighting Seen{.Listed = Port != Ports.end()};
+  if (Seen.Listed) {
+    Seen.Draining = Port->second->member().Draining;
+    Seen.SilentSince = Port->second->silentSince();
+  }
+  PrimaryWatch &Watch =
+      this->Watches.try_emplace(Id, this->Options.Watch).first->second;
+  if (Seen.Listed && Watch.wantsProbe(Seen, Now))
+    Port->second->askStatus([](const auto &, TimePoint) {});
+  ReplaceReason Reason = Watch.look(Seen, this->Rank(), Now);
+  if (Reason == ReplaceReason::None || !this->mayBegin(Now))
+    return;
+  this->UnderWay.insert(Id);
+  this->spawn(this->replace(*Record, Reason));
+}
+
+void ReignKeeper::lookAtUnfinished(const ReignRecord &Record, TimePoint Now) {
+  auto [Found, Added] = this->UnfinishedRecords.try_emplace(
+      Record.Service, Unfinished{.Stored = Record.Stored, .SeenAt = Now});
+  if (Found->second.Stored != Record.Stored)
+    Found->second = {.Stored = Record.Stored, .SeenAt = Now};
+  Duration Limit = this->Options.TakeOverAfter +
+                   this->Options.Watch.RankDelay *
+                       static_cast<Duration::rep>(this->Rank());
+  if (Now - Found->second.SeenAt < Limit || !this->mayBegin(Now))
+    return;
+  this->UnderWay.insert(Record.Service);
+  this->spawn(this->replace(Record, ReplaceReason::Lost));
+}
+
+Awaitable<void> ReignKeeper::install(ServiceId Id) {
+  co_await this->pause(this->Options.PollInterval +
+                       this->Options.Watch.RankDelay *
+                           static_cast<Duration::rep>(this->Rank()));
+  std::vector<std::shared_ptr<MemberPort>> Leading;
+  auto Desk = this->Dispatcher.desks().find(Id);
+  for (const auto &[Member, Port] : Desk->second.Ports)
+    if (Port->member().Role == MemberRole::Primary && !Port->member().Draining)
+      Leading.push_back(Port);
+  bool Wanted = Leading.size() == 1 && !this->Rights.record(Id);
+  if (Wanted) {
+    auto Report = co_await this->askStatus(Leading.front());
+    if (Report && Report->Primary)
+    {
+      ReignRecord First{.Service = Id,
+                        .Reign = FirstReign,
+                        .Primary = Leading.front()->member().Id};
+      co_await this->write(First, Revision{});
+    }
+  }
+  co_await this->readRecords();
+  this->UnderWay.erase(Id);
+}
+
+Awaitable<std::optional<MemberReport>>
+ReignKeeper::askStatus(std::shared_ptr<MemberPort> Port) {
+  auto Report = std::make_shared<std::optional<MemberReport>>();
+  auto Answered = std::make_shared<bool>(false);
+  auto Timer = std::make_shared<asio::steady_timer>(
+      this->On, this->Options.OrderCallLimit);
+  Port->askStatus([Report, Answered, Timer](
+                      const std::optional<MemberReport> &Came, TimePoint) {
+    *Report = Came;
+    *Answered = true;
+    Timer->cancel();
+  });
+  boost::system::error_code Ignored;
+  if (!*Answered)
+    co_await Timer->async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  co_return *Report;
+}
+
+Awaitable<std::optional<Revision>> ReignKeeper::write(ReignRecord Record,
+                                                      Revision Expected) {
+  while (this->Writing)
+    co_await this->pause(this->Options.PollInterval / 10);
+  this->Writing = true;
+  Record.Writer = this->Options.Self;
+  Record.Attempt = this->Random.below(MostAttempts);
+  std::string Key = reignKey(Record.Service);
+  TransactionRequest Request;
+  Request.Compares = {{.Key = Key, .Modified = Expected},
+                      {.Key = std::string(PromoterKey),
+                       .Modified = this->PromoterRevision}};
+  Request.Writes = {
+      PutOperation{.Key = Key, .Value = encodeReign(Record), .Lease = {}},
+      PutOperation{.Key = std::string(PromoterKey),
+                   .Value = this->Options.Self.Value,
+                   .Lease = {}}};
+  auto Written = co_await this->Store.commit(std::move(Request));
+  std::optional<Revision> Stored;
+  if (Written &&
+      Written.value().Result == CommitAnswer::Verdict::Written) {
+    Stored = Written.value().Written;
+    this->PromoterRevision = *Stored;
+    this->Promoter = this->Options.Self.Value;
+    co_await this->readRecords();
+  } else if (!Written && co_await this->readRecords()) {
+    // The answer was lost; what is stored tells whether the write was made.
+    const ReignRecord *Now = this->Rights.record(Record.Service);
+    if (Now && Now->Writer == Record.Writer && Now->Attempt == Record.Attempt)
+      Stored = Now->Stored;
+  }
+  this->Writing = false;
+  writeDecision(DecisionLine("reign_write")
+                    .field("service", Record.Service.Value)
+                    .field("reign", Record.Reign)
+                    .field("primary", Record.Primary.Value)
+                    .field("phase", static_cast<int>(Record.Phase))
+                    .field("target", Record.Target.Value)
+                    .field("outcome", Stored ? "written" : "not_written"));
+  co_return Stored;
+}
+
+Awaitable<void> ReignKeeper::replace(ReignRecord From, ReplaceReason Reason) {
+  Change C;
+  C.Record = From;
+  C.Reason = Reason;
+  C.WasOrdered = From.Phase == ReignPhase::Ordered;
+  C.Acknowledged =
+      this->Dispatcher.desks().at(From.Service).Freshness.newest();
+  writeDecision(DecisionLine("replace_primary")
+                    .field("service", From.Service.Value)
+                    .field("reign", From.Reign)
+                    .field("primary", From.Primary.Value)
+                    .field("reason", toString(Reason))
+                    .field("phase", static_cast<int>(From.Phase)));
+  bool Closed = co_await this->close(C);
+  bool Led = false;
+  TimePoint GiveUpAt = this->Clock.now() + this->Options.SearchLimit;
+  while (Closed && !Led && !C.OldIsBack && this->Clock.now() < GiveUpAt) {
+    auto Target = co_await this->findSuccessor(C);
+    if (!Target)
+      break;
+    if (!co_await this->order(C, *Target))
+      break;
+    Led = co_await this->awaitLead(C);
+  }
+  if (Led || C.OldIsBack) {
+    ReignRecord Next{.Service = C.Record.Service,
+                     .Reign = C.Record.Reign + (Led ? 1 : 0),
+                     .Primary = Led ? C.Record.Target : C.Record.Primary};
+    co_await this->write(Next, C.Record.Stored);
+  }
+  this->UnderWay.erase(From.Service);
+}
+
+Awaitable<bool> ReignKeeper::close(Change &C) {
+  ReignRecord Next = C.Record;
+  if (Next.Phase == ReignPhase::Open)
+    Next.Phase = ReignPhase::Closing;
+  auto Stored = co_await this->write(Next, C.Record.Stored);
+  if (!Stored)
+    co_return false;
+  Next.Stored = *Stored;
+  C.Record = Next;
+  C.ClosedAt = this->Clock.now();
+  while (this->Clock.now() < C.ClosedAt + this->Rights.closingWait())
+    co_await this->pause(std::max(Duration(1000),
+                                  C.ClosedAt + this->Rights.closingWait() -
+                                      this->Clock.now()));
+  co_return true;
+}
+
+Awaitable<std::optional<UpstreamId>> ReignKeeper::findSuccessor(Change &C) {
+  TimePoint GiveUpAt = this->Clock.now() + this->Options.SearchLimit;
+  TimePoint CatchUpUntil = this->Clock.now() + this->Options.CatchUpLimit;
+  while (this->Clock.now() < GiveUpAt) {
+    // A copy: the members may change while they are asked.
+    auto Ports = this->Dispatcher.desks().at(C.Record.Service).Ports;
+    std::vector<SuccessorCandidate> Candidates;
+    for (const auto &[Id, Port] : Ports) {
+      bool Old = Id == C.Record.Primary;
+      if (C.Refused.contains(Id) || Port->member().Draining ||
+          (Old && (C.WasOrdered || C.Reason == ReplaceReason::Leaving)))
+        continue;
+      auto Report = co_await this->askStatus(Port);
+      if (!Report)
+        continue;
+      if (Old && Report->Primary) {
+        C.OldIsBack = true;
+        co_return std::nullopt;
+      }
+      Candidates.push_back({.Id = Id, .Received = Report->Received});
+      if (C.WasOrdered && Id == C.Record.Target)
+        co_return Id;
+    }
+    auto Best = chooseSuccessor(Candidates);
+    for (const SuccessorCandidate &Each : Candidates)
+      writeDecision(DecisionLine("successor_candidate")
+                        .field("service", C.Record.Service.Value)
+                        .field("member", Each.Id.Value)
+                        .field("received", positionText(Each.Received))
+                        .field("acknowledged",
+                               C.Acknowledged ? positionText(*C.Acknowledged)
+                                              : "unknown"));
+    for (const SuccessorCandidate &Each : Candidates)
+      if (Best && Each.Id == *Best &&
+          (!C.Acknowledged || Each.Received >= *C.Acknowledged ||
+           this->Clock.now() >= CatchUpUntil))
+        co_return Best;
+    co_await this->pause(this->Options.PollInterval);
+  }
+  co_return std::nullopt;
+}
+
+Awaitable<bool> ReignKeeper::order(Change &C, UpstreamId Target) {
+  ReignRecord Next = C.Record;
+  Next.Phase = ReignPhase::Ordered;
+  Next.Target = Target;
+  TimePoint Began = this->Clock.now();
+  auto Stored = co_await this->write(Next, C.Record.Stored);
+  if (!Stored)
+    co_return false;
+  Next.Stored = *Stored;
+  C.Record = Next;
+  C.WasOrdered = true;
+  TimePoint Latest = Began + this->Options.OrderLimit;
+  PromotionOrder Order{.Service = Next.Service,
+                       .Target = Target,
+                       .Orderer = this->Options.Self,
+                       .FencingToken = Stored->Value};
+  std::function<bool()> InTime = [this, Latest] {
+    return this->Clock.now() < Latest;
+  };
+  auto Ordered = co_await this->Store.promote(
+      Order, this->Options.OrderCallLimit, InTime);
+  std::string Outcome = "lost";
+  if (Ordered)
+    Outcome = Ordered.value() ? "taken" : "member_not_running";
+  else if (Ordered.error().Kind != ErrorKind::OutcomeUnknown)
+    Outcome = "not_sent";
+  writeDecision(DecisionLine("promotion_ordered")
+                    .field("service", Next.Service.Value)
+                    .field("member", Target.Value)
+                    .field("token", Stored->Value)
+                    .field("outcome", Outcome));
+  if (Ordered && !Ordered.value())
+    C.Refused.insert(Target);
+  co_return true;
+}
+
+Awaitable<bool> ReignKeeper::awaitLead(Change &C) {
+  if (C.Refused.contains(C.Record.Target)) {
+    C.WasOrdered = false;
+    co_return false;
+  }
+  TimePoint GiveUpAt = this->Clock.now() + this->Options.TakeUpLimit;
+  while (this->Clock.now() < GiveUpAt) {
+    const auto &Ports = this->Dispatcher.desks().at(C.Record.Service).Ports;
+    auto Port = Ports.find(C.Record.Target);
+    if (Port == Ports.end())
+      break;
+    auto Report = co_await this->askStatus(Port->second);
+    if (Report && Report->Primary)
+      co_return true;
+    co_await this->pause(this->Options.PollInterval);
+  }
+  co_return false;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/ReignKeeper.h
@@ -0,0 +1,111 @@
+// Renews this instance's rights to primaries and replaces lost primaries.
+#pragma once
+
+#include "core/RandomSource.h"
+#include "drivers/StatementDispatcher.h"
+#include "drivers/StoreClient.h"
+#include "failover/PrimaryRights.h"
+#include "failover/PrimaryWatch.h"
+
+#include <set>
+
+namespace turmericpitch {
+
+struct ReignKeeperOptions {
+  InstanceId Self;
+  std::uint64_t Seed = 1;
+  PrimaryRightsOptions Rights = {};
+  PrimaryWatchOptions Watch = {};
+  /// How often rights are renewed; a third of their validity, so that one
+  /// lost answer costs nothing.
+  Duration RenewInterval = std::chrono::milliseconds(300);
+  Duration LookInterval = std::chrono::milliseconds(100);
+  /// A change of primary that stays unfinished is taken over after this; it
+  /// exceeds the closing wait and the limits of the two calls that follow.
+  Duration TakeOverAfter = std::chrono::milliseconds(3500);
+  /// Between the steps of two different promoters, so that a call of the
+  /// first that is under way can't arrive after one of the second.
+  Duration PromoterDistance = std::chrono::milliseconds(2000);
+  /// From the write that announces an order to the order itself; beyond it
+  /// another promoter may have taken over.
+  Duration OrderLimit = std::chrono::milliseconds(300);
+  Duration OrderCallLimit = std::chrono::milliseconds(1000);
+  /// How long a member that was ordered to lead may take to do so; the users
+  /// state 1 s.
+  Duration TakeUpLimit = std::chrono::milliseconds(3000);
+  /// How long a promotion waits for a replica that lacks commits known to
+  /// have been acknowledged.
+  Duration CatchUpLimit = std::chrono::milliseconds(1000);
+  /// How long successors are looked for before the change is left to others.
+  Duration SearchLimit = std::chrono::milliseconds(8000);
+  Duration PollInterval = std::chrono::milliseconds(50);
+};
+
+/// Belongs to one thread's executor.
+class ReignKeeper {
+public:
+  /// The own place among the instances, from 0.
+  using RankLookup = std::function<std::size_t()>;
+
+  ReignKeeper(Executor On, ReignKeeperOptions Options, StoreClient &Store,
+              const MemberRegistry &Registry, StatementDispatcher &Dispatcher,
+              RankLookup Rank);
+
+  /// Begins to renew and to watch.
+  void start();
+  /// Begins no further change of primary.
+  void stop() { this->Stopping = true; }
+  [[nodiscard]] std::optional<PrimaryRight> right(const ServiceId &Id) const {
+    return this->Rights.right(Id);
+  }
+  [[nodiscard]] const PrimaryRights &rights() const { return this->Rights; }
+
+private:
+  /// A record that is not open, since when it is known as it is.
+  struct Unfinished {
+    Revision Stored;
+    TimePoint SeenAt;
+  };
+  struct Change;
+
+  Awaitable<void> renew();
+  Awaitable<bool> readRecords();
+  Awaitable<void> look();
+  void lookAt(const ServiceId &Id, TimePoint Now);
+  void lookAtUnfinished(const ReignRecord &Record, TimePoint Now);
+  [[nodiscard]] bool mayBegin(TimePoint Now) const;
+  Awaitable<void> install(ServiceId Id);
+  Awaitable<void> replace(ReignRecord From, ReplaceReason Reason);
+  Awaitable<bool> close(Change &C);
+  Awaitable<std::optional<UpstreamId>> findSuccessor(Change &C);
+  Awaitable<bool> order(Change &C, UpstreamId Target);
+  Awaitable<bool> awaitLead(Change &C);
+  /// Writes a record in place of the one at Expected. Returns the revision.
+  Awaitable<std::optional<Revision>> write(ReignRecord Record,
+                                           Revision Expected);
+  Awaitable<std::optional<MemberReport>>
+  askStatus(std::shared_ptr<MemberPort> Port);
+  Awaitable<void> pause(Duration Length);
+  void spawn(Awaitable<void> Work);
+
+  Executor On;
+  ReignKeeperOptions Options;
+  StoreClient &Store;
+  const MemberRegistry &Registry;
+  StatementDispatcher &Dispatcher;
+  RankLookup Rank;
+  PrimaryRights Rights;
+  std::map<ServiceId, PrimaryWatch> Watches;
+  std::map<ServiceId, Unfinished> UnfinishedRecords;
+  std::set<ServiceId> UnderWay;
+  Revision PromoterRevision;
+  std::string Promoter;
+  TimePoint PromoterSeenAt;
+  bool Writing = false;
+  bool Stopping = false;
+  bool StoreLost = false;
+  RandomSource Random;
+  BootClock Clock;
+};
+
+} // namespace turmericpitch
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -625,28 +625,12 @@
   if (Found == Desk.Ports.end() || Now < Found->second->pausedUntil())
     return;
   Desk.SampleAskedAt = Now;
-  auto Port = Found->second;
-  std::uint64_t Reign = Right->Reign;
-  auto Ask = [this, Port, Reign, Service = Desk.Id](
-                 const std::shared_ptr<MemberLink> &Link) {
-    TimePoint AskedAt = this->Clock.now();
-    Link->run(encodeStatusQuestion(), [=, this](Outcome<StatementReply> Reply) {
-      Port->giveBack(Link, this->Clock.now());
-      if (!Reply)
-        return Port->onUnanswered(this->Clock.now());
-      Port->onAnswered(this->Clock.now());
-      if (Reply.value().Position && this->holdsRight(Service, Reign))
-        this->Desks[Service].Freshness.onPrimaryAnswer(
-            Reign, *Reply.value().Position, AskedAt);
-    });
-  };
-  if (auto Link = Port->takeIdle({}))
-    return Ask(Link);
-  auto Opening = std::make_shared<std::shared_ptr<MemberLink>>();
-  *Opening = Port->openLink([Ask, Opening](LinkOpening How) {
-    auto Link = std::move(*Opening);
-    if (How == LinkOpening::Opened)
-      Ask(Link);
+  Found->second->askStatus([this, Reign = Right->Reign, Service = Desk.Id](
+                               const std::optional<MemberReport> &Report,
+                               TimePoint AskedAt) {
+    if (Report && this->holdsRight(Service, Reign))
+      this->Desks[Service].Freshness.onPrimaryAnswer(Reign, Report->Received,
+                                                     AskedAt);
   });
 }
 
--- a/drivers/StoreClient.cpp
+++ b/drivers/StoreClient.cpp
@@ -71,9 +71,19 @@
   co_return decodeLeaseRenewal(Reply.value());
 }
 
-Awaitable<Outcome<bool>> StoreClient::promote(PromotionOrder Order,
-                                              Duration Limit) {
-  auto Reply = co_await this->Promotions.call(encodePromotion(Order), Limit);
+Awaitable<Outcome<bool>> StoreClient::endLease(LeaseId Lease) {
+  auto Reply = co_await this->Store.call(encodeLeaseEnd(Lease),
+                                         this->Options.CallLimit);
+  if (!Reply)
+    co_return Reply.error();
+  co_return decodeLeaseRenewal(Reply.value());
+}
+
+Awaitable<Outcome<bool>>
+StoreClient::promote(PromotionOrder Order, Duration Limit,
+                     std::function<bool()> StillWanted) {
+  auto Reply = co_await this->Promotions.call(encodePromotion(Order), Limit,
+                                              std::move(StillWanted));
   if (!Reply)
     co_return Reply.error();
   co_return decodePromotion(Reply.value());
--- a/drivers/StoreClient.h
+++ b/drivers/StoreClient.h
@@ -32,8 +32,11 @@
   Awaitable<Outcome<GrantedLease>>
   grantLease(std::chrono::milliseconds TimeToLive);
   Awaitable<Outcome<bool>> renewLease(LeaseId Lease);
-  /// Orders a promotion; false if the member isn't running.
-  Awaitable<Outcome<bool>> promote(PromotionOrder Order, Duration Limit);
+  Awaitable<Outcome<bool>> endLease(LeaseId Lease);
+  /// Orders a promotion; false if the member isn't running. StillWanted is
+  /// asked once a connection is open, right before the order is sent.
+  Awaitable<Outcome<bool>> promote(PromotionOrder Order, Duration Limit,
+                                   std::function<bool()> StillWanted);
 
   /// Calls made since the start.
   [[nodiscard]] std::uint64_t calls() const;
--- /dev/null
+++ b/failover/PrimaryWatch.h
@@ -0,0 +1,78 @@
+// Decides when a service's primary has to be replaced, and by whom.
+#pragma once
+
+#include "core/Identifiers.h"
+#include "core/LogPosition.h"
+#include "core/Time.h"
+
+#include <optional>
+#include <span>
+
+namespace turmericpitch {
+
+struct PrimaryWatchOptions {
+  /// A primary that leaves this instance's questions unanswered for so long
+  /// is asked again on a connection of its own.
+  Duration ProbeAfter = std::chrono::milliseconds(200);
+  /// Unanswered for so long, it counts as lost. The longest statement on the
+  /// users' sheets takes 410 ms, and a probe is answered at once.
+  Duration SilenceLimit = std::chrono::milliseconds(700);
+  /// Further wait for each rank among the instances, so that they seldom
+  /// compete.
+  Duration RankDelay = std::chrono::milliseconds(250);
+  /// A longer gap between two looks means that this process stood still; what
+  /// it missed proves nothing.
+  Duration OwnPauseLimit = std::chrono::milliseconds(350);
+};
+
+/// What this instance sees of a service's primary. Immutable value.
+struct PrimarySighting {
+  /// In the members' list.
+  bool Listed = true;
+  bool Draining = false;
+  /// Since when the primary owes an answer to everything asked; not set if
+  /// it owes none.
+  std::optional<TimePoint> SilentSince = std::nullopt;
+};
+
+enum class ReplaceReason : std::uint8_t { None, Lost, Leaving };
+
+/// The reason's stable name in the decision log. Thread-safe.
+std::string_view toString(ReplaceReason Reason);
+
+/// Watches one service. Pure; not thread-safe.
+class PrimaryWatch {
+public:
+  explicit PrimaryWatch(PrimaryWatchOptions Options = {}) : Options(Options) {}
+
+  /// Looks at what is seen. Rank: the own place among the instances that
+  /// could act, from 0.
+  ReplaceReason look(const PrimarySighting &Seen, std::size_t Rank,
+                     TimePoint Now);
+  /// Whether the primary should be asked on a connection of its own.
+  [[nodiscard]] bool wantsProbe(const PrimarySighting &Seen,
+                                TimePoint Now) const;
+  /// Whether this instance itself finds the primary lost, whatever its rank.
+  [[nodiscard]] bool suspects(const PrimarySighting &Seen, TimePoint Now) const;
+
+private:
+  PrimaryWatchOptions Options;
+  std::optional<TimePoint> LastLook;
+  /// Since when there has been a reason to act.
+  std::optional<TimePoint> ReasonSince;
+  /// Silence before this does not count.
+  TimePoint AwakeSince;
+};
+
+/// A member that could become primary. Immutable value.
+struct SuccessorCandidate {
+  UpstreamId Id;
+  /// The last entry in its log.
+  TermPosition Received;
+};
+
+/// The candidate with the furthest log, or nothing. Pure; thread-safe.
+std::optional<UpstreamId>
+chooseSuccessor(std::span<const SuccessorCandidate> Candidates);
+
+} // namespace turmericpitch
--- /dev/null
+++ b/failover/ReignRecord.cpp
@@ -0,0 +1,90 @@
+#include "failover/ReignRecord.h"
+
+#include <boost/json.hpp>
+
+namespace turmericpitch {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view ServicePart = "of/";
+
+std::string_view toString(ReignPhase Phase) {
+  switch (Phase) {
+  case ReignPhase::Closing:
+    return "closing";
+  case ReignPhase::Ordered:
+    return "ordered";
+  case ReignPhase::Open:
+    break;
+  }
+  return "open";
+}
+
+Error malformed(const std::string &Key) {
+  return {.Kind = ErrorKind::BadRequest,
+          .Message = "malformed record at " + Key,
+          .Remedy = "look who wrote it; remove it once no instance runs"};
+}
+
+} // namespace
+
+std::string reignKey(const ServiceId &Service) {
+  return std::string(ReignPrefix) + std::string(ServicePart) + Service.Value;
+}
+
+std::string encodeReign(const ReignRecord &Record) {
+  return json::serialize(json::object{{"reign", Record.Reign},
+                                      {"primary", Record.Primary.Value},
+                                      {"phase", toString(Record.Phase)},
+                                      {"target", Record.Target.Value},
+                                      {"writer", Record.Writer.Value},
+                                      {"attempt", Record.Attempt}});
+}
+
+Result<ReignRecord> decodeReign(const KeyValueEntry &Entry) {
+  std::string Prefix = std::string(ReignPrefix) + std::string(ServicePart);
+  boost::system::error_code Failure;
+  json::value Value = json::parse(Entry.Value, Failure);
+  if (Failure || !Value.is_object() || !Entry.Key.starts_with(Prefix))
+    return boost::leaf::new_error(malformed(Entry.Key));
+  const json::object &Object = Value.as_object();
+  ReignRecord Record;
+  Record.Service.Value = Entry.Key.substr(Prefix.size());
+  Record.Stored = Entry.Modified;
+  auto Text = [&](const char *Key) -> std::optional<std::string> {
+    const json::value *Found = Object.if_contains(Key);
+    if (!Found || !Found->is_string())
+      return std::nullopt;
+    return std::string(Found->as_string());
+  };
+  auto Number = [&](const char *Key) -> std::optional<std::uint64_t> {
+    const json::value *Found = Object.if_contains(Key);
+    if (!Found || !(Found->is_int64() || Found->is_uint64()))
+      return std::nullopt;
+    return Found->to_number<std::uint64_t>(Failure);
+  };
+  auto Reign = Number("reign");
+  auto Attempt = Number("attempt");
+  auto Primary = Text("primary");
+  auto Phase = Text("phase");
+  auto Target = Text("target");
+  auto Writer = Text("writer");
+  if (!Reign || !Attempt || !Primary || !Phase || !Target || !Writer || Failure)
+    return boost::leaf::new_error(malformed(Entry.Key));
+  Record.Reign = *Reign;
+  Record.Attempt = *Attempt;
+  Record.Primary.Value = *Primary;
+  Record.Target.Value = *Target;
+  Record.Writer.Value = *Writer;
+  if (*Phase == toString(ReignPhase::Closing))
+    Record.Phase = ReignPhase::Closing;
+  else if (*Phase == toString(ReignPhase::Ordered))
+    Record.Phase = ReignPhase::Ordered;
+  else if (*Phase != toString(ReignPhase::Open))
+    return boost::leaf::new_error(malformed(Entry.Key));
+  return Record;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/failover/ReignRecord.h
@@ -0,0 +1,57 @@
+// Which member is a service's primary, as agreed in the platform's store.
+#pragma once
+
+#include "core/Error.h"
+#include "core/Identifiers.h"
+#include "core/KeyValue.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace turmericpitch {
+
+/// Where all records of this kind are kept.
+inline constexpr std::string_view ReignPrefix = "turmericpitch/primary/";
+/// Written with each step of a promotion, so that the steps of all services
+/// have one order and their fencing tokens grow.
+inline constexpr std::string_view PromoterKey =
+    "turmericpitch/primary/promoter";
+
+/// The step of a service's reign.
+enum class ReignPhase : std::uint8_t {
+  /// The primary may be used.
+  Open,
+  /// Nobody may begin to use the primary; no promotion was ordered yet.
+  Closing,
+  /// A promotion of Target may have been ordered.
+  Ordered,
+};
+
+/// One service's record. Immutable value.
+struct ReignRecord {
+  ServiceId Service;
+  /// Counts the primaries of the service.
+  std::uint64_t Reign = 0;
+  UpstreamId Primary;
+  ReignPhase Phase = ReignPhase::Open;
+  /// The member that was ordered to take over; empty before.
+  UpstreamId Target = {};
+  /// The instance that wrote the record.
+  InstanceId Writer = {};
+  /// Distinguishes the writer's attempts.
+  std::uint64_t Attempt = 0;
+  /// The store's revision of the record.
+  Revision Stored = {};
+
+  auto operator<=>(const ReignRecord &) const = default;
+};
+
+/// The key of a service's record. Thread-safe.
+std::string reignKey(const ServiceId &Service);
+/// The record as stored, without its revision. Thread-safe.
+std::string encodeReign(const ReignRecord &Record);
+/// Thread-safe. Errors: BadRequest.
+Result<ReignRecord> decodeReign(const KeyValueEntry &Entry);
+
+} // namespace turmericpitch
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -3,8 +3,10 @@
 #include "core/DecisionLog.h"
 #include "core/Metrics.h"
 #include "drivers/HttpServer.h"
+#include "drivers/ReignKeeper.h"
 #include "drivers/SessionServer.h"
 #include "drivers/StoreClient.h"
+#include "membership/InstanceRoster.h"
 #include "platform/StoredObjects.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <random>
 
 namespace turmericpitch {
 
@@ -27,6 +30,10 @@
 constexpr std::chrono::milliseconds WatchWait(1000);
 constexpr Duration ListingInterval = std::chrono::milliseconds(1000);
 constexpr Duration MaintainInterval = std::chrono::milliseconds(100);
+/// An instance that ends without saying so is counted for as long.
+constexpr std::chrono::milliseconds InstanceLease(6000);
+constexpr Duration RegistrationInterval = std::chrono::milliseconds(2000);
+constexpr Duration RosterInterval = std::chrono::milliseconds(2000);
 constexpr Duration RetryInterval = std::chrono::milliseconds(200);
 /// The balancer asks once a second and needs two misses.
 constexpr Duration BalancerNotice = std::chrono::milliseconds(2300);
@@ -43,7 +50,12 @@
               {.Store = this->Settings.Store,
                .Promotions = this->Settings.Promotions}),
         Dispatcher(this->Loop.get_executor(), {.Zone = this->Settings.Zone},
-                   [this](const ServiceId &Id) { return this->rightTo(Id); }),
+                   [this](const ServiceId &Id) { return this->Reigns.right(Id); }),
+        Roster(this->Settings.Self),
+        Reigns(this->Loop.get_executor(),
+               {.Self = this->Settings.Self, .Seed = std::random_device{}()},
+               this->Store, this->Registry, this->Dispatcher,
+               [this] { return this->Roster.rank(); }),
         Sessions(this->Loop.get_executor(),
                  {.Listen = this->Settings.Sessions}, this->Routes,
                  this->Dispatcher),
@@ -56,13 +68,15 @@
             }),
         Signals(this->Loop, SIGTERM, SIGINT, SIGHUP) {}
 
-  std::optional<PrimaryRight> rightTo(const ServiceId &Id) const;
   HttpReply answer(const HttpRequest &Request);
   void awaitSignal();
   Awaitable<void> pause(Duration Length);
   Awaitable<void> followConfiguration();
   Awaitable<void> readConfiguration();
   Awaitable<void> followMembers();
+  Awaitable<void> keepRegistered();
+  Awaitable<std::optional<LeaseId>> registerSelf();
+  Awaitable<void> followInstances();
   Awaitable<void> maintain();
   Awaitable<void> stop();
 
@@ -80,22 +94,16 @@
   MemberRegistry Registry;
   StoreClient Store;
   StatementDispatcher Dispatcher;
+  InstanceRoster Roster;
+  ReignKeeper Reigns;
   SessionServer Sessions;
   HttpServer Readiness;
   asio::signal_set Signals;
+  /// Whether the roster was read since the last renewal.
+  bool RosterRead = false;
   bool Stopping = false;
 };
 
-std::optional<PrimaryRight>
-SessionDaemon::Parts::rightTo(const ServiceId &Id) const {
-  for (const RegisteredMember *Each : this->Registry.membersOf(Id))
-    if (Each->Role == MemberRole::Primary)
-      return PrimaryRight{.Reign = 1,
-                          .Primary = Each->Id,
-                          .Until = BootClock().now() + std::chrono::seconds(1)};
-  return std::nullopt;
-}
-
 HttpReply SessionDaemon::Parts::answer(const HttpRequest &Request) {
   HttpReply Reply;
   if (Request.Target == "/metrics") {
@@ -141,7 +149,7 @@
                     .field("version", Version)
                     .field("routes", Count)
                     .field("revision", Entry.Modified.Value));
-  this->Dispatcher.onRegistry({}, this->Routes, 5);
+  this->Dispatcher.onRegistry({}, this->Routes, this->Roster.count());
 }
 
 Awaitable<void> SessionDaemon::Parts::followConfiguration() {
@@ -188,12 +196,81 @@
     RegistryChange Change =
         this->Registry.onListing(std::move(Members), AskedAt);
     if (!Change.empty())
-      this->Dispatcher.onRegistry(Change, this->Routes, 5);
+      this->Dispatcher.onRegistry(Change, this->Routes, this->Roster.count());
     this->Dispatcher.onRightsChanged();
     co_await this->pause(ListingInterval);
   }
 }
 
+Awaitable<std::optional<LeaseId>> SessionDaemon::Parts::registerSelf() {
+  auto Granted = co_await this->Store.grantLease(InstanceLease);
+  if (!Granted)
+    co_return std::nullopt;
+  RosterEntry Own{.Id = this->Settings.Self,
+                  .Peers = {.Address = this->Settings.Address,
+                            .Port = this->Settings.FirstPeerPort},
+                  .Zone = this->Settings.Zone};
+  LeaseId Lease = Granted.value().Lease;
+  TransactionRequest Request;
+  Request.Writes = {PutOperation{.Key = std::string(InstancesPrefix) +
+                                        this->Settings.Self.Value,
+                                 .Value = encodeRosterEntry(Own),
+                                 .Lease = Lease}};
+  auto Written = co_await this->Store.commit(std::move(Request));
+  if (!Written || Written.value().Result != CommitAnswer::Verdict::Written)
+    co_return std::nullopt;
+  writeDecision(DecisionLine("registered").field("lease", Lease.Value));
+  co_return Lease;
+}
+
+Awaitable<void> SessionDaemon::Parts::keepRegistered() {
+  std::optional<LeaseId> Lease;
+  while (!this->Stopping) {
+    if (Lease) {
+      auto Stands = co_await this->Store.renewLease(*Lease);
+      // Keys can be taken away while their lease stands.
+      bool Missing = this->RosterRead && !this->Roster.listsSelf();
+      if ((Stands && !Stands.value()) || Missing)
+        Lease.reset();
+    }
+    if (!Lease)
+      Lease = co_await this->registerSelf();
+    this->RosterRead = false;
+    co_await this->pause(Lease ? RegistrationInterval : RetryInterval);
+  }
+  if (Lease)
+    co_await this->Store.endLease(*Lease);
+}
+
+Awaitable<void> SessionDaemon::Parts::followInstances() {
+  while (true) {
+    TimePoint AskedAt = BootClock().now();
+    auto Listed = co_await this->Store.readAll(std::string(InstancesPrefix),
+                                               ReadAge::Current);
+    if (!Listed) {
+      co_await this->pause(RetryInterval);
+      continue;
+    }
+    std::vector<RosterEntry> Entries;
+    for (const KeyValueEntry &Entry : Listed.value()) {
+      auto Decoded = keepOutcome([&] { return decodeRosterEntry(Entry); });
+      if (Decoded)
+        Entries.push_back(std::move(Decoded.value()));
+      else
+        writeWarning("event=instance_entry_skipped reason=\"" +
+                     Decoded.error().Message + "\"");
+    }
+    this->RosterRead = true;
+    if (this->Roster.onListing(std::move(Entries), AskedAt)) {
+      writeDecision(DecisionLine("instances_known")
+                        .field("count", this->Roster.count())
+                        .field("rank", this->Roster.rank()));
+      this->Dispatcher.onRegistry({}, this->Routes, this->Roster.count());
+    }
+    co_await this->pause(RosterInterval);
+  }
+}
+
 Awaitable<void> SessionDaemon::Parts::maintain() {
   while (true) {
     co_await this->pause(MaintainInterval);
@@ -204,6 +281,7 @@
 Awaitable<void> SessionDaemon::Parts::stop() {
   TimePoint AskedAt = BootClock().now();
   this->Stopping = true;
+  this->Reigns.stop();
   writeDecision(DecisionLine("stop").field("sessions",
                                            this->Sessions.sessions()));
   co_await this->pause(BalancerNotice);
@@ -251,6 +329,9 @@
   P.awaitSignal();
   P.spawn(P.followConfiguration());
   P.spawn(P.followMembers());
+  P.spawn(P.keepRegistered());
+  P.spawn(P.followInstances());
+  P.Reigns.start();
   P.spawn(P.maintain());
   P.Loop.run();
   return std::monostate{};
--- /dev/null
+++ b/membership/InstanceRoster.h
@@ -0,0 +1,62 @@
+// The instances that run at present, as they registered in the store.
+#pragma once
+
+#include "core/Endpoint.h"
+#include "core/Error.h"
+#include "core/Identifiers.h"
+#include "core/KeyValue.h"
+#include "core/Time.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmericpitch {
+
+/// Where instances register, each under its own name and lease.
+inline constexpr std::string_view InstancesPrefix = "turmericpitch/instances/";
+
+/// One registered instance. Immutable value.
+struct RosterEntry {
+  InstanceId Id;
+  /// Where it takes datagrams of other instances.
+  Endpoint Peers;
+  ZoneId Zone;
+
+  auto operator<=>(const RosterEntry &) const = default;
+};
+
+/// The value that an instance registers. Thread-safe.
+std::string encodeRosterEntry(const RosterEntry &Entry);
+/// Thread-safe. Errors: BadRequest.
+Result<RosterEntry> decodeRosterEntry(const KeyValueEntry &Entry);
+
+/// The registered instances, sorted by name. Pure; not thread-safe.
+class InstanceRoster {
+public:
+  explicit InstanceRoster(InstanceId Self) : Self(std::move(Self)) {}
+
+  /// All entries as a read sent at AskedAt showed them. Returns whether the
+  /// set of instances has changed.
+  bool onListing(std::vector<RosterEntry> Listed, TimePoint AskedAt);
+  /// The own place among the instances, from 0; behind all if not listed.
+  [[nodiscard]] std::size_t rank() const;
+  /// How many instances there are, the own one included.
+  [[nodiscard]] std::size_t count() const;
+  /// Whether the own entry was in the newest listing.
+  [[nodiscard]] bool listsSelf() const;
+  [[nodiscard]] const std::vector<RosterEntry> &all() const {
+    return this->Entries;
+  }
+  [[nodiscard]] const std::optional<TimePoint> &askedAt() const {
+    return this->AskedAt;
+  }
+
+private:
+  InstanceId Self;
+  std::vector<RosterEntry> Entries;
+  std::optional<TimePoint> AskedAt;
+};
+
+} // namespace turmericpitch
