Let instances renew rights through one another

Change: two instances read the records for all; the others ask them, the age of the answer counts. While nobody reads the store, the promise of every listed instance to close nothing extends a right; an instance closes a record only once it has been registered for longer than such a listing stands. A lost primary is first asked after at the others. Ruled out: longer rights, as each failover waits for them.

--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -40,12 +40,120 @@
 };
 
 ReignKeeper::ReignKeeper(Executor On, ReignKeeperOptions Options,
-                         StoreClient &Store, const MemberRegistry &Registry,
-                         StatementDispatcher &Dispatcher, RankLookup Rank)
-    : On(std::move(On)), Options(Options), Store(Store), Registry(Registry),
-      Dispatcher(Dispatcher), Rank(std::move(Rank)), Rights(Options.Rights),
+                         StoreClient &Store, const InstanceRoster &Roster,
+                         StatementDispatcher &Dispatcher,
+                         RegistrationLookup Registration)
+    : On(On), Options(Options), Store(Store), Roster(Roster),
+      Dispatcher(Dispatcher), Registration(std::move(Registration)),
+      Rights(Options.Rights),
+      Peers(On, {.Self = Options.Self, .Listen = Options.Listen}, this->Rights,
+            this->Grants, Roster, this->peerHooks()),
       Random(Options.Seed) {}
 
+RightPeers::Hooks ReignKeeper::peerHooks() {
+  return {.MayGrant =
+              [this](const ServiceId &Id) { return this->mayGrant(Id); },
+          .Contact = [this](const ServiceId &Id) { return this->contact(Id); },
+          .OnChanged = [this] { this->Dispatcher.onRightsChanged(); },
+          .OnComplete =
+              [this](const RightRound &Round) { this->extendBy(Round); }};
+}
+
+bool ReignKeeper::mayGrant(const ServiceId &Id) const {
+  // A process that has not read the store itself may not know what an earlier
+  // life of it has ordered.
+  return this->ReadAt && !this->UnderWay.contains(Id);
+}
+
+PrimarySighting ReignKeeper::sighting(const ReignRecord &Record) const {
+  PrimarySighting Seen{.Listed = false};
+  auto Desk = this->Dispatcher.desks().find(Record.Service);
+  if (Desk == this->Dispatcher.desks().end())
+    return Seen;
+  auto Port = Desk->second.Ports.find(Record.Primary);
+  if (Port == Desk->second.Ports.end())
+    return Seen;
+  Seen.Listed = true;
+  Seen.Draining = Port->second->member().Draining;
+  Seen.SilentSince = Port->second->silentSince();
+  return Seen;
+}
+
+PrimaryContact ReignKeeper::contact(const ServiceId &Id) const {
+  const ReignRecord *Record = this->Rights.record(Id);
+  if (!Record)
+    return PrimaryContact::Unknown;
+  PrimarySighting Seen = this->sighting(*Record);
+  if (!Seen.Listed)
+    return PrimaryContact::Silent;
+  if (!Seen.SilentSince)
+    return PrimaryContact::Answers;
+  Duration Silence = this->Clock.now() - *Seen.SilentSince;
+  return Silence >= this->Options.Watch.SilenceLimit / 2
+             ? PrimaryContact::Silent
+             : PrimaryContact::Answers;
+}
+
+void ReignKeeper::extendBy(const RightRound &Round) {
+  const auto &ListedAt = this->Roster.askedAt();
+  if (!ListedAt ||
+      Round.sentAt() - *ListedAt > this->Options.RosterValidity)
+    return;
+  TimePoint Until = Round.sentAt() + this->Options.Rights.Validity;
+  auto ExtendOne = [&](const ServiceId &Id, std::uint64_t Reign) {
+    auto Read = this->Rights.askedAt(Id);
+    // Who has closed the record must still be listed: the listing has to be
+    // older than what is known of the record.
+    if (!Read || *Read < *ListedAt || !this->mayGrant(Id))
+      return;
+    this->Grants.grant(Id, this->Options.Rights.longestUse(),
+                       this->Clock.now());
+    this->Rights.extend(Id, Reign, Until);
+  };
+  if (this->Roster.count() == 1)
+    for (const ReignRecord &Record : this->Rights.all())
+      ExtendOne(Record.Service, Record.Reign);
+  for (const GrantedReign &Each : Round.granted())
+    ExtendOne(Each.Service, Each.Reign);
+  this->Dispatcher.onRightsChanged();
+}
+
+Awaitable<void> ReignKeeper::askPeers() {
+  std::size_t Turn = 0;
+  while (true) {
+    co_await this->pause(this->Options.AskInterval);
+    ++Turn;
+    auto Oldest = this->Rights.oldestAskedAt();
+    Duration Age = Oldest ? this->Clock.now() - *Oldest : Duration::max();
+    if (Age > this->Options.LateAge) {
+      this->Peers.askAll(true);
+      continue;
+    }
+    if (this->Roster.rank() < this->Options.Readers)
+      continue;
+    std::size_t Readers =
+        std::min(this->Options.Readers, this->Roster.all().size());
+    if (Readers > 0)
+      this->Peers.ask(this->Roster.all()[Turn % Readers]);
+  }
+}
+
+Awaitable<bool> ReignKeeper::othersReach(ServiceId Id) {
+  this->Peers.askAll(false);
+  TimePoint GiveUpAt = this->Clock.now() + this->Options.ConsultLimit;
+  while (!this->Peers.round().complete() && this->Clock.now() < GiveUpAt)
+    co_await this->pause(this->Options.ConsultLimit / 8);
+  ContactTally Tally = this->Peers.round().contacts(Id);
+  // The own word counts as silent.
+  bool Reach = Tally.Answers > Tally.Silent;
+  writeDecision(DecisionLine("consult_instances")
+                    .field("service", Id.Value)
+                    .field("answers", Tally.Answers)
+                    .field("silent", Tally.Silent + 1)
+                    .field("outcome", Reach ? "keep" : "replace"));
+  co_return Reach;
+}
+
 void ReignKeeper::spawn(Awaitable<void> Work) {
   asio::co_spawn(this->On, std::move(Work), [](std::exception_ptr Failure) {
     if (Failure)
@@ -58,14 +166,25 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
-void ReignKeeper::start() {
+Status ReignKeeper::start() {
+  Status Started = this->Peers.start();
+  if (!Started)
+    return Started;
   this->spawn(this->renew());
+  this->spawn(this->askPeers());
   this->spawn(this->look());
+  return std::monostate{};
 }
 
 Awaitable<void> ReignKeeper::renew() {
   while (true) {
     TimePoint Began = this->Clock.now();
+    auto Oldest = this->Rights.oldestAskedAt();
+    bool Reader = this->Roster.rank() < this->Options.Readers;
+    if (!Reader && Oldest && Began - *Oldest < this->Options.LateAge) {
+      co_await this->pause(this->Options.LookInterval);
+      continue;
+    }
     bool Read = co_await this->readRecords();
     if (Read == this->StoreLost) {
       this->StoreLost = !Read;
@@ -101,6 +220,7 @@
   if (Promoter != this->PromoterRevision)
     this->PromoterSeenAt = this->Clock.now();
   this->PromoterRevision = Promoter;
+  this->ReadAt = std::max(this->ReadAt.value_or(AskedAt), AskedAt);
   bool Changed = this->Rights.onListing(Records, AskedAt);
   if (Changed)
     for (const ReignRecord &Record : Records)
@@ -117,7 +237,7 @@
 Awaitable<void> ReignKeeper::look() {
   while (true) {
     co_await this->pause(this->Options.LookInterval);
-    if (this->Stopping || !this->Rights.askedAt())
+    if (this->Stopping || !this->ReadAt)
       continue;
     TimePoint Now = this->Clock.now();
     for (const auto &[Id, Desk] : this->Dispatcher.desks())
@@ -127,11 +247,13 @@
 }
 
 bool ReignKeeper::mayBegin(TimePoint Now) const {
-  bool Fresh = Now - *this->Rights.askedAt() < this->Options.Rights.Validity;
-  bool Own = this->Promoter == this->Options.Self.Value;
-  return Fresh && (Own || this->PromoterRevision.Value == 0 ||
-                   Now - this->PromoterSeenAt >
-                       this->Options.PromoterDistance);
+  auto Own = this->Registration();
+  if (!Own || Now - Own->Since <
+                  this->Options.RosterValidity + this->Options.RosterMargin)
+    return false;
+  bool Before = this->Promoter == this->Options.Self.Value;
+  return Before || this->PromoterRevision.Value == 0 ||
+         Now - this->PromoterSeenAt > this->Options.PromoterDistance;
 }
 
 void ReignKeeper::lookAt(const ServiceId &Id, TimePoint Now) {
@@ -143,19 +265,14 @@
   if (Record->Phase != ReignPhase::Open)
     return this->lookAtUnfinished(*Record, Now);
   this->UnfinishedRecords.erase(Id);
-  const auto &Ports = this->Dispatcher.desks().at(Id).Ports;
-  auto Port = Ports.find(Record->Primary);
-  PrimarySighting Seen{.Listed = Port != Ports.end()};
-  if (Seen.Listed) {
-    Seen.Draining = Port->second->member().Draining;
-    Seen.SilentSince = Port->second->silentSince();
-  }
+  PrimarySighting Seen = this->sighting(*Record);
   PrimaryWatch &Watch =
       this->Watches.try_emplace(Id, this->Options.Watch).first->second;
   if (Seen.Listed && Watch.wantsProbe(Seen, Now))
-    Port->second->askStatus([](const auto &, TimePoint) {});
-  ReplaceReason Reason = Watch.look(Seen, this->Rank(), Now);
-  if (Reason == ReplaceReason::None || !this->mayBegin(Now))
+    this->Dispatcher.desks().at(Id).Ports.at(Record->Primary)->askStatus(
+        [](const auto &, TimePoint) {});
+  ReplaceReason Reason = Watch.look(Seen, this->Roster.rank(), Now);
+  if (Reason == ReplaceReason::None || Now < this->ConsultAfter[Id])
     return;
   this->UnderWay.insert(Id);
   this->spawn(this->replace(*Record, Reason));
@@ -168,8 +285,8 @@
     Found->second = {.Stored = Record.Stored, .SeenAt = Now};
   Duration Limit = this->Options.TakeOverAfter +
                    this->Options.Watch.RankDelay *
-                       static_cast<Duration::rep>(this->Rank());
-  if (Now - Found->second.SeenAt < Limit || !this->mayBegin(Now))
+                       static_cast<Duration::rep>(this->Roster.rank());
+  if (Now - Found->second.SeenAt < Limit)
     return;
   this->UnderWay.insert(Record.Service);
   this->spawn(this->replace(Record, ReplaceReason::Lost));
@@ -178,7 +295,7 @@
 Awaitable<void> ReignKeeper::install(ServiceId Id) {
   co_await this->pause(this->Options.PollInterval +
                        this->Options.Watch.RankDelay *
-                           static_cast<Duration::rep>(this->Rank()));
+                           static_cast<Duration::rep>(this->Roster.rank()));
   std::vector<std::shared_ptr<MemberPort>> Leading;
   auto Desk = this->Dispatcher.desks().find(Id);
   for (const auto &[Member, Port] : Desk->second.Ports)
@@ -226,6 +343,7 @@
   Record.Writer = this->Options.Self;
   Record.Attempt = this->Random.below(MostAttempts);
   std::string Key = reignKey(Record.Service);
+  auto Own = this->Registration();
   TransactionRequest Request;
   Request.Compares = {{.Key = Key, .Modified = Expected},
                       {.Key = std::string(PromoterKey),
@@ -235,6 +353,9 @@
       PutOperation{.Key = std::string(PromoterKey),
                    .Value = this->Options.Self.Value,
                    .Lease = {}}};
+  // Who is not registered was not asked to promise anything.
+  if (Record.Phase != ReignPhase::Open && Own)
+    Request.Compares.push_back({.Key = Own->Key, .Modified = Own->Stored});
   auto Written = co_await this->Store.commit(std::move(Request));
   std::optional<Revision> Stored;
   if (Written &&
@@ -250,6 +371,8 @@
       Stored = Now->Stored;
   }
   this->Writing = false;
+  if (Stored)
+    this->Peers.tellNews();
   writeDecision(DecisionLine("reign_write")
                     .field("service", Record.Service.Value)
                     .field("reign", Record.Reign)
@@ -273,7 +396,8 @@
                     .field("primary", From.Primary.Value)
                     .field("reason", toString(Reason))
                     .field("phase", static_cast<int>(From.Phase)));
-  bool Closed = co_await this->close(C);
+  bool Wanted = co_await this->isStillWanted(From, Reason);
+  bool Closed = Wanted && co_await this->close(C);
   bool Led = false;
   TimePoint GiveUpAt = this->Clock.now() + this->Options.SearchLimit;
   while (Closed && !Led && !C.OldIsBack && this->Clock.now() < GiveUpAt) {
@@ -293,6 +417,26 @@
   this->UnderWay.erase(From.Service);
 }
 
+Awaitable<bool> ReignKeeper::isStillWanted(ReignRecord From,
+                                           ReplaceReason Reason) {
+  ServiceId Id = From.Service;
+  bool Read = co_await this->readRecords();
+  const ReignRecord *Now = this->Rights.record(Id);
+  if (!Read || !Now || Now->Stored != From.Stored ||
+      !this->mayBegin(this->Clock.now()))
+    co_return false;
+  bool Open = From.Phase == ReignPhase::Open;
+  if (Open && Reason == ReplaceReason::Lost && co_await this->othersReach(Id)) {
+    this->ConsultAfter[Id] = this->Clock.now() + this->Options.ConsultPause;
+    co_return false;
+  }
+  // What was promised to others holds first; nothing further is promised
+  // while a change is under way.
+  while (this->Clock.now() < this->Grants.boundUntil(Id))
+    co_await this->pause(this->Options.PollInterval);
+  co_return true;
+}
+
 Awaitable<bool> ReignKeeper::close(Change &C) {
   ReignRecord Next = C.Record;
   if (Next.Phase == ReignPhase::Open)
@@ -303,9 +447,9 @@
   Next.Stored = *Stored;
   C.Record = Next;
   C.ClosedAt = this->Clock.now();
-  while (this->Clock.now() < C.ClosedAt + this->Rights.closingWait())
+  while (this->Clock.now() < C.ClosedAt + this->Options.Rights.longestUse())
     co_await this->pause(std::max(Duration(1000),
-                                  C.ClosedAt + this->Rights.closingWait() -
+                                  C.ClosedAt + this->Options.Rights.longestUse() -
                                       this->Clock.now()));
   co_return true;
 }
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/RandomSource.h"
+#include "drivers/RightPeers.h"
 #include "drivers/StatementDispatcher.h"
 #include "drivers/StoreClient.h"
 #include "failover/PrimaryRights.h"
@@ -13,12 +14,31 @@
 
 struct ReignKeeperOptions {
   InstanceId Self;
+  /// Where datagrams of other instances are taken.
+  Endpoint Listen;
   std::uint64_t Seed = 1;
   PrimaryRightsOptions Rights = {};
   PrimaryWatchOptions Watch = {};
   /// How often rights are renewed; a third of their validity, so that one
   /// lost answer costs nothing.
   Duration RenewInterval = std::chrono::milliseconds(300);
+  /// Instances that read the store for the others, the first by rank.
+  std::size_t Readers = 2;
+  /// How often the others ask a reader.
+  Duration AskInterval = std::chrono::milliseconds(200);
+  /// Records older than this make an instance ask the store or, where that
+  /// fails, everyone.
+  Duration LateAge = std::chrono::milliseconds(550);
+  /// How long a listing of the instances stands for all of them while the
+  /// store is away. An instance closes no record before it has been
+  /// registered for longer.
+  Duration RosterValidity = std::chrono::milliseconds(6000);
+  Duration RosterMargin = std::chrono::milliseconds(200);
+  /// How long the others are waited for when they are asked how a primary
+  /// answers them.
+  Duration ConsultLimit = std::chrono::milliseconds(80);
+  /// After the others were found to reach the primary.
+  Duration ConsultPause = std::chrono::milliseconds(500);
   Duration LookInterval = std::chrono::milliseconds(100);
   /// A change of primary that stays unfinished is taken over after this; it
   /// exceeds the closing wait and the limits of the two calls that follow.
@@ -41,18 +61,27 @@
   Duration PollInterval = std::chrono::milliseconds(50);
 };
 
+/// This instance's own entry among the instances, as it was acknowledged.
+struct OwnRegistration {
+  std::string Key;
+  Revision Stored;
+  /// When the acknowledgement came.
+  TimePoint Since;
+};
+
 /// Belongs to one thread's executor.
 class ReignKeeper {
 public:
-  /// The own place among the instances, from 0.
-  using RankLookup = std::function<std::size_t()>;
+  /// Nothing while this instance is not registered.
+  using RegistrationLookup = std::function<std::optional<OwnRegistration>()>;
 
   ReignKeeper(Executor On, ReignKeeperOptions Options, StoreClient &Store,
-              const MemberRegistry &Registry, StatementDispatcher &Dispatcher,
-              RankLookup Rank);
+              const InstanceRoster &Roster, StatementDispatcher &Dispatcher,
+              RegistrationLookup Registration);
 
-  /// Begins to renew and to watch.
-  void start();
+  /// Begins to renew and to watch. Errors: Unavailable if the address for
+  /// other instances can't be bound.
+  Status start();
   /// Begins no further change of primary.
   void stop() { this->Stopping = true; }
   [[nodiscard]] std::optional<PrimaryRight> right(const ServiceId &Id) const {
@@ -68,6 +97,13 @@
   };
   struct Change;
 
+  RightPeers::Hooks peerHooks();
+  void extendBy(const RightRound &Round);
+  [[nodiscard]] bool mayGrant(const ServiceId &Id) const;
+  [[nodiscard]] PrimaryContact contact(const ServiceId &Id) const;
+  [[nodiscard]] PrimarySighting sighting(const ReignRecord &Record) const;
+  Awaitable<void> askPeers();
+  Awaitable<bool> othersReach(ServiceId Id);
   Awaitable<void> renew();
   Awaitable<bool> readRecords();
   Awaitable<void> look();
@@ -76,6 +112,7 @@
   [[nodiscard]] bool mayBegin(TimePoint Now) const;
   Awaitable<void> install(ServiceId Id);
   Awaitable<void> replace(ReignRecord From, ReplaceReason Reason);
+  Awaitable<bool> isStillWanted(ReignRecord From, ReplaceReason Reason);
   Awaitable<bool> close(Change &C);
   Awaitable<std::optional<UpstreamId>> findSuccessor(Change &C);
   Awaitable<bool> order(Change &C, UpstreamId Target);
@@ -91,10 +128,15 @@
   Executor On;
   ReignKeeperOptions Options;
   StoreClient &Store;
-  const MemberRegistry &Registry;
+  const InstanceRoster &Roster;
   StatementDispatcher &Dispatcher;
-  RankLookup Rank;
+  RegistrationLookup Registration;
   PrimaryRights Rights;
+  RightGrants Grants;
+  RightPeers Peers;
+  /// When the newest own read of the store was sent; nothing before one.
+  std::optional<TimePoint> ReadAt;
+  std::map<ServiceId, TimePoint> ConsultAfter;
   std::map<ServiceId, PrimaryWatch> Watches;
   std::map<ServiceId, Unfinished> UnfinishedRecords;
   std::set<ServiceId> UnderWay;
--- /dev/null
+++ b/drivers/RightPeers.cpp
@@ -0,0 +1,135 @@
+#include "drivers/RightPeers.h"
+
+#include "core/DecisionLog.h"
+
+#include <algorithm>
+
+namespace turmericpitch {
+
+namespace {
+
+/// The settings of the platform hold no secret: frames are checked for
+/// damage and version, not for their origin.
+const PeerKey FrameKey{.Id = "frame", .Secret = "turmericpitch"};
+
+} // namespace
+
+RightPeers::RightPeers(Executor On, RightPeersOptions Options,
+                       PrimaryRights &Rights, RightGrants &Grants,
+                       const InstanceRoster &Roster, Hooks Calls)
+    : Options(Options), Rights(Rights), Grants(Grants), Roster(Roster),
+      Calls(std::move(Calls)),
+      Transport(std::move(On), Options.Listen, Options.Self, {FrameKey}) {}
+
+Status RightPeers::start() {
+  this->Transport.onTopic(
+      PeerTopic::Failover,
+      [this](const PeerArrival &Arrival) { this->onArrival(Arrival); });
+  return this->Transport.start();
+}
+
+void RightPeers::send(const Endpoint &To, const RightMessage &Message) {
+  this->Transport.send(To, PeerTopic::Failover, encodeRightMessage(Message));
+}
+
+void RightPeers::ask(const RosterEntry &Peer) {
+  if (Peer.Id == this->Options.Self)
+    return;
+  Question Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  this->Questions[Peer.Id] = Sent;
+  this->send(Peer.Peers, RightQuestion{.Serial = Sent.Serial});
+}
+
+void RightPeers::askAll(bool WantsGrants) {
+  Question Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  std::set<InstanceId> Asked;
+  for (const RosterEntry &Peer : this->Roster.all())
+    if (Peer.Id != this->Options.Self)
+      Asked.insert(Peer.Id);
+  this->Round = RightRound(Sent.Serial, Sent.SentAt, Asked);
+  for (const RosterEntry &Peer : this->Roster.all()) {
+    if (Peer.Id == this->Options.Self)
+      continue;
+    this->Questions[Peer.Id] = Sent;
+    this->send(Peer.Peers, RightQuestion{.Serial = Sent.Serial,
+                                         .WantsGrants = WantsGrants});
+  }
+  if (Asked.empty())
+    this->Calls.OnComplete(this->Round);
+}
+
+void RightPeers::tellNews() {
+  for (const RosterEntry &Peer : this->Roster.all())
+    if (Peer.Id != this->Options.Self)
+      this->send(Peer.Peers, RightNews{});
+}
+
+void RightPeers::onArrival(const PeerArrival &Arrival) {
+  auto Message =
+      keepOutcome([&] { return decodeRightMessage(Arrival.Frame.Payload); });
+  if (!Message) {
+    writeWarning("event=peer_message_dropped reason=\"" +
+                 Message.error().Message + "\"");
+    return;
+  }
+  if (const auto *Asked = std::get_if<RightQuestion>(&Message.value()))
+    return this->onQuestion(Arrival, *Asked);
+  if (const auto *Answer = std::get_if<RightAnswer>(&Message.value()))
+    return this->onAnswer(Arrival, *Answer);
+  this->ask({.Id = Arrival.Frame.From, .Peers = Arrival.Where, .Zone = {}});
+}
+
+ToldService RightPeers::tell(const ReignRecord &Record, bool WantsGrants,
+                             TimePoint Now) {
+  ToldService Told{.Record = Record};
+  Told.Age = std::max(Duration{0}, Now - *this->Rights.askedAt(Record.Service));
+  Told.Contact = this->Calls.Contact(Record.Service);
+  Told.Granted = WantsGrants && Record.Phase == ReignPhase::Open &&
+                 this->Calls.MayGrant(Record.Service);
+  if (Told.Granted)
+    this->Grants.grant(Record.Service, this->Rights.options().longestUse(),
+                       Now);
+  return Told;
+}
+
+void RightPeers::onQuestion(const PeerArrival &From,
+                            const RightQuestion &Asked) {
+  TimePoint Now = this->Clock.now();
+  std::vector<ReignRecord> All = this->Rights.all();
+  std::size_t Parts =
+      std::max<std::size_t>(1, (All.size() + ServicesInPart - 1) /
+                                   ServicesInPart);
+  for (std::size_t Part = 0; Part < Parts; ++Part) {
+    RightAnswer Answer{.Serial = Asked.Serial,
+                       .Part = static_cast<std::uint8_t>(Part),
+                       .Parts = static_cast<std::uint8_t>(Parts),
+                       .Services = {}};
+    std::size_t End = std::min(All.size(), (Part + 1) * ServicesInPart);
+    for (std::size_t Index = Part * ServicesInPart; Index < End; ++Index)
+      Answer.Services.push_back(
+          this->tell(All[Index], Asked.WantsGrants, Now));
+    this->send(From.Where, Answer);
+  }
+}
+
+void RightPeers::onAnswer(const PeerArrival &From, const RightAnswer &Answer) {
+  const InstanceId &Peer = From.Frame.From;
+  auto Asked = this->Questions.find(Peer);
+  if (Asked == this->Questions.end() || Asked->second.Serial != Answer.Serial)
+    return;
+  bool Changed = false;
+  // The record was read no earlier than its age before the question was
+  // sent, as the answer's age counts from when the question came in.
+  for (const ToldService &Each : Answer.Services)
+    Changed = this->Rights.onRecord(Each.Record,
+                                    Asked->second.SentAt - Each.Age) ||
+              Changed;
+  bool WasComplete = this->Round.complete();
+  this->Round.onAnswer(Peer, Answer);
+  if (!WasComplete && this->Round.complete())
+    this->Calls.OnComplete(this->Round);
+  if (Changed)
+    this->Calls.OnChanged();
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/drivers/RightPeers.h
@@ -0,0 +1,70 @@
+// Exchanges what instances know of primaries.
+#pragma once
+
+#include "drivers/PeerTransport.h"
+#include "failover/PrimaryRights.h"
+#include "failover/RightRound.h"
+#include "membership/InstanceRoster.h"
+
+namespace turmericpitch {
+
+struct RightPeersOptions {
+  InstanceId Self;
+  Endpoint Listen;
+};
+
+/// Belongs to one thread's executor.
+class RightPeers {
+public:
+  struct Hooks {
+    /// Whether this instance may promise not to close a service's record.
+    std::function<bool(const ServiceId &)> MayGrant;
+    /// How a service's primary answers this instance.
+    std::function<PrimaryContact(const ServiceId &)> Contact;
+    /// A record has changed.
+    std::function<void()> OnChanged;
+    /// A round of questions to all is complete.
+    std::function<void(const RightRound &)> OnComplete;
+  };
+
+  RightPeers(Executor On, RightPeersOptions Options, PrimaryRights &Rights,
+             RightGrants &Grants, const InstanceRoster &Roster, Hooks Calls);
+
+  /// Errors: Unavailable if the address can't be bound.
+  Status start();
+  /// Asks one instance for what it knows.
+  void ask(const RosterEntry &Peer);
+  /// Asks all others and begins a new round.
+  void askAll(bool WantsGrants);
+  /// Tells all others that asking this instance is worth it.
+  void tellNews();
+  /// The newest round.
+  [[nodiscard]] const RightRound &round() const { return this->Round; }
+
+private:
+  /// When a question was sent.
+  struct Question {
+    std::uint32_t Serial = 0;
+    TimePoint SentAt;
+  };
+
+  void send(const Endpoint &To, const RightMessage &Message);
+  void onArrival(const PeerArrival &Arrival);
+  void onQuestion(const PeerArrival &From, const RightQuestion &Asked);
+  void onAnswer(const PeerArrival &From, const RightAnswer &Answer);
+  ToldService tell(const ReignRecord &Record, bool WantsGrants, TimePoint Now);
+
+  RightPeersOptions Options;
+  PrimaryRights &Rights;
+  RightGrants &Grants;
+  const InstanceRoster &Roster;
+  Hooks Calls;
+  PeerTransport Transport;
+  std::uint32_t NextSerial = 1;
+  /// The newest question to each instance.
+  std::map<InstanceId, Question> Questions;
+  RightRound Round;
+  BootClock Clock;
+};
+
+} // namespace turmericpitch
--- a/failover/PrimaryRights.cpp
+++ b/failover/PrimaryRights.cpp
@@ -1,32 +1,100 @@
 #include "failover/PrimaryRights.h"
 
+#include <algorithm>
+
 namespace turmericpitch {
 
 bool PrimaryRights::onListing(const std::vector<ReignRecord> &Listed,
                               TimePoint AskedAt) {
-  if (this->AskedAt && AskedAt <= *this->AskedAt)
+  bool Changed = false;
+  std::map<ServiceId, bool> Present;
+  for (const ReignRecord &Record : Listed) {
+    Present[Record.Service] = true;
+    Changed = this->onRecord(Record, AskedAt) || Changed;
+  }
+  std::size_t Gone = std::erase_if(this->Records, [&](const auto &Each) {
+    return !Present.contains(Each.first) && Each.second.AskedAt < AskedAt;
+  });
+  return Changed || Gone > 0;
+}
+
+bool PrimaryRights::onRecord(const ReignRecord &Record, TimePoint AskedAt) {
+  auto [Found, Added] =
+      this->Records.try_emplace(Record.Service, Known{Record, AskedAt, {}});
+  Known &Present = Found->second;
+  if (Added)
+    return true;
+  // Reads can overtake one another: the record's revision says which of them
+  // saw more.
+  if (Record.Stored < Present.Record.Stored)
     return false;
-  this->AskedAt = AskedAt;
-  std::map<ServiceId, ReignRecord> Next;
-  for (const ReignRecord &Record : Listed)
-    Next.emplace(Record.Service, Record);
-  bool Changed = Next != this->Records;
-  this->Records = std::move(Next);
-  return Changed;
+  if (Record.Stored == Present.Record.Stored) {
+    Present.AskedAt = std::max(Present.AskedAt, AskedAt);
+    return false;
+  }
+  Present.AskedAt = AskedAt;
+  Present.Record = Record;
+  Present.ExtendedUntil = {};
+  return true;
+}
+
+void PrimaryRights::extend(const ServiceId &Id, std::uint64_t Reign,
+                           TimePoint Until) {
+  auto Found = this->Records.find(Id);
+  if (Found == this->Records.end() || Found->second.Record.Reign != Reign)
+    return;
+  Found->second.ExtendedUntil = std::max(Found->second.ExtendedUntil, Until);
 }
 
 std::optional<PrimaryRight> PrimaryRights::right(const ServiceId &Id) const {
-  const ReignRecord *Record = this->record(Id);
-  if (!Record || Record->Phase != ReignPhase::Open)
+  auto Found = this->Records.find(Id);
+  if (Found == this->Records.end() ||
+      Found->second.Record.Phase != ReignPhase::Open)
     return std::nullopt;
-  return PrimaryRight{.Reign = Record->Reign,
-                      .Primary = Record->Primary,
-                      .Until = *this->AskedAt + this->Options.Validity};
+  const Known &Present = Found->second;
+  return PrimaryRight{.Reign = Present.Record.Reign,
+                      .Primary = Present.Record.Primary,
+                      .Until = std::max(Present.AskedAt +
+                                            this->Options.Validity,
+                                        Present.ExtendedUntil)};
 }
 
 const ReignRecord *PrimaryRights::record(const ServiceId &Id) const {
   auto Found = this->Records.find(Id);
-  return Found == this->Records.end() ? nullptr : &Found->second;
+  return Found == this->Records.end() ? nullptr : &Found->second.Record;
+}
+
+std::optional<TimePoint> PrimaryRights::oldestAskedAt() const {
+  std::optional<TimePoint> Oldest;
+  for (const auto &[Id, Known] : this->Records)
+    if (!Oldest || Known.AskedAt < *Oldest)
+      Oldest = Known.AskedAt;
+  return Oldest;
+}
+
+std::optional<TimePoint> PrimaryRights::askedAt(const ServiceId &Id) const {
+  auto Found = this->Records.find(Id);
+  if (Found == this->Records.end())
+    return std::nullopt;
+  return Found->second.AskedAt;
+}
+
+std::vector<ReignRecord> PrimaryRights::all() const {
+  std::vector<ReignRecord> All;
+  for (const auto &[Id, Known] : this->Records)
+    All.push_back(Known.Record);
+  return All;
+}
+
+void RightGrants::grant(const ServiceId &Id, Duration LongestUse,
+                        TimePoint Now) {
+  TimePoint &Until = this->Bound[Id];
+  Until = std::max(Until, Now + LongestUse);
+}
+
+TimePoint RightGrants::boundUntil(const ServiceId &Id) const {
+  auto Found = this->Bound.find(Id);
+  return Found == this->Bound.end() ? TimePoint{} : Found->second;
 }
 
 } // namespace turmericpitch
--- a/failover/PrimaryRights.h
+++ b/failover/PrimaryRights.h
@@ -17,39 +17,74 @@
   /// What a promoter waits beyond the validity: clocks of instances run at
   /// rates at most 2% apart, and timers fire late.
   Duration Margin = std::chrono::milliseconds(60);
+
+  /// How long a promoter waits after its closing write was acknowledged, and
+  /// how long a grant binds the one that gave it.
+  [[nodiscard]] Duration longestUse() const {
+    return this->Validity + this->Margin;
+  }
 };
 
 /// A right follows from a read of the store: a record that was open when the
 /// read was sent can't lead to a promotion before the right has ended, as a
 /// promoter first closes the record and then waits for longer than any right
-/// lasts. Pure; not thread-safe.
+/// lasts. The read may be another instance's whose age is known. While the
+/// store is away, the word of every registered instance that it closes no
+/// record stands in for a read. Times are by the clock that also counts a
+/// suspend. Pure; not thread-safe.
 class PrimaryRights {
 public:
   explicit PrimaryRights(PrimaryRightsOptions Options = {})
       : Options(Options) {}
 
-  /// All records as a read that was sent at AskedAt showed them, by the clock
-  /// that also counts a suspend. Older reads than the newest are ignored.
-  /// Returns whether a record has changed.
+  /// All records as a read that was sent at AskedAt showed them. Returns
+  /// whether a record has changed.
   bool onListing(const std::vector<ReignRecord> &Listed, TimePoint AskedAt);
+  /// One record as a read no older than AskedAt showed it. Returns whether
+  /// it has changed.
+  bool onRecord(const ReignRecord &Record, TimePoint AskedAt);
+  /// Every registered instance has promised not to close this reign before
+  /// Until.
+  void extend(const ServiceId &Id, std::uint64_t Reign, TimePoint Until);
+
   /// The right to a service's primary; nothing unless its record is open.
+  /// It may have run out.
   [[nodiscard]] std::optional<PrimaryRight> right(const ServiceId &Id) const;
   /// The newest record of a service, or nullptr; valid until the next
-  /// listing.
+  /// change.
   [[nodiscard]] const ReignRecord *record(const ServiceId &Id) const;
-  /// When the newest listing was asked for; nothing before the first.
-  [[nodiscard]] const std::optional<TimePoint> &askedAt() const {
-    return this->AskedAt;
-  }
-  /// How long a promoter waits after its closing write was acknowledged.
-  [[nodiscard]] Duration closingWait() const {
-    return this->Options.Validity + this->Options.Margin;
+  /// When the oldest of the records was asked for; nothing without any.
+  [[nodiscard]] std::optional<TimePoint> oldestAskedAt() const;
+  /// When a record was asked for; nothing if it isn't known.
+  [[nodiscard]] std::optional<TimePoint> askedAt(const ServiceId &Id) const;
+  [[nodiscard]] std::vector<ReignRecord> all() const;
+  [[nodiscard]] const PrimaryRightsOptions &options() const {
+    return this->Options;
   }
 
 private:
+  struct Known {
+    ReignRecord Record;
+    TimePoint AskedAt;
+    /// By the word of the other instances.
+    TimePoint ExtendedUntil;
+  };
+
   PrimaryRightsOptions Options;
-  std::map<ServiceId, ReignRecord> Records;
-  std::optional<TimePoint> AskedAt;
+  std::map<ServiceId, Known> Records;
+};
+
+/// What this instance has promised others: not to close a reign before a
+/// time. Pure; not thread-safe.
+class RightGrants {
+public:
+  /// Binds this instance for a use that begins no later than Now.
+  void grant(const ServiceId &Id, Duration LongestUse, TimePoint Now);
+  /// Before this time no record of the service may be closed.
+  [[nodiscard]] TimePoint boundUntil(const ServiceId &Id) const;
+
+private:
+  std::map<ServiceId, TimePoint> Bound;
 };
 
 } // namespace turmericpitch
--- /dev/null
+++ b/failover/RightMessages.cpp
@@ -0,0 +1,133 @@
+#include "failover/RightMessages.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <sstream>
+
+namespace turmericpitch {
+
+namespace {
+
+using Writer = cereal::PortableBinaryOutputArchive;
+using Reader = cereal::PortableBinaryInputArchive;
+
+/// Raised with each change of the form; others are dropped.
+constexpr std::uint8_t FormVersion = 1;
+
+enum class Kind : std::uint8_t { Question = 1, Answer = 2, News = 3 };
+
+constexpr std::size_t LongestName = 200;
+
+void writeName(Writer &To, const std::string &Text) {
+  auto Length = static_cast<std::uint8_t>(std::min(Text.size(), LongestName));
+  To(Length, cereal::binary_data(Text.data(), std::size_t{Length}));
+}
+
+std::string readName(Reader &From) {
+  std::uint8_t Length = 0;
+  From(Length);
+  std::string Text(Length, '\0');
+  From(cereal::binary_data(Text.data(), Text.size()));
+  return Text;
+}
+
+template <typename Enumeration>
+Enumeration readEnumeration(Reader &From, Enumeration Last) {
+  std::uint8_t Raw = 0;
+  From(Raw);
+  if (Raw > static_cast<std::uint8_t>(Last))
+    throw cereal::Exception("value out of range");
+  return static_cast<Enumeration>(Raw);
+}
+
+void writeService(Writer &To, const ToldService &Each) {
+  writeName(To, Each.Record.Service.Value);
+  writeName(To, Each.Record.Primary.Value);
+  To(Each.Record.Reign, static_cast<std::uint8_t>(Each.Record.Phase),
+     Each.Record.Stored.Value, static_cast<std::uint64_t>(Each.Age.count()),
+     Each.Granted, static_cast<std::uint8_t>(Each.Contact));
+}
+
+ToldService readService(Reader &From) {
+  ToldService Each;
+  Each.Record.Service.Value = readName(From);
+  Each.Record.Primary.Value = readName(From);
+  From(Each.Record.Reign);
+  Each.Record.Phase = readEnumeration(From, ReignPhase::Ordered);
+  std::uint64_t Age = 0;
+  From(Each.Record.Stored.Value, Age, Each.Granted);
+  Each.Age = Duration(static_cast<Duration::rep>(Age & INT64_MAX));
+  Each.Contact = readEnumeration(From, PrimaryContact::Silent);
+  return Each;
+}
+
+void writeBody(Writer &To, const RightQuestion &Message) {
+  To(static_cast<std::uint8_t>(Kind::Question), Message.Serial,
+     Message.WantsGrants);
+}
+
+void writeBody(Writer &To, const RightAnswer &Message) {
+  To(static_cast<std::uint8_t>(Kind::Answer), Message.Serial, Message.Part,
+     Message.Parts, static_cast<std::uint8_t>(Message.Services.size()));
+  for (const ToldService &Each : Message.Services)
+    writeService(To, Each);
+}
+
+void writeBody(Writer &To, const RightNews &) {
+  To(static_cast<std::uint8_t>(Kind::News));
+}
+
+RightMessage readMessage(Reader &From) {
+  std::uint8_t Version = 0;
+  From(Version);
+  if (Version != FormVersion)
+    throw cereal::Exception("another version");
+  switch (readEnumeration(From, Kind::News)) {
+  case Kind::Question: {
+    RightQuestion Question;
+    From(Question.Serial, Question.WantsGrants);
+    return Question;
+  }
+  case Kind::Answer: {
+    RightAnswer Answer;
+    std::uint8_t Count = 0;
+    From(Answer.Serial, Answer.Part, Answer.Parts, Count);
+    if (Count > ServicesInPart)
+      throw cereal::Exception("too many services");
+    for (std::uint8_t Index = 0; Index < Count; ++Index)
+      Answer.Services.push_back(readService(From));
+    return Answer;
+  }
+  case Kind::News:
+    return RightNews{};
+  }
+  throw cereal::Exception("unknown kind");
+}
+
+} // namespace
+
+std::string encodeRightMessage(const RightMessage &Message) {
+  std::ostringstream Bytes;
+  {
+    Writer To(Bytes);
+    To(FormVersion);
+    std::visit([&](const auto &Each) { writeBody(To, Each); }, Message);
+  }
+  return Bytes.str();
+}
+
+Result<RightMessage> decodeRightMessage(std::string_view Bytes) {
+  try {
+    std::istringstream Stream{std::string(Bytes)};
+    Reader From(Stream);
+    return readMessage(From);
+  } catch (const std::exception &Failure) {
+    return boost::leaf::new_error(
+        Error{.Kind = ErrorKind::BadRequest,
+              .Message = std::string("malformed message of an instance: ") +
+                         Failure.what(),
+              .Remedy = "run one version on all instances"});
+  }
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/failover/RightMessages.h
@@ -0,0 +1,68 @@
+// What instances tell one another of primaries.
+#pragma once
+
+#include "failover/ReignRecord.h"
+#include "core/Time.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace turmericpitch {
+
+/// How a primary answers an instance.
+enum class PrimaryContact : std::uint8_t {
+  /// Nothing was asked of it lately.
+  Unknown,
+  Answers,
+  Silent,
+};
+
+/// What an instance tells of one service.
+struct ToldService {
+  /// Without the fields that only a promoter needs.
+  ReignRecord Record;
+  /// How old the read behind the record is at most.
+  Duration Age{0};
+  /// The sender closes no record of this reign for the longest use of a
+  /// right, counted from when the question came in.
+  bool Granted = false;
+  PrimaryContact Contact = PrimaryContact::Unknown;
+
+  bool operator==(const ToldService &) const = default;
+};
+
+/// Asks what an instance knows.
+struct RightQuestion {
+  std::uint32_t Serial = 0;
+  /// Whether it should promise to close nothing.
+  bool WantsGrants = false;
+
+  bool operator==(const RightQuestion &) const = default;
+};
+/// One part of the answer.
+struct RightAnswer {
+  std::uint32_t Serial = 0;
+  std::uint8_t Part = 0;
+  std::uint8_t Parts = 1;
+  std::vector<ToldService> Services;
+
+  bool operator==(const RightAnswer &) const = default;
+};
+/// Something has changed; asking the sender is worth it.
+struct RightNews {
+  bool operator==(const RightNews &) const = default;
+};
+
+using RightMessage = std::variant<RightQuestion, RightAnswer, RightNews>;
+
+/// Services that fit one part of an answer.
+inline constexpr std::size_t ServicesInPart = 8;
+
+/// Thread-safe.
+std::string encodeRightMessage(const RightMessage &Message);
+/// Thread-safe. Errors: BadRequest if malformed or of another version.
+Result<RightMessage> decodeRightMessage(std::string_view Bytes);
+
+} // namespace turmericpitch
--- /dev/null
+++ b/failover/RightRound.cpp
@@ -0,0 +1,41 @@
+#include "failover/RightRound.h"
+
+namespace turmericpitch {
+
+RightRound::RightRound(std::uint32_t Serial, TimePoint SentAt,
+                       std::set<InstanceId> Asked)
+    : Serial(Serial), SentAt(SentAt), Asked(Asked.size()),
+      Missing(std::move(Asked)) {}
+
+void RightRound::onAnswer(const InstanceId &From, const RightAnswer &Answer) {
+  if (Answer.Serial != this->Serial || !this->Missing.contains(From) ||
+      !this->Seen[From].insert(Answer.Part).second)
+    return;
+  for (const ToldService &Each : Answer.Services) {
+    if (Each.Granted)
+      ++this->Grants[{.Service = Each.Record.Service,
+                      .Reign = Each.Record.Reign}];
+    ContactTally &Tally = this->Contacts[Each.Record.Service];
+    Tally.Answers += Each.Contact == PrimaryContact::Answers ? 1 : 0;
+    Tally.Silent += Each.Contact == PrimaryContact::Silent ? 1 : 0;
+  }
+  if (this->Seen[From].size() == Answer.Parts)
+    this->Missing.erase(From);
+}
+
+std::vector<GrantedReign> RightRound::granted() const {
+  std::vector<GrantedReign> All;
+  if (!this->complete())
+    return All;
+  for (const auto &[Reign, Count] : this->Grants)
+    if (Count == this->Asked)
+      All.push_back(Reign);
+  return All;
+}
+
+ContactTally RightRound::contacts(const ServiceId &Id) const {
+  auto Found = this->Contacts.find(Id);
+  return Found == this->Contacts.end() ? ContactTally{} : Found->second;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/failover/RightRound.h
@@ -0,0 +1,58 @@
+// One round of questions to all registered instances.
+#pragma once
+
+#include "core/Identifiers.h"
+#include "core/Time.h"
+#include "failover/RightMessages.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace turmericpitch {
+
+/// How the primary of a service answers the instances that answered.
+struct ContactTally {
+  std::size_t Answers = 0;
+  std::size_t Silent = 0;
+
+  bool operator==(const ContactTally &) const = default;
+};
+
+/// A reign that every instance asked has promised not to close.
+struct GrantedReign {
+  ServiceId Service;
+  std::uint64_t Reign = 0;
+
+  auto operator<=>(const GrantedReign &) const = default;
+};
+
+/// Gathers the answers to one round. Pure; not thread-safe.
+class RightRound {
+public:
+  RightRound() = default;
+  /// Asked: everyone but the asker itself.
+  RightRound(std::uint32_t Serial, TimePoint SentAt,
+             std::set<InstanceId> Asked);
+
+  void onAnswer(const InstanceId &From, const RightAnswer &Answer);
+  [[nodiscard]] std::uint32_t serial() const { return this->Serial; }
+  [[nodiscard]] TimePoint sentAt() const { return this->SentAt; }
+  /// Whether everyone asked has answered whole.
+  [[nodiscard]] bool complete() const { return this->Missing.empty(); }
+  /// The reigns that everyone asked grants; empty unless complete().
+  [[nodiscard]] std::vector<GrantedReign> granted() const;
+  [[nodiscard]] ContactTally contacts(const ServiceId &Id) const;
+
+private:
+  std::uint32_t Serial = 0;
+  TimePoint SentAt;
+  std::size_t Asked = 0;
+  /// The parts that have come of each instance's answer.
+  std::map<InstanceId, std::set<std::uint8_t>> Seen;
+  std::set<InstanceId> Missing;
+  std::map<GrantedReign, std::size_t> Grants;
+  std::map<ServiceId, ContactTally> Contacts;
+};
+
+} // namespace turmericpitch
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -31,9 +31,9 @@
 constexpr Duration ListingInterval = std::chrono::milliseconds(1000);
 constexpr Duration MaintainInterval = std::chrono::milliseconds(100);
 /// An instance that ends without saying so is counted for as long.
-constexpr std::chrono::milliseconds InstanceLease(6000);
-constexpr Duration RegistrationInterval = std::chrono::milliseconds(2000);
-constexpr Duration RosterInterval = std::chrono::milliseconds(2000);
+constexpr std::chrono::milliseconds InstanceLease(15000);
+constexpr Duration RegistrationInterval = std::chrono::milliseconds(3000);
+constexpr Duration RosterInterval = std::chrono::milliseconds(3000);
 constexpr Duration RetryInterval = std::chrono::milliseconds(200);
 /// The balancer asks once a second and needs two misses.
 constexpr Duration BalancerNotice = std::chrono::milliseconds(2300);
@@ -53,9 +53,11 @@
                    [this](const ServiceId &Id) { return this->Reigns.right(Id); }),
         Roster(this->Settings.Self),
         Reigns(this->Loop.get_executor(),
-               {.Self = this->Settings.Self, .Seed = std::random_device{}()},
-               this->Store, this->Registry, this->Dispatcher,
-               [this] { return this->Roster.rank(); }),
+               {.Self = this->Settings.Self,
+                .Listen = this->peerAddress(),
+                .Seed = std::random_device{}()},
+               this->Store, this->Roster, this->Dispatcher,
+               [this] { return this->Registration; }),
         Sessions(this->Loop.get_executor(),
                  {.Listen = this->Settings.Sessions}, this->Routes,
                  this->Dispatcher),
@@ -68,6 +70,10 @@
             }),
         Signals(this->Loop, SIGTERM, SIGINT, SIGHUP) {}
 
+  [[nodiscard]] Endpoint peerAddress() const {
+    return {.Address = this->Settings.Address,
+            .Port = this->Settings.FirstPeerPort};
+  }
   HttpReply answer(const HttpRequest &Request);
   void awaitSignal();
   Awaitable<void> pause(Duration Length);
@@ -99,8 +105,7 @@
   SessionServer Sessions;
   HttpServer Readiness;
   asio::signal_set Signals;
-  /// Whether the roster was read since the last renewal.
-  bool RosterRead = false;
+  std::optional<OwnRegistration> Registration;
   bool Stopping = false;
 };
 
@@ -207,8 +212,7 @@
   if (!Granted)
     co_return std::nullopt;
   RosterEntry Own{.Id = this->Settings.Self,
-                  .Peers = {.Address = this->Settings.Address,
-                            .Port = this->Settings.FirstPeerPort},
+                  .Peers = this->peerAddress(),
                   .Zone = this->Settings.Zone};
   LeaseId Lease = Granted.value().Lease;
   TransactionRequest Request;
@@ -219,6 +223,10 @@
   auto Written = co_await this->Store.commit(std::move(Request));
   if (!Written || Written.value().Result != CommitAnswer::Verdict::Written)
     co_return std::nullopt;
+  this->Registration = OwnRegistration{
+      .Key = std::string(InstancesPrefix) + this->Settings.Self.Value,
+      .Stored = Written.value().Written,
+      .Since = BootClock().now()};
   writeDecision(DecisionLine("registered").field("lease", Lease.Value));
   co_return Lease;
 }
@@ -229,13 +237,16 @@
     if (Lease) {
       auto Stands = co_await this->Store.renewLease(*Lease);
       // Keys can be taken away while their lease stands.
-      bool Missing = this->RosterRead && !this->Roster.listsSelf();
+      bool Missing = this->Registration &&
+                     this->Roster.askedAt() > this->Registration->Since &&
+                     !this->Roster.listsSelf();
       if ((Stands && !Stands.value()) || Missing)
         Lease.reset();
+      if (!Lease)
+        this->Registration.reset();
     }
     if (!Lease)
       Lease = co_await this->registerSelf();
-    this->RosterRead = false;
     co_await this->pause(Lease ? RegistrationInterval : RetryInterval);
   }
   if (Lease)
@@ -260,7 +271,6 @@
         writeWarning("event=instance_entry_skipped reason=\"" +
                      Decoded.error().Message + "\"");
     }
-    this->RosterRead = true;
     if (this->Roster.onListing(std::move(Entries), AskedAt)) {
       writeDecision(DecisionLine("instances_known")
                         .field("count", this->Roster.count())
@@ -324,6 +334,8 @@
   Status Started = P.Sessions.start();
   if (Started)
     Started = P.Readiness.start();
+  if (Started)
+    Started = P.Reigns.start();
   if (!Started)
     return Started;
   P.awaitSignal();
@@ -331,7 +343,6 @@
   P.spawn(P.followMembers());
   P.spawn(P.keepRegistered());
   P.spawn(P.followInstances());
-  P.Reigns.start();
   P.spawn(P.maintain());
   P.Loop.run();
   return std::monostate{};
