Shorten the gap of a change of primary

Change: promises bind the order, not the closing write; members are asked at once; refused connections tell of a loss after 250 ms; rights last 0.8 s.

--- a/drivers/CallerSession.cpp
+++ b/drivers/CallerSession.cpp
@@ -73,6 +73,7 @@
   }
   this->Opened = true;
   this->Database = Opening.Database;
+  this->Context->User = Opening.User;
   this->Lines->send(encodeSessionOpened());
 }
 
--- a/drivers/MemberLink.cpp
+++ b/drivers/MemberLink.cpp
@@ -32,6 +32,8 @@
                                this->To.Where.Port);
   this->Connecting.async_connect(
       Peer, [Self = this->shared_from_this()](const ErrorCode &Failure) {
+        if (Failure == asio::error::connection_refused)
+          return Self->concludeOpening(LinkOpening::ConnectionRefused);
         if (Failure || Self->Closed)
           return Self->concludeOpening(LinkOpening::Unreachable);
         Self->Lines = std::make_shared<LineConnection>(
--- a/drivers/MemberLink.h
+++ b/drivers/MemberLink.h
@@ -17,6 +17,8 @@
   RefusedAtLimit,
   /// Another member answers at the address.
   WrongMember,
+  /// Nothing listens at the address.
+  ConnectionRefused,
   Unreachable,
 };
 
--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -108,6 +108,7 @@
 
 void MemberPort::noteOpening(LinkOpening How) {
   TimePoint Now = this->Clock.now();
+  this->Refusing = How == LinkOpening::ConnectionRefused;
   if (How == LinkOpening::Opened)
     return this->onAnswered(Now);
   this->onLinkClosed();
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -83,6 +83,8 @@
   [[nodiscard]] const std::optional<TimePoint> &silentSince() const {
     return this->SilentSince;
   }
+  /// Whether the newest attempt to connect was refused.
+  [[nodiscard]] bool refusing() const { return this->Refusing; }
   /// Asks the member for its status, on an idle link or a new one, unless
   /// such a question is under way. OnReport runs later, with nothing if no
   /// answer came or the member had no capacity for one.
@@ -119,6 +121,7 @@
   std::optional<TimePoint> AnsweredAt;
   std::optional<TimePoint> SilentSince;
   std::size_t Questions = 0;
+  bool Refusing = false;
   BootClock Clock;
 };
 
--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -29,8 +29,6 @@
   ReplaceReason Reason = ReplaceReason::None;
   /// Whether an earlier promoter may have ordered a promotion already.
   bool WasOrdered = false;
-  /// When the closing write was acknowledged.
-  TimePoint ClosedAt;
   /// What is known to have been acknowledged to callers.
   std::optional<TermPosition> Acknowledged;
   /// Members that refused the order.
@@ -76,6 +74,7 @@
   Seen.Listed = true;
   Seen.Draining = Port->second->member().Draining;
   Seen.SilentSince = Port->second->silentSince();
+  Seen.Refusing = Port->second->refusing();
   return Seen;
 }
 
@@ -198,8 +197,8 @@
 
 Awaitable<bool> ReignKeeper::readRecords() {
   TimePoint AskedAt = this->Clock.now();
-  auto Read = co_await this->Store.readAll(std::string(ReignPrefix),
-                                           ReadAge::Current);
+  auto Read =
+      co_await this->Store.readAllQuickly(std::string(ReignPrefix));
   if (!Read)
     co_return false;
   std::vector<ReignRecord> Records;
@@ -356,6 +355,7 @@
   // Who is not registered was not asked to promise anything.
   if (Record.Phase != ReignPhase::Open && Own)
     Request.Compares.push_back({.Key = Own->Key, .Modified = Own->Stored});
+  TimePoint SentAt = this->Clock.now();
   auto Written = co_await this->Store.commit(std::move(Request));
   std::optional<Revision> Stored;
   if (Written &&
@@ -363,7 +363,9 @@
     Stored = Written.value().Written;
     this->PromoterRevision = *Stored;
     this->Promoter = this->Options.Self.Value;
-    co_await this->readRecords();
+    Record.Stored = *Stored;
+    this->Rights.onRecord(Record, SentAt);
+    this->Dispatcher.onRightsChanged();
   } else if (!Written && co_await this->readRecords()) {
     // The answer was lost; what is stored tells whether the write was made.
     const ReignRecord *Now = this->Rights.record(Record.Service);
@@ -430,10 +432,6 @@
     this->ConsultAfter[Id] = this->Clock.now() + this->Options.ConsultPause;
     co_return false;
   }
-  // What was promised to others holds first; nothing further is promised
-  // while a change is under way.
-  while (this->Clock.now() < this->Grants.boundUntil(Id))
-    co_await this->pause(this->Options.PollInterval);
   co_return true;
 }
 
@@ -446,51 +444,73 @@
     co_return false;
   Next.Stored = *Stored;
   C.Record = Next;
-  C.ClosedAt = this->Clock.now();
-  while (this->Clock.now() < C.ClosedAt + this->Options.Rights.longestUse())
-    co_await this->pause(std::max(Duration(1000),
-                                  C.ClosedAt + this->Options.Rights.longestUse() -
-                                      this->Clock.now()));
+  // Rights end with the longest use that began before the record was closed,
+  // or with what was promised to others; nothing further is promised while a
+  // change is under way.
+  TimePoint Ends =
+      std::max(this->Clock.now() + this->Options.Rights.longestUse(),
+               this->Grants.boundUntil(Next.Service));
+  while (this->Clock.now() < Ends)
+    co_await this->pause(
+        std::max(Duration(1000), Ends - this->Clock.now()));
   co_return true;
 }
 
+Awaitable<std::vector<ReignKeeper::MemberAnswered>>
+ReignKeeper::askMembers(Change &C) {
+  auto Answers = std::make_shared<std::vector<MemberAnswered>>();
+  auto Missing = std::make_shared<std::size_t>(0);
+  for (const auto &[Id, Port] :
+       this->Dispatcher.desks().at(C.Record.Service).Ports) {
+    bool Old = Id == C.Record.Primary;
+    if (C.Refused.contains(Id) || Port->member().Draining ||
+        (Old && (C.WasOrdered || C.Reason == ReplaceReason::Leaving)))
+      continue;
+    // The old primary is not waited for.
+    *Missing += Old ? 0 : 1;
+    Port->askStatus([Answers, Missing, Old, Id = Id](
+                        const std::optional<MemberReport> &Report, TimePoint) {
+      *Missing -= Old ? 0 : 1;
+      if (Report)
+        Answers->push_back({.Id = Id, .Report = *Report});
+    });
+  }
+  TimePoint GiveUpAt = this->Clock.now() + this->Options.ReportLimit;
+  while (*Missing > 0 && this->Clock.now() < GiveUpAt)
+    co_await this->pause(this->Options.PollInterval / 8);
+  co_return *Answers;
+}
+
 Awaitable<std::optional<UpstreamId>> ReignKeeper::findSuccessor(Change &C) {
   TimePoint GiveUpAt = this->Clock.now() + this->Options.SearchLimit;
   TimePoint CatchUpUntil = this->Clock.now() + this->Options.CatchUpLimit;
   while (this->Clock.now() < GiveUpAt) {
-    // A copy: the members may change while they are asked.
-    auto Ports = this->Dispatcher.desks().at(C.Record.Service).Ports;
+    auto Answers = co_await this->askMembers(C);
     std::vector<SuccessorCandidate> Candidates;
-    for (const auto &[Id, Port] : Ports) {
-      bool Old = Id == C.Record.Primary;
-      if (C.Refused.contains(Id) || Port->member().Draining ||
-          (Old && (C.WasOrdered || C.Reason == ReplaceReason::Leaving)))
-        continue;
-      auto Report = co_await this->askStatus(Port);
-      if (!Report)
-        continue;
-      if (Old && Report->Primary) {
+    for (const MemberAnswered &Each : Answers) {
+      bool Old = Each.Id == C.Record.Primary;
+      if (Old && Each.Report.Primary) {
         C.OldIsBack = true;
         co_return std::nullopt;
       }
-      Candidates.push_back({.Id = Id, .Received = Report->Received});
-      if (C.WasOrdered && Id == C.Record.Target)
-        co_return Id;
-    }
-    auto Best = chooseSuccessor(Candidates);
-    for (const SuccessorCandidate &Each : Candidates)
+      if (C.WasOrdered && Each.Id == C.Record.Target)
+        co_return Each.Id;
+      Candidates.push_back(
+          {.Id = Each.Id, .Received = Each.Report.Received});
       writeDecision(DecisionLine("successor_candidate")
                         .field("service", C.Record.Service.Value)
                         .field("member", Each.Id.Value)
-                        .field("received", positionText(Each.Received))
+                        .field("received", positionText(Each.Report.Received))
                         .field("acknowledged",
                                C.Acknowledged ? positionText(*C.Acknowledged)
                                               : "unknown"));
+    }
+    auto Best = chooseSuccessor(Candidates);
+    bool Enough = false;
     for (const SuccessorCandidate &Each : Candidates)
-      if (Best && Each.Id == *Best &&
-          (!C.Acknowledged || Each.Received >= *C.Acknowledged ||
-           this->Clock.now() >= CatchUpUntil))
-        co_return Best;
+      Enough = Enough || !C.Acknowledged || Each.Received >= *C.Acknowledged;
+    if (Best && (Enough || this->Clock.now() >= CatchUpUntil))
+      co_return Best;
     co_await this->pause(this->Options.PollInterval);
   }
   co_return std::nullopt;
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -19,16 +19,16 @@
   std::uint64_t Seed = 1;
   PrimaryRightsOptions Rights = {};
   PrimaryWatchOptions Watch = {};
-  /// How often rights are renewed; a third of their validity, so that one
-  /// lost answer costs nothing.
-  Duration RenewInterval = std::chrono::milliseconds(300);
+  /// How often rights are renewed; less than a third of their validity, so
+  /// that one lost answer costs nothing.
+  Duration RenewInterval = std::chrono::milliseconds(250);
   /// Instances that read the store for the others, the first by rank.
   std::size_t Readers = 2;
   /// How often the others ask a reader.
-  Duration AskInterval = std::chrono::milliseconds(200);
+  Duration AskInterval = std::chrono::milliseconds(150);
   /// Records older than this make an instance ask the store or, where that
   /// fails, everyone.
-  Duration LateAge = std::chrono::milliseconds(550);
+  Duration LateAge = std::chrono::milliseconds(450);
   /// How long a listing of the instances stands for all of them while the
   /// store is away. An instance closes no record before it has been
   /// registered for longer.
@@ -58,7 +58,10 @@
   Duration CatchUpLimit = std::chrono::milliseconds(1000);
   /// How long successors are looked for before the change is left to others.
   Duration SearchLimit = std::chrono::milliseconds(8000);
-  Duration PollInterval = std::chrono::milliseconds(50);
+  Duration PollInterval = std::chrono::milliseconds(40);
+  /// How long the members are waited for when they are asked how far their
+  /// logs reach; an answer takes a few milliseconds.
+  Duration ReportLimit = std::chrono::milliseconds(150);
 };
 
 /// This instance's own entry among the instances, as it was acknowledged.
@@ -96,6 +99,11 @@
     TimePoint SeenAt;
   };
   struct Change;
+  /// A member's report to a promoter.
+  struct MemberAnswered {
+    UpstreamId Id;
+    MemberReport Report;
+  };
 
   RightPeers::Hooks peerHooks();
   void extendBy(const RightRound &Round);
@@ -114,6 +122,7 @@
   Awaitable<void> replace(ReignRecord From, ReplaceReason Reason);
   Awaitable<bool> isStillWanted(ReignRecord From, ReplaceReason Reason);
   Awaitable<bool> close(Change &C);
+  Awaitable<std::vector<MemberAnswered>> askMembers(Change &C);
   Awaitable<std::optional<UpstreamId>> findSuccessor(Change &C);
   Awaitable<bool> order(Change &C, UpstreamId Target);
   Awaitable<bool> awaitLead(Change &C);
--- a/drivers/StatementCall.h
+++ b/drivers/StatementCall.h
@@ -18,6 +18,8 @@
 /// What the parts of the proxy share about one caller's session.
 struct SessionContext {
   SessionState State;
+  /// Who opened it, in the caller's own words; for the log only.
+  std::string User;
   /// The route of the present operation.
   RouteRule Route;
   /// The link that carries the open transaction, if one does.
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -588,6 +588,7 @@
     writeDecision(
         DecisionLine("reply")
             .field("request", Call->Asked.Id)
+            .field("user", Session.User)
             .field("route", Session.Route.Name)
             .field("service", Session.Route.Service.Value)
             .field("outcome", toString(Reply.Failure->Code))
--- a/drivers/StoreClient.cpp
+++ b/drivers/StoreClient.cpp
@@ -8,11 +8,23 @@
 
 Awaitable<Outcome<std::vector<KeyValueEntry>>>
 StoreClient::readAll(std::string Prefix, ReadAge Age) {
+  co_return co_await this->readPages(std::move(Prefix), Age,
+                                     this->Options.CallLimit);
+}
+
+Awaitable<Outcome<std::vector<KeyValueEntry>>>
+StoreClient::readAllQuickly(std::string Prefix) {
+  co_return co_await this->readPages(std::move(Prefix), ReadAge::Current,
+                                     this->Options.QuickLimit);
+}
+
+Awaitable<Outcome<std::vector<KeyValueEntry>>>
+StoreClient::readPages(std::string Prefix, ReadAge Age, Duration Limit) {
   std::vector<KeyValueEntry> All;
   std::string After;
   while (true) {
     auto Reply = co_await this->Store.call(encodePageRead(Prefix, After, Age),
-                                           this->Options.CallLimit);
+                                           Limit);
     if (!Reply)
       co_return Reply.error();
     auto Page = decodePage(Reply.value());
--- a/drivers/StoreClient.h
+++ b/drivers/StoreClient.h
@@ -12,6 +12,8 @@
   /// Limit for one call; the store answers in about 4 ms, in 400 ms when it
   /// is a hundred times slower.
   Duration CallLimit = std::chrono::milliseconds(1500);
+  /// Limit for a read that is of use only while it is recent.
+  Duration QuickLimit = std::chrono::milliseconds(700);
   /// Beyond the time a watch is asked to wait.
   Duration WatchSlack = std::chrono::milliseconds(700);
 };
@@ -25,6 +27,9 @@
   /// All entries below a prefix, page by page.
   Awaitable<Outcome<std::vector<KeyValueEntry>>> readAll(std::string Prefix,
                                                          ReadAge Age);
+  /// The same under the shorter limit.
+  Awaitable<Outcome<std::vector<KeyValueEntry>>>
+  readAllQuickly(std::string Prefix);
   Awaitable<Outcome<std::optional<KeyValueEntry>>> readKey(std::string Key);
   Awaitable<Outcome<WatchAnswer>> watch(std::string Prefix, Revision After,
                                         std::chrono::milliseconds Wait);
@@ -42,6 +47,9 @@
   [[nodiscard]] std::uint64_t calls() const;
 
 private:
+  Awaitable<Outcome<std::vector<KeyValueEntry>>>
+  readPages(std::string Prefix, ReadAge Age, Duration Limit);
+
   StoreClientOptions Options;
   HttpCaller Store;
   HttpCaller Promotions;
--- a/failover/PrimaryRights.h
+++ b/failover/PrimaryRights.h
@@ -13,7 +13,7 @@
 struct PrimaryRightsOptions {
   /// How long a right lasts, from the sending of the read that showed the
   /// primary. A failover waits for as long.
-  Duration Validity = std::chrono::milliseconds(1000);
+  Duration Validity = std::chrono::milliseconds(800);
   /// What a promoter waits beyond the validity: clocks of instances run at
   /// rates at most 2% apart, and timers fire late.
   Duration Margin = std::chrono::milliseconds(60);
--- a/failover/PrimaryWatch.cpp
+++ b/failover/PrimaryWatch.cpp
@@ -28,7 +28,8 @@
   if (!Seen.SilentSince)
     return false;
   TimePoint From = std::max(*Seen.SilentSince, this->AwakeSince);
-  return Now - From >= this->Options.SilenceLimit;
+  return Now - From >= (Seen.Refusing ? this->Options.RefusalLimit
+                                      : this->Options.SilenceLimit);
 }
 
 ReplaceReason PrimaryWatch::look(const PrimarySighting &Seen, std::size_t Rank,
--- a/failover/PrimaryWatch.h
+++ b/failover/PrimaryWatch.h
@@ -13,10 +13,13 @@
 struct PrimaryWatchOptions {
   /// A primary that leaves this instance's questions unanswered for so long
   /// is asked again on a connection of its own.
-  Duration ProbeAfter = std::chrono::milliseconds(200);
+  Duration ProbeAfter = std::chrono::milliseconds(150);
   /// Unanswered for so long, it counts as lost. The longest statement on the
   /// users' sheets takes 410 ms, and a probe is answered at once.
-  Duration SilenceLimit = std::chrono::milliseconds(700);
+  Duration SilenceLimit = std::chrono::milliseconds(500);
+  /// The same where the member's address refuses connections: nothing runs
+  /// there. A member that restarts at once is not replaced.
+  Duration RefusalLimit = std::chrono::milliseconds(250);
   /// Further wait for each rank among the instances, so that they seldom
   /// compete.
   Duration RankDelay = std::chrono::milliseconds(250);
@@ -33,6 +36,8 @@
   /// Since when the primary owes an answer to everything asked; not set if
   /// it owes none.
   std::optional<TimePoint> SilentSince = std::nullopt;
+  /// The newest attempt to connect was refused.
+  bool Refusing = false;
 };
 
 enum class ReplaceReason : std::uint8_t { None, Lost, Leaving };
