--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -93,6 +93,25 @@
              : PrimaryContact::Answers;
 }
 
+std::optional<Duration>
+ReignKeeper::expectedReturn(const ServiceId &Id) const {
+  const ReignRecord *Record = this->Rights.record(Id);
+  if (!Record || Record->Phase == ReignPhase::Open)
+    return std::nullopt;
+  auto Known = this->UnfinishedRecords.find(Id);
+  Duration Since{0};
+  if (Known != this->UnfinishedRecords.end() &&
+      Known->second.Stored == Record->Stored)
+    Since = this->Clock.now() - Known->second.SeenAt;
+  Duration Whole = this->Options.UsualTakeUp;
+  if (Record->Phase == ReignPhase::Closing)
+    Whole += this->Options.Rights.longestUse();
+  // Later than usual: nothing is known.
+  if (Since > 2 * Whole)
+    return std::nullopt;
+  return std::max(this->Options.PollInterval, Whole - Since);
+}
+
 void ReignKeeper::extendBy(const RightRound &Round) {
   const auto &ListedAt = this->Roster.askedAt();
   if (!ListedAt ||
@@ -137,6 +156,43 @@
   }
 }
 
+Awaitable<void> ReignKeeper::callRoll() {
+  while (true) {
+    co_await this->pause(this->Options.RollCallInterval);
+    if (this->Stopping || this->StoreLost ||
+        this->Roster.rank() >= this->Options.Readers)
+      continue;
+    this->Peers.askAll(false);
+    TimePoint Now = this->Clock.now();
+    // A copy: the list may change while an entry is removed.
+    std::vector<RosterEntry> All = this->Roster.all();
+    std::vector<RosterEntry> Silent;
+    for (const RosterEntry &Entry : All) {
+      auto Since = this->Peers.silentSince(Entry.Id);
+      if (Since && Now - *Since > this->Options.StrikeAfter)
+        Silent.push_back(Entry);
+    }
+    // Where most are silent, this instance is the one cut off.
+    if (Silent.size() * 2 > All.size())
+      continue;
+    for (const RosterEntry &Entry : Silent)
+      co_await this->strike(Entry);
+  }
+}
+
+Awaitable<void> ReignKeeper::strike(RosterEntry Entry) {
+  std::string Key = std::string(InstancesPrefix) + Entry.Id.Value;
+  TransactionRequest Request;
+  Request.Compares = {{.Key = Key, .Modified = Entry.Stored}};
+  Request.Writes = {DeleteOperation{.Key = Key}};
+  auto Struck = co_await this->Store.commit(std::move(Request));
+  bool Done =
+      Struck && Struck.value().Result == CommitAnswer::Verdict::Written;
+  writeDecision(DecisionLine("strike_instance")
+                    .field("instance", Entry.Id.Value)
+                    .field("outcome", Done ? "removed" : "kept"));
+}
+
 Awaitable<bool> ReignKeeper::othersReach(ServiceId Id) {
   this->Peers.askAll(false);
   TimePoint GiveUpAt = this->Clock.now() + this->Options.ConsultLimit;
@@ -171,6 +227,7 @@
     return Started;
   this->spawn(this->renew());
   this->spawn(this->askPeers());
+  this->spawn(this->callRoll());
   this->spawn(this->look());
   return std::monostate{};
 }
@@ -239,9 +296,11 @@
     if (this->Stopping || !this->ReadAt)
       continue;
     TimePoint Now = this->Clock.now();
-    for (const auto &[Id, Desk] : this->Dispatcher.desks())
+    for (const auto &[Id, Desk] : this->Dispatcher.desks()) {
+      this->noteUnfinished(Id, Now);
       if (!Desk.Ports.empty() && !this->UnderWay.contains(Id))
         this->lookAt(Id, Now);
+    }
   }
 }
 
@@ -263,7 +322,6 @@
   }
   if (Record->Phase != ReignPhase::Open)
     return this->lookAtUnfinished(*Record, Now);
-  this->UnfinishedRecords.erase(Id);
   PrimarySighting Seen = this->sighting(*Record);
   PrimaryWatch &Watch =
       this->Watches.try_emplace(Id, this->Options.Watch).first->second;
@@ -277,15 +335,25 @@
   this->spawn(this->replace(*Record, Reason));
 }
 
+void ReignKeeper::noteUnfinished(const ServiceId &Id, TimePoint Now) {
+  const ReignRecord *Record = this->Rights.record(Id);
+  if (!Record || Record->Phase == ReignPhase::Open) {
+    this->UnfinishedRecords.erase(Id);
+    return;
+  }
+  Unfinished &Known =
+      this->UnfinishedRecords
+          .try_emplace(Id, Unfinished{.Stored = Record->Stored, .SeenAt = Now})
+          .first->second;
+  if (Known.Stored != Record->Stored)
+    Known = {.Stored = Record->Stored, .SeenAt = Now};
+}
+
 void ReignKeeper::lookAtUnfinished(const ReignRecord &Record, TimePoint Now) {
-  auto [Found, Added] = this->UnfinishedRecords.try_emplace(
-      Record.Service, Unfinished{.Stored = Record.Stored, .SeenAt = Now});
-  if (Found->second.Stored != Record.Stored)
-    Found->second = {.Stored = Record.Stored, .SeenAt = Now};
   Duration Limit = this->Options.TakeOverAfter +
                    this->Options.Watch.RankDelay *
                        static_cast<Duration::rep>(this->Roster.rank());
-  if (Now - Found->second.SeenAt < Limit)
+  if (Now - this->UnfinishedRecords.at(Record.Service).SeenAt < Limit)
     return;
   this->UnderWay.insert(Record.Service);
   this->spawn(this->replace(Record, ReplaceReason::Lost));
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -32,13 +32,18 @@
   /// How long a listing of the instances stands for all of them while the
   /// store is away. An instance closes no record before it has been
   /// registered for longer.
-  Duration RosterValidity = std::chrono::milliseconds(6000);
+  Duration RosterValidity = std::chrono::milliseconds(8000);
   Duration RosterMargin = std::chrono::milliseconds(200);
   /// How long the others are waited for when they are asked how a primary
   /// answers them.
   Duration ConsultLimit = std::chrono::milliseconds(80);
   /// After the others were found to reach the primary.
   Duration ConsultPause = std::chrono::milliseconds(500);
+  /// How often each reader asks all others, so that silence is noticed.
+  Duration RollCallInterval = std::chrono::milliseconds(700);
+  /// An instance that answers no question for so long is struck from the
+  /// list; if it lives, it registers again.
+  Duration StrikeAfter = std::chrono::milliseconds(2200);
   Duration LookInterval = std::chrono::milliseconds(100);
   /// A change of primary that stays unfinished is taken over after this; it
   /// exceeds the closing wait and the limits of the two calls that follow.
@@ -52,6 +57,8 @@
   Duration OrderCallLimit = std::chrono::milliseconds(1000);
   /// How long a member that was ordered to lead may take to do so; the users
   /// state 1 s.
+  /// What it usually takes; half of the users' longest figure.
+  Duration UsualTakeUp = std::chrono::milliseconds(600);
   Duration TakeUpLimit = std::chrono::milliseconds(3000);
   /// How long a promotion waits for a replica that lacks commits known to
   /// have been acknowledged.
@@ -85,6 +92,10 @@
   /// Begins to renew and to watch. Errors: Unavailable if the address for
   /// other instances can't be bound.
   Status start();
+  /// In how long a service is expected to have a primary; nothing if that
+  /// isn't known.
+  [[nodiscard]] std::optional<Duration>
+  expectedReturn(const ServiceId &Id) const;
   /// Begins no further change of primary.
   void stop() { this->Stopping = true; }
   [[nodiscard]] std::optional<PrimaryRight> right(const ServiceId &Id) const {
@@ -93,7 +104,7 @@
   [[nodiscard]] const PrimaryRights &rights() const { return this->Rights; }
 
 private:
-  /// A record that is not open, since when it is known as it is.
+  /// A record, since when it is known as it is.
   struct Unfinished {
     Revision Stored;
     TimePoint SeenAt;
@@ -111,11 +122,14 @@
   [[nodiscard]] PrimaryContact contact(const ServiceId &Id) const;
   [[nodiscard]] PrimarySighting sighting(const ReignRecord &Record) const;
   Awaitable<void> askPeers();
+  Awaitable<void> callRoll();
+  Awaitable<void> strike(RosterEntry Entry);
   Awaitable<bool> othersReach(ServiceId Id);
   Awaitable<void> renew();
   Awaitable<bool> readRecords();
   Awaitable<void> look();
   void lookAt(const ServiceId &Id, TimePoint Now);
+  void noteUnfinished(const ServiceId &Id, TimePoint Now);
   void lookAtUnfinished(const ReignRecord &Record, TimePoint Now);
   [[nodiscard]] bool mayBegin(TimePoint Now) const;
   Awaitable<void> install(ServiceId Id);
--- a/drivers/RightPeers.cpp
+++ b/drivers/RightPeers.cpp
@@ -36,7 +36,7 @@
   if (Peer.Id == this->Options.Self)
     return;
   Question Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
-  this->Questions[Peer.Id] = Sent;
+  this->note(Peer, Sent);
   this->send(Peer.Peers, RightQuestion{.Serial = Sent.Serial});
 }
 
@@ -50,7 +50,7 @@
   for (const RosterEntry &Peer : this->Roster.all()) {
     if (Peer.Id == this->Options.Self)
       continue;
-    this->Questions[Peer.Id] = Sent;
+    this->note(Peer, Sent);
     this->send(Peer.Peers, RightQuestion{.Serial = Sent.Serial,
                                          .WantsGrants = WantsGrants});
   }
@@ -58,6 +58,22 @@
     this->Calls.OnComplete(this->Round);
 }
 
+void RightPeers::note(const RosterEntry &Peer, const Question &Sent) {
+  this->Questions[Peer.Id] = Sent;
+  Silence Begins{.Registered = Peer.Stored, .Since = Sent.SentAt};
+  Silence &Known = this->Silent.try_emplace(Peer.Id, Begins).first->second;
+  if (Known.Registered != Peer.Stored)
+    Known = Begins;
+}
+
+std::optional<TimePoint>
+RightPeers::silentSince(const InstanceId &Id) const {
+  auto Found = this->Silent.find(Id);
+  if (Found == this->Silent.end())
+    return std::nullopt;
+  return Found->second.Since;
+}
+
 void RightPeers::tellNews() {
   for (const RosterEntry &Peer : this->Roster.all())
     if (Peer.Id != this->Options.Self)
@@ -114,6 +130,7 @@
 
 void RightPeers::onAnswer(const PeerArrival &From, const RightAnswer &Answer) {
   const InstanceId &Peer = From.Frame.From;
+  this->Silent.erase(Peer);
   auto Asked = this->Questions.find(Peer);
   if (Asked == this->Questions.end() || Asked->second.Serial != Answer.Serial)
     return;
--- a/drivers/RightPeers.h
+++ b/drivers/RightPeers.h
@@ -38,6 +38,10 @@
   void askAll(bool WantsGrants);
   /// Tells all others that asking this instance is worth it.
   void tellNews();
+  /// Since when an instance has left questions unanswered; nothing if it
+  /// answered the newest or was not asked.
+  [[nodiscard]] std::optional<TimePoint>
+  silentSince(const InstanceId &Id) const;
   /// The newest round.
   [[nodiscard]] const RightRound &round() const { return this->Round; }
 
@@ -61,8 +65,18 @@
   Hooks Calls;
   PeerTransport Transport;
   std::uint32_t NextSerial = 1;
+  /// Questions that a life of an instance has left unanswered.
+  struct Silence {
+    /// The registration of that life.
+    Revision Registered;
+    TimePoint Since;
+  };
+
+  void note(const RosterEntry &Peer, const Question &Sent);
+
   /// The newest question to each instance.
   std::map<InstanceId, Question> Questions;
+  std::map<InstanceId, Silence> Silent;
   RightRound Round;
   BootClock Clock;
 };
--- a/drivers/StatementCall.h
+++ b/drivers/StatementCall.h
@@ -34,7 +34,7 @@
   using ReplyHandler = std::function<void(StatementReply)>;
 
   explicit StatementCall(const boost::asio::any_io_executor &On)
-      : Timer(On) {}
+      : Timer(On), HedgeTimer(On) {}
 
   std::shared_ptr<SessionContext> Session;
   Statement Asked;
@@ -62,6 +62,8 @@
   TimePoint SentAt;
 
   boost::asio::steady_timer Timer;
+  /// Runs out when a read should be sent to another member too.
+  boost::asio::steady_timer HedgeTimer;
   bool Over = false;
 };
 
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -58,8 +58,10 @@
 
 StatementDispatcher::StatementDispatcher(asio::any_io_executor On,
                                          StatementDispatcherOptions Options,
-                                         RightLookup RightOf)
+                                         RightLookup RightOf,
+                                         ReturnLookup ReturnOf)
     : On(On), Options(std::move(Options)), RightOf(std::move(RightOf)),
+      ReturnOf(std::move(ReturnOf)),
       WakeTimer(On) {}
 
 std::uint64_t StatementDispatcher::linksOpened() const {
@@ -190,13 +192,15 @@
   if (Chosen.Verdict == PlacementVerdict::Wait)
     return false;
   if (Chosen.Verdict == PlacementVerdict::NoMember) {
-    if (Now - Call->Terms.ArrivedAt < this->Options.NoMemberPatience &&
-        Call->Excluded.size() < Ports.size())
+    PatienceVerdict Patience = decidePatience(
+        this->Options.Patience, Call->Terms.ArrivedAt, Call->Terms.Deadline,
+        Right ? std::nullopt : this->ReturnOf(Desk.Id), Now);
+    if (Patience.Wait)
       return false;
     this->refuse(Call, ReplyError::Busy,
                  Call->NeedsPrimary ? "no primary at present"
                                     : "no member recent enough at present",
-                 this->Options.ComeBackAfter);
+                 Patience.ComeBackAfter);
     return true;
   }
   bool AtPrimary = Candidates[Chosen.Index].UsablePrimary;
@@ -211,7 +215,8 @@
                                   const std::optional<PrimaryRight> &Right) {
   Call->Port = Port;
   Call->Reign = Right ? Right->Reign : 0;
-  ++Call->Attempts;
+  if (++Call->Attempts == 1)
+    this->Desks[Call->Session->Route.Service].Hedges.onFirstAttempt();
   countIn(*Call);
   Call->Link = Port->takeIdle(Call->Session->State.values());
   if (Call->Link)
@@ -314,9 +319,62 @@
   Call->Link->run(
       encodeForMember(Call->Asked, PreparedAs,
                       Running ? std::nullopt : Call->AtLeast),
-      [this, Call](Outcome<StatementReply> Reply) {
+      [this, Call, Link = Call->Link,
+       Port = Call->Port](Outcome<StatementReply> Reply) {
+        if (Call->Link != Link)
+          return this->onLateReply(Call, Link, Port, std::move(Reply));
         this->onReply(Call, std::move(Reply));
       });
+  if (!Session.State.inTransaction() && !Call->LastingEffect)
+    this->watchRead(Call);
+}
+
+void StatementDispatcher::watchRead(const SharedCall &Call) {
+  Duration Delay =
+      std::max(this->Options.LeastHedgeDelay,
+               this->Options.HedgeFactor * Call->Port->typical());
+  Call->HedgeTimer.expires_after(Delay);
+  Call->HedgeTimer.async_wait(
+      [this, Call, Link = Call->Link](const boost::system::error_code &Failure) {
+        if (!Failure && !Call->Over && Call->Sent && Call->Link == Link)
+          this->hedge(Call);
+      });
+}
+
+void StatementDispatcher::hedge(const SharedCall &Call) {
+  ServiceDesk &Desk = this->Desks[Call->Session->Route.Service];
+  if (!Desk.Hedges.spend())
+    return;
+  writeDecision(DecisionLine("hedge")
+                    .field("request", Call->Asked.Id)
+                    .field("member", Call->Port->member().Id.Value)
+                    .field("typical_ms", inMilliseconds(Call->Port->typical())));
+  // The link stays with its statement until the reply comes or its time is
+  // over.
+  auto Limit = std::make_shared<asio::steady_timer>(
+      this->On, Call->Terms.Deadline - this->Clock.now());
+  Limit->async_wait(
+      [Link = Call->Link, Limit](const boost::system::error_code &) {
+        if (!Link->idle())
+          Link->close();
+      });
+  Call->Counted = false;
+  Call->Link.reset();
+  this->retry(Call, true);
+}
+
+void StatementDispatcher::onLateReply(const SharedCall &Call,
+                                      const std::shared_ptr<MemberLink> &Link,
+                                      const std::shared_ptr<MemberPort> &Port,
+                                      Outcome<StatementReply> Reply) {
+  TimePoint Now = this->Clock.now();
+  Port->onStatementOver(std::nullopt);
+  Port->giveBack(Link, Now);
+  if (!Reply)
+    return Port->onUnanswered(Now);
+  Port->onAnswered(Now);
+  if (!Call->Over && !Reply.value().Failure)
+    this->deliver(Call, std::move(Reply.value()));
 }
 
 void StatementDispatcher::noteReply(const SharedCall &Call,
@@ -479,8 +537,8 @@
 }
 
 void StatementDispatcher::retry(const SharedCall &Call, bool ExcludeMember) {
-  // The only primary is not excluded: it may be the one that answers next.
-  if (ExcludeMember && Call->Reign == 0)
+  // The only member that will do is not excluded: it may answer next.
+  if (ExcludeMember && !Call->NeedsPrimary)
     Call->Excluded.push_back(Call->Port->member().Id);
   Call->Link.reset();
   Call->Sent = false;
@@ -532,6 +590,7 @@
 void StatementDispatcher::abandon(const SharedCall &Call) {
   Call->Over = true;
   Call->Timer.cancel();
+  Call->HedgeTimer.cancel();
 }
 
 void StatementDispatcher::onDeadline(const SharedCall &Call) {
@@ -582,6 +641,7 @@
     return;
   Call->Over = true;
   Call->Timer.cancel();
+  Call->HedgeTimer.cancel();
   Reply.Mark = Call->Session->State.mark();
   if (Reply.Failure) {
     const SessionContext &Session = *Call->Session;
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -5,6 +5,8 @@
 #include "drivers/MemberPort.h"
 #include "drivers/StatementCall.h"
 #include "failover/PrimaryRight.h"
+#include "limits/OutagePatience.h"
+#include "limits/RetryBudget.h"
 #include "routing/FreshnessTracker.h"
 #include "routing/MemberRegistry.h"
 
@@ -20,8 +22,11 @@
   /// How long the answer to a write waits for the right to the primary to be
   /// renewed once it has run out.
   Duration ConfirmationLimit = std::chrono::milliseconds(1500);
-  /// How long a statement waits where no member can take it at present.
-  Duration NoMemberPatience = std::chrono::milliseconds(300);
+  OutagePatienceOptions Patience = {};
+  /// A read that its member leaves unanswered for this many times the typical
+  /// time, and for at least LeastHedgeDelay, is sent to another member too.
+  int HedgeFactor = 4;
+  Duration LeastHedgeDelay = std::chrono::milliseconds(120);
   /// What a refused caller is told to wait.
   Duration ComeBackAfter = std::chrono::milliseconds(100);
   /// How often waiting statements are looked at while no reply comes in.
@@ -38,6 +43,7 @@
   WaitQueue<SharedCall> Queue;
   FreshnessTracker Freshness;
   TimePoint SampleAskedAt;
+  RetryBudget Hedges;
   bool Serving = false;
 };
 
@@ -49,8 +55,14 @@
   using RightLookup =
       std::function<std::optional<PrimaryRight>(const ServiceId &)>;
 
+  /// In how long a service is expected to have a primary again; nothing if
+  /// that isn't known.
+  using ReturnLookup =
+      std::function<std::optional<Duration>(const ServiceId &)>;
+
   StatementDispatcher(boost::asio::any_io_executor On,
-                      StatementDispatcherOptions Options, RightLookup RightOf);
+                      StatementDispatcherOptions Options, RightLookup RightOf,
+                      ReturnLookup ReturnOf);
 
   /// Runs a statement that a member must run; OnReply runs once, maybe at
   /// once.
@@ -93,6 +105,12 @@
   void sendBegin(const SharedCall &Call);
   void sendStatement(const SharedCall &Call);
   void onReply(const SharedCall &Call, Outcome<StatementReply> Reply);
+  void watchRead(const SharedCall &Call);
+  void hedge(const SharedCall &Call);
+  void onLateReply(const SharedCall &Call,
+                   const std::shared_ptr<MemberLink> &Link,
+                   const std::shared_ptr<MemberPort> &Port,
+                   Outcome<StatementReply> Reply);
   void onFailure(const SharedCall &Call, const ReplyFailure &Failure,
                  StatementReply Reply);
   void onLost(const SharedCall &Call);
@@ -113,6 +131,7 @@
   boost::asio::any_io_executor On;
   StatementDispatcherOptions Options;
   RightLookup RightOf;
+  ReturnLookup ReturnOf;
   std::map<ServiceId, ServiceDesk> Desks;
   std::vector<Unconfirmed> Held;
   PreparedNames Names;
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -33,7 +33,7 @@
 /// An instance that ends without saying so is counted for as long.
 constexpr std::chrono::milliseconds InstanceLease(15000);
 constexpr Duration RegistrationInterval = std::chrono::milliseconds(3000);
-constexpr Duration RosterInterval = std::chrono::milliseconds(3000);
+constexpr Duration RosterInterval = std::chrono::milliseconds(2000);
 constexpr Duration RetryInterval = std::chrono::milliseconds(200);
 /// The balancer asks once a second and needs two misses.
 constexpr Duration BalancerNotice = std::chrono::milliseconds(2300);
@@ -50,7 +50,10 @@
               {.Store = this->Settings.Store,
                .Promotions = this->Settings.Promotions}),
         Dispatcher(this->Loop.get_executor(), {.Zone = this->Settings.Zone},
-                   [this](const ServiceId &Id) { return this->Reigns.right(Id); }),
+                   [this](const ServiceId &Id) { return this->Reigns.right(Id); },
+                   [this](const ServiceId &Id) {
+                     return this->Reigns.expectedReturn(Id);
+                   }),
         Roster(this->Settings.Self),
         Reigns(this->Loop.get_executor(),
                {.Self = this->Settings.Self,
--- a/membership/InstanceRoster.cpp
+++ b/membership/InstanceRoster.cpp
@@ -43,6 +43,7 @@
   Decoded.Id.Value = Entry.Key.substr(InstancesPrefix.size());
   Decoded.Peers = *Where;
   Decoded.Zone.Value = *Zone;
+  Decoded.Stored = Entry.Modified;
   return Decoded;
 }
 
--- a/membership/InstanceRoster.h
+++ b/membership/InstanceRoster.h
@@ -23,6 +23,8 @@
   /// Where it takes datagrams of other instances.
   Endpoint Peers;
   ZoneId Zone;
+  /// The store's revision of the entry.
+  Revision Stored = {};
 
   auto operator<=>(const RosterEntry &) const = default;
 };
