Send callers of a cut-off zone to other zones

Change: an instance that hears neither the store nor another zone for 700 ms reports itself as not ready; once the balancer has noticed, idle sessions end. Ruled out: serving stale reads there beyond their age.

--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -141,9 +141,8 @@
   while (true) {
     co_await this->pause(this->Options.AskInterval);
     ++Turn;
-    auto Oldest = this->Rights.oldestAskedAt();
-    Duration Age = Oldest ? this->Clock.now() - *Oldest : Duration::max();
-    if (Age > this->Options.LateAge) {
+    this->lookOutside(this->Clock.now());
+    if (this->recordsAreLate(this->Clock.now())) {
       this->Peers.askAll(true);
       continue;
     }
@@ -156,6 +155,23 @@
   }
 }
 
+void ReignKeeper::lookOutside(TimePoint Now) {
+  auto ContactAt = std::max(this->StoreAnsweredAt,
+                            this->Peers.answeredOutside(this->Options.Zone));
+  bool Others = this->Roster.anyOutside(this->Options.Zone);
+  if (ContactAt && this->Isolation.wantsContact(ContactAt, Now))
+    this->Peers.askAll(this->recordsAreLate(Now));
+  if (this->Isolation.look(ContactAt, Others, Now))
+    writeDecision(DecisionLine(this->Isolation.isolated() ? "zone_cut_off"
+                                                          : "zone_back")
+                      .field("zone", this->Options.Zone.Value));
+}
+
+bool ReignKeeper::recordsAreLate(TimePoint Now) const {
+  auto Oldest = this->Rights.oldestAskedAt();
+  return !Oldest || Now - *Oldest > this->Options.LateAge;
+}
+
 Awaitable<void> ReignKeeper::callRoll() {
   while (true) {
     co_await this->pause(this->Options.RollCallInterval);
@@ -235,9 +251,8 @@
 Awaitable<void> ReignKeeper::renew() {
   while (true) {
     TimePoint Began = this->Clock.now();
-    auto Oldest = this->Rights.oldestAskedAt();
     bool Reader = this->Roster.rank() < this->Options.Readers;
-    if (!Reader && Oldest && Began - *Oldest < this->Options.LateAge) {
+    if (!Reader && !this->recordsAreLate(Began)) {
       co_await this->pause(this->Options.LookInterval);
       continue;
     }
@@ -258,6 +273,7 @@
       co_await this->Store.readAllQuickly(std::string(ReignPrefix));
   if (!Read)
     co_return false;
+  this->StoreAnsweredAt = this->Clock.now();
   std::vector<ReignRecord> Records;
   Revision Promoter;
   for (const KeyValueEntry &Entry : Read.value()) {
@@ -460,13 +476,14 @@
   C.WasOrdered = From.Phase == ReignPhase::Ordered;
   C.Acknowledged =
       this->Dispatcher.desks().at(From.Service).Freshness.newest();
+  bool Wanted = co_await this->isStillWanted(From, Reason);
   writeDecision(DecisionLine("replace_primary")
                     .field("service", From.Service.Value)
                     .field("reign", From.Reign)
                     .field("primary", From.Primary.Value)
                     .field("reason", toString(Reason))
-                    .field("phase", static_cast<int>(From.Phase)));
-  bool Wanted = co_await this->isStillWanted(From, Reason);
+                    .field("phase", static_cast<int>(From.Phase))
+                    .field("outcome", Wanted ? "begun" : "not_begun"));
   bool Closed = Wanted && co_await this->close(C);
   bool Led = false;
   TimePoint GiveUpAt = this->Clock.now() + this->Options.SearchLimit;
@@ -493,8 +510,10 @@
   bool Read = co_await this->readRecords();
   const ReignRecord *Now = this->Rights.record(Id);
   if (!Read || !Now || Now->Stored != From.Stored ||
-      !this->mayBegin(this->Clock.now()))
+      !this->mayBegin(this->Clock.now())) {
+    this->ConsultAfter[Id] = this->Clock.now() + this->Options.ConsultPause;
     co_return false;
+  }
   bool Open = From.Phase == ReignPhase::Open;
   if (Open && Reason == ReplaceReason::Lost && co_await this->othersReach(Id)) {
     this->ConsultAfter[Id] = this->Clock.now() + this->Options.ConsultPause;
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -7,6 +7,7 @@
 #include "drivers/StoreClient.h"
 #include "failover/PrimaryRights.h"
 #include "failover/PrimaryWatch.h"
+#include "membership/IsolationDetector.h"
 
 #include <set>
 
@@ -14,6 +15,7 @@
 
 struct ReignKeeperOptions {
   InstanceId Self;
+  ZoneId Zone;
   /// Where datagrams of other instances are taken.
   Endpoint Listen;
   std::uint64_t Seed = 1;
@@ -37,7 +39,8 @@
   /// How long the others are waited for when they are asked how a primary
   /// answers them.
   Duration ConsultLimit = std::chrono::milliseconds(80);
-  /// After the others were found to reach the primary.
+  /// After a change of primary was not begun, as others reach the primary or
+  /// the store can't be read.
   Duration ConsultPause = std::chrono::milliseconds(500);
   /// How often each reader asks all others, so that silence is noticed.
   Duration RollCallInterval = std::chrono::milliseconds(700);
@@ -101,6 +104,10 @@
   [[nodiscard]] std::optional<PrimaryRight> right(const ServiceId &Id) const {
     return this->Rights.right(Id);
   }
+  /// Whether and for how long this instance has been cut off.
+  [[nodiscard]] const IsolationDetector &isolation() const {
+    return this->Isolation;
+  }
   [[nodiscard]] const PrimaryRights &rights() const { return this->Rights; }
 
 private:
@@ -122,6 +129,8 @@
   [[nodiscard]] PrimaryContact contact(const ServiceId &Id) const;
   [[nodiscard]] PrimarySighting sighting(const ReignRecord &Record) const;
   Awaitable<void> askPeers();
+  void lookOutside(TimePoint Now);
+  [[nodiscard]] bool recordsAreLate(TimePoint Now) const;
   Awaitable<void> callRoll();
   Awaitable<void> strike(RosterEntry Entry);
   Awaitable<bool> othersReach(ServiceId Id);
@@ -159,6 +168,9 @@
   RightPeers Peers;
   /// When the newest own read of the store was sent; nothing before one.
   std::optional<TimePoint> ReadAt;
+  /// When the store last answered; nothing before.
+  std::optional<TimePoint> StoreAnsweredAt;
+  IsolationDetector Isolation;
   std::map<ServiceId, TimePoint> ConsultAfter;
   std::map<ServiceId, PrimaryWatch> Watches;
   std::map<ServiceId, Unfinished> UnfinishedRecords;
--- a/drivers/RightPeers.cpp
+++ b/drivers/RightPeers.cpp
@@ -74,6 +74,18 @@
   return Found->second.Since;
 }
 
+std::optional<TimePoint>
+RightPeers::answeredOutside(const ZoneId &Zone) const {
+  std::optional<TimePoint> Newest;
+  for (const RosterEntry &Peer : this->Roster.all()) {
+    auto Found = this->AnsweredAt.find(Peer.Id);
+    if (Peer.Zone == Zone || Found == this->AnsweredAt.end())
+      continue;
+    Newest = std::max(Newest, std::optional(Found->second));
+  }
+  return Newest;
+}
+
 void RightPeers::tellNews() {
   for (const RosterEntry &Peer : this->Roster.all())
     if (Peer.Id != this->Options.Self)
@@ -131,6 +143,7 @@
 void RightPeers::onAnswer(const PeerArrival &From, const RightAnswer &Answer) {
   const InstanceId &Peer = From.Frame.From;
   this->Silent.erase(Peer);
+  this->AnsweredAt[Peer] = this->Clock.now();
   auto Asked = this->Questions.find(Peer);
   if (Asked == this->Questions.end() || Asked->second.Serial != Answer.Serial)
     return;
--- a/drivers/RightPeers.h
+++ b/drivers/RightPeers.h
@@ -42,6 +42,9 @@
   /// answered the newest or was not asked.
   [[nodiscard]] std::optional<TimePoint>
   silentSince(const InstanceId &Id) const;
+  /// When an instance outside a zone last answered; nothing if none has.
+  [[nodiscard]] std::optional<TimePoint>
+  answeredOutside(const ZoneId &Zone) const;
   /// The newest round.
   [[nodiscard]] const RightRound &round() const { return this->Round; }
 
@@ -77,6 +80,7 @@
   /// The newest question to each instance.
   std::map<InstanceId, Question> Questions;
   std::map<InstanceId, Silence> Silent;
+  std::map<InstanceId, TimePoint> AnsweredAt;
   RightRound Round;
   BootClock Clock;
 };
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -57,6 +57,7 @@
         Roster(this->Settings.Self),
         Reigns(this->Loop.get_executor(),
                {.Self = this->Settings.Self,
+                .Zone = this->Settings.Zone,
                 .Listen = this->peerAddress(),
                 .Seed = std::random_device{}()},
                this->Store, this->Roster, this->Dispatcher,
@@ -120,7 +121,8 @@
     return Reply;
   }
   bool Ready =
-      !this->Stopping && this->Routes.loaded() && this->Registry.loaded();
+      !this->Stopping && this->Routes.loaded() && this->Registry.loaded() &&
+      !this->Reigns.isolation().isolated();
   if (!Ready)
     Reply.Status = ServiceUnavailable;
   Reply.Body = "{}";
@@ -288,6 +290,10 @@
   while (true) {
     co_await this->pause(MaintainInterval);
     this->Dispatcher.maintain();
+    // Once the balancer leads new sessions elsewhere, the open ones follow.
+    if (!this->Stopping &&
+        this->Reigns.isolation().lasting(BootClock().now()) > BalancerNotice)
+      this->Sessions.closeIdle();
   }
 }
 
--- a/membership/InstanceRoster.cpp
+++ b/membership/InstanceRoster.cpp
@@ -68,6 +68,12 @@
       1, this->Entries.size() + (this->listsSelf() ? 0 : 1));
 }
 
+bool InstanceRoster::anyOutside(const ZoneId &Zone) const {
+  return std::any_of(
+      this->Entries.begin(), this->Entries.end(),
+      [&](const RosterEntry &Each) { return Each.Zone != Zone; });
+}
+
 bool InstanceRoster::listsSelf() const {
   return std::any_of(
       this->Entries.begin(), this->Entries.end(),
--- a/membership/InstanceRoster.h
+++ b/membership/InstanceRoster.h
@@ -46,6 +46,8 @@
   [[nodiscard]] std::size_t rank() const;
   /// How many instances there are, the own one included.
   [[nodiscard]] std::size_t count() const;
+  /// Whether an instance of another zone is listed.
+  [[nodiscard]] bool anyOutside(const ZoneId &Zone) const;
   /// Whether the own entry was in the newest listing.
   [[nodiscard]] bool listsSelf() const;
   [[nodiscard]] const std::vector<RosterEntry> &all() const {
