--- a/drivers/CallerSession.cpp
+++ b/drivers/CallerSession.cpp
@@ -11,6 +11,21 @@
 /// sends more without waiting for replies is cut off.
 constexpr std::size_t MostLaterBytes = 2 * MaximumLine;
 
+/// Before the routes are known nothing says that a database has none.
+std::optional<ReplyFailure> refuseOpening(const RouteController &Routes,
+                                          std::string_view Database) {
+  if (!Routes.loaded())
+    return ReplyFailure{.Code = ReplyError::Busy,
+                        .Spelled = {},
+                        .Text = "this instance is starting; come back after "
+                                "1000 ms"};
+  if (Routes.route(Database))
+    return std::nullopt;
+  return ReplyFailure{.Code = ReplyError::DatabaseUnknown,
+                      .Spelled = {},
+                      .Text = "no route to this database"};
+}
+
 } // namespace
 
 CallerSession::CallerSession(SessionServer &Owner,
@@ -63,11 +78,8 @@
 void CallerSession::onOpening(const SessionOpening &Opening) {
   if (this->Opened)
     return this->onMalformed({"the session is open already"});
-  if (!this->Owner.Routes.route(Opening.Database)) {
-    this->Lines->send(
-        encodeSessionRefused({.Code = ReplyError::DatabaseUnknown,
-                              .Spelled = {},
-                              .Text = "no route to this database"}));
+  if (auto Refusal = refuseOpening(this->Owner.Routes, Opening.Database)) {
+    this->Lines->send(encodeSessionRefused(*Refusal));
     this->Lines->finish();
     return this->end();
   }
--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -155,16 +155,36 @@
   }
 }
 
+OutsideView ReignKeeper::outside(TimePoint Now) {
+  bool AnyRight = false;
+  for (const ReignRecord &Record : this->Rights.all()) {
+    auto Right = this->Rights.right(Record.Service);
+    // A record under change is no sign of a partition.
+    AnyRight = AnyRight || !Right || Right->Until > Now;
+  }
+  if (AnyRight)
+    this->RightsLostAt.reset();
+  else if (!this->RightsLostAt)
+    this->RightsLostAt = Now;
+  const ZoneId &Zone = this->Options.Zone;
+  return {.ContactAt = std::max(this->StoreAnsweredAt,
+                                this->Peers.answeredOutside(Zone)),
+          .OthersElsewhere = this->Roster.anyOutside(Zone),
+          .OthersSilent = this->Peers.anySilentOutside(
+              Zone, this->Options.PeerSilenceLimit),
+          .RightsLostAt = this->RightsLostAt};
+}
+
 void ReignKeeper::lookOutside(TimePoint Now) {
-  auto ContactAt = std::max(this->StoreAnsweredAt,
-                            this->Peers.answeredOutside(this->Options.Zone));
-  bool Others = this->Roster.anyOutside(this->Options.Zone);
-  if (ContactAt && this->Isolation.wantsContact(ContactAt, Now))
+  OutsideView Seen = this->outside(Now);
+  if (this->Isolation.wantsContact(Seen, Now))
     this->Peers.askAll(this->recordsAreLate(Now));
-  if (this->Isolation.look(ContactAt, Others, Now))
-    writeDecision(DecisionLine(this->Isolation.isolated() ? "zone_cut_off"
-                                                          : "zone_back")
-                      .field("zone", this->Options.Zone.Value));
+  if (this->Isolation.look(Seen, Now))
+    writeDecision(DecisionLine(this->Isolation.isolated() ? "cut_off"
+                                                          : "cut_healed")
+                      .field("zone", this->Options.Zone.Value)
+                      .field("others_silent", Seen.OthersSilent ? 1 : 0)
+                      .field("rights_lost", Seen.RightsLostAt ? 1 : 0));
 }
 
 bool ReignKeeper::recordsAreLate(TimePoint Now) const {
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -39,6 +39,9 @@
   /// How long the others are waited for when they are asked how a primary
   /// answers them.
   Duration ConsultLimit = std::chrono::milliseconds(80);
+  /// An instance that leaves questions unanswered for so long may be on the
+  /// other side of a partition.
+  Duration PeerSilenceLimit = std::chrono::milliseconds(500);
   /// After a change of primary was not begun, as others reach the primary or
   /// the store can't be read.
   Duration ConsultPause = std::chrono::milliseconds(500);
@@ -129,6 +132,7 @@
   [[nodiscard]] PrimaryContact contact(const ServiceId &Id) const;
   [[nodiscard]] PrimarySighting sighting(const ReignRecord &Record) const;
   Awaitable<void> askPeers();
+  [[nodiscard]] OutsideView outside(TimePoint Now);
   void lookOutside(TimePoint Now);
   [[nodiscard]] bool recordsAreLate(TimePoint Now) const;
   Awaitable<void> callRoll();
@@ -171,6 +175,7 @@
   /// When the store last answered; nothing before.
   std::optional<TimePoint> StoreAnsweredAt;
   IsolationDetector Isolation;
+  std::optional<TimePoint> RightsLostAt;
   std::map<ServiceId, TimePoint> ConsultAfter;
   std::map<ServiceId, PrimaryWatch> Watches;
   std::map<ServiceId, Unfinished> UnfinishedRecords;
--- a/drivers/RightPeers.cpp
+++ b/drivers/RightPeers.cpp
@@ -86,6 +86,16 @@
   return Newest;
 }
 
+bool RightPeers::anySilentOutside(const ZoneId &Zone, Duration Limit) const {
+  TimePoint Now = this->Clock.now();
+  for (const RosterEntry &Peer : this->Roster.all()) {
+    auto Since = this->silentSince(Peer.Id);
+    if (Peer.Zone != Zone && Since && Now - *Since > Limit)
+      return true;
+  }
+  return false;
+}
+
 void RightPeers::tellNews() {
   for (const RosterEntry &Peer : this->Roster.all())
     if (Peer.Id != this->Options.Self)
--- a/drivers/RightPeers.h
+++ b/drivers/RightPeers.h
@@ -45,6 +45,9 @@
   /// When an instance outside a zone last answered; nothing if none has.
   [[nodiscard]] std::optional<TimePoint>
   answeredOutside(const ZoneId &Zone) const;
+  /// Whether an instance outside a zone has left a question unanswered for
+  /// longer than Limit.
+  [[nodiscard]] bool anySilentOutside(const ZoneId &Zone, Duration Limit) const;
   /// The newest round.
   [[nodiscard]] const RightRound &round() const { return this->Round; }
 
--- a/membership/IsolationDetector.cpp
+++ b/membership/IsolationDetector.cpp
@@ -2,17 +2,26 @@
 
 namespace turmericpitch {
 
-bool IsolationDetector::wantsContact(std::optional<TimePoint> ContactAt,
+bool IsolationDetector::wantsContact(const OutsideView &Seen,
                                      TimePoint Now) const {
-  return !ContactAt || Now - *ContactAt > this->Options.AskAfter;
+  return Seen.ContactAt && Now - *Seen.ContactAt > this->Options.AskAfter;
 }
 
-bool IsolationDetector::look(std::optional<TimePoint> ContactAt,
-                             bool OthersElsewhere, TimePoint Now) {
-  bool Was = this->isolated();
+bool IsolationDetector::cutOff(const OutsideView &Seen, TimePoint Now) const {
   // Before the first contact there is nothing to be cut off from.
-  bool Cut = ContactAt && OthersElsewhere &&
-             Now - *ContactAt > this->Options.Limit;
+  if (!Seen.ContactAt || !Seen.OthersElsewhere)
+    return false;
+  if (Now - *Seen.ContactAt > this->Options.Limit)
+    return true;
+  // Where everyone answers, the store is away for all, and no other instance
+  // could do better.
+  return Seen.OthersSilent && Seen.RightsLostAt &&
+         Now - *Seen.RightsLostAt > this->Options.RightsLimit;
+}
+
+bool IsolationDetector::look(const OutsideView &Seen, TimePoint Now) {
+  bool Was = this->isolated();
+  bool Cut = this->cutOff(Seen, Now);
   if (Cut) {
     this->BackSince.reset();
     if (!this->Since)
--- a/membership/IsolationDetector.h
+++ b/membership/IsolationDetector.h
@@ -1,4 +1,4 @@
-// Notices that this instance's zone is cut off from everything outside it.
+// Notices that this instance is on the wrong side of a partition.
 #pragma once
 
 #include "core/Time.h"
@@ -13,10 +13,27 @@
   /// Without contact for so long, the instance counts as cut off; several
   /// questions to everyone have then stayed unanswered.
   Duration Limit = std::chrono::milliseconds(700);
+  /// Without a right to any primary for so long, while others that may hold
+  /// one are silent, the instance counts as cut off too.
+  Duration RightsLimit = std::chrono::milliseconds(400);
   /// Contact must last for so long before the instance counts as back.
   Duration ReturnAfter = std::chrono::milliseconds(300);
 };
 
+/// What an instance sees of the world outside it. Immutable value.
+struct OutsideView {
+  /// The newest contact with the store or an instance of another zone;
+  /// nothing before the first.
+  std::optional<TimePoint> ContactAt;
+  /// Whether an instance of another zone is listed.
+  bool OthersElsewhere = false;
+  /// Whether a listed instance of another zone leaves questions unanswered.
+  bool OthersSilent = false;
+  /// Since when there has been no right to any primary; nothing while there
+  /// is one.
+  std::optional<TimePoint> RightsLostAt;
+};
+
 /// An instance that is cut off can prove no right to a primary, so callers
 /// are served better in other zones: it reports itself as not ready, and the
 /// balancer leads new sessions there. Pure; not thread-safe.
@@ -25,18 +42,17 @@
   explicit IsolationDetector(IsolationDetectorOptions Options = {})
       : Options(Options) {}
 
-  /// Looks at the time of the newest contact with the store or an instance
-  /// of another zone. OthersElsewhere: whether such an instance is listed.
   /// Returns whether the verdict has changed.
-  bool look(std::optional<TimePoint> ContactAt, bool OthersElsewhere,
-            TimePoint Now);
-  [[nodiscard]] bool wantsContact(std::optional<TimePoint> ContactAt,
-                                  TimePoint Now) const;
+  bool look(const OutsideView &Seen, TimePoint Now);
+  /// Whether the others should be asked out of turn.
+  [[nodiscard]] bool wantsContact(const OutsideView &Seen, TimePoint Now) const;
   [[nodiscard]] bool isolated() const { return this->Since.has_value(); }
   /// For how long it has been cut off; 0 if it isn't.
   [[nodiscard]] Duration lasting(TimePoint Now) const;
 
 private:
+  [[nodiscard]] bool cutOff(const OutsideView &Seen, TimePoint Now) const;
+
   IsolationDetectorOptions Options;
   std::optional<TimePoint> Since;
   std::optional<TimePoint> BackSince;
