Rest a replica that fell short of a position

Cause: with the primary gone and replicas behind, reads went to and fro between them, six attempts in 50 ms, and were refused; each LAGGING reply carries a position, which ended the rest that it had begun.

--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -199,10 +199,12 @@
 void MemberPort::onReached(const TermPosition &Position) {
   if (!this->Reached || *this->Reached < Position)
     this->Reached = Position;
-  this->ShortPause = Duration{0};
 }
 
 void MemberPort::onShort(TimePoint Now) {
+  // Several statements may find out at once; it counts as one time.
+  if (Now < this->ShortUntil)
+    return;
   this->ShortPause = doubled(this->ShortPause, this->Options.FirstShortPause,
                              this->Options.MostShortPause);
   this->ShortUntil = Now + this->ShortPause;
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -62,6 +62,9 @@
   void onStatementOver(std::optional<Duration> Took);
   /// The member's log was seen to reach a position.
   void onReached(const TermPosition &Position);
+  /// The member served a read that asked for a position.
+  void onSufficed() { this->ShortPause = Duration{0}; }
+  /// The member's log fell short of a position asked for.
   void onShort(TimePoint Now);
   void onBusy(TimePoint Now);
   void onAnswered(TimePoint Now);
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -384,6 +384,8 @@
   if (!Reply.Position)
     return;
   Call->Port->onReached(*Reply.Position);
+  if (Call->AtLeast && !Reply.Failure)
+    Call->Port->onSufficed();
   const ServiceId &Service = Call->Session->Route.Service;
   if (Call->Reign == 0)
     return;
