Call the store half as often

Change: one reader (one more for each twelve instances), configuration versions told among instances, old listings of members between current ones.

--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -40,10 +40,11 @@
 ReignKeeper::ReignKeeper(Executor On, ReignKeeperOptions Options,
                          StoreClient &Store, const InstanceRoster &Roster,
                          StatementDispatcher &Dispatcher,
-                         RegistrationLookup Registration)
+                         RegistrationLookup Registration,
+                         ConfigurationHooks Configuration)
     : On(On), Options(Options), Store(Store), Roster(Roster),
       Dispatcher(Dispatcher), Registration(std::move(Registration)),
-      Rights(Options.Rights),
+      Configuration(std::move(Configuration)), Rights(Options.Rights),
       Peers(On, {.Self = Options.Self, .Listen = Options.Listen}, this->Rights,
             this->Grants, Roster, this->peerHooks()),
       Random(Options.Seed) {}
@@ -52,6 +53,11 @@
   return {.MayGrant =
               [this](const ServiceId &Id) { return this->mayGrant(Id); },
           .Contact = [this](const ServiceId &Id) { return this->contact(Id); },
+          .Configuration = [this] { return this->Configuration.Version(); },
+          .OnConfiguration =
+              [this](std::uint64_t Version) {
+                this->Configuration.OnOther(Version);
+              },
           .OnChanged = [this] { this->Dispatcher.onRightsChanged(); },
           .OnComplete =
               [this](const RightRound &Round) { this->extendBy(Round); }};
@@ -136,6 +142,10 @@
   this->Dispatcher.onRightsChanged();
 }
 
+std::size_t ReignKeeper::readers() const {
+  return 1 + this->Roster.count() / this->Options.InstancesPerReader;
+}
+
 Awaitable<void> ReignKeeper::askPeers() {
   std::size_t Turn = 0;
   while (true) {
@@ -146,12 +156,13 @@
       this->Peers.askAll(true);
       continue;
     }
-    if (this->Roster.rank() < this->Options.Readers)
+    if (this->Roster.rank() < this->readers())
       continue;
     std::size_t Readers =
-        std::min(this->Options.Readers, this->Roster.all().size());
+        std::min(this->readers(), this->Roster.all().size());
     if (Readers > 0)
-      this->Peers.ask(this->Roster.all()[Turn % Readers]);
+      this->Peers.ask(
+          this->Roster.all()[(this->Roster.rank() + Turn) % Readers]);
   }
 }
 
@@ -196,7 +207,7 @@
   while (true) {
     co_await this->pause(this->Options.RollCallInterval);
     if (this->Stopping || this->StoreLost ||
-        this->Roster.rank() >= this->Options.Readers)
+        this->Roster.rank() >= this->Options.RollCallers)
       continue;
     this->Peers.askAll(false);
     TimePoint Now = this->Clock.now();
@@ -271,7 +282,7 @@
 Awaitable<void> ReignKeeper::renew() {
   while (true) {
     TimePoint Began = this->Clock.now();
-    bool Reader = this->Roster.rank() < this->Options.Readers;
+    bool Reader = this->Roster.rank() < this->readers();
     if (!Reader && !this->recordsAreLate(Began)) {
       co_await this->pause(this->Options.LookInterval);
       continue;
@@ -296,7 +307,7 @@
   this->StoreAnsweredAt = this->Clock.now();
   std::vector<ReignRecord> Records;
   Revision Promoter;
-  for (const KeyValueEntry &Entry : Read.value()) {
+  for (const KeyValueEntry &Entry : Read.value().Entries) {
     if (Entry.Key == PromoterKey) {
       Promoter = Entry.Modified;
       this->Promoter = Entry.Value;
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -24,8 +24,11 @@
   /// How often rights are renewed; less than a third of their validity, so
   /// that one lost answer costs nothing.
   Duration RenewInterval = std::chrono::milliseconds(250);
-  /// Instances that read the store for the others, the first by rank.
-  std::size_t Readers = 2;
+  /// One more instance reads the store for the others for so many; a reader
+  /// then answers about 80 questions a second.
+  std::size_t InstancesPerReader = 12;
+  /// Instances that ask all others regularly, the first by rank.
+  std::size_t RollCallers = 2;
   /// How often the others ask a reader.
   Duration AskInterval = std::chrono::milliseconds(150);
   /// Records older than this make an instance ask the store or, where that
@@ -45,7 +48,7 @@
   /// After a change of primary was not begun, as others reach the primary or
   /// the store can't be read.
   Duration ConsultPause = std::chrono::milliseconds(500);
-  /// How often each reader asks all others, so that silence is noticed.
+  /// How often a roll caller asks all others, so that silence is noticed.
   Duration RollCallInterval = std::chrono::milliseconds(700);
   /// An instance that answers no question for so long is struck from the
   /// list; if it lives, it registers again.
@@ -90,10 +93,18 @@
 public:
   /// Nothing while this instance is not registered.
   using RegistrationLookup = std::function<std::optional<OwnRegistration>()>;
+  /// How instances keep one another's configuration recent.
+  struct ConfigurationHooks {
+    /// The version that this instance runs.
+    std::function<std::uint64_t()> Version;
+    /// Another instance runs this version.
+    std::function<void(std::uint64_t)> OnOther;
+  };
 
   ReignKeeper(Executor On, ReignKeeperOptions Options, StoreClient &Store,
               const InstanceRoster &Roster, StatementDispatcher &Dispatcher,
-              RegistrationLookup Registration);
+              RegistrationLookup Registration,
+              ConfigurationHooks Configuration);
 
   /// Begins to renew and to watch. Errors: Unavailable if the address for
   /// other instances can't be bound.
@@ -111,6 +122,10 @@
   [[nodiscard]] const IsolationDetector &isolation() const {
     return this->Isolation;
   }
+  /// Whether what is known of primaries comes in no longer.
+  [[nodiscard]] bool late() const {
+    return this->recordsAreLate(this->Clock.now());
+  }
   [[nodiscard]] const PrimaryRights &rights() const { return this->Rights; }
 
 private:
@@ -131,6 +146,7 @@
   [[nodiscard]] bool mayGrant(const ServiceId &Id) const;
   [[nodiscard]] PrimaryContact contact(const ServiceId &Id) const;
   [[nodiscard]] PrimarySighting sighting(const ReignRecord &Record) const;
+  [[nodiscard]] std::size_t readers() const;
   Awaitable<void> askPeers();
   [[nodiscard]] OutsideView outside(TimePoint Now);
   void lookOutside(TimePoint Now);
@@ -167,6 +183,7 @@
   const InstanceRoster &Roster;
   StatementDispatcher &Dispatcher;
   RegistrationLookup Registration;
+  ConfigurationHooks Configuration;
   PrimaryRights Rights;
   RightGrants Grants;
   RightPeers Peers;
--- a/drivers/RightPeers.cpp
+++ b/drivers/RightPeers.cpp
@@ -37,7 +37,9 @@
     return;
   Question Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
   this->note(Peer, Sent);
-  this->send(Peer.Peers, RightQuestion{.Serial = Sent.Serial});
+  this->send(Peer.Peers,
+             RightQuestion{.Serial = Sent.Serial,
+                           .Configuration = this->Calls.Configuration()});
 }
 
 void RightPeers::askAll(bool WantsGrants) {
@@ -52,6 +54,8 @@
       continue;
     this->note(Peer, Sent);
     this->send(Peer.Peers, RightQuestion{.Serial = Sent.Serial,
+                                         .Configuration =
+                                             this->Calls.Configuration(),
                                          .WantsGrants = WantsGrants});
   }
   if (Asked.empty())
@@ -132,6 +136,7 @@
 
 void RightPeers::onQuestion(const PeerArrival &From,
                             const RightQuestion &Asked) {
+  this->Calls.OnConfiguration(Asked.Configuration);
   TimePoint Now = this->Clock.now();
   std::vector<ReignRecord> All = this->Rights.all();
   std::size_t Parts =
@@ -141,6 +146,7 @@
     RightAnswer Answer{.Serial = Asked.Serial,
                        .Part = static_cast<std::uint8_t>(Part),
                        .Parts = static_cast<std::uint8_t>(Parts),
+                       .Configuration = this->Calls.Configuration(),
                        .Services = {}};
     std::size_t End = std::min(All.size(), (Part + 1) * ServicesInPart);
     for (std::size_t Index = Part * ServicesInPart; Index < End; ++Index)
@@ -157,6 +163,7 @@
   auto Asked = this->Questions.find(Peer);
   if (Asked == this->Questions.end() || Asked->second.Serial != Answer.Serial)
     return;
+  this->Calls.OnConfiguration(Answer.Configuration);
   bool Changed = false;
   // The record was read no earlier than its age before the question was
   // sent, as the answer's age counts from when the question came in.
--- a/drivers/StoreClient.cpp
+++ b/drivers/StoreClient.cpp
@@ -6,21 +6,21 @@
     : Options(Options), Store(On, {.Service = Options.Store}),
       Promotions(On, {.Service = Options.Promotions}) {}
 
-Awaitable<Outcome<std::vector<KeyValueEntry>>>
+Awaitable<Outcome<StorePage>>
 StoreClient::readAll(std::string Prefix, ReadAge Age) {
   co_return co_await this->readPages(std::move(Prefix), Age,
                                      this->Options.CallLimit);
 }
 
-Awaitable<Outcome<std::vector<KeyValueEntry>>>
+Awaitable<Outcome<StorePage>>
 StoreClient::readAllQuickly(std::string Prefix) {
   co_return co_await this->readPages(std::move(Prefix), ReadAge::Current,
                                      this->Options.QuickLimit);
 }
 
-Awaitable<Outcome<std::vector<KeyValueEntry>>>
+Awaitable<Outcome<StorePage>>
 StoreClient::readPages(std::string Prefix, ReadAge Age, Duration Limit) {
-  std::vector<KeyValueEntry> All;
+  StorePage All;
   std::string After;
   while (true) {
     auto Reply = co_await this->Store.call(encodePageRead(Prefix, After, Age),
@@ -30,11 +30,13 @@
     auto Page = decodePage(Reply.value());
     if (!Page)
       co_return Page.error();
+    if (After.empty())
+      All.AsOf = Page.value().AsOf;
     for (KeyValueEntry &Each : Page.value().Entries)
-      All.push_back(std::move(Each));
-    if (!Page.value().More || All.empty())
+      All.Entries.push_back(std::move(Each));
+    if (!Page.value().More || All.Entries.empty())
       co_return All;
-    After = All.back().Key;
+    After = All.Entries.back().Key;
   }
 }
 
--- a/drivers/StoreClient.h
+++ b/drivers/StoreClient.h
@@ -24,12 +24,11 @@
 public:
   StoreClient(const Executor &On, StoreClientOptions Options);
 
-  /// All entries below a prefix, page by page.
-  Awaitable<Outcome<std::vector<KeyValueEntry>>> readAll(std::string Prefix,
-                                                         ReadAge Age);
+  /// All entries below a prefix, page by page; More is false, AsOf that of
+  /// the first page.
+  Awaitable<Outcome<StorePage>> readAll(std::string Prefix, ReadAge Age);
   /// The same under the shorter limit.
-  Awaitable<Outcome<std::vector<KeyValueEntry>>>
-  readAllQuickly(std::string Prefix);
+  Awaitable<Outcome<StorePage>> readAllQuickly(std::string Prefix);
   Awaitable<Outcome<std::optional<KeyValueEntry>>> readKey(std::string Key);
   Awaitable<Outcome<WatchAnswer>> watch(std::string Prefix, Revision After,
                                         std::chrono::milliseconds Wait);
@@ -47,8 +46,8 @@
   [[nodiscard]] std::uint64_t calls() const;
 
 private:
-  Awaitable<Outcome<std::vector<KeyValueEntry>>>
-  readPages(std::string Prefix, ReadAge Age, Duration Limit);
+  Awaitable<Outcome<StorePage>> readPages(std::string Prefix, ReadAge Age,
+                                          Duration Limit);
 
   StoreClientOptions Options;
   HttpCaller Store;
--- a/failover/RightMessages.cpp
+++ b/failover/RightMessages.cpp
@@ -63,12 +63,13 @@
 
 void writeBody(Writer &To, const RightQuestion &Message) {
   To(static_cast<std::uint8_t>(Kind::Question), Message.Serial,
-     Message.WantsGrants);
+     Message.Configuration, Message.WantsGrants);
 }
 
 void writeBody(Writer &To, const RightAnswer &Message) {
   To(static_cast<std::uint8_t>(Kind::Answer), Message.Serial, Message.Part,
-     Message.Parts, static_cast<std::uint8_t>(Message.Services.size()));
+     Message.Parts, Message.Configuration,
+     static_cast<std::uint8_t>(Message.Services.size()));
   for (const ToldService &Each : Message.Services)
     writeService(To, Each);
 }
@@ -85,13 +86,14 @@
   switch (readEnumeration(From, Kind::News)) {
   case Kind::Question: {
     RightQuestion Question;
-    From(Question.Serial, Question.WantsGrants);
+    From(Question.Serial, Question.Configuration, Question.WantsGrants);
     return Question;
   }
   case Kind::Answer: {
     RightAnswer Answer;
     std::uint8_t Count = 0;
-    From(Answer.Serial, Answer.Part, Answer.Parts, Count);
+    From(Answer.Serial, Answer.Part, Answer.Parts, Answer.Configuration,
+         Count);
     if (Count > ServicesInPart)
       throw cereal::Exception("too many services");
     for (std::uint8_t Index = 0; Index < Count; ++Index)
--- a/failover/RightMessages.h
+++ b/failover/RightMessages.h
@@ -36,6 +36,8 @@
 /// Asks what an instance knows.
 struct RightQuestion {
   std::uint32_t Serial = 0;
+  /// The version of the configuration that the asker runs.
+  std::uint64_t Configuration = 0;
   /// Whether it should promise to close nothing.
   bool WantsGrants = false;
 
@@ -46,6 +48,8 @@
   std::uint32_t Serial = 0;
   std::uint8_t Part = 0;
   std::uint8_t Parts = 1;
+  /// The version of the configuration that the sender runs.
+  std::uint64_t Configuration = 0;
   std::vector<ToldService> Services;
 
   bool operator==(const RightAnswer &) const = default;
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -25,15 +25,20 @@
 namespace {
 
 constexpr unsigned ServiceUnavailable = 503;
-/// A watch waits this long; twice as long and a read must fit the three
-/// seconds within which a configuration has to be in force.
-constexpr std::chrono::milliseconds WatchWait(1000);
+/// A watch waits this long while other instances tell of new versions, and
+/// while they don't: twice that and a read must fit the three seconds within
+/// which a configuration has to be in force.
+constexpr std::chrono::milliseconds WatchWait(5000);
+constexpr std::chrono::milliseconds AloneWatchWait(1000);
 constexpr Duration ListingInterval = std::chrono::milliseconds(1000);
+/// Each third listing is current, so that leaving members are known within
+/// four seconds; those between may be old and cost a tenth.
+constexpr std::uint32_t ListingsForCurrent = 3;
 constexpr Duration MaintainInterval = std::chrono::milliseconds(100);
 /// An instance that ends without saying so is counted for as long.
 constexpr std::chrono::milliseconds InstanceLease(15000);
 constexpr Duration RegistrationInterval = std::chrono::milliseconds(3000);
-constexpr Duration RosterInterval = std::chrono::milliseconds(2000);
+constexpr Duration RosterInterval = std::chrono::milliseconds(3000);
 constexpr Duration RetryInterval = std::chrono::milliseconds(200);
 /// The balancer asks once a second and needs two misses.
 constexpr Duration BalancerNotice = std::chrono::milliseconds(2300);
@@ -61,7 +66,12 @@
                 .Listen = this->peerAddress(),
                 .Seed = std::random_device{}()},
                this->Store, this->Roster, this->Dispatcher,
-               [this] { return this->Registration; }),
+               [this] { return this->Registration; },
+               {.Version = [this] { return this->Routes.version(); },
+                .OnOther =
+                    [this](std::uint64_t Version) {
+                      this->onOtherVersion(Version);
+                    }}),
         Sessions(this->Loop.get_executor(),
                  {.Listen = this->Settings.Sessions}, this->Routes,
                  this->Dispatcher),
@@ -83,6 +93,7 @@
   Awaitable<void> pause(Duration Length);
   Awaitable<void> followConfiguration();
   Awaitable<void> readConfiguration();
+  void onOtherVersion(std::uint64_t Version);
   Awaitable<void> followMembers();
   Awaitable<void> keepRegistered();
   Awaitable<std::optional<LeaseId>> registerSelf();
@@ -110,6 +121,8 @@
   HttpServer Readiness;
   asio::signal_set Signals;
   std::optional<OwnRegistration> Registration;
+  /// Whether the configuration is being read.
+  bool Reading = false;
   bool Stopping = false;
 };
 
@@ -135,7 +148,9 @@
 }
 
 Awaitable<void> SessionDaemon::Parts::readConfiguration() {
+  this->Reading = true;
   auto Read = co_await this->Store.readKey(std::string(ConfigurationKey));
+  this->Reading = false;
   if (!Read || !Read.value()) {
     writeWarning("event=configuration_read_failed reason=\"" +
                  (Read ? std::string("no such key") : Read.error().Message) +
@@ -162,6 +177,12 @@
   this->Dispatcher.onRegistry({}, this->Routes, this->Roster.count());
 }
 
+void SessionDaemon::Parts::onOtherVersion(std::uint64_t Version) {
+  if (Version <= this->Routes.version() || this->Reading)
+    return;
+  this->spawn(this->readConfiguration());
+}
+
 Awaitable<void> SessionDaemon::Parts::followConfiguration() {
   while (true) {
     co_await this->readConfiguration();
@@ -173,7 +194,9 @@
     while (Quiet) {
       auto Seen = co_await this->Store.watch(std::string(ConfigurationKey),
                                              this->ConfigurationRevision,
-                                             WatchWait);
+                                             this->Reigns.late()
+                                                 ? AloneWatchWait
+                                                 : WatchWait);
       Quiet = Seen && !Seen.value().HistoryGone && Seen.value().Events.empty();
       if (Quiet)
         this->ConfigurationRevision = Seen.value().AsOf;
@@ -184,18 +207,28 @@
 }
 
 Awaitable<void> SessionDaemon::Parts::followMembers() {
+  std::uint32_t Turn = 0;
+  Revision Newest;
   while (true) {
     TimePoint AskedAt = BootClock().now();
-    auto Listed = co_await this->Store.readAll(std::string(MembersPrefix),
-                                               ReadAge::Current);
+    bool Current = Turn++ % ListingsForCurrent == 0;
+    auto Listed = co_await this->Store.readAll(
+        std::string(MembersPrefix),
+        Current ? ReadAge::Current : ReadAge::MayBeOld);
     if (!Listed) {
       writeWarning("event=members_read_failed reason=\"" +
                    Listed.error().Message + "\"");
+      Turn = 0;
       co_await this->pause(RetryInterval);
       continue;
     }
+    if (Listed.value().AsOf < Newest) {
+      co_await this->pause(ListingInterval);
+      continue;
+    }
+    Newest = Listed.value().AsOf;
     std::vector<RegisteredMember> Members;
-    for (const KeyValueEntry &Entry : Listed.value()) {
+    for (const KeyValueEntry &Entry : Listed.value().Entries) {
       auto Member = keepOutcome([&] { return decodeMemberEntry(Entry); });
       if (Member)
         Members.push_back(std::move(Member.value()));
@@ -268,7 +301,7 @@
       continue;
     }
     std::vector<RosterEntry> Entries;
-    for (const KeyValueEntry &Entry : Listed.value()) {
+    for (const KeyValueEntry &Entry : Listed.value().Entries) {
       auto Decoded = keepOutcome([&] { return decodeRosterEntry(Entry); });
       if (Decoded)
         Entries.push_back(std::move(Decoded.value()));
