--- a/drivers/MemberLink.cpp
+++ b/drivers/MemberLink.cpp
@@ -108,7 +108,7 @@
 }
 
 void MemberLink::onEnd() {
-  this->concludeOpening(LinkOpening::Unreachable);
+  this->concludeOpening(LinkOpening::EndedEarly);
   if (this->Closed)
     return;
   std::function<void()> Handle = this->Lost;
--- a/drivers/MemberLink.h
+++ b/drivers/MemberLink.h
@@ -17,6 +17,9 @@
   RefusedAtLimit,
   /// Another member answers at the address.
   WrongMember,
+  /// Connected, and ended before the session was open: what a member at its
+  /// limit looks like when its refusal is lost.
+  EndedEarly,
   /// Nothing listens at the address.
   ConnectionRefused,
   Unreachable,
--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -95,6 +95,7 @@
 MemberPort::openLink(MemberLink::OpenHandler OnOpened) {
   auto Link = std::make_shared<MemberLink>(this->On, this->Member);
   ++this->Open;
+  ++this->Opening;
   ++this->Opened;
   this->noteAsked();
   Link->open(this->Options.OpenLimit,
@@ -108,14 +109,19 @@
 
 void MemberPort::noteOpening(LinkOpening How) {
   TimePoint Now = this->Clock.now();
+  --this->Opening;
   this->Refusing = How == LinkOpening::ConnectionRefused;
   if (How == LinkOpening::Opened)
     return this->onAnswered(Now);
   this->onLinkClosed();
-  if (How != LinkOpening::RefusedAtLimit)
+  std::size_t Established = this->Open - this->Opening;
+  bool AtLimit = How == LinkOpening::RefusedAtLimit ||
+                 (How == LinkOpening::EndedEarly && Established > 0);
+  if (!AtLimit)
     return this->onUnanswered(Now);
-  this->onAnswered(Now);
-  this->Allowance.onRefused(this->Open, Now);
+  if (How == LinkOpening::RefusedAtLimit)
+    this->onAnswered(Now);
+  this->Allowance.onRefused(Established, Now);
 }
 
 void MemberPort::giveBack(const std::shared_ptr<MemberLink> &Link,
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -68,6 +68,7 @@
   void onShort(TimePoint Now);
   void onBusy(TimePoint Now);
   void onAnswered(TimePoint Now);
+  /// The member can't be reached, or left a question unanswered.
   void onUnanswered(TimePoint Now);
   /// Closes idle links that are not needed.
   void closeExtraIdle(TimePoint Now);
@@ -112,6 +113,7 @@
   std::vector<std::shared_ptr<MemberLink>> Idle;
   /// Links idle, in use and being opened.
   std::size_t Open = 0;
+  std::size_t Opening = 0;
   std::size_t InFlight = 0;
   std::uint64_t Opened = 0;
   Duration Typical;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -162,11 +162,32 @@
   Desk.Queue.serve(this->Clock.now(), [&](const SharedCall &Call) {
     return Call->Over || this->tryPlace(Desk, Call);
   });
+  this->shedHopeless(Desk);
   Desk.Serving = false;
   if (!Desk.Queue.empty())
     this->wakeSoon();
 }
 
+void StatementDispatcher::shedHopeless(ServiceDesk &Desk) {
+  TimePoint Now = this->Clock.now();
+  Duration Typical{0};
+  std::size_t AtOnce = 0;
+  for (const auto &[Id, Port] : Desk.Ports) {
+    MemberCandidate Each = Port->candidate(this->Options.Zone, Now);
+    if (Each.Excluded)
+      continue;
+    AtOnce += Each.MostInFlight;
+    Typical = std::max(Typical, Each.Typical);
+  }
+  // Without a member the patience of each statement decides.
+  if (AtOnce == 0)
+    return;
+  Duration Step = Typical / static_cast<Duration::rep>(AtOnce);
+  for (const SharedCall &Call : Desk.Queue.shed(Now, Step, Typical))
+    this->refuse(Call, ReplyError::Busy, "too many wait for a member",
+                 Step * static_cast<Duration::rep>(Desk.Queue.size() + 1));
+}
+
 bool StatementDispatcher::tryPlace(ServiceDesk &Desk, const SharedCall &Call) {
   TimePoint Now = this->Clock.now();
   auto Right = this->RightOf(Desk.Id);
@@ -231,7 +252,9 @@
     settle(*Call, std::nullopt);
     if (Call->Over)
       return;
-    this->retry(Call, How != LinkOpening::RefusedAtLimit);
+    bool AtLimit = How == LinkOpening::RefusedAtLimit ||
+                   How == LinkOpening::EndedEarly;
+    this->retry(Call, !AtLimit);
   });
 }
 
@@ -371,7 +394,7 @@
   Port->onStatementOver(std::nullopt);
   Port->giveBack(Link, Now);
   if (!Reply)
-    return Port->onUnanswered(Now);
+    return;
   Port->onAnswered(Now);
   if (!Call->Over && !Reply.value().Failure)
     this->deliver(Call, std::move(Reply.value()));
@@ -520,7 +543,6 @@
   bool Running = Session.State.transaction() == SessionTransaction::Running;
   bool Sent = Call->Sent;
   this->releaseLink(Call);
-  Call->Port->onUnanswered(this->Clock.now());
   if (Call->Over)
     return;
   if (Sent && Call->LastingEffect) {
@@ -602,6 +624,7 @@
   bool Running =
       Call->Session->State.transaction() == SessionTransaction::Running;
   if (Call->Sent || Running) {
+    Call->Port->onUnanswered(this->Clock.now());
     bool Doubt = Call->Sent && Call->LastingEffect;
     if (Running) {
       if (Call->Link)
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -96,6 +96,7 @@
 
   void enqueue(const SharedCall &Call);
   void serve(ServiceDesk &Desk);
+  void shedHopeless(ServiceDesk &Desk);
   bool tryPlace(ServiceDesk &Desk, const SharedCall &Call);
   void startAt(const SharedCall &Call, const std::shared_ptr<MemberPort> &Port,
                const std::optional<PrimaryRight> &Right);
--- a/limits/WaitQueue.h
+++ b/limits/WaitQueue.h
@@ -50,6 +50,24 @@
     this->Waiting = std::move(Kept);
   }
 
+  /// Removes and returns those that can't be served before their deadlines:
+  /// one is served each Step, in order, and takes Reserve. Those that a
+  /// removal lets move up are kept.
+  std::vector<Item> shed(TimePoint Now, Duration Step, Duration Reserve) {
+    this->order(Now);
+    std::vector<Item> Hopeless;
+    std::vector<Entry> Kept;
+    for (Entry &Each : this->Waiting) {
+      auto Ahead = static_cast<Duration::rep>(Kept.size());
+      if (Now + Step * Ahead + Reserve > Each.Terms.Deadline)
+        Hopeless.push_back(std::move(Each.What));
+      else
+        Kept.push_back(std::move(Each));
+    }
+    this->Waiting = std::move(Kept);
+    return Hopeless;
+  }
+
   /// Removes and returns the statements for which Match holds.
   template <typename Callable> std::vector<Item> extract(Callable &&Match) {
     std::vector<Item> Found;
