--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -119,8 +119,8 @@
                  (How == LinkOpening::EndedEarly && Established > 0);
   if (!AtLimit)
     return this->onUnanswered(Now);
-  if (How == LinkOpening::RefusedAtLimit)
-    this->onAnswered(Now);
+  // Who ends connections beyond its limit is alive.
+  this->onAnswered(Now);
   this->Allowance.onRefused(Established, Now);
 }
 
@@ -155,6 +155,9 @@
 
 void MemberPort::askStatus(
     std::function<void(std::optional<MemberReport>, TimePoint)> OnReport) {
+  if (this->AskingStatus)
+    return OnReport(std::nullopt, TimePoint{});
+  this->AskingStatus = true;
   auto Ask = [Self = this->shared_from_this(),
               OnReport](const std::shared_ptr<MemberLink> &Link) {
     ++Self->Questions;
@@ -170,6 +173,7 @@
               [Self, Link, OnReport, AskedAt,
                GiveUp](const Outcome<StatementReply> &Reply) {
                 --Self->Questions;
+                Self->AskingStatus = false;
                 GiveUp->cancel();
                 Self->giveBack(Link, Self->Clock.now());
                 std::optional<MemberReport> Report;
@@ -188,10 +192,12 @@
   if (auto Link = this->takeIdle({}))
     return Ask(Link);
   auto Opening = std::make_shared<std::shared_ptr<MemberLink>>();
-  *Opening = this->openLink([Ask, Opening, OnReport](LinkOpening How) {
+  *Opening = this->openLink([Self = this->shared_from_this(), Ask, Opening,
+                             OnReport](LinkOpening How) {
     auto Link = std::move(*Opening);
     if (How == LinkOpening::Opened)
       return Ask(Link);
+    Self->AskingStatus = false;
     OnReport(std::nullopt, TimePoint{});
   });
 }
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -126,6 +126,8 @@
   std::optional<TimePoint> AnsweredAt;
   std::optional<TimePoint> SilentSince;
   std::size_t Questions = 0;
+  /// A question for the member's status is under way.
+  bool AskingStatus = false;
   bool Refusing = false;
   BootClock Clock;
 };
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Weight of the newest observation in the usual time of a route's
+/// statements.
+constexpr int WorkObservationShare = 16;
+
 std::int64_t inMilliseconds(Duration Length) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
 }
@@ -135,6 +139,7 @@
 void StatementDispatcher::enqueue(const SharedCall &Call) {
   ServiceDesk &Desk = this->Desks[Call->Session->Route.Service];
   Desk.Id = Call->Session->Route.Service;
+  Call->Terms.Work = Desk.Work[Call->Session->Route.Name];
   if (Desk.Queue.empty() && this->tryPlace(Desk, Call))
     return;
   Desk.Queue.push(Call, Call->Terms);
@@ -427,6 +432,9 @@
                     : std::nullopt);
   if (!Answered)
     return this->onLost(Call);
+  Duration &Work = this->Desks[Call->Session->Route.Service]
+                       .Work[Call->Session->Route.Name];
+  Work += (Now - Call->SentAt - Work) / WorkObservationShare;
   this->noteReply(Call, Reply.value());
   if (Call->Over) {
     if (Call->Session->Pinned != Call->Link)
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -44,6 +44,8 @@
   FreshnessTracker Freshness;
   TimePoint SampleAskedAt;
   RetryBudget Hedges;
+  /// How long statements of each route usually take, by the route's name.
+  std::map<std::string, Duration> Work;
   bool Serving = false;
 };
 
--- a/limits/WaitQueue.h
+++ b/limits/WaitQueue.h
@@ -4,6 +4,7 @@
 #include "core/Time.h"
 
 #include <algorithm>
+#include <bit>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -20,14 +21,17 @@
   TimePoint Deadline;
   /// 0 is the most urgent.
   std::uint32_t Priority = 0;
+  /// How long statements of this kind usually take at a member.
+  Duration Work{0};
 
   bool operator==(const WaitTerms &) const = default;
 };
 
 /// Statements that wait, in the order that serves the most callers in time:
-/// first those that can still meet their goal, the nearest goal first; then
-/// those that are late already, by urgency and then the latest arrival
-/// first, as that one has the most of its time left. Not thread-safe.
+/// first those that can still meet their goal, the most urgent first, among
+/// equals the shorter work first, then the nearest goal; then those that are
+/// late already, by urgency and then the latest arrival first, as that one
+/// has the most of its time left. Not thread-safe.
 template <typename Item> class WaitQueue {
 public:
   void push(Item Waiting, const WaitTerms &Terms) {
@@ -97,15 +101,24 @@
   }
   static bool precedes(const WaitTerms &Left, const WaitTerms &Right,
                        TimePoint Now) {
-    bool LeftLate = Left.Goal <= Now;
-    bool RightLate = Right.Goal <= Now;
+    bool LeftLate = Left.Goal <= Now + Left.Work;
+    bool RightLate = Right.Goal <= Now + Right.Work;
     if (LeftLate != RightLate)
       return RightLate;
-    if (!LeftLate)
-      return Left.Goal < Right.Goal;
     if (Left.Priority != Right.Priority)
       return Left.Priority < Right.Priority;
-    return Left.ArrivedAt > Right.ArrivedAt;
+    if (LeftLate)
+      return Left.ArrivedAt > Right.ArrivedAt;
+    // Observed times vary; only a difference of a power of two counts.
+    int LeftSize = sizeOf(Left.Work);
+    int RightSize = sizeOf(Right.Work);
+    if (LeftSize != RightSize)
+      return LeftSize < RightSize;
+    return Left.Goal < Right.Goal;
+  }
+  static int sizeOf(Duration Work) {
+    return std::bit_width(static_cast<std::uint64_t>(
+        std::max<Duration::rep>(0, Work.count())));
   }
 
   std::vector<Entry> Waiting;
