--- a/drivers/MemberLink.cpp
+++ b/drivers/MemberLink.cpp
@@ -7,6 +7,24 @@
 namespace asio = boost::asio;
 using ErrorCode = boost::system::error_code;
 
+std::string_view toString(LinkOpening How) {
+  switch (How) {
+  case LinkOpening::Opened:
+    return "opened";
+  case LinkOpening::RefusedAtLimit:
+    return "refused_at_limit";
+  case LinkOpening::WrongMember:
+    return "wrong_member";
+  case LinkOpening::EndedEarly:
+    return "ended_early";
+  case LinkOpening::ConnectionRefused:
+    return "connection_refused";
+  case LinkOpening::Unreachable:
+    break;
+  }
+  return "unreachable";
+}
+
 MemberLink::MemberLink(const asio::any_io_executor &On, RegisteredMember To)
     : To(std::move(To)), Connecting(On), OpenTimer(On) {}
 
--- a/drivers/MemberLink.h
+++ b/drivers/MemberLink.h
@@ -25,6 +25,9 @@
   Unreachable,
 };
 
+/// The cause's stable name in the decision log. Thread-safe.
+std::string_view toString(LinkOpening How);
+
 /// One connection to a member; carries one statement at a time. Belongs to
 /// one thread's executor.
 class MemberLink : public std::enable_shared_from_this<MemberLink> {
--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -1,5 +1,7 @@
 #include "drivers/MemberPort.h"
 
+#include "core/DecisionLog.h"
+
 #include <algorithm>
 
 namespace turmericpitch {
@@ -115,6 +117,10 @@
     return this->onAnswered(Now);
   this->onLinkClosed();
   std::size_t Established = this->Open - this->Opening;
+  writeDecision(DecisionLine("link_not_opened")
+                    .field("member", this->Member.Id.Value)
+                    .field("cause", toString(How))
+                    .field("links", Established));
   bool AtLimit = How == LinkOpening::RefusedAtLimit ||
                  (How == LinkOpening::EndedEarly && Established > 0);
   if (!AtLimit)
@@ -244,9 +250,8 @@
 }
 
 void MemberPort::closeExtraIdle(TimePoint Now) {
-  std::size_t Even = this->Allowance.evenShare();
   std::erase_if(this->Idle, [&](const auto &Link) {
-    bool Extra = this->Open > Even &&
+    bool Extra = this->Open > this->Options.KeptIdle &&
                  Now - Link->IdleSince > this->Options.ExtraIdleLimit;
     if (!Extra && Link->idle())
       return false;
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -24,8 +24,12 @@
   /// this long, twice as long after each further time, up to MostShortPause.
   Duration FirstShortPause = std::chrono::milliseconds(10);
   Duration MostShortPause = std::chrono::milliseconds(320);
-  /// Idle links beyond the even share are closed after this.
-  Duration ExtraIdleLimit = std::chrono::seconds(2);
+  /// Links kept however long they are idle. Few, as a member holds those of
+  /// an instance without power for three seconds more, and they count against
+  /// its limit when the instance is back.
+  std::size_t KeptIdle = 2;
+  /// Idle links beyond are closed after this.
+  Duration ExtraIdleLimit = std::chrono::seconds(1);
   /// Taken for the time of a statement until one was observed.
   Duration FirstTypical = std::chrono::milliseconds(25);
 };
--- a/limits/ConnectionAllowance.cpp
+++ b/limits/ConnectionAllowance.cpp
@@ -30,7 +30,7 @@
 void ConnectionAllowance::onRefused(std::size_t Open, TimePoint Now) {
   this->WasRefused = true;
   this->ReducedAt = Now;
-  this->Reduced = std::max<std::size_t>(1, Open);
+  this->Reduced = Open;
 }
 
 std::size_t ConnectionAllowance::allowed(TimePoint Now) const {
@@ -39,10 +39,14 @@
   if (!this->WasRefused)
     return Most;
   Duration Since = Now - this->ReducedAt;
-  if (Since < this->Options.RefusalPause)
+  // Who holds none at all tries again sooner.
+  Duration Pause = this->Reduced == 0 ? this->Options.RefusalPauseAtNone
+                                      : this->Options.RefusalPause;
+  if (Since < Pause)
     return this->Reduced;
   return std::min<std::size_t>(
-      Most, this->Reduced + static_cast<std::size_t>(Since / GrowthStep));
+      Most, this->Reduced + 1 +
+                static_cast<std::size_t>((Since - Pause) / GrowthStep));
 }
 
 } // namespace turmericpitch
