--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -44,7 +44,7 @@
                          ConfigurationHooks Configuration)
     : On(On), Options(Options), Store(Store), Roster(Roster),
       Dispatcher(Dispatcher), Registration(std::move(Registration)),
-      Configuration(std::move(Configuration)), Rights(Options.Rights),
+      Configuration(std::move(Configuration)), Rights(Options.Rules.Rights),
       Peers(On, {.Self = Options.Self, .Listen = Options.Listen}, this->Rights,
             this->Grants, Roster, this->peerHooks()),
       Random(Options.Seed) {}
@@ -111,7 +111,7 @@
     Since = this->Clock.now() - Known->second.SeenAt;
   Duration Whole = this->Options.UsualTakeUp;
   if (Record->Phase == ReignPhase::Closing)
-    Whole += this->Options.Rights.longestUse();
+    Whole += this->Options.Rules.Rights.longestUse();
   // Later than usual: nothing is known.
   if (Since > 2 * Whole)
     return std::nullopt;
@@ -120,19 +120,19 @@
 
 void ReignKeeper::extendBy(const RightRound &Round) {
   const auto &ListedAt = this->Roster.askedAt();
-  if (!ListedAt ||
-      Round.sentAt() - *ListedAt > this->Options.RosterValidity)
-    return;
-  TimePoint Until = Round.sentAt() + this->Options.Rights.Validity;
   auto ExtendOne = [&](const ServiceId &Id, std::uint64_t Reign) {
     auto Read = this->Rights.askedAt(Id);
-    // Who has closed the record must still be listed: the listing has to be
-    // older than what is known of the record.
-    if (!Read || *Read < *ListedAt || !this->mayGrant(Id))
+    if (!ListedAt || !Read || !this->mayGrant(Id))
+      return;
+    auto Until = extensionEnd(this->Options.Rules,
+                              {.ListedAt = *ListedAt,
+                               .RecordReadAt = *Read,
+                               .AskedAt = Round.sentAt()});
+    if (!Until)
       return;
-    this->Grants.grant(Id, this->Options.Rights.longestUse(),
+    this->Grants.grant(Id, this->Options.Rules.Rights.longestUse(),
                        this->Clock.now());
-    this->Rights.extend(Id, Reign, Until);
+    this->Rights.extend(Id, Reign, *Until);
   };
   if (this->Roster.count() == 1)
     for (const ReignRecord &Record : this->Rights.all())
@@ -353,8 +353,8 @@
 
 bool ReignKeeper::mayBegin(TimePoint Now) const {
   auto Own = this->Registration();
-  if (!Own || Now - Own->Since <
-                  this->Options.RosterValidity + this->Options.RosterMargin)
+  if (!mayClose(this->Options.Rules,
+                Own ? std::optional(Own->Since) : std::nullopt, Now))
     return false;
   bool Before = this->Promoter == this->Options.Self.Value;
   return Before || this->PromoterRevision.Value == 0 ||
@@ -562,12 +562,9 @@
     co_return false;
   Next.Stored = *Stored;
   C.Record = Next;
-  // Rights end with the longest use that began before the record was closed,
-  // or with what was promised to others; nothing further is promised while a
-  // change is under way.
-  TimePoint Ends =
-      std::max(this->Clock.now() + this->Options.Rights.longestUse(),
-               this->Grants.boundUntil(Next.Service));
+  // Nothing further is promised while a change is under way.
+  TimePoint Ends = earliestOrder(this->Options.Rules, this->Clock.now(),
+                                 this->Grants.boundUntil(Next.Service));
   while (this->Clock.now() < Ends)
     co_await this->pause(
         std::max(Duration(1000), Ends - this->Clock.now()));
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -5,8 +5,8 @@
 #include "drivers/RightPeers.h"
 #include "drivers/StatementDispatcher.h"
 #include "drivers/StoreClient.h"
-#include "failover/PrimaryRights.h"
 #include "failover/PrimaryWatch.h"
+#include "failover/PromotionRules.h"
 #include "membership/IsolationDetector.h"
 
 #include <set>
@@ -19,7 +19,7 @@
   /// Where datagrams of other instances are taken.
   Endpoint Listen;
   std::uint64_t Seed = 1;
-  PrimaryRightsOptions Rights = {};
+  PromotionRulesOptions Rules = {};
   PrimaryWatchOptions Watch = {};
   /// How often rights are renewed; less than a third of their validity, so
   /// that one lost answer costs nothing.
@@ -34,11 +34,6 @@
   /// Records older than this make an instance ask the store or, where that
   /// fails, everyone.
   Duration LateAge = std::chrono::milliseconds(450);
-  /// How long a listing of the instances stands for all of them while the
-  /// store is away. An instance closes no record before it has been
-  /// registered for longer.
-  Duration RosterValidity = std::chrono::milliseconds(8000);
-  Duration RosterMargin = std::chrono::milliseconds(200);
   /// How long the others are waited for when they are asked how a primary
   /// answers them.
   Duration ConsultLimit = std::chrono::milliseconds(80);
--- a/failover/RightMessages.h
+++ b/failover/RightMessages.h
@@ -50,7 +50,7 @@
   std::uint8_t Parts = 1;
   /// The version of the configuration that the sender runs.
   std::uint64_t Configuration = 0;
-  std::vector<ToldService> Services;
+  std::vector<ToldService> Services = {};
 
   bool operator==(const RightAnswer &) const = default;
 };
