Hold few links where shares are small; prefer the own zone more

Cause: 37 instances held 74 idle links to members that take 66; after a loss of power nobody could connect for 3 s.

--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -250,9 +250,12 @@
 }
 
 void MemberPort::closeExtraIdle(TimePoint Now) {
+  bool Small = this->Allowance.evenShare() < this->Options.LeastShareToKeep;
+  std::size_t Kept = Small ? 0 : this->Options.KeptIdle;
+  Duration Limit = Small ? this->Options.SmallShareIdleLimit
+                         : this->Options.ExtraIdleLimit;
   std::erase_if(this->Idle, [&](const auto &Link) {
-    bool Extra = this->Open > this->Options.KeptIdle &&
-                 Now - Link->IdleSince > this->Options.ExtraIdleLimit;
+    bool Extra = this->Open > Kept && Now - Link->IdleSince > Limit;
     if (!Extra && Link->idle())
       return false;
     Link->close();
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -28,8 +28,13 @@
   /// an instance without power for three seconds more, and they count against
   /// its limit when the instance is back.
   std::size_t KeptIdle = 2;
-  /// Idle links beyond are closed after this.
+  /// Even shares smaller than this keep none: all instances together then
+  /// hold less than half of the member's limit while load is low.
+  std::size_t LeastShareToKeep = 4;
+  /// Idle links beyond are closed after this, and sooner where shares are
+  /// small.
   Duration ExtraIdleLimit = std::chrono::seconds(1);
+  Duration SmallShareIdleLimit = std::chrono::milliseconds(400);
   /// Taken for the time of a statement until one was observed.
   Duration FirstTypical = std::chrono::milliseconds(25);
 };
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -33,7 +33,7 @@
   Duration AskInterval = std::chrono::milliseconds(150);
   /// Records older than this make an instance ask the store or, where that
   /// fails, everyone.
-  Duration LateAge = std::chrono::milliseconds(450);
+  Duration LateAge = std::chrono::milliseconds(550);
   /// How long the others are waited for when they are asked how a primary
   /// answers them.
   Duration ConsultLimit = std::chrono::milliseconds(80);
--- a/routing/Placement.h
+++ b/routing/Placement.h
@@ -45,8 +45,9 @@
 
 struct PlacementOptions {
   /// A member in another zone is taken as slower by this: two crossings of
-  /// about 1.4 ms each way, and bytes between zones are paid for.
-  Duration OtherZoneCost = std::chrono::milliseconds(4);
+  /// about 1.4 ms each, bytes between zones that are paid for, and a link
+  /// that counts against the member's limit. Less than half a statement.
+  Duration OtherZoneCost = std::chrono::milliseconds(12);
   /// A read at the primary is taken as this much dearer, as writes have no
   /// other place.
   double PrimaryReadFactor = 1.6;
