--- a/drivers/HttpCaller.cpp
+++ b/drivers/HttpCaller.cpp
@@ -30,10 +30,9 @@
     this->Idle.push_back(std::move(Connection));
 }
 
-Awaitable<Outcome<HttpReply>> HttpCaller::call(HttpRequest Request,
-                                               Duration Limit,
-                                               std::function<bool()>
-                                                   StillWanted) {
+Awaitable<Outcome<HttpReply>>
+HttpCaller::call(HttpRequest Request, Duration Limit,
+                 std::function<bool()> StillWanted) {
   std::shared_ptr<HttpConnection> Connection = this->takeIdle();
   // A kept connection may have gone silent; what must go at once doesn't
   // take the risk.
--- a/drivers/LineConnection.cpp
+++ b/drivers/LineConnection.cpp
@@ -53,13 +53,12 @@
 }
 
 void LineConnection::waitForBytes() {
-  this->Stream.async_wait(
-      Socket::wait_read,
-      [Self = this->shared_from_this()](const ErrorCode &Failure) {
-        if (Failure)
-          return Self->end(Failure.message());
-        Self->readBytes();
-      });
+  this->Stream.async_wait(Socket::wait_read, [Self = this->shared_from_this()](
+                                                 const ErrorCode &Failure) {
+    if (Failure)
+      return Self->end(Failure.message());
+    Self->readBytes();
+  });
 }
 
 void LineConnection::readBytes() {
@@ -130,14 +129,13 @@
     return;
   }
   this->Writing = true;
-  this->Stream.async_wait(
-      Socket::wait_write,
-      [Self = this->shared_from_this()](const ErrorCode &Waited) {
-        Self->Writing = false;
-        if (Waited)
-          return Self->end(Waited.message());
-        Self->writeKept();
-      });
+  this->Stream.async_wait(Socket::wait_write, [Self = this->shared_from_this()](
+                                                  const ErrorCode &Waited) {
+    Self->Writing = false;
+    if (Waited)
+      return Self->end(Waited.message());
+    Self->writeKept();
+  });
 }
 
 void LineConnection::finish() {
--- a/drivers/MemberLink.cpp
+++ b/drivers/MemberLink.cpp
@@ -146,8 +146,7 @@
     this->Lines->close();
   if (!this->Waiting)
     return;
-  asio::post(this->OpenTimer.get_executor(), [Self =
-                                                  this->shared_from_this()] {
+  asio::post(this->OpenTimer.get_executor(), [Self = this->shared_from_this()] {
     Self->conclude(Error{.Kind = ErrorKind::OutcomeUnknown,
                          .Message = "the member's connection ended",
                          .Remedy = "look before sending it again"});
--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -52,14 +52,14 @@
 MemberCandidate MemberPort::candidate(const ZoneId &OwnZone,
                                       TimePoint Now) const {
   std::size_t Allowed = this->Allowance.allowed(Now);
-  std::size_t Room = this->Idle.size() +
-                     (Allowed > this->Open ? Allowed - this->Open : 0);
+  std::size_t Room =
+      this->Idle.size() + (Allowed > this->Open ? Allowed - this->Open : 0);
   return {.Id = this->Member.Id,
           .SameZone = this->Member.Zone == OwnZone,
           .Excluded = this->Member.Draining || Now < this->PausedUntil,
           .InFlight = this->InFlight,
-          .MostInFlight = std::min<std::size_t>(this->Member.Slots,
-                                                this->InFlight + Room),
+          .MostInFlight =
+              std::min<std::size_t>(this->Member.Slots, this->InFlight + Room),
           .Typical = this->Typical,
           .Reached = this->Reached,
           .ShortUntil = this->ShortUntil};
@@ -175,25 +175,25 @@
       if (!Failure)
         Link->close();
     });
-    Link->run(encodeStatusQuestion(),
-              [Self, Link, OnReport, AskedAt,
-               GiveUp](const Outcome<StatementReply> &Reply) {
-                --Self->Questions;
-                Self->AskingStatus = false;
-                GiveUp->cancel();
-                Self->giveBack(Link, Self->Clock.now());
-                std::optional<MemberReport> Report;
-                if (Reply) {
-                  Self->onAnswered(Self->Clock.now());
-                  auto Decoded = keepOutcome(
-                      [&] { return decodeMemberReport(Reply.value()); });
-                  if (Decoded)
-                    Report = Decoded.value();
-                } else {
-                  Self->onUnanswered(Self->Clock.now());
-                }
-                OnReport(Report, AskedAt);
-              });
+    Link->run(
+        encodeStatusQuestion(), [Self, Link, OnReport, AskedAt,
+                                 GiveUp](const Outcome<StatementReply> &Reply) {
+          --Self->Questions;
+          Self->AskingStatus = false;
+          GiveUp->cancel();
+          Self->giveBack(Link, Self->Clock.now());
+          std::optional<MemberReport> Report;
+          if (Reply) {
+            Self->onAnswered(Self->Clock.now());
+            auto Decoded =
+                keepOutcome([&] { return decodeMemberReport(Reply.value()); });
+            if (Decoded)
+              Report = Decoded.value();
+          } else {
+            Self->onUnanswered(Self->Clock.now());
+          }
+          OnReport(Report, AskedAt);
+        });
   };
   if (auto Link = this->takeIdle({}))
     return Ask(Link);
@@ -252,9 +252,12 @@
 void MemberPort::closeExtraIdle(TimePoint Now) {
   bool Small = this->Allowance.evenShare() < this->Options.LeastShareToKeep;
   std::size_t Kept = Small ? 0 : this->Options.KeptIdle;
-  Duration Limit = Small ? this->Options.SmallShareIdleLimit
-                         : this->Options.ExtraIdleLimit;
+  std::shared_ptr<MemberLink> Last;
+  if (!this->Idle.empty())
+    Last = this->Idle.back();
   std::erase_if(this->Idle, [&](const auto &Link) {
+    Duration Limit = Small && Link != Last ? this->Options.SpareIdleLimit
+                                           : this->Options.ExtraIdleLimit;
     bool Extra = this->Open > Kept && Now - Link->IdleSince > Limit;
     if (!Extra && Link->idle())
       return false;
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -31,10 +31,10 @@
   /// Even shares smaller than this keep none: all instances together then
   /// hold less than half of the member's limit while load is low.
   std::size_t LeastShareToKeep = 4;
-  /// Idle links beyond are closed after this, and sooner where shares are
-  /// small.
+  /// Idle links beyond are closed after this; where shares are small, all but
+  /// the one used last sooner.
   Duration ExtraIdleLimit = std::chrono::seconds(1);
-  Duration SmallShareIdleLimit = std::chrono::milliseconds(400);
+  Duration SpareIdleLimit = std::chrono::milliseconds(300);
   /// Taken for the time of a statement until one was observed.
   Duration FirstTypical = std::chrono::milliseconds(25);
 };
@@ -101,9 +101,9 @@
   /// Asks the member for its status, on an idle link or a new one, unless
   /// such a question is under way. OnReport runs later, with nothing if no
   /// answer came or the member had no capacity for one.
-  void askStatus(std::function<void(std::optional<MemberReport>,
-                                    TimePoint AskedAt)>
-                     OnReport);
+  void
+  askStatus(std::function<void(std::optional<MemberReport>, TimePoint AskedAt)>
+                OnReport);
   [[nodiscard]] std::size_t statementsInFlight() const {
     return this->InFlight;
   }
--- a/drivers/PlatformClient.cpp
+++ b/drivers/PlatformClient.cpp
@@ -12,10 +12,9 @@
 } // namespace
 
 PlatformClient::PlatformClient(Executor On, PlatformClientOptions Options)
-    : On(On), Options(Options), Caller(std::move(On),
-                                       {.Service = Options.Platform,
-                                        .ConnectLimit = Options.ConnectLimit}) {
-}
+    : On(On), Options(Options),
+      Caller(std::move(On), {.Service = Options.Platform,
+                             .ConnectLimit = Options.ConnectLimit}) {}
 
 Awaitable<Outcome<KeyValueAnswer>>
 PlatformClient::call(KeyValueRequest Request) {
@@ -23,8 +22,8 @@
   HttpRequest Message;
   Message.Target = std::move(Encoded.Target);
   Message.Body = std::move(Encoded.Body);
-  auto Reply = co_await this->Caller.call(std::move(Message),
-                                          this->Options.CallLimit);
+  auto Reply =
+      co_await this->Caller.call(std::move(Message), this->Options.CallLimit);
   if (!Reply)
     co_return Reply.error();
   const HttpReply &Received = Reply.value();
--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -40,27 +40,25 @@
 ReignKeeper::ReignKeeper(Executor On, ReignKeeperOptions Options,
                          StoreClient &Store, const InstanceRoster &Roster,
                          StatementDispatcher &Dispatcher,
-                         RegistrationLookup Registration,
-                         ConfigurationHooks Configuration)
+                         RegistrationLookup Registration, VersionHooks Versions)
     : On(On), Options(Options), Store(Store), Roster(Roster),
       Dispatcher(Dispatcher), Registration(std::move(Registration)),
-      Configuration(std::move(Configuration)), Rights(Options.Rules.Rights),
+      Versions(std::move(Versions)), Rights(Options.Rules.Rights),
       Peers(On, {.Self = Options.Self, .Listen = Options.Listen}, this->Rights,
             this->Grants, Roster, this->peerHooks()),
       Random(Options.Seed) {}
 
 RightPeers::Hooks ReignKeeper::peerHooks() {
-  return {.MayGrant =
-              [this](const ServiceId &Id) { return this->mayGrant(Id); },
-          .Contact = [this](const ServiceId &Id) { return this->contact(Id); },
-          .Configuration = [this] { return this->Configuration.Version(); },
-          .OnConfiguration =
-              [this](std::uint64_t Version) {
-                this->Configuration.OnOther(Version);
-              },
-          .OnChanged = [this] { this->Dispatcher.onRightsChanged(); },
-          .OnComplete =
-              [this](const RightRound &Round) { this->extendBy(Round); }};
+  return {
+      .MayGrant = [this](const ServiceId &Id) { return this->mayGrant(Id); },
+      .Contact = [this](const ServiceId &Id) { return this->contact(Id); },
+      .Versions = [this] { return this->Versions.Own(); },
+      .OnVersions =
+          [this](const KnownVersions &Other, TimePoint AskedAt) {
+            this->Versions.OnOther(Other, AskedAt);
+          },
+      .OnChanged = [this] { this->Dispatcher.onRightsChanged(); },
+      .OnComplete = [this](const RightRound &Round) { this->extendBy(Round); }};
 }
 
 bool ReignKeeper::mayGrant(const ServiceId &Id) const {
@@ -99,8 +97,7 @@
              : PrimaryContact::Answers;
 }
 
-std::optional<Duration>
-ReignKeeper::expectedReturn(const ServiceId &Id) const {
+std::optional<Duration> ReignKeeper::expectedReturn(const ServiceId &Id) const {
   const ReignRecord *Record = this->Rights.record(Id);
   if (!Record || Record->Phase == ReignPhase::Open)
     return std::nullopt;
@@ -119,15 +116,16 @@
 }
 
 void ReignKeeper::extendBy(const RightRound &Round) {
-  const auto &ListedAt = this->Roster.askedAt();
   auto ExtendOne = [&](const ServiceId &Id, std::uint64_t Reign) {
     auto Read = this->Rights.askedAt(Id);
-    if (!ListedAt || !Read || !this->mayGrant(Id))
+    if (!Read || !this->mayGrant(Id))
       return;
-    auto Until = extensionEnd(this->Options.Rules,
-                              {.ListedAt = *ListedAt,
-                               .RecordReadAt = *Read,
-                               .AskedAt = Round.sentAt()});
+    auto ListedAt = this->Roster.askedAtBefore(*Read);
+    if (!ListedAt)
+      return;
+    auto Until = extensionEnd(this->Options.Rules, {.ListedAt = *ListedAt,
+                                                    .RecordReadAt = *Read,
+                                                    .AskedAt = Round.sentAt()});
     if (!Until)
       return;
     this->Grants.grant(Id, this->Options.Rules.Rights.longestUse(),
@@ -156,10 +154,9 @@
       this->Peers.askAll(true);
       continue;
     }
-    if (this->Roster.rank() < this->readers())
+    if (this->isReader())
       continue;
-    std::size_t Readers =
-        std::min(this->readers(), this->Roster.all().size());
+    std::size_t Readers = std::min(this->readers(), this->Roster.all().size());
     if (Readers > 0)
       this->Peers.ask(
           this->Roster.all()[(this->Roster.rank() + Turn) % Readers]);
@@ -191,11 +188,11 @@
   if (this->Isolation.wantsContact(Seen, Now))
     this->Peers.askAll(this->recordsAreLate(Now));
   if (this->Isolation.look(Seen, Now))
-    writeDecision(DecisionLine(this->Isolation.isolated() ? "cut_off"
-                                                          : "cut_healed")
-                      .field("zone", this->Options.Zone.Value)
-                      .field("others_silent", Seen.OthersSilent ? 1 : 0)
-                      .field("rights_lost", Seen.RightsLostAt ? 1 : 0));
+    writeDecision(
+        DecisionLine(this->Isolation.isolated() ? "cut_off" : "cut_healed")
+            .field("zone", this->Options.Zone.Value)
+            .field("others_silent", Seen.OthersSilent ? 1 : 0)
+            .field("rights_lost", Seen.RightsLostAt ? 1 : 0));
 }
 
 bool ReignKeeper::recordsAreLate(TimePoint Now) const {
@@ -233,8 +230,7 @@
   Request.Compares = {{.Key = Key, .Modified = Entry.Stored}};
   Request.Writes = {DeleteOperation{.Key = Key}};
   auto Struck = co_await this->Store.commit(std::move(Request));
-  bool Done =
-      Struck && Struck.value().Result == CommitAnswer::Verdict::Written;
+  bool Done = Struck && Struck.value().Result == CommitAnswer::Verdict::Written;
   writeDecision(DecisionLine("strike_instance")
                     .field("instance", Entry.Id.Value)
                     .field("outcome", Done ? "removed" : "kept"));
@@ -282,8 +278,8 @@
 Awaitable<void> ReignKeeper::renew() {
   while (true) {
     TimePoint Began = this->Clock.now();
-    bool Reader = this->Roster.rank() < this->readers();
-    if (!Reader && !this->recordsAreLate(Began)) {
+    auto Oldest = this->Rights.oldestAskedAt();
+    if (!this->isReader() && !this->recordsAreLate(Began)) {
       co_await this->pause(this->Options.LookInterval);
       continue;
     }
@@ -292,16 +288,17 @@
       this->StoreLost = !Read;
       writeDecision(DecisionLine(Read ? "store_regained" : "store_lost"));
     }
+    // Before the first records there is nothing to renew.
+    Duration Interval =
+        Oldest ? this->Options.RenewInterval : 2 * this->Options.RenewInterval;
     Duration Took = this->Clock.now() - Began;
-    co_await this->pause(
-        std::max(Duration{0}, this->Options.RenewInterval - Took));
+    co_await this->pause(std::max(Duration{0}, Interval - Took));
   }
 }
 
 Awaitable<bool> ReignKeeper::readRecords() {
   TimePoint AskedAt = this->Clock.now();
-  auto Read =
-      co_await this->Store.readAllQuickly(std::string(ReignPrefix));
+  auto Read = co_await this->Store.readAllQuickly(std::string(ReignPrefix));
   if (!Read)
     co_return false;
   this->StoreAnsweredAt = this->Clock.now();
@@ -373,8 +370,10 @@
   PrimaryWatch &Watch =
       this->Watches.try_emplace(Id, this->Options.Watch).first->second;
   if (Seen.Listed && Watch.wantsProbe(Seen, Now))
-    this->Dispatcher.desks().at(Id).Ports.at(Record->Primary)->askStatus(
-        [](const auto &, TimePoint) {});
+    this->Dispatcher.desks()
+        .at(Id)
+        .Ports.at(Record->Primary)
+        ->askStatus([](const auto &, TimePoint) {});
   ReplaceReason Reason = Watch.look(Seen, this->Roster.rank(), Now);
   if (Reason == ReplaceReason::None || Now < this->ConsultAfter[Id])
     return;
@@ -418,8 +417,7 @@
   bool Wanted = Leading.size() == 1 && !this->Rights.record(Id);
   if (Wanted) {
     auto Report = co_await this->askStatus(Leading.front());
-    if (Report && Report->Primary)
-    {
+    if (Report && Report->Primary) {
       ReignRecord First{.Service = Id,
                         .Reign = FirstReign,
                         .Primary = Leading.front()->member().Id};
@@ -436,8 +434,8 @@
   auto Answered = std::make_shared<bool>(false);
   auto Timer = std::make_shared<asio::steady_timer>(
       this->On, this->Options.OrderCallLimit);
-  Port->askStatus([Report, Answered, Timer](
-                      const std::optional<MemberReport> &Came, TimePoint) {
+  Port->askStatus([Report, Answered,
+                   Timer](const std::optional<MemberReport> &Came, TimePoint) {
     *Report = Came;
     *Answered = true;
     Timer->cancel();
@@ -459,9 +457,9 @@
   std::string Key = reignKey(Record.Service);
   auto Own = this->Registration();
   TransactionRequest Request;
-  Request.Compares = {{.Key = Key, .Modified = Expected},
-                      {.Key = std::string(PromoterKey),
-                       .Modified = this->PromoterRevision}};
+  Request.Compares = {
+      {.Key = Key, .Modified = Expected},
+      {.Key = std::string(PromoterKey), .Modified = this->PromoterRevision}};
   Request.Writes = {
       PutOperation{.Key = Key, .Value = encodeReign(Record), .Lease = {}},
       PutOperation{.Key = std::string(PromoterKey),
@@ -473,8 +471,7 @@
   TimePoint SentAt = this->Clock.now();
   auto Written = co_await this->Store.commit(std::move(Request));
   std::optional<Revision> Stored;
-  if (Written &&
-      Written.value().Result == CommitAnswer::Verdict::Written) {
+  if (Written && Written.value().Result == CommitAnswer::Verdict::Written) {
     Stored = Written.value().Written;
     this->PromoterRevision = *Stored;
     this->Promoter = this->Options.Self.Value;
@@ -505,8 +502,7 @@
   C.Record = From;
   C.Reason = Reason;
   C.WasOrdered = From.Phase == ReignPhase::Ordered;
-  C.Acknowledged =
-      this->Dispatcher.desks().at(From.Service).Freshness.newest();
+  C.Acknowledged = this->Dispatcher.desks().at(From.Service).Freshness.newest();
   bool Wanted = co_await this->isStillWanted(From, Reason);
   writeDecision(DecisionLine("replace_primary")
                     .field("service", From.Service.Value)
@@ -566,8 +562,7 @@
   TimePoint Ends = earliestOrder(this->Options.Rules, this->Clock.now(),
                                  this->Grants.boundUntil(Next.Service));
   while (this->Clock.now() < Ends)
-    co_await this->pause(
-        std::max(Duration(1000), Ends - this->Clock.now()));
+    co_await this->pause(std::max(Duration(1000), Ends - this->Clock.now()));
   co_return true;
 }
 
@@ -610,8 +605,7 @@
       }
       if (C.WasOrdered && Each.Id == C.Record.Target)
         co_return Each.Id;
-      Candidates.push_back(
-          {.Id = Each.Id, .Received = Each.Report.Received});
+      Candidates.push_back({.Id = Each.Id, .Received = Each.Report.Received});
       writeDecision(DecisionLine("successor_candidate")
                         .field("service", C.Record.Service.Value)
                         .field("member", Each.Id.Value)
@@ -650,8 +644,8 @@
   std::function<bool()> InTime = [this, Latest] {
     return this->Clock.now() < Latest;
   };
-  auto Ordered = co_await this->Store.promote(
-      Order, this->Options.OrderCallLimit, InTime);
+  auto Ordered =
+      co_await this->Store.promote(Order, this->Options.OrderCallLimit, InTime);
   std::string Outcome = "lost";
   if (Ordered)
     Outcome = Ordered.value() ? "taken" : "member_not_running";
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -88,18 +88,16 @@
 public:
   /// Nothing while this instance is not registered.
   using RegistrationLookup = std::function<std::optional<OwnRegistration>()>;
-  /// How instances keep one another's configuration recent.
-  struct ConfigurationHooks {
-    /// The version that this instance runs.
-    std::function<std::uint64_t()> Version;
-    /// Another instance runs this version.
-    std::function<void(std::uint64_t)> OnOther;
+  /// How instances keep one another recent.
+  struct VersionHooks {
+    std::function<KnownVersions()> Own;
+    /// AskedAt: when the question was sent that brought them.
+    std::function<void(const KnownVersions &, TimePoint AskedAt)> OnOther;
   };
 
   ReignKeeper(Executor On, ReignKeeperOptions Options, StoreClient &Store,
               const InstanceRoster &Roster, StatementDispatcher &Dispatcher,
-              RegistrationLookup Registration,
-              ConfigurationHooks Configuration);
+              RegistrationLookup Registration, VersionHooks Versions);
 
   /// Begins to renew and to watch. Errors: Unavailable if the address for
   /// other instances can't be bound.
@@ -121,6 +119,10 @@
   [[nodiscard]] bool late() const {
     return this->recordsAreLate(this->Clock.now());
   }
+  /// Whether this instance reads the store for others.
+  [[nodiscard]] bool isReader() const {
+    return this->Roster.rank() < this->readers();
+  }
   [[nodiscard]] const PrimaryRights &rights() const { return this->Rights; }
 
 private:
@@ -178,7 +180,7 @@
   const InstanceRoster &Roster;
   StatementDispatcher &Dispatcher;
   RegistrationLookup Registration;
-  ConfigurationHooks Configuration;
+  VersionHooks Versions;
   PrimaryRights Rights;
   RightGrants Grants;
   RightPeers Peers;
--- a/drivers/RightPeers.cpp
+++ b/drivers/RightPeers.cpp
@@ -37,9 +37,7 @@
     return;
   Question Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
   this->note(Peer, Sent);
-  this->send(Peer.Peers,
-             RightQuestion{.Serial = Sent.Serial,
-                           .Configuration = this->Calls.Configuration()});
+  this->send(Peer.Peers, RightQuestion{.Serial = Sent.Serial});
 }
 
 void RightPeers::askAll(bool WantsGrants) {
@@ -54,8 +52,6 @@
       continue;
     this->note(Peer, Sent);
     this->send(Peer.Peers, RightQuestion{.Serial = Sent.Serial,
-                                         .Configuration =
-                                             this->Calls.Configuration(),
                                          .WantsGrants = WantsGrants});
   }
   if (Asked.empty())
@@ -70,16 +66,14 @@
     Known = Begins;
 }
 
-std::optional<TimePoint>
-RightPeers::silentSince(const InstanceId &Id) const {
+std::optional<TimePoint> RightPeers::silentSince(const InstanceId &Id) const {
   auto Found = this->Silent.find(Id);
   if (Found == this->Silent.end())
     return std::nullopt;
   return Found->second.Since;
 }
 
-std::optional<TimePoint>
-RightPeers::answeredOutside(const ZoneId &Zone) const {
+std::optional<TimePoint> RightPeers::answeredOutside(const ZoneId &Zone) const {
   std::optional<TimePoint> Newest;
   for (const RosterEntry &Peer : this->Roster.all()) {
     auto Found = this->AnsweredAt.find(Peer.Id);
@@ -136,22 +130,19 @@
 
 void RightPeers::onQuestion(const PeerArrival &From,
                             const RightQuestion &Asked) {
-  this->Calls.OnConfiguration(Asked.Configuration);
   TimePoint Now = this->Clock.now();
   std::vector<ReignRecord> All = this->Rights.all();
-  std::size_t Parts =
-      std::max<std::size_t>(1, (All.size() + ServicesInPart - 1) /
-                                   ServicesInPart);
+  std::size_t Parts = std::max<std::size_t>(
+      1, (All.size() + ServicesInPart - 1) / ServicesInPart);
   for (std::size_t Part = 0; Part < Parts; ++Part) {
     RightAnswer Answer{.Serial = Asked.Serial,
                        .Part = static_cast<std::uint8_t>(Part),
                        .Parts = static_cast<std::uint8_t>(Parts),
-                       .Configuration = this->Calls.Configuration(),
+                       .Versions = this->Calls.Versions(),
                        .Services = {}};
     std::size_t End = std::min(All.size(), (Part + 1) * ServicesInPart);
     for (std::size_t Index = Part * ServicesInPart; Index < End; ++Index)
-      Answer.Services.push_back(
-          this->tell(All[Index], Asked.WantsGrants, Now));
+      Answer.Services.push_back(this->tell(All[Index], Asked.WantsGrants, Now));
     this->send(From.Where, Answer);
   }
 }
@@ -163,14 +154,14 @@
   auto Asked = this->Questions.find(Peer);
   if (Asked == this->Questions.end() || Asked->second.Serial != Answer.Serial)
     return;
-  this->Calls.OnConfiguration(Answer.Configuration);
+  this->Calls.OnVersions(Answer.Versions, Asked->second.SentAt);
   bool Changed = false;
   // The record was read no earlier than its age before the question was
   // sent, as the answer's age counts from when the question came in.
   for (const ToldService &Each : Answer.Services)
-    Changed = this->Rights.onRecord(Each.Record,
-                                    Asked->second.SentAt - Each.Age) ||
-              Changed;
+    Changed =
+        this->Rights.onRecord(Each.Record, Asked->second.SentAt - Each.Age) ||
+        Changed;
   bool WasComplete = this->Round.complete();
   this->Round.onAnswer(Peer, Answer);
   if (!WasComplete && this->Round.complete())
--- a/drivers/RightPeers.h
+++ b/drivers/RightPeers.h
@@ -21,10 +21,11 @@
     std::function<bool(const ServiceId &)> MayGrant;
     /// How a service's primary answers this instance.
     std::function<PrimaryContact(const ServiceId &)> Contact;
-    /// The version of the configuration that this instance runs.
-    std::function<std::uint64_t()> Configuration;
-    /// Another instance runs this version of the configuration.
-    std::function<void(std::uint64_t)> OnConfiguration;
+    /// How recent what this instance knows is.
+    std::function<KnownVersions()> Versions;
+    /// How recent what another instance knows is, as it answers a question
+    /// sent at AskedAt.
+    std::function<void(const KnownVersions &, TimePoint AskedAt)> OnVersions;
     /// A record has changed.
     std::function<void()> OnChanged;
     /// A round of questions to all is complete.
--- a/drivers/SessionServer.cpp
+++ b/drivers/SessionServer.cpp
@@ -34,25 +34,25 @@
     this->Acceptor.listen(this->Options.Backlog, Failure);
   if (Failure)
     return Error{.Kind = ErrorKind::Unavailable,
-                 .Message = "can't listen on " + toString(this->Options.Listen) +
-                            ": " + Failure.message(),
+                 .Message = "can't listen on " +
+                            toString(this->Options.Listen) + ": " +
+                            Failure.message(),
                  .Remedy = "free the address or set another one"};
   this->accept();
   return std::monostate{};
 }
 
 void SessionServer::accept() {
-  this->Acceptor.async_accept(
-      [this](const ErrorCode &Failure, asio::ip::tcp::socket Connected) {
-        if (Failure == asio::error::operation_aborted)
-          return;
-        if (Failure)
-          writeWarning("event=accept_failed reason=\"" + Failure.message() +
-                       "\"");
-        else
-          this->onAccepted(std::move(Connected));
-        this->accept();
-      });
+  this->Acceptor.async_accept([this](const ErrorCode &Failure,
+                                     asio::ip::tcp::socket Connected) {
+    if (Failure == asio::error::operation_aborted)
+      return;
+    if (Failure)
+      writeWarning("event=accept_failed reason=\"" + Failure.message() + "\"");
+    else
+      this->onAccepted(std::move(Connected));
+    this->accept();
+  });
 }
 
 void SessionServer::onAccepted(asio::ip::tcp::socket Connected) {
@@ -60,8 +60,7 @@
     writeWarning("event=session_refused reason=\"too many sessions\"");
     return;
   }
-  auto Session =
-      std::make_shared<CallerSession>(*this, std::move(Connected));
+  auto Session = std::make_shared<CallerSession>(*this, std::move(Connected));
   this->Sessions.insert(Session);
   Session->start();
   // Sessions that come while the balancer has not noticed yet are served
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -65,8 +65,7 @@
                                          RightLookup RightOf,
                                          ReturnLookup ReturnOf)
     : On(On), Options(std::move(Options)), RightOf(std::move(RightOf)),
-      ReturnOf(std::move(ReturnOf)),
-      WakeTimer(On) {}
+      ReturnOf(std::move(ReturnOf)), WakeTimer(On) {}
 
 std::uint64_t StatementDispatcher::linksOpened() const {
   std::uint64_t Sum = 0;
@@ -87,9 +86,9 @@
                                      std::size_t Instances) {
   auto AllowanceOf = [&](const ServiceId &Service) {
     const ServiceRule *Rule = Routes.service(Service);
-    return ConnectionAllowanceOptions{
-        .MemberLimit = Rule ? Rule->MaximumConnections : 1,
-        .Instances = Instances};
+    return ConnectionAllowanceOptions{.MemberLimit =
+                                          Rule ? Rule->MaximumConnections : 1,
+                                      .Instances = Instances};
   };
   auto Update = [&](const RegisteredMember &Member) {
     ServiceDesk &Desk = this->Desks[Member.Service];
@@ -97,9 +96,9 @@
     auto Found = Desk.Ports.find(Member.Id);
     if (Found != Desk.Ports.end())
       return Found->second->onEntryChanged(Member);
-    Desk.Ports.emplace(Member.Id,
-                       std::make_shared<MemberPort>(
-                           this->On, Member, AllowanceOf(Member.Service)));
+    Desk.Ports.emplace(
+        Member.Id, std::make_shared<MemberPort>(this->On, Member,
+                                                AllowanceOf(Member.Service)));
   };
   std::for_each(Change.Joined.begin(), Change.Joined.end(), Update);
   std::for_each(Change.Changed.begin(), Change.Changed.end(), Update);
@@ -115,10 +114,10 @@
   const SessionState &State = Session.State;
   bool Strong = Session.Route.Level == Consistency::Strong;
   Call->NeedsPrimary = Strong || State.mayWrite(Call->Asked);
-  Call->LastingEffect = State.inTransaction()
-                            ? Call->Asked.Kind == StatementKind::Commit &&
-                                  !State.onlyReads()
-                            : State.isWrite(Call->Asked);
+  Call->LastingEffect =
+      State.inTransaction()
+          ? Call->Asked.Kind == StatementKind::Commit && !State.onlyReads()
+          : State.isWrite(Call->Asked);
   Duration Left = Call->Terms.Deadline - this->Clock.now();
   Call->Timer.expires_after(Left);
   Call->Timer.async_wait(
@@ -231,8 +230,7 @@
   }
   bool AtPrimary = Candidates[Chosen.Index].UsablePrimary;
   Call->AtLeast = AtPrimary ? std::nullopt : Need.AtLeast;
-  this->startAt(Call, Ports[Chosen.Index],
-                AtPrimary ? Right : std::nullopt);
+  this->startAt(Call, Ports[Chosen.Index], AtPrimary ? Right : std::nullopt);
   return true;
 }
 
@@ -257,8 +255,8 @@
     settle(*Call, std::nullopt);
     if (Call->Over)
       return;
-    bool AtLimit = How == LinkOpening::RefusedAtLimit ||
-                   How == LinkOpening::EndedEarly;
+    bool AtLimit =
+        How == LinkOpening::RefusedAtLimit || How == LinkOpening::EndedEarly;
     this->retry(Call, !AtLimit);
   });
 }
@@ -307,26 +305,26 @@
     this->releaseLink(Call);
     return this->retry(Call, false);
   }
-  Call->Link->run(
-      encodeBegin(Call->Session->State.onlyReads(), Call->AtLeast),
-      [this, Call](Outcome<StatementReply> Reply) {
-        if (!Reply)
-          return this->onLost(Call);
-        if (Call->Over)
-          return this->releaseLink(Call);
-        if (Reply.value().Failure) {
-          ReplyFailure Failure = *Reply.value().Failure;
-          return this->onFailure(Call, Failure, std::move(Reply.value()));
-        }
-        SessionContext &Session = *Call->Session;
-        Session.State.onTransactionStarted();
-        Session.Pinned = Call->Link;
-        Session.PinnedPort = Call->Port;
-        Session.PinnedReign = Call->Reign;
-        // From here on the transaction holds the link; the statement counts
-        // for its own time only.
-        this->sendStatement(Call);
-      });
+  Call->Link->run(encodeBegin(Call->Session->State.onlyReads(), Call->AtLeast),
+                  [this, Call](Outcome<StatementReply> Reply) {
+                    if (!Reply)
+                      return this->onLost(Call);
+                    if (Call->Over)
+                      return this->releaseLink(Call);
+                    if (Reply.value().Failure) {
+                      ReplyFailure Failure = *Reply.value().Failure;
+                      return this->onFailure(Call, Failure,
+                                             std::move(Reply.value()));
+                    }
+                    SessionContext &Session = *Call->Session;
+                    Session.State.onTransactionStarted();
+                    Session.Pinned = Call->Link;
+                    Session.PinnedPort = Call->Port;
+                    Session.PinnedReign = Call->Reign;
+                    // From here on the transaction holds the link; the
+                    // statement counts for its own time only.
+                    this->sendStatement(Call);
+                  });
 }
 
 void StatementDispatcher::sendStatement(const SharedCall &Call) {
@@ -339,44 +337,43 @@
   }
   std::optional<std::string> PreparedAs;
   if (Call->Asked.Kind == StatementKind::Execute)
-    PreparedAs =
-        this->Names.nameOf(*Session.State.prepared(Call->Asked.Name));
+    PreparedAs = this->Names.nameOf(*Session.State.prepared(Call->Asked.Name));
   countIn(*Call);
   Call->Sent = true;
   Call->SentAt = this->Clock.now();
-  Call->Link->run(
-      encodeForMember(Call->Asked, PreparedAs,
-                      Running ? std::nullopt : Call->AtLeast),
-      [this, Call, Link = Call->Link,
-       Port = Call->Port](Outcome<StatementReply> Reply) {
-        if (Call->Link != Link)
-          return this->onLateReply(Call, Link, Port, std::move(Reply));
-        this->onReply(Call, std::move(Reply));
-      });
+  Call->Link->run(encodeForMember(Call->Asked, PreparedAs,
+                                  Running ? std::nullopt : Call->AtLeast),
+                  [this, Call, Link = Call->Link,
+                   Port = Call->Port](Outcome<StatementReply> Reply) {
+                    if (Call->Link != Link)
+                      return this->onLateReply(Call, Link, Port,
+                                               std::move(Reply));
+                    this->onReply(Call, std::move(Reply));
+                  });
   if (!Session.State.inTransaction() && !Call->LastingEffect)
     this->watchRead(Call);
 }
 
 void StatementDispatcher::watchRead(const SharedCall &Call) {
-  Duration Delay =
-      std::max(this->Options.LeastHedgeDelay,
-               this->Options.HedgeFactor * Call->Port->typical());
+  Duration Delay = std::max(this->Options.LeastHedgeDelay,
+                            this->Options.HedgeFactor * Call->Port->typical());
   Call->HedgeTimer.expires_after(Delay);
-  Call->HedgeTimer.async_wait(
-      [this, Call, Link = Call->Link](const boost::system::error_code &Failure) {
-        if (!Failure && !Call->Over && Call->Sent && Call->Link == Link)
-          this->hedge(Call);
-      });
+  Call->HedgeTimer.async_wait([this, Call, Link = Call->Link](
+                                  const boost::system::error_code &Failure) {
+    if (!Failure && !Call->Over && Call->Sent && Call->Link == Link)
+      this->hedge(Call);
+  });
 }
 
 void StatementDispatcher::hedge(const SharedCall &Call) {
   ServiceDesk &Desk = this->Desks[Call->Session->Route.Service];
   if (!Desk.Hedges.spend())
     return;
-  writeDecision(DecisionLine("hedge")
-                    .field("request", Call->Asked.Id)
-                    .field("member", Call->Port->member().Id.Value)
-                    .field("typical_ms", inMilliseconds(Call->Port->typical())));
+  writeDecision(
+      DecisionLine("hedge")
+          .field("request", Call->Asked.Id)
+          .field("member", Call->Port->member().Id.Value)
+          .field("typical_ms", inMilliseconds(Call->Port->typical())));
   // The link stays with its statement until the reply comes or its time is
   // over.
   auto Limit = std::make_shared<asio::steady_timer>(
@@ -432,8 +429,8 @@
                     : std::nullopt);
   if (!Answered)
     return this->onLost(Call);
-  Duration &Work = this->Desks[Call->Session->Route.Service]
-                       .Work[Call->Session->Route.Name];
+  Duration &Work =
+      this->Desks[Call->Session->Route.Service].Work[Call->Session->Route.Name];
   Work += (Now - Call->SentAt - Work) / WorkObservationShare;
   this->noteReply(Call, Reply.value());
   if (Call->Over) {
@@ -474,9 +471,9 @@
       {.Call = Call,
        .Reply = std::move(Reply),
        .Reign = Call->Reign,
-       .GivenUpAt = std::min(Call->Terms.Deadline,
-                             this->Clock.now() +
-                                 this->Options.ConfirmationLimit)});
+       .GivenUpAt =
+           std::min(Call->Terms.Deadline,
+                    this->Clock.now() + this->Options.ConfirmationLimit)});
 }
 
 void StatementDispatcher::onRightsChanged() {
@@ -710,7 +707,8 @@
 void StatementDispatcher::askForSample(ServiceDesk &Desk, TimePoint Now) {
   auto Right = this->RightOf(Desk.Id);
   auto Newest = Desk.Freshness.newestAskedAt();
-  bool Recent = Newest && Desk.Freshness.reign() == (Right ? Right->Reign : 0) &&
+  bool Recent = Newest &&
+                Desk.Freshness.reign() == (Right ? Right->Reign : 0) &&
                 Now - *Newest < this->Options.SampleLimit;
   if (!Right || Right->Until <= Now || Recent ||
       Now - Desk.SampleAskedAt < this->Options.SampleLimit)
--- a/drivers/StoreClient.cpp
+++ b/drivers/StoreClient.cpp
@@ -1,19 +1,20 @@
 #include "drivers/StoreClient.h"
 
+#include "core/Metrics.h"
+
 namespace turmericpitch {
 
 StoreClient::StoreClient(const Executor &On, StoreClientOptions Options)
     : Options(Options), Store(On, {.Service = Options.Store}),
       Promotions(On, {.Service = Options.Promotions}) {}
 
-Awaitable<Outcome<StorePage>>
-StoreClient::readAll(std::string Prefix, ReadAge Age) {
+Awaitable<Outcome<StorePage>> StoreClient::readAll(std::string Prefix,
+                                                   ReadAge Age) {
   co_return co_await this->readPages(std::move(Prefix), Age,
                                      this->Options.CallLimit);
 }
 
-Awaitable<Outcome<StorePage>>
-StoreClient::readAllQuickly(std::string Prefix) {
+Awaitable<Outcome<StorePage>> StoreClient::readAllQuickly(std::string Prefix) {
   co_return co_await this->readPages(std::move(Prefix), ReadAge::Current,
                                      this->Options.QuickLimit);
 }
@@ -23,8 +24,10 @@
   StorePage All;
   std::string After;
   while (true) {
-    auto Reply = co_await this->Store.call(encodePageRead(Prefix, After, Age),
-                                           Limit);
+    processMetrics().count("store_calls_total",
+                           Age == ReadAge::Current ? "listing" : "old_listing");
+    auto Reply =
+        co_await this->Store.call(encodePageRead(Prefix, After, Age), Limit);
     if (!Reply)
       co_return Reply.error();
     auto Page = decodePage(Reply.value());
@@ -42,6 +45,7 @@
 
 Awaitable<Outcome<std::optional<KeyValueEntry>>>
 StoreClient::readKey(std::string Key) {
+  processMetrics().count("store_calls_total", "read");
   auto Reply =
       co_await this->Store.call(encodeKeyRead(Key), this->Options.CallLimit);
   if (!Reply)
@@ -52,6 +56,7 @@
 Awaitable<Outcome<WatchAnswer>>
 StoreClient::watch(std::string Prefix, Revision After,
                    std::chrono::milliseconds Wait) {
+  processMetrics().count("store_calls_total", "watch");
   auto Reply = co_await this->Store.call(encodeWatch(Prefix, After, Wait),
                                          Wait + this->Options.WatchSlack);
   if (!Reply)
@@ -61,6 +66,7 @@
 
 Awaitable<Outcome<CommitAnswer>>
 StoreClient::commit(TransactionRequest Request) {
+  processMetrics().count("store_calls_total", "write");
   auto Reply =
       co_await this->Store.call(encodeCommit(Request), this->Options.CallLimit);
   if (!Reply)
@@ -78,6 +84,7 @@
 }
 
 Awaitable<Outcome<bool>> StoreClient::renewLease(LeaseId Lease) {
+  processMetrics().count("store_calls_total", "renewal");
   auto Reply = co_await this->Store.call(encodeLeaseRenewal(Lease),
                                          this->Options.CallLimit);
   if (!Reply)
@@ -86,8 +93,8 @@
 }
 
 Awaitable<Outcome<bool>> StoreClient::endLease(LeaseId Lease) {
-  auto Reply = co_await this->Store.call(encodeLeaseEnd(Lease),
-                                         this->Options.CallLimit);
+  auto Reply =
+      co_await this->Store.call(encodeLeaseEnd(Lease), this->Options.CallLimit);
   if (!Reply)
     co_return Reply.error();
   co_return decodeLeaseRenewal(Reply.value());
--- a/failover/PrimaryRights.cpp
+++ b/failover/PrimaryRights.cpp
@@ -54,9 +54,9 @@
   const Known &Present = Found->second;
   return PrimaryRight{.Reign = Present.Record.Reign,
                       .Primary = Present.Record.Primary,
-                      .Until = std::max(Present.AskedAt +
-                                            this->Options.Validity,
-                                        Present.ExtendedUntil)};
+                      .Until =
+                          std::max(Present.AskedAt + this->Options.Validity,
+                                   Present.ExtendedUntil)};
 }
 
 const ReignRecord *PrimaryRights::record(const ServiceId &Id) const {
--- a/failover/PrimaryWatch.cpp
+++ b/failover/PrimaryWatch.cpp
@@ -50,8 +50,7 @@
   }
   if (!this->ReasonSince)
     this->ReasonSince = Now;
-  Duration Delay =
-      this->Options.RankDelay * static_cast<Duration::rep>(Rank);
+  Duration Delay = this->Options.RankDelay * static_cast<Duration::rep>(Rank);
   return Now - *this->ReasonSince >= Delay ? Reason : ReplaceReason::None;
 }
 
--- a/failover/PromotionRules.cpp
+++ b/failover/PromotionRules.cpp
@@ -6,8 +6,8 @@
 
 bool mayClose(const PromotionRulesOptions &Options,
               std::optional<TimePoint> RegisteredAt, TimePoint Now) {
-  return RegisteredAt && Now - *RegisteredAt >= Options.ListingValidity +
-                                                    Options.ListingMargin;
+  return RegisteredAt &&
+         Now - *RegisteredAt >= Options.ListingValidity + Options.ListingMargin;
 }
 
 TimePoint earliestOrder(const PromotionRulesOptions &Options,
--- a/failover/RightMessages.cpp
+++ b/failover/RightMessages.cpp
@@ -61,15 +61,28 @@
   return Each;
 }
 
+void writeVersions(Writer &To, const KnownVersions &Versions) {
+  To(Versions.Configuration, Versions.Members, Versions.Instances,
+     static_cast<std::uint64_t>(Versions.InstancesAge.count()));
+}
+
+KnownVersions readVersions(Reader &From) {
+  KnownVersions Versions;
+  std::uint64_t Age = 0;
+  From(Versions.Configuration, Versions.Members, Versions.Instances, Age);
+  Versions.InstancesAge = Duration(static_cast<Duration::rep>(Age & INT64_MAX));
+  return Versions;
+}
+
 void writeBody(Writer &To, const RightQuestion &Message) {
   To(static_cast<std::uint8_t>(Kind::Question), Message.Serial,
-     Message.Configuration, Message.WantsGrants);
+     Message.WantsGrants);
 }
 
 void writeBody(Writer &To, const RightAnswer &Message) {
   To(static_cast<std::uint8_t>(Kind::Answer), Message.Serial, Message.Part,
-     Message.Parts, Message.Configuration,
-     static_cast<std::uint8_t>(Message.Services.size()));
+     Message.Parts, static_cast<std::uint8_t>(Message.Services.size()));
+  writeVersions(To, Message.Versions);
   for (const ToldService &Each : Message.Services)
     writeService(To, Each);
 }
@@ -86,14 +99,14 @@
   switch (readEnumeration(From, Kind::News)) {
   case Kind::Question: {
     RightQuestion Question;
-    From(Question.Serial, Question.Configuration, Question.WantsGrants);
+    From(Question.Serial, Question.WantsGrants);
     return Question;
   }
   case Kind::Answer: {
     RightAnswer Answer;
     std::uint8_t Count = 0;
-    From(Answer.Serial, Answer.Part, Answer.Parts, Answer.Configuration,
-         Count);
+    From(Answer.Serial, Answer.Part, Answer.Parts, Count);
+    Answer.Versions = readVersions(From);
     if (Count > ServicesInPart)
       throw cereal::Exception("too many services");
     for (std::uint8_t Index = 0; Index < Count; ++Index)
--- a/failover/RightMessages.h
+++ b/failover/RightMessages.h
@@ -1,8 +1,8 @@
 // What instances tell one another of primaries.
 #pragma once
 
-#include "failover/ReignRecord.h"
 #include "core/Time.h"
+#include "failover/ReignRecord.h"
 
 #include <string>
 #include <string_view>
@@ -33,11 +33,24 @@
   bool operator==(const ToldService &) const = default;
 };
 
+/// How recent what an instance knows is, so that others notice that they are
+/// behind.
+struct KnownVersions {
+  /// The version of the configuration that it runs.
+  std::uint64_t Configuration = 0;
+  /// The store's revision at which it found the members' list changed.
+  std::uint64_t Members = 0;
+  /// Tells two lists of instances apart.
+  std::uint64_t Instances = 0;
+  /// How old the read behind the list of instances is at most.
+  Duration InstancesAge{0};
+
+  bool operator==(const KnownVersions &) const = default;
+};
+
 /// Asks what an instance knows.
 struct RightQuestion {
   std::uint32_t Serial = 0;
-  /// The version of the configuration that the asker runs.
-  std::uint64_t Configuration = 0;
   /// Whether it should promise to close nothing.
   bool WantsGrants = false;
 
@@ -48,8 +61,7 @@
   std::uint32_t Serial = 0;
   std::uint8_t Part = 0;
   std::uint8_t Parts = 1;
-  /// The version of the configuration that the sender runs.
-  std::uint64_t Configuration = 0;
+  KnownVersions Versions = {};
   std::vector<ToldService> Services = {};
 
   bool operator==(const RightAnswer &) const = default;
--- a/limits/ConnectionAllowance.cpp
+++ b/limits/ConnectionAllowance.cpp
@@ -34,8 +34,8 @@
 }
 
 std::size_t ConnectionAllowance::allowed(TimePoint Now) const {
-  std::size_t Most = std::min(this->Options.MemberLimit,
-                              this->evenShare() * SharesAtFirst);
+  std::size_t Most =
+      std::min(this->Options.MemberLimit, this->evenShare() * SharesAtFirst);
   if (!this->WasRefused)
     return Most;
   Duration Since = Now - this->ReducedAt;
--- a/limits/WaitQueue.h
+++ b/limits/WaitQueue.h
@@ -117,8 +117,8 @@
     return Left.Goal < Right.Goal;
   }
   static int sizeOf(Duration Work) {
-    return std::bit_width(static_cast<std::uint64_t>(
-        std::max<Duration::rep>(0, Work.count())));
+    return std::bit_width(
+        static_cast<std::uint64_t>(std::max<Duration::rep>(0, Work.count())));
   }
 
   std::vector<Entry> Waiting;
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -9,6 +9,7 @@
 #include "membership/InstanceRoster.h"
 #include "platform/StoredObjects.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -28,17 +29,23 @@
 /// A watch waits this long while other instances tell of new versions, and
 /// while they don't: twice that and a read must fit the three seconds within
 /// which a configuration has to be in force.
-constexpr std::chrono::milliseconds WatchWait(5000);
+constexpr std::chrono::milliseconds WatchWait(10'000);
 constexpr std::chrono::milliseconds AloneWatchWait(1000);
 constexpr Duration ListingInterval = std::chrono::milliseconds(1000);
 /// Each third listing is current, so that leaving members are known within
 /// four seconds; those between may be old and cost a tenth.
 constexpr std::uint32_t ListingsForCurrent = 3;
+/// The same while others tell when the list has changed.
+constexpr std::uint32_t QuietListingsForCurrent = 12;
+constexpr Duration SummaryInterval = std::chrono::seconds(10);
 constexpr Duration MaintainInterval = std::chrono::milliseconds(100);
 /// An instance that ends without saying so is counted for as long.
 constexpr std::chrono::milliseconds InstanceLease(15000);
 constexpr Duration RegistrationInterval = std::chrono::milliseconds(3000);
-constexpr Duration RosterInterval = std::chrono::milliseconds(3000);
+/// Readers list the instances so often; the others hear of it from them, or
+/// list them once what they know is older than the limit.
+constexpr Duration RosterInterval = std::chrono::milliseconds(1000);
+constexpr Duration RosterAgeLimit = std::chrono::milliseconds(2500);
 constexpr Duration RetryInterval = std::chrono::milliseconds(200);
 /// The balancer asks once a second and needs two misses.
 constexpr Duration BalancerNotice = std::chrono::milliseconds(2300);
@@ -54,11 +61,12 @@
         Store(this->Loop.get_executor(),
               {.Store = this->Settings.Store,
                .Promotions = this->Settings.Promotions}),
-        Dispatcher(this->Loop.get_executor(), {.Zone = this->Settings.Zone},
-                   [this](const ServiceId &Id) { return this->Reigns.right(Id); },
-                   [this](const ServiceId &Id) {
-                     return this->Reigns.expectedReturn(Id);
-                   }),
+        Dispatcher(
+            this->Loop.get_executor(), {.Zone = this->Settings.Zone},
+            [this](const ServiceId &Id) { return this->Reigns.right(Id); },
+            [this](const ServiceId &Id) {
+              return this->Reigns.expectedReturn(Id);
+            }),
         Roster(this->Settings.Self),
         Reigns(this->Loop.get_executor(),
                {.Self = this->Settings.Self,
@@ -67,21 +75,20 @@
                 .Seed = std::random_device{}()},
                this->Store, this->Roster, this->Dispatcher,
                [this] { return this->Registration; },
-               {.Version = [this] { return this->Routes.version(); },
+               {.Own = [this] { return this->ownVersions(); },
                 .OnOther =
-                    [this](std::uint64_t Version) {
-                      this->onOtherVersion(Version);
+                    [this](const KnownVersions &Other, TimePoint AskedAt) {
+                      this->onOtherVersions(Other, AskedAt);
                     }}),
-        Sessions(this->Loop.get_executor(),
-                 {.Listen = this->Settings.Sessions}, this->Routes,
-                 this->Dispatcher),
-        Readiness(
-            this->Loop.get_executor(), {.Listen = this->Settings.Readiness},
-            [this] {
-              return [this](HttpRequest Request) -> Awaitable<HttpReply> {
-                co_return this->answer(Request);
-              };
-            }),
+        Sessions(this->Loop.get_executor(), {.Listen = this->Settings.Sessions},
+                 this->Routes, this->Dispatcher),
+        Readiness(this->Loop.get_executor(),
+                  {.Listen = this->Settings.Readiness},
+                  [this] {
+                    return [this](HttpRequest Request) -> Awaitable<HttpReply> {
+                      co_return this->answer(Request);
+                    };
+                  }),
         Signals(this->Loop, SIGTERM, SIGINT, SIGHUP) {}
 
   [[nodiscard]] Endpoint peerAddress() const {
@@ -93,12 +100,23 @@
   Awaitable<void> pause(Duration Length);
   Awaitable<void> followConfiguration();
   Awaitable<void> readConfiguration();
-  void onOtherVersion(std::uint64_t Version);
+  [[nodiscard]] KnownVersions ownVersions() const;
+  /// Whether others read the store for this instance and tell it of changes.
+  [[nodiscard]] bool isToldOfChanges() const {
+    return !this->Reigns.isReader() && !this->Reigns.late();
+  }
+  void onOtherVersions(const KnownVersions &Other, TimePoint AskedAt);
+  /// Returns whether the list could be read.
+  Awaitable<bool> listMembers(ReadAge Age);
+  Awaitable<void> listMembersNow();
   Awaitable<void> followMembers();
   Awaitable<void> keepRegistered();
   Awaitable<std::optional<LeaseId>> registerSelf();
+  Awaitable<void> listInstances();
   Awaitable<void> followInstances();
   Awaitable<void> maintain();
+  /// Logs figures of the process now and then.
+  Awaitable<void> summarize();
   Awaitable<void> stop();
 
   template <typename Work> void spawn(Work Run) {
@@ -121,6 +139,11 @@
   HttpServer Readiness;
   asio::signal_set Signals;
   std::optional<OwnRegistration> Registration;
+  /// How far the members' list was read, and when it was found changed.
+  Revision MembersAsOf;
+  Revision MembersChangedAt;
+  bool Listing = false;
+  bool ListingInstances = false;
   /// Whether the configuration is being read.
   bool Reading = false;
   bool Stopping = false;
@@ -133,9 +156,8 @@
     Reply.ContentType = "text/plain";
     return Reply;
   }
-  bool Ready =
-      !this->Stopping && this->Routes.loaded() && this->Registry.loaded() &&
-      !this->Reigns.isolation().isolated();
+  bool Ready = !this->Stopping && this->Routes.loaded() &&
+               this->Registry.loaded() && !this->Reigns.isolation().isolated();
   if (!Ready)
     Reply.Status = ServiceUnavailable;
   Reply.Body = "{}";
@@ -177,10 +199,30 @@
   this->Dispatcher.onRegistry({}, this->Routes, this->Roster.count());
 }
 
-void SessionDaemon::Parts::onOtherVersion(std::uint64_t Version) {
-  if (Version <= this->Routes.version() || this->Reading)
+KnownVersions SessionDaemon::Parts::ownVersions() const {
+  KnownVersions Own{.Configuration = this->Routes.version(),
+                    .Members = this->MembersChangedAt.Value};
+  if (!this->Roster.askedAt())
+    return Own;
+  Own.Instances = this->Roster.digest();
+  Own.InstancesAge =
+      std::max(Duration{0}, BootClock().now() - *this->Roster.askedAt());
+  return Own;
+}
+
+void SessionDaemon::Parts::onOtherVersions(const KnownVersions &Other,
+                                           TimePoint AskedAt) {
+  if (Other.Configuration > this->Routes.version() && !this->Reading)
+    this->spawn(this->readConfiguration());
+  if (Other.Members > this->MembersAsOf.Value && !this->Listing)
+    this->spawn(this->listMembersNow());
+  if (Other.Instances == 0 || !this->Roster.askedAt())
     return;
-  this->spawn(this->readConfiguration());
+  TimePoint ReadAt = AskedAt - Other.InstancesAge;
+  if (Other.Instances == this->Roster.digest())
+    this->Roster.onConfirmed(ReadAt);
+  else if (ReadAt > *this->Roster.askedAt() && !this->ListingInstances)
+    this->spawn(this->listInstances());
 }
 
 Awaitable<void> SessionDaemon::Parts::followConfiguration() {
@@ -192,11 +234,9 @@
     }
     bool Quiet = true;
     while (Quiet) {
-      auto Seen = co_await this->Store.watch(std::string(ConfigurationKey),
-                                             this->ConfigurationRevision,
-                                             this->Reigns.late()
-                                                 ? AloneWatchWait
-                                                 : WatchWait);
+      auto Seen = co_await this->Store.watch(
+          std::string(ConfigurationKey), this->ConfigurationRevision,
+          this->isToldOfChanges() ? WatchWait : AloneWatchWait);
       Quiet = Seen && !Seen.value().HistoryGone && Seen.value().Events.empty();
       if (Quiet)
         this->ConfigurationRevision = Seen.value().AsOf;
@@ -206,42 +246,52 @@
   }
 }
 
+Awaitable<bool> SessionDaemon::Parts::listMembers(ReadAge Age) {
+  this->Listing = true;
+  TimePoint AskedAt = BootClock().now();
+  auto Listed = co_await this->Store.readAll(std::string(MembersPrefix), Age);
+  this->Listing = false;
+  if (!Listed) {
+    writeWarning("event=members_read_failed reason=\"" +
+                 Listed.error().Message + "\"");
+    co_return false;
+  }
+  // Listings can overtake one another, and some are old.
+  if (Listed.value().AsOf < this->MembersAsOf)
+    co_return true;
+  this->MembersAsOf = Listed.value().AsOf;
+  std::vector<RegisteredMember> Members;
+  for (const KeyValueEntry &Entry : Listed.value().Entries) {
+    auto Member = keepOutcome([&] { return decodeMemberEntry(Entry); });
+    if (Member)
+      Members.push_back(std::move(Member.value()));
+    else
+      writeWarning("event=member_entry_skipped key=" + Entry.Key +
+                   " reason=\"" + Member.error().Message + "\"");
+  }
+  RegistryChange Change = this->Registry.onListing(std::move(Members), AskedAt);
+  if (!Change.empty()) {
+    this->MembersChangedAt = this->MembersAsOf;
+    this->Dispatcher.onRegistry(Change, this->Routes, this->Roster.count());
+  }
+  co_return true;
+}
+
+Awaitable<void> SessionDaemon::Parts::listMembersNow() {
+  co_await this->listMembers(ReadAge::Current);
+}
+
 Awaitable<void> SessionDaemon::Parts::followMembers() {
   std::uint32_t Turn = 0;
-  Revision Newest;
   while (true) {
-    TimePoint AskedAt = BootClock().now();
-    bool Current = Turn++ % ListingsForCurrent == 0;
-    auto Listed = co_await this->Store.readAll(
-        std::string(MembersPrefix),
-        Current ? ReadAge::Current : ReadAge::MayBeOld);
-    if (!Listed) {
-      writeWarning("event=members_read_failed reason=\"" +
-                   Listed.error().Message + "\"");
+    std::uint32_t Between =
+        this->isToldOfChanges() ? QuietListingsForCurrent : ListingsForCurrent;
+    bool Current = Turn++ % Between == 0;
+    bool Read = co_await this->listMembers(Current ? ReadAge::Current
+                                                   : ReadAge::MayBeOld);
+    if (!Read)
       Turn = 0;
-      co_await this->pause(RetryInterval);
-      continue;
-    }
-    if (Listed.value().AsOf < Newest) {
-      co_await this->pause(ListingInterval);
-      continue;
-    }
-    Newest = Listed.value().AsOf;
-    std::vector<RegisteredMember> Members;
-    for (const KeyValueEntry &Entry : Listed.value().Entries) {
-      auto Member = keepOutcome([&] { return decodeMemberEntry(Entry); });
-      if (Member)
-        Members.push_back(std::move(Member.value()));
-      else
-        writeWarning("event=member_entry_skipped key=" + Entry.Key +
-                     " reason=\"" + Member.error().Message + "\"");
-    }
-    RegistryChange Change =
-        this->Registry.onListing(std::move(Members), AskedAt);
-    if (!Change.empty())
-      this->Dispatcher.onRegistry(Change, this->Routes, this->Roster.count());
-    this->Dispatcher.onRightsChanged();
-    co_await this->pause(ListingInterval);
+    co_await this->pause(Read ? ListingInterval : RetryInterval);
   }
 }
 
@@ -261,10 +311,10 @@
   auto Written = co_await this->Store.commit(std::move(Request));
   if (!Written || Written.value().Result != CommitAnswer::Verdict::Written)
     co_return std::nullopt;
-  this->Registration = OwnRegistration{
-      .Key = std::string(InstancesPrefix) + this->Settings.Self.Value,
-      .Stored = Written.value().Written,
-      .Since = BootClock().now()};
+  this->Registration = OwnRegistration{.Key = std::string(InstancesPrefix) +
+                                              this->Settings.Self.Value,
+                                       .Stored = Written.value().Written,
+                                       .Since = BootClock().now()};
   writeDecision(DecisionLine("registered").field("lease", Lease.Value));
   co_return Lease;
 }
@@ -291,30 +341,37 @@
     co_await this->Store.endLease(*Lease);
 }
 
+Awaitable<void> SessionDaemon::Parts::listInstances() {
+  this->ListingInstances = true;
+  TimePoint AskedAt = BootClock().now();
+  auto Listed = co_await this->Store.readAll(std::string(InstancesPrefix),
+                                             ReadAge::Current);
+  this->ListingInstances = false;
+  if (!Listed || (this->Roster.askedAt() && AskedAt < *this->Roster.askedAt()))
+    co_return;
+  std::vector<RosterEntry> Entries;
+  for (const KeyValueEntry &Entry : Listed.value().Entries) {
+    auto Decoded = keepOutcome([&] { return decodeRosterEntry(Entry); });
+    if (Decoded)
+      Entries.push_back(std::move(Decoded.value()));
+    else
+      writeWarning("event=instance_entry_skipped reason=\"" +
+                   Decoded.error().Message + "\"");
+  }
+  if (!this->Roster.onListing(std::move(Entries), AskedAt))
+    co_return;
+  writeDecision(DecisionLine("instances_known")
+                    .field("count", this->Roster.count())
+                    .field("rank", this->Roster.rank()));
+  this->Dispatcher.onRegistry({}, this->Routes, this->Roster.count());
+}
+
 Awaitable<void> SessionDaemon::Parts::followInstances() {
   while (true) {
-    TimePoint AskedAt = BootClock().now();
-    auto Listed = co_await this->Store.readAll(std::string(InstancesPrefix),
-                                               ReadAge::Current);
-    if (!Listed) {
-      co_await this->pause(RetryInterval);
-      continue;
-    }
-    std::vector<RosterEntry> Entries;
-    for (const KeyValueEntry &Entry : Listed.value().Entries) {
-      auto Decoded = keepOutcome([&] { return decodeRosterEntry(Entry); });
-      if (Decoded)
-        Entries.push_back(std::move(Decoded.value()));
-      else
-        writeWarning("event=instance_entry_skipped reason=\"" +
-                     Decoded.error().Message + "\"");
-    }
-    if (this->Roster.onListing(std::move(Entries), AskedAt)) {
-      writeDecision(DecisionLine("instances_known")
-                        .field("count", this->Roster.count())
-                        .field("rank", this->Roster.rank()));
-      this->Dispatcher.onRegistry({}, this->Routes, this->Roster.count());
-    }
+    auto Known = this->Roster.askedAt();
+    bool Old = !Known || BootClock().now() - *Known > RosterAgeLimit;
+    if (Old || this->Reigns.isReader())
+      co_await this->listInstances();
     co_await this->pause(RosterInterval);
   }
 }
@@ -330,12 +387,28 @@
   }
 }
 
+Awaitable<void> SessionDaemon::Parts::summarize() {
+  constexpr std::array Calls{"listing", "old_listing", "read",
+                             "watch",   "write",       "renewal"};
+  while (true) {
+    co_await this->pause(SummaryInterval);
+    DecisionLine Line("summary");
+    Line.field("sessions", this->Sessions.sessions())
+        .field("links_opened", this->Dispatcher.linksOpened())
+        .field("configuration", this->Routes.version())
+        .field("instances", this->Roster.count());
+    for (const char *Call : Calls)
+      Line.field(Call, processMetrics().counted("store_calls_total", Call));
+    writeDecision(Line);
+  }
+}
+
 Awaitable<void> SessionDaemon::Parts::stop() {
   TimePoint AskedAt = BootClock().now();
   this->Stopping = true;
   this->Reigns.stop();
-  writeDecision(DecisionLine("stop").field("sessions",
-                                           this->Sessions.sessions()));
+  writeDecision(
+      DecisionLine("stop").field("sessions", this->Sessions.sessions()));
   co_await this->pause(BalancerNotice);
   TimePoint HalfTime = AskedAt + this->Settings.StopLimit / 2;
   TimePoint Last = AskedAt + this->Settings.StopLimit - StopMargin;
@@ -346,8 +419,8 @@
     co_await this->pause(DrainLook);
   }
   this->Sessions.stopAccepting();
-  writeDecision(DecisionLine("stopped").field("sessions_cut",
-                                              this->Sessions.sessions()));
+  writeDecision(
+      DecisionLine("stopped").field("sessions_cut", this->Sessions.sessions()));
   this->Loop.stop();
 }
 
@@ -386,6 +459,7 @@
   P.spawn(P.keepRegistered());
   P.spawn(P.followInstances());
   P.spawn(P.maintain());
+  P.spawn(P.summarize());
   P.Loop.run();
   return std::monostate{};
 }
--- a/main/SessionMain.cpp
+++ b/main/SessionMain.cpp
@@ -24,12 +24,12 @@
   }
   std::stringstream Text;
   Text << File.rdbuf();
-  auto Settings = keepOutcome(
-      [&] { return decodeInstanceSettings(Text.str(), Path); });
+  auto Settings =
+      keepOutcome([&] { return decodeInstanceSettings(Text.str(), Path); });
   if (Settings)
     return std::move(Settings.value());
-  std::cerr << Settings.error().Message << "\nremedy: "
-            << Settings.error().Remedy << "\n";
+  std::cerr << Settings.error().Message
+            << "\nremedy: " << Settings.error().Remedy << "\n";
   return std::nullopt;
 }
 
@@ -37,10 +37,9 @@
   const char *FromEnvironment = std::getenv(SettingsVariable);
   cxxopts::Options Options("turmericpitch-sessions",
                            "Serves callers' sessions on the platform");
-  Options.add_options()(
-      "settings", "path of the settings file",
-      cxxopts::value<std::string>()->default_value(
-          FromEnvironment ? FromEnvironment : ""))(
+  Options.add_options()("settings", "path of the settings file",
+                        cxxopts::value<std::string>()->default_value(
+                            FromEnvironment ? FromEnvironment : ""))(
       "check", "check the settings file and exit")("help", "show this text");
   try {
     auto Parsed = Options.parse(ArgumentCount, Arguments);
--- a/membership/InstanceRoster.cpp
+++ b/membership/InstanceRoster.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <xxhash.h>
 
 namespace turmericpitch {
 
@@ -9,6 +10,10 @@
 
 namespace {
 
+/// Times of reading that are kept; at a few a second they reach back some
+/// seconds.
+constexpr std::size_t MostReadTimes = 32;
+
 std::optional<std::string> textAt(const json::object &Object,
                                   std::string_view Key) {
   const json::value *Found = Object.if_contains(Key);
@@ -50,12 +55,37 @@
 bool InstanceRoster::onListing(std::vector<RosterEntry> Listed,
                                TimePoint AskedAt) {
   std::sort(Listed.begin(), Listed.end());
-  this->AskedAt = AskedAt;
   bool Changed = Listed != this->Entries;
   this->Entries = std::move(Listed);
+  if (Changed) {
+    this->ReadTimes.clear();
+    this->AskedAt.reset();
+    std::string Text;
+    for (const RosterEntry &Each : this->Entries)
+      Text += Each.Id.Value + " " + std::to_string(Each.Stored.Value) + "\n";
+    this->Digest = XXH64(Text.data(), Text.size(), 0);
+  }
+  this->onConfirmed(AskedAt);
   return Changed;
 }
 
+void InstanceRoster::onConfirmed(TimePoint AskedAt) {
+  if (this->AskedAt && AskedAt <= *this->AskedAt)
+    return;
+  this->AskedAt = AskedAt;
+  this->ReadTimes.push_back(AskedAt);
+  if (this->ReadTimes.size() > MostReadTimes)
+    this->ReadTimes.pop_front();
+}
+
+std::optional<TimePoint> InstanceRoster::askedAtBefore(TimePoint Latest) const {
+  std::optional<TimePoint> Found;
+  for (TimePoint Each : this->ReadTimes)
+    if (Each <= Latest)
+      Found = Each;
+  return Found;
+}
+
 std::size_t InstanceRoster::rank() const {
   std::size_t Place = 0;
   for (const RosterEntry &Entry : this->Entries)
@@ -64,8 +94,8 @@
 }
 
 std::size_t InstanceRoster::count() const {
-  return std::max<std::size_t>(
-      1, this->Entries.size() + (this->listsSelf() ? 0 : 1));
+  return std::max<std::size_t>(1, this->Entries.size() +
+                                      (this->listsSelf() ? 0 : 1));
 }
 
 bool InstanceRoster::anyOutside(const ZoneId &Zone) const {
--- a/membership/InstanceRoster.h
+++ b/membership/InstanceRoster.h
@@ -7,6 +7,7 @@
 #include "core/KeyValue.h"
 #include "core/Time.h"
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -42,6 +43,13 @@
   /// All entries as a read sent at AskedAt showed them. Returns whether the
   /// set of instances has changed.
   bool onListing(std::vector<RosterEntry> Listed, TimePoint AskedAt);
+  /// Another instance holds the same list from a read no older than AskedAt.
+  void onConfirmed(TimePoint AskedAt);
+  /// When the present list was read, the newest such time that is no later
+  /// than Latest; nothing if there is none.
+  [[nodiscard]] std::optional<TimePoint> askedAtBefore(TimePoint Latest) const;
+  /// Tells two lists apart.
+  [[nodiscard]] std::uint64_t digest() const { return this->Digest; }
   /// The own place among the instances, from 0; behind all if not listed.
   [[nodiscard]] std::size_t rank() const;
   /// How many instances there are, the own one included.
@@ -61,6 +69,9 @@
   InstanceId Self;
   std::vector<RosterEntry> Entries;
   std::optional<TimePoint> AskedAt;
+  /// Times at which the present list was read, oldest first.
+  std::deque<TimePoint> ReadTimes;
+  std::uint64_t Digest = 0;
 };
 
 } // namespace turmericpitch
--- a/routing/FreshnessTracker.h
+++ b/routing/FreshnessTracker.h
@@ -1,8 +1,8 @@
 // Which log position proves that a read is no older than a stated age.
 #pragma once
 
-#include "session/SessionState.h"
 #include "core/Time.h"
+#include "session/SessionState.h"
 
 #include <deque>
 #include <optional>
@@ -25,8 +25,7 @@
 /// thread-safe.
 class FreshnessTracker {
 public:
-  explicit FreshnessTracker(FreshnessOptions Options = {})
-      : Options(Options) {}
+  explicit FreshnessTracker(FreshnessOptions Options = {}) : Options(Options) {}
 
   /// The primary of Reign answered with Reached. Precondition: it was proven
   /// to be the primary at AskedAt. Samples of another reign are dropped.
--- a/routing/MemberRegistry.cpp
+++ b/routing/MemberRegistry.cpp
@@ -2,9 +2,8 @@
 
 namespace turmericpitch {
 
-RegistryChange
-MemberRegistry::onListing(std::vector<RegisteredMember> Listed,
-                          TimePoint AskedAt) {
+RegistryChange MemberRegistry::onListing(std::vector<RegisteredMember> Listed,
+                                         TimePoint AskedAt) {
   if (this->LastListing &&
       AskedAt - *this->LastListing > this->Options.OutageLimit)
     this->KeepMissingUntil = AskedAt + this->Options.ReturnLimit;
--- a/tests/failover/RightModelTest.cpp
+++ b/tests/failover/RightModelTest.cpp
@@ -200,8 +200,7 @@
     if (Record) {
       ToldService Told{.Record = *Record};
       Told.Age = this->Now - *I.Rights.askedAt(Service);
-      Told.Granted =
-          Record->Phase == ReignPhase::Open && this->mayPromise(I);
+      Told.Granted = Record->Phase == ReignPhase::Open && this->mayPromise(I);
       if (Told.Granted)
         I.Grants.grant(Service, this->Rules.Rights.longestUse(), this->Now);
       Answer.Services = {Told};
@@ -230,8 +229,8 @@
     I.Rights.onRecord(Next, this->Now);
     I.Changing = true;
     I.ClosedAs = Next.Stored.Value;
-    I.OrderAt = earliestOrder(this->Rules, this->Now,
-                              I.Grants.boundUntil(Service));
+    I.OrderAt =
+        earliestOrder(this->Rules, this->Now, I.Grants.boundUntil(Service));
     if (this->Left == Fault::NoClosingWait)
       I.OrderAt = this->Now;
   }
@@ -239,8 +238,7 @@
   void order(ModelInstance &I) {
     I.OrderAt.reset();
     I.Changing = false;
-    if (!this->reachesStore(I) ||
-        this->Store.Record.Stored.Value != I.ClosedAs)
+    if (!this->reachesStore(I) || this->Store.Record.Stored.Value != I.ClosedAs)
       return;
     ++this->Promotions;
     ReignRecord Next = this->Store.Record;
--- a/tests/limits/OutagePatienceTest.cpp
+++ b/tests/limits/OutagePatienceTest.cpp
@@ -12,14 +12,14 @@
 const OutagePatienceOptions Options;
 
 TEST(OutagePatience, WaitsForAPrimaryThatComesInTime) {
-  EXPECT_TRUE(decidePatience(Options, Arrived, Deadline, milliseconds(900),
-                             Arrived)
-                  .Wait);
+  EXPECT_TRUE(
+      decidePatience(Options, Arrived, Deadline, milliseconds(900), Arrived)
+          .Wait);
 }
 
 TEST(OutagePatience, RefusesAtOnceWhatCannotBeServedInTime) {
-  PatienceVerdict Verdict = decidePatience(Options, Arrived, Deadline,
-                                           milliseconds(950), Arrived);
+  PatienceVerdict Verdict =
+      decidePatience(Options, Arrived, Deadline, milliseconds(950), Arrived);
   EXPECT_FALSE(Verdict.Wait);
   EXPECT_EQ(Verdict.ComeBackAfter, milliseconds(950));
 }
--- a/tests/limits/WaitQueueTest.cpp
+++ b/tests/limits/WaitQueueTest.cpp
@@ -1,6 +1,6 @@
+#include "limits/WaitQueue.h"
 #include "core/EventQueue.h"
 #include "core/RandomSource.h"
-#include "limits/WaitQueue.h"
 
 #include <cmath>
 #include <gtest/gtest.h>
@@ -91,9 +91,9 @@
     int PerSecond;
     int Worth;
   };
-  static constexpr std::array<Kind, 3> Kinds{
-      Kind{8, 200, 1000, 1, 28, 2}, Kind{40, 600, 2000, 2, 28, 1},
-      Kind{24, 400, 1000, 2, 130, 2}};
+  static constexpr std::array<Kind, 3> Kinds{Kind{8, 200, 1000, 1, 28, 2},
+                                             Kind{40, 600, 2000, 2, 28, 1},
+                                             Kind{24, 400, 1000, 2, 130, 2}};
   static constexpr std::size_t Slots = 3;
 
   struct Waiting {
--- a/tests/membership/IsolationDetectorTest.cpp
+++ b/tests/membership/IsolationDetectorTest.cpp
@@ -1,5 +1,5 @@
-#include "membership/InstanceRoster.h"
 #include "membership/IsolationDetector.h"
+#include "membership/InstanceRoster.h"
 
 #include <gtest/gtest.h>
 
@@ -69,8 +69,7 @@
   EXPECT_FALSE(Roster.listsSelf());
   EXPECT_EQ(Roster.rank(), 2U);
   EXPECT_EQ(Roster.count(), 3U);
-  Roster.onListing({entry("c", "y"), entry("a", "x"), entry("b", "x")},
-                   at(1));
+  Roster.onListing({entry("c", "y"), entry("a", "x"), entry("b", "x")}, at(1));
   EXPECT_EQ(Roster.rank(), 1U);
   EXPECT_TRUE(Roster.anyOutside({"x"}));
 }
@@ -78,10 +77,9 @@
 TEST(InstanceRoster, EntriesSurviveTheirEncoding) {
   RosterEntry Entry = entry("a", "x");
   auto Decoded = keepOutcome([&] {
-    return decodeRosterEntry(
-        {.Key = std::string(InstancesPrefix) + "a",
-         .Value = encodeRosterEntry(Entry),
-         .Modified = {7}});
+    return decodeRosterEntry({.Key = std::string(InstancesPrefix) + "a",
+                              .Value = encodeRosterEntry(Entry),
+                              .Modified = {7}});
   });
   ASSERT_TRUE(Decoded);
   Entry.Stored = {7};
--- a/tests/routing/FreshnessTrackerTest.cpp
+++ b/tests/routing/FreshnessTrackerTest.cpp
@@ -18,10 +18,8 @@
   Tracker.onPrimaryAnswer(1, position(1, 20), at(1500));
   Tracker.onPrimaryAnswer(1, position(1, 30), at(2000));
   // 2,600 - 1,500 + 20 ms margin = 1,120.
-  EXPECT_EQ(Tracker.positionFor(milliseconds(1500), at(2600)),
-            position(1, 20));
-  EXPECT_EQ(Tracker.positionFor(milliseconds(1500), at(2480)),
-            position(1, 10));
+  EXPECT_EQ(Tracker.positionFor(milliseconds(1500), at(2600)), position(1, 20));
+  EXPECT_EQ(Tracker.positionFor(milliseconds(1500), at(2480)), position(1, 10));
 }
 
 TEST(FreshnessTracker, ProvesNothingOnceAllSamplesAreTooOld) {
@@ -45,8 +43,7 @@
   FreshnessTracker Tracker;
   Tracker.onPrimaryAnswer(1, position(1, 50), at(1000));
   Tracker.onPrimaryAnswer(2, position(1, 40), at(1100));
-  EXPECT_EQ(Tracker.positionFor(milliseconds(1500), at(1200)),
-            position(1, 40));
+  EXPECT_EQ(Tracker.positionFor(milliseconds(1500), at(1200)), position(1, 40));
   // A late answer of the old primary is of no use.
   Tracker.onPrimaryAnswer(1, position(1, 60), at(1200));
   EXPECT_EQ(Tracker.newest(), position(1, 40));
--- a/tests/session/SessionStateTest.cpp
+++ b/tests/session/SessionStateTest.cpp
@@ -1,5 +1,5 @@
-#include "session/ConnectionState.h"
 #include "session/SessionState.h"
+#include "session/ConnectionState.h"
 
 #include <gtest/gtest.h>
 
@@ -16,8 +16,8 @@
 }
 
 Statement prepare(std::string Name, std::string Shape, bool Writes) {
-  Statement Asked = ask(StatementKind::Prepare, std::move(Name),
-                        std::move(Shape));
+  Statement Asked =
+      ask(StatementKind::Prepare, std::move(Name), std::move(Shape));
   Asked.PreparesWrite = Writes;
   return Asked;
 }
