Play the whole path on loopback with stand-ins of the store and the members

Change: stand_ins/SessionGroup and RevisionStore; eight tests of the daemon with callers' lines: own writes, deaf replicas, transactions, prepared names, a lost primary, a store that is away, routes that come and go.

--- a/limits/WaitQueue.h
+++ b/limits/WaitQueue.h
@@ -110,13 +110,13 @@
     if (LeftLate)
       return Left.ArrivedAt > Right.ArrivedAt;
     // Observed times vary; only a difference of a power of two counts.
-    int LeftSize = sizeOf(Left.Work);
-    int RightSize = sizeOf(Right.Work);
+    std::uint64_t LeftSize = sizeOf(Left.Work);
+    std::uint64_t RightSize = sizeOf(Right.Work);
     if (LeftSize != RightSize)
       return LeftSize < RightSize;
     return Left.Goal < Right.Goal;
   }
-  static int sizeOf(Duration Work) {
+  static std::uint64_t sizeOf(Duration Work) {
     return std::bit_width(
         static_cast<std::uint64_t>(std::max<Duration::rep>(0, Work.count())));
   }
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -56,7 +56,7 @@
 } // namespace
 
 struct SessionDaemon::Parts {
-  explicit Parts(InstanceSettings Settings)
+  explicit Parts(InstanceSettings Settings, SessionDaemonOptions Options)
       : Settings(std::move(Settings)),
         Store(this->Loop.get_executor(),
               {.Store = this->Settings.Store,
@@ -72,7 +72,8 @@
                {.Self = this->Settings.Self,
                 .Zone = this->Settings.Zone,
                 .Listen = this->peerAddress(),
-                .Seed = std::random_device{}()},
+                .Seed = std::random_device{}(),
+                .Rules = Options.Rules},
                this->Store, this->Roster, this->Dispatcher,
                [this] { return this->Registration; },
                {.Own = [this] { return this->ownVersions(); },
@@ -437,10 +438,13 @@
       });
 }
 
-SessionDaemon::SessionDaemon(InstanceSettings Settings)
-    : Own(std::make_unique<Parts>(std::move(Settings))) {}
+SessionDaemon::SessionDaemon(InstanceSettings Settings,
+                             SessionDaemonOptions Options)
+    : Own(std::make_unique<Parts>(std::move(Settings), Options)) {}
 SessionDaemon::~SessionDaemon() = default;
 
+void SessionDaemon::abort() { this->Own->Loop.stop(); }
+
 Status SessionDaemon::run() {
   Parts &P = *this->Own;
   writeDecision(DecisionLine("start")
--- a/main/SessionDaemon.h
+++ b/main/SessionDaemon.h
@@ -1,16 +1,22 @@
 // The daemon that serves sessions on the users' platform.
 #pragma once
 
+#include "failover/PromotionRules.h"
 #include "platform/InstanceSettings.h"
 
 #include <memory>
 
 namespace turmericpitch {
 
+struct SessionDaemonOptions {
+  PromotionRulesOptions Rules = {};
+};
+
 /// Runs on one thread, as its instances have one core. Not thread-safe.
 class SessionDaemon {
 public:
-  explicit SessionDaemon(InstanceSettings Settings);
+  explicit SessionDaemon(InstanceSettings Settings,
+                         SessionDaemonOptions Options = {});
   ~SessionDaemon();
   SessionDaemon(const SessionDaemon &) = delete;
   SessionDaemon &operator=(const SessionDaemon &) = delete;
@@ -18,6 +24,8 @@
   /// Serves until a stop is asked for by signal and done. Errors:
   /// Unavailable if an address can't be bound.
   Status run();
+  /// Makes run() return without a drain. Thread-safe.
+  void abort();
 
 private:
   struct Parts;
--- /dev/null
+++ b/stand_ins/RevisionStore.cpp
@@ -0,0 +1,149 @@
+#include "stand_ins/RevisionStore.h"
+
+#include "core/Digest.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace turmericpitch {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned NotFound = 404;
+constexpr unsigned Conflict = 409;
+constexpr unsigned ConditionFailed = 412;
+constexpr unsigned NotAvailable = 503;
+/// A watch without events is answered after this; shorter than asked for, so
+/// that tests don't wait.
+constexpr auto WatchPause = std::chrono::milliseconds(50);
+
+/// The value of a query's field, or "". Values are not escaped.
+std::string fieldOf(const std::string &Target, const std::string &Name) {
+  std::size_t At = Target.find(Name + "=");
+  if (At == std::string::npos)
+    return "";
+  std::size_t From = At + Name.size() + 1;
+  return Target.substr(From, Target.find('&', From) - From);
+}
+
+HttpReply replyOf(const json::value &Body, unsigned Status = 200) {
+  HttpReply Reply;
+  Reply.Status = Status;
+  Reply.Body = json::serialize(Body);
+  return Reply;
+}
+
+} // namespace
+
+RevisionStore::RevisionStore(Executor On, Endpoint Listen, SessionGroup &Group)
+    : On(On), Group(Group), Server(On, {.Listen = std::move(Listen)}, [this] {
+        return [this](HttpRequest Request) {
+          return this->handle(std::move(Request));
+        };
+      }) {}
+
+Status RevisionStore::start() { return this->Server.start(); }
+
+void RevisionStore::put(const std::string &Key, const std::string &Value) {
+  this->Items[Key] = {.Value = Value, .Revision = ++this->Revision};
+}
+
+Awaitable<HttpReply> RevisionStore::handle(HttpRequest Request) {
+  HttpReply Reply = this->answer(Request);
+  bool Quiet = Request.Target.starts_with("/api/kv-watch") &&
+               Reply.Body.find("\"events\":[]") != std::string::npos;
+  if (!Quiet)
+    co_return Reply;
+  boost::asio::steady_timer Timer(this->On, WatchPause);
+  co_await Timer.async_wait(boost::asio::use_awaitable);
+  co_return this->answer(Request);
+}
+
+HttpReply RevisionStore::answer(const HttpRequest &Request) {
+  const std::string &Target = Request.Target;
+  if (this->Away)
+    return replyOf(json::object{}, NotAvailable);
+  if (Target.starts_with("/api/kv-range"))
+    return this->range(fieldOf(Target, "prefix"));
+  if (Target.starts_with("/api/kv-key"))
+    return this->key(fieldOf(Target, "key"));
+  if (Target.starts_with("/api/kv-watch"))
+    return this->changes(fieldOf(Target, "prefix"),
+                         std::stoull(fieldOf(Target, "after")));
+  if (Target == "/api/kv-txn")
+    return this->commit(Request.Body);
+  if (Target == "/api/kv-lease")
+    return replyOf(json::object{{"lease", ++this->Leases}, {"ttl_ms", 15000}});
+  if (Target.starts_with("/api/kv-keep/") ||
+      Target.starts_with("/api/kv-lease-end/"))
+    return replyOf(json::object{{"ttl_ms", 15000}});
+  if (Target == "/promote") {
+    json::value Body = json::parse(Request.Body);
+    ++this->Promotions;
+    bool Taken = this->Group.promote(std::string(Body.at("id").as_string()));
+    return replyOf(json::object{}, Taken ? 200 : Conflict);
+  }
+  return replyOf(json::object{}, NotFound);
+}
+
+json::object RevisionStore::itemOf(const std::string &Key,
+                                   const Item &Each) const {
+  return {{"key", Key},
+          {"value", encodeBase64(Each.Value)},
+          {"revision", Each.Revision},
+          {"created", Each.Revision},
+          {"lease", Each.Lease}};
+}
+
+HttpReply RevisionStore::range(const std::string &Prefix) const {
+  json::array All;
+  for (const auto &[Key, Each] : this->Items)
+    if (Key.starts_with(Prefix))
+      All.push_back(this->itemOf(Key, Each));
+  return replyOf(json::object{{"items", std::move(All)},
+                              {"more_pages", false},
+                              {"current_rev", this->Revision}});
+}
+
+HttpReply RevisionStore::key(const std::string &Key) const {
+  auto Found = this->Items.find(Key);
+  if (Found == this->Items.end())
+    return replyOf(json::object{}, NotFound);
+  json::object Body = this->itemOf(Key, Found->second);
+  Body["current_rev"] = this->Revision;
+  return replyOf(Body);
+}
+
+HttpReply RevisionStore::changes(const std::string &Prefix,
+                                 std::uint64_t After) const {
+  json::array Events;
+  for (const auto &[Key, Each] : this->Items)
+    if (Key.starts_with(Prefix) && Each.Revision > After)
+      Events.push_back(this->itemOf(Key, Each));
+  return replyOf(json::object{{"events", std::move(Events)},
+                              {"current_rev", this->Revision}});
+}
+
+HttpReply RevisionStore::commit(const std::string &Body) {
+  json::value Request = json::parse(Body);
+  for (const json::value &Each : Request.at("if_rev").as_array()) {
+    auto Found = this->Items.find(std::string(Each.at("key").as_string()));
+    std::uint64_t Present =
+        Found == this->Items.end() ? 0 : Found->second.Revision;
+    if (Present != Each.at("revision").to_number<std::uint64_t>())
+      return replyOf(json::object{{"items", json::array{}}}, ConditionFailed);
+  }
+  ++this->Revision;
+  for (const json::value &Each : Request.at("writes").as_array())
+    this->Items[std::string(Each.at("key").as_string())] = {
+        .Value = decodeBase64(std::string(Each.at("value").as_string())),
+        .Revision = this->Revision,
+        .Lease = Each.at("lease").to_number<std::uint64_t>()};
+  for (const json::value &Each : Request.at("remove").as_array())
+    this->Items.erase(std::string(Each.as_string()));
+  return replyOf(json::object{{"revision", this->Revision}});
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/stand_ins/RevisionStore.h
@@ -0,0 +1,55 @@
+// The users' key-value service and promotion call, on loopback.
+#pragma once
+
+#include "core/Endpoint.h"
+#include "drivers/HttpServer.h"
+#include "stand_ins/SessionGroup.h"
+
+#include <boost/json.hpp>
+#include <map>
+
+namespace turmericpitch {
+
+/// Keys with revisions and conditional writes; leases never run out. Belongs
+/// to one thread's executor.
+class RevisionStore {
+public:
+  /// Serves promotions of Group's members too.
+  RevisionStore(Executor On, Endpoint Listen, SessionGroup &Group);
+
+  /// Errors: Unavailable if the address can't be bound.
+  Status start();
+  /// Writes a key as the operator or a member would.
+  void put(const std::string &Key, const std::string &Value);
+  /// Answers 503 to everything.
+  void setAway(bool Away) { this->Away = Away; }
+  [[nodiscard]] std::uint16_t port() const { return this->Server.port(); }
+  [[nodiscard]] std::uint64_t promotions() const { return this->Promotions; }
+
+private:
+  struct Item {
+    std::string Value;
+    std::uint64_t Revision = 0;
+    std::uint64_t Lease = 0;
+  };
+
+  Awaitable<HttpReply> handle(HttpRequest Request);
+  HttpReply answer(const HttpRequest &Request);
+  [[nodiscard]] boost::json::object itemOf(const std::string &Key,
+                                           const Item &Each) const;
+  HttpReply range(const std::string &Prefix) const;
+  HttpReply key(const std::string &Key) const;
+  HttpReply changes(const std::string &Prefix, std::uint64_t After) const;
+  HttpReply commit(const std::string &Body);
+
+  Executor On;
+  SessionGroup &Group;
+  HttpServer Server;
+  std::map<std::string, Item> Items;
+  std::uint64_t Revision = 1;
+  std::uint64_t Leases = 0;
+  std::uint64_t Promotions = 0;
+  bool Away = false;
+};
+
+} // namespace turmericpitch
--- /dev/null
+++ b/stand_ins/SessionGroup.cpp
@@ -0,0 +1,267 @@
+#include "stand_ins/SessionGroup.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace turmericpitch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::string nextWord(std::string &Rest) {
+  std::size_t Blank = Rest.find(' ');
+  std::string Word = Rest.substr(0, Blank);
+  Rest = Blank == std::string::npos ? "" : Rest.substr(Blank + 1);
+  return Word;
+}
+
+bool lacks(const SessionGroupMember &At, const std::string &Position) {
+  std::istringstream Text(Position);
+  std::uint64_t Term = 0;
+  std::uint64_t Index = 0;
+  char Dot = 0;
+  Text >> Term >> Dot >> Index;
+  std::uint64_t Own = At.Log.empty() ? 0 : At.Log.back().Term;
+  return std::pair(Own, At.Log.size()) < std::pair(Term, Index);
+}
+
+} // namespace
+
+struct SessionGroup::Member {
+  explicit Member(const asio::any_io_executor &On) : Acceptor(On) {}
+
+  SessionGroupMember State;
+  asio::ip::tcp::acceptor Acceptor;
+  std::vector<std::weak_ptr<LineConnection>> Open;
+};
+
+struct SessionGroup::Connection {
+  std::shared_ptr<Member> At;
+  std::shared_ptr<LineConnection> Lines;
+  bool Started = false;
+  bool InTransaction = false;
+  bool Failed = false;
+  bool OnlyReads = false;
+  struct Write {
+    std::string Id;
+    std::string Item;
+    std::string Data;
+  };
+  std::vector<Write> Pending;
+  /// Prepared statements: whether each writes.
+  std::map<std::string, bool> Prepared;
+};
+
+SessionGroup::SessionGroup(asio::any_io_executor On, std::string Service)
+    : On(std::move(On)), Service(std::move(Service)) {}
+
+SessionGroup::~SessionGroup() {
+  for (auto &[Id, Each] : this->Members)
+    this->stop(Id);
+}
+
+Status SessionGroup::add(const std::string &Id, const Endpoint &Where) {
+  auto Added = std::make_shared<Member>(this->On);
+  Added->State.Id = Id;
+  Added->State.Primary = this->Members.empty();
+  boost::system::error_code Failure;
+  asio::ip::tcp::endpoint At(asio::ip::make_address(Where.Address), Where.Port);
+  Added->Acceptor.open(At.protocol(), Failure);
+  Added->Acceptor.set_option(asio::socket_base::reuse_address(true), Failure);
+  Added->Acceptor.bind(At, Failure);
+  if (!Failure)
+    Added->Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
+  if (Failure)
+    return Error{.Kind = ErrorKind::Unavailable,
+                 .Message = "can't listen on " + toString(Where),
+                 .Remedy = "free the address or choose another one"};
+  Added->State.Where = {.Address = Where.Address,
+                        .Port = Added->Acceptor.local_endpoint().port()};
+  this->Members.emplace(Id, Added);
+  this->accept(Added);
+  return std::monostate{};
+}
+
+void SessionGroup::accept(const std::shared_ptr<Member> &At) {
+  At->Acceptor.async_accept([this, At](const boost::system::error_code &Failure,
+                                       asio::ip::tcp::socket Connected) {
+    if (Failure)
+      return;
+    auto From = std::make_shared<Connection>();
+    From->At = At;
+    From->Lines = std::make_shared<LineConnection>(std::move(Connected),
+                                                   LineConnectionOptions{});
+    At->Open.push_back(From->Lines);
+    // The handler keeps the connection until its lines end.
+    From->Lines->start(
+        [this, From](std::string_view Line) { this->onLine(From, Line); },
+        [](const std::string &) {});
+    this->accept(At);
+  });
+}
+
+void SessionGroup::onLine(const std::shared_ptr<Connection> &From,
+                          std::string_view Line) {
+  std::string Rest(Line);
+  std::string Word = nextWord(Rest);
+  if (Word == "STARTUP") {
+    std::string Name = nextWord(Rest);
+    nextWord(Rest);
+    if (Name != this->Service ||
+        (!Rest.empty() && Rest != From->At->State.Id)) {
+      From->Lines->send("ERROR WRONGNODE -\r\n");
+      return From->Lines->finish();
+    }
+    From->Started = true;
+    return From->Lines->send("READY I 1.0\r\n");
+  }
+  if (Word != "QUERY" || !From->Started)
+    return From->Lines->finish();
+  std::string Id = nextWord(Rest);
+  From->Lines->send(this->answer(*From, Id, Rest));
+}
+
+std::string SessionGroup::answer(Connection &From, const std::string &Id,
+                                 std::string Text) {
+  const SessionGroupMember &State = From.At->State;
+  std::string Body;
+  if (Text.starts_with("AFTERLSN ")) {
+    nextWord(Text);
+    if (lacks(State, nextWord(Text)))
+      Body = "ERROR LAGGING -\r\n";
+  }
+  if (Body.empty())
+    Body = this->run(From, Id, Text);
+  if (Body.starts_with("ERROR") && From.InTransaction)
+    From.Failed = true;
+  std::string Mark = From.Failed ? "E" : From.InTransaction ? "T" : "I";
+  std::uint64_t Term = State.Log.empty() ? 1 : State.Log.back().Term;
+  return Body + "READY " + Mark + " " + std::to_string(Term) + "." +
+         std::to_string(State.Log.size()) + "\r\n";
+}
+
+std::string SessionGroup::run(Connection &From, const std::string &Id,
+                              const std::string &Text) {
+  SessionGroupMember &State = From.At->State;
+  const std::string Signed = "COMPLETE signed-by-" + State.Id + "\r\n";
+  const std::string Done = "COMPLETE -\r\n";
+  std::string Rest = Text;
+  std::string Word = nextWord(Rest);
+  if (Word == "STATUS") {
+    std::uint64_t Term = State.Log.empty() ? 1 : State.Log.back().Term;
+    return "DATAROW " + std::string(State.Primary ? "primary " : "replica ") +
+           std::to_string(State.Term) + " " + std::to_string(Term) + "." +
+           std::to_string(State.Log.size()) + " 0 0 0 1\r\n" + Done;
+  }
+  if (Word == "ROLLBACK" || (Word == "COMMIT" && From.Failed)) {
+    From.Pending.clear();
+    From.InTransaction = From.Failed = false;
+    return Word == "ROLLBACK" ? Done : "ERROR ABORTED -\r\n";
+  }
+  if (From.Failed)
+    return "ERROR MALFORMED -\r\n";
+  if (Word == "SET")
+    return Done;
+  if (Word == "DISCARD") {
+    From.Prepared.clear();
+    return Done;
+  }
+  if (Word == "PREPARE") {
+    std::string Name = nextWord(Rest);
+    From.Prepared[Name] = nextWord(Rest) == "WRITE";
+    return Done;
+  }
+  if (Word == "BEGIN") {
+    if (Rest.empty() && !State.Primary)
+      return "ERROR READONLY -\r\n";
+    From.InTransaction = true;
+    From.OnlyReads = !Rest.empty();
+    return Done;
+  }
+  if (Word == "COMMIT") {
+    if (!From.Pending.empty() && !State.Primary)
+      return "ERROR READONLY -\r\n";
+    for (const auto &Write : From.Pending)
+      this->append(*From.At, Write.Id, Write.Item, Write.Data);
+    From.Pending.clear();
+    From.InTransaction = false;
+    return Signed;
+  }
+  if (Word == "EXECUTE") {
+    auto Found = From.Prepared.find(nextWord(Rest));
+    if (Found == From.Prepared.end())
+      return "ERROR NOSTMT -\r\n";
+    Word = Found->second ? "WRITE" : "READ";
+  }
+  std::string Item = nextWord(Rest);
+  if (Word == "READ") {
+    std::string Row;
+    for (const auto &Entry : State.Log)
+      if (Entry.Item == Item)
+        Row = Entry.Data;
+    return "DATAROW " + Row + "\r\n" + Signed;
+  }
+  if (Word != "WRITE")
+    return "ERROR MALFORMED -\r\n";
+  if (!State.Primary)
+    return "ERROR READONLY -\r\n";
+  if (From.InTransaction)
+    From.Pending.push_back({.Id = Id, .Item = Item, .Data = Rest});
+  else
+    this->append(*From.At, Id, Item, Rest);
+  return Signed;
+}
+
+void SessionGroup::append(Member &At, const std::string &Id,
+                          const std::string &Item, const std::string &Data) {
+  At.State.Log.push_back({.Term = At.State.Term, .Item = Item, .Data = Data});
+  this->Committed.insert(Id);
+  for (auto &[Name, Each] : this->Members)
+    if (!Each->State.Primary && !Each->State.Deaf && !Each->State.Down)
+      Each->State.Log = At.State.Log;
+}
+
+bool SessionGroup::promote(const std::string &Id) {
+  auto Found = this->Members.find(Id);
+  if (Found == this->Members.end() || Found->second->State.Down)
+    return false;
+  if (Found->second->State.Primary)
+    return true;
+  std::uint64_t Newest = 0;
+  for (auto &[Name, Each] : this->Members) {
+    Newest = std::max(Newest, Each->State.Term);
+    Each->State.Primary = false;
+  }
+  Found->second->State.Primary = true;
+  Found->second->State.Term = Newest + 1;
+  return true;
+}
+
+void SessionGroup::stop(const std::string &Id) {
+  Member &At = *this->Members.at(Id);
+  At.State.Down = true;
+  boost::system::error_code Ignored;
+  At.Acceptor.close(Ignored);
+  for (const auto &Weak : At.Open)
+    if (auto Lines = Weak.lock())
+      Lines->close();
+  At.Open.clear();
+}
+
+void SessionGroup::setDeaf(const std::string &Id, bool Deaf) {
+  this->Members.at(Id)->State.Deaf = Deaf;
+}
+
+std::vector<SessionGroupMember> SessionGroup::members() const {
+  std::vector<SessionGroupMember> All;
+  for (const auto &[Id, Each] : this->Members)
+    All.push_back(Each->State);
+  return All;
+}
+
+std::size_t SessionGroup::runs(const std::string &StatementId) const {
+  return this->Committed.count(StatementId);
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/main/SessionDaemonTest.cpp
@@ -0,0 +1,318 @@
+// The whole path on loopback: callers' lines, the daemon, stand-ins of the
+// platform's store and of the members.
+#include "main/SessionDaemon.h"
+
+#include "core/DecisionLog.h"
+#include "stand_ins/RevisionStore.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+#include <gtest/gtest.h>
+#include <thread>
+#include <unistd.h>
+
+namespace turmericpitch {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/// After this a test gives up, so that it can't hang; nothing is measured.
+constexpr auto GiveUpAfter = std::chrono::seconds(60);
+constexpr std::uint16_t SessionPort = 8784;
+constexpr std::uint16_t ReadyPort = 8785;
+constexpr std::uint16_t PeerPort = 7440;
+
+/// A loopback address of this process alone.
+std::string ownAddress() {
+  auto Id = static_cast<unsigned>(getpid());
+  return "127." + std::to_string(1 + (Id >> 16U) % 254) + "." +
+         std::to_string((Id >> 8U) % 256) + "." + std::to_string(1 + Id % 254);
+}
+
+/// One caller's connection, blocking.
+class Caller {
+public:
+  explicit Caller(const std::string &Database) : Socket(this->Loop) {
+    asio::ip::tcp::endpoint Where(asio::ip::make_address(ownAddress()),
+                                  SessionPort);
+    this->Socket.connect(Where);
+    this->write("STARTUP " + Database + " tester\r\n");
+    this->Greeting = this->line();
+  }
+
+  /// Sends a statement and returns the lines of its reply.
+  std::vector<std::string> ask(const std::string &Id, const std::string &Text) {
+    this->write("QUERY " + Id + " " + Text + "\r\n");
+    std::vector<std::string> Lines;
+    do
+      Lines.push_back(this->line());
+    while (!Lines.back().starts_with("READY") && !Lines.back().empty());
+    return Lines;
+  }
+
+  std::string Greeting;
+
+private:
+  void write(const std::string &Bytes) {
+    boost::system::error_code Ignored;
+    asio::write(this->Socket, asio::buffer(Bytes), Ignored);
+  }
+  /// Empty at the end of the connection.
+  std::string line() {
+    boost::system::error_code Failure;
+    std::size_t Count = asio::read_until(
+        this->Socket, asio::dynamic_buffer(this->Unread), "\r\n", Failure);
+    if (Failure)
+      return "";
+    std::string Line = this->Unread.substr(0, Count - 2);
+    this->Unread.erase(0, Count);
+    return Line;
+  }
+
+  asio::io_context Loop;
+  asio::ip::tcp::socket Socket;
+  std::string Unread;
+};
+
+std::string configuration(int Version) {
+  return R"({"version":)" + std::to_string(Version) +
+         R"(,"routes":[)"
+         R"({"name":"r1","host":"bookings","kind":"primary","service":"ledger",)"
+         R"("timeout_ms":1000,"latency_goal_ms":200,"priority":1},)"
+         R"({"name":"r2","host":"fittings","kind":"read_your_writes",)"
+         R"("service":"ledger","timeout_ms":1000,"latency_goal_ms":400,)"
+         R"("priority":2,"max_staleness_ms":2500}],)"
+         R"("services":[{"name":"ledger","max_conns":20,"sync_replicas":0}],)"
+         R"("limits":{"tx_idle_ms":3000}})";
+}
+
+class SessionDaemonTest : public ::testing::Test {
+protected:
+  SessionDaemonTest()
+      : Group(this->StandIns.get_executor(), "ledger"),
+        Store(this->StandIns.get_executor(),
+              {.Address = ownAddress(), .Port = 0}, this->Group) {
+    sendLogTo("");
+    for (const char *Id : {"m1", "m2", "m3"})
+      EXPECT_TRUE(this->Group.add(Id, {.Address = ownAddress(), .Port = 0}));
+    EXPECT_TRUE(this->Store.start());
+    this->Store.put("op/config", configuration(2));
+    this->listMembers();
+    this->StandInThread = std::thread([this] { this->StandIns.run(); });
+    // A short validity, as one instance waits for nobody.
+    SessionDaemonOptions Options;
+    Options.Rules.ListingValidity = milliseconds(100);
+    Options.Rules.ListingMargin = milliseconds(10);
+    this->Daemon = std::make_unique<SessionDaemon>(this->settings(), Options);
+    this->DaemonThread =
+        std::thread([this] { this->Ended = this->Daemon->run(); });
+    this->awaitService();
+  }
+
+  ~SessionDaemonTest() override {
+    this->Daemon->abort();
+    this->DaemonThread.join();
+    EXPECT_TRUE(this->Ended);
+    this->StandIns.stop();
+    this->StandInThread.join();
+  }
+
+  InstanceSettings settings() const {
+    InstanceSettings Settings;
+    Settings.Self = {"front-1"};
+    Settings.Zone = {"a"};
+    Settings.Address = ownAddress();
+    Settings.Sessions = {.Address = ownAddress(), .Port = SessionPort};
+    Settings.Readiness = {.Address = ownAddress(), .Port = ReadyPort};
+    Settings.FirstPeerPort = Settings.LastPeerPort = PeerPort;
+    Settings.Store = {.Address = ownAddress(), .Port = this->Store.port()};
+    Settings.Promotions = Settings.Store;
+    return Settings;
+  }
+
+  void listMembers() {
+    for (const SessionGroupMember &Each : this->Group.members())
+      this->Store.put(
+          "servers/" + Each.Id,
+          R"({"service":"ledger","addr":")" + toString(Each.Where) +
+              R"(","zone":"a","version":"v1","slots":3,"state":"ready",)"
+              R"("cold_left_ms":0,"seq":1,"db_role":")" +
+              (Each.Primary ? "primary" : "replica") + R"("})");
+    // Another writer's entries harm nobody.
+    this->Store.put("servers/stray", "no json");
+    this->Store.put("servers/odd", R"({"service":7})");
+  }
+
+  /// Runs Work on the stand-ins' thread.
+  template <typename Callable> auto onStandIns(Callable Work) {
+    std::packaged_task<decltype(Work())()> Task(Work);
+    auto Done = Task.get_future();
+    asio::post(this->StandIns, [&Task] { Task(); });
+    return Done.get();
+  }
+
+  /// Writes until it succeeds; returns the attempts' statement ids.
+  std::vector<std::string> writeUntilDone(const std::string &Item,
+                                          const std::string &Data) {
+    std::vector<std::string> Ids;
+    auto GiveUpAt = std::chrono::steady_clock::now() + GiveUpAfter;
+    while (std::chrono::steady_clock::now() < GiveUpAt) {
+      try {
+        Caller Session("bookings");
+        Ids.push_back(Item + "-" + std::to_string(this->NextId++));
+        auto Lines = Session.ask(Ids.back(), "WRITE " + Item + " " + Data);
+        if (Lines.front().starts_with("COMPLETE signed"))
+          return Ids;
+        this->Refusals.push_back(Lines.front());
+      } catch (const boost::system::system_error &) {
+        // Not listening yet.
+        std::this_thread::yield();
+      }
+    }
+    ADD_FAILURE() << "no write succeeded";
+    return Ids;
+  }
+
+  void awaitService() { this->writeUntilDone("first", "1"); }
+
+  asio::io_context StandIns;
+  asio::executor_work_guard<asio::io_context::executor_type> Keep{
+      this->StandIns.get_executor()};
+  SessionGroup Group;
+  RevisionStore Store;
+  std::thread StandInThread;
+  std::unique_ptr<SessionDaemon> Daemon;
+  std::thread DaemonThread;
+  Status Ended;
+  std::vector<std::string> Refusals;
+  int NextId = 0;
+};
+
+TEST_F(SessionDaemonTest, ASessionReadsItsOwnWrites) {
+  Caller Session("fittings");
+  EXPECT_EQ(Session.Greeting, "READY I -");
+  auto Written = Session.ask("w1", "WRITE hat 58cm");
+  EXPECT_TRUE(Written.front().starts_with("COMPLETE signed-by-m1"));
+  auto Read = Session.ask("r1", "READ hat");
+  ASSERT_EQ(Read.size(), 3U);
+  EXPECT_EQ(Read[0], "DATAROW 58cm");
+  EXPECT_TRUE(Read[1].starts_with("COMPLETE signed-by-"));
+}
+
+TEST_F(SessionDaemonTest, AReplicaThatLacksTheOwnWriteDoesNotAnswer) {
+  this->onStandIns([this] {
+    this->Group.setDeaf("m2", true);
+    this->Group.setDeaf("m3", true);
+    return 0;
+  });
+  Caller Session("fittings");
+  Session.ask("w1", "WRITE hat 58cm");
+  for (int Index = 0; Index < 20; ++Index)
+    EXPECT_EQ(Session.ask("r" + std::to_string(Index), "READ hat").front(),
+              "DATAROW 58cm");
+}
+
+TEST_F(SessionDaemonTest, ATransactionCommitsWholeOrNotAtAll) {
+  Caller Session("bookings");
+  EXPECT_EQ(Session.ask("b", "BEGIN").back(), "READY T -");
+  Session.ask("w1", "WRITE job six");
+  Caller Other("bookings");
+  EXPECT_EQ(Other.ask("r", "READ job").front(), "DATAROW ");
+  EXPECT_TRUE(
+      Session.ask("c", "COMMIT").front().starts_with("COMPLETE signed"));
+  EXPECT_EQ(Other.ask("r2", "READ job").front(), "DATAROW six");
+  Session.ask("b2", "BEGIN");
+  Session.ask("w2", "WRITE job seven");
+  EXPECT_EQ(Session.ask("x", "ROLLBACK").front(), "COMPLETE -");
+  EXPECT_EQ(Other.ask("r3", "READ job").front(), "DATAROW six");
+}
+
+TEST_F(SessionDaemonTest, PreparedNamesOfTwoSessionsDoNotMeet) {
+  Caller One("bookings");
+  Caller Two("bookings");
+  One.ask("p1", "PREPARE s WRITE shape");
+  Two.ask("p2", "PREPARE s READ shape");
+  EXPECT_TRUE(
+      One.ask("e1", "EXECUTE s job eight").front().starts_with("COMPLETE"));
+  EXPECT_EQ(Two.ask("e2", "EXECUTE s job").front(), "DATAROW eight");
+  Two.ask("d", "DEALLOC s");
+  EXPECT_TRUE(Two.ask("e3", "EXECUTE s job").front().starts_with("ERROR"));
+}
+
+TEST_F(SessionDaemonTest, UnknownDatabasesAndBrokenLinesAreRefused) {
+  EXPECT_TRUE(Caller("nowhere").Greeting.starts_with("ERROR NODB"));
+  Caller Session("bookings");
+  EXPECT_TRUE(
+      Session.ask("x", "FROBNICATE").front().starts_with("ERROR MALFORMED"));
+  // The proxy's own id is not a caller's to use.
+  EXPECT_TRUE(
+      Session.ask("-", "READ job").front().starts_with("ERROR MALFORMED"));
+}
+
+TEST_F(SessionDaemonTest, ALostPrimaryIsReplacedAndNothingIsDoubled) {
+  this->writeUntilDone("booking", "one");
+  this->onStandIns([this] {
+    this->Group.stop("m1");
+    return 0;
+  });
+  auto Ids = this->writeUntilDone("booking", "two");
+  EXPECT_GE(this->onStandIns([this] { return this->Store.promotions(); }), 1U);
+  for (const std::string &Id : Ids)
+    EXPECT_LE(this->onStandIns([&] { return this->Group.runs(Id); }), 1U);
+  EXPECT_EQ(this->onStandIns([&] { return this->Group.runs(Ids.back()); }), 1U);
+  // What was refused as not run did not run.
+  for (std::size_t Index = 0; Index + 1 < Ids.size(); ++Index) {
+    bool Promised =
+        this->Refusals.at(this->Refusals.size() - Ids.size() + 1 + Index)
+            .starts_with("ERROR BUSY");
+    std::size_t Runs =
+        this->onStandIns([&] { return this->Group.runs(Ids[Index]); });
+    EXPECT_TRUE(!Promised || Runs == 0) << Ids[Index];
+  }
+  Caller Session("bookings");
+  EXPECT_EQ(Session.ask("r", "READ booking").front(), "DATAROW two");
+}
+
+TEST_F(SessionDaemonTest, AStoreThatIsAwayDoesNotStopAnInstanceAlone) {
+  this->onStandIns([this] {
+    this->Store.setAway(true);
+    return 0;
+  });
+  // Longer than a right lasts would be timed; the service just has to go on.
+  Caller Session("bookings");
+  for (int Index = 0; Index < 50; ++Index)
+    EXPECT_TRUE(Session.ask("w" + std::to_string(Index), "WRITE job x")
+                    .front()
+                    .starts_with("COMPLETE signed"));
+}
+
+TEST_F(SessionDaemonTest, ANewRouteIsServedAndADroppedOneRefused) {
+  std::string Changed = configuration(5);
+  Changed.replace(Changed.find("fittings"), 8, "repairs!");
+  this->onStandIns([&] {
+    this->Store.put("op/config", Changed);
+    return 0;
+  });
+  bool Served = false;
+  auto GiveUpAt = std::chrono::steady_clock::now() + GiveUpAfter;
+  while (!Served && std::chrono::steady_clock::now() < GiveUpAt)
+    Served = Caller("repairs!").Greeting == "READY I -";
+  EXPECT_TRUE(Served);
+  EXPECT_TRUE(Caller("fittings").Greeting.starts_with("ERROR NODB"));
+  // An older version never comes back.
+  this->onStandIns([&] {
+    this->Store.put("op/config", configuration(3));
+    return 0;
+  });
+  for (int Attempt = 0; Attempt < 50; ++Attempt)
+    EXPECT_EQ(Caller("repairs!").Greeting, "READY I -");
+}
+
+} // namespace
+} // namespace turmericpitch
