--- a/configuration/RouteTable.h
+++ b/configuration/RouteTable.h
@@ -60,7 +60,7 @@
   std::map<std::string, RouteRule, std::less<>> Routes;
   std::map<ServiceId, ServiceRule> Services;
   /// A transaction idle for longer may be ended; not set means no limit.
-  std::optional<Duration> TransactionIdleLimit;
+  std::optional<Duration> TransactionIdleLimit = std::nullopt;
 
   bool operator==(const RouteTable &) const = default;
 };
--- a/core/KeyValue.h
+++ b/core/KeyValue.h
@@ -21,7 +21,7 @@
   std::string Key;
   std::string Value;
   /// The revision that last wrote the key.
-  Revision Modified;
+  Revision Modified = {};
 
   auto operator<=>(const KeyValueEntry &) const = default;
 };
--- /dev/null
+++ b/tests/platform/InstanceSettingsTest.cpp
@@ -0,0 +1,57 @@
+#include "platform/InstanceSettings.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+const std::string Whole = R"(node: "front-a-1"
+zone: "a"
+ip: "10.1.0.8"
+listen:
+  front: "10.1.0.8:8784"
+  ready: "10.1.0.8:8785"
+internal_ports:
+  - 7440
+  - 7455
+heartbeat_ms: 1200
+bounds:
+  grace_s: 6
+platform:
+  addr: "10.200.1.7:8783"
+  form: "kv"
+cloud_api:
+  addr: "10.200.0.160:8783"
+something_new: [1, 2]
+)";
+
+TEST(InstanceSettings, ReadsWhatItNeedsAndIgnoresTheRest) {
+  auto Settings =
+      keepOutcome([] { return decodeInstanceSettings(Whole, "f"); });
+  ASSERT_TRUE(Settings) << Settings.error().Message;
+  EXPECT_EQ(Settings.value().Self.Value, "front-a-1");
+  EXPECT_EQ(Settings.value().Sessions.Port, 8784);
+  EXPECT_EQ(Settings.value().LastPeerPort, 7455);
+  EXPECT_EQ(Settings.value().StopLimit, std::chrono::seconds(6));
+}
+
+TEST(InstanceSettings, NamesTheFieldThatIsMissingOrWrong) {
+  auto Message = [](const std::string &From, const std::string &To) {
+    std::string Text = Whole;
+    Text.replace(Text.find(From), From.size(), To);
+    auto Settings =
+        keepOutcome([&] { return decodeInstanceSettings(Text, "f"); });
+    return Settings ? std::string() : Settings.error().Message;
+  };
+  EXPECT_NE(Message("node:", "nodes:").find("node"), std::string::npos);
+  EXPECT_NE(Message("10.1.0.8:8784", "here").find("listen.front"),
+            std::string::npos);
+  EXPECT_NE(Message("  - 7455\n", "").find("internal_ports"),
+            std::string::npos);
+  EXPECT_NE(Message("7455", "port").find("internal_ports"), std::string::npos);
+  EXPECT_NE(Message("grace_s: 6", "grace_s: six").find("bounds.grace_s"),
+            std::string::npos);
+}
+
+} // namespace
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/platform/SessionLinesTest.cpp
@@ -0,0 +1,114 @@
+#include "platform/SessionLines.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+Statement statement(std::string_view Line) {
+  CallerLine Decoded = decodeCallerLine(Line);
+  const auto *Asked = std::get_if<Statement>(&Decoded);
+  EXPECT_NE(Asked, nullptr) << Line;
+  return Asked ? *Asked : Statement{};
+}
+
+TEST(SessionLines, DecodesEachKindOfStatement) {
+  EXPECT_EQ(statement("QUERY 1 BEGIN").Kind, StatementKind::Begin);
+  EXPECT_EQ(statement("QUERY 1 BEGIN READ").Kind, StatementKind::BeginRead);
+  EXPECT_EQ(statement("QUERY 1 COMMIT").Kind, StatementKind::Commit);
+  EXPECT_EQ(statement("QUERY 1 ROLLBACK").Kind, StatementKind::Rollback);
+  EXPECT_EQ(statement("QUERY 1 READ 1a4").Kind, StatementKind::Read);
+  EXPECT_EQ(statement("QUERY 1 WRITE 1a4 x y").Kind, StatementKind::Write);
+  Statement Set = statement("QUERY 1 SET name a value");
+  EXPECT_EQ(Set.Kind, StatementKind::SetValue);
+  EXPECT_EQ(Set.Name, "name");
+  EXPECT_EQ(Set.Rest, "a value");
+  Statement Prepare = statement("QUERY 1 PREPARE s1 WRITE q2c");
+  EXPECT_EQ(Prepare.Kind, StatementKind::Prepare);
+  EXPECT_TRUE(Prepare.PreparesWrite);
+  EXPECT_EQ(Prepare.Rest, "q2c");
+  EXPECT_EQ(statement("QUERY 1 DEALLOC s1").Kind, StatementKind::Deallocate);
+}
+
+TEST(SessionLines, WhatIsNotUnderstoodIsUnknown) {
+  for (const char *Line :
+       {"QUERY 1 BEGIN WRITE", "QUERY 1 READ", "QUERY 1 PREPARE s MAYBE q",
+        "QUERY 1 ", "QUERY 1 commit", "QUERY 1 AFTERLSN 1.2 READ x"})
+    EXPECT_EQ(statement(Line).Kind, StatementKind::Unknown) << Line;
+}
+
+TEST(SessionLines, RefusesLinesWithoutSense) {
+  for (const char *Line : {"", "HELLO", "QUERY", "QUERY - READ x", "STARTUP"})
+    EXPECT_TRUE(std::holds_alternative<MalformedLine>(decodeCallerLine(Line)))
+        << Line;
+  EXPECT_TRUE(
+      std::holds_alternative<SessionEnding>(decodeCallerLine("TERMINATE")));
+}
+
+TEST(SessionLines, AStatementReachesTheMemberUnchanged) {
+  Statement Asked = statement("QUERY 5c0e WRITE 1a4  two  blanks ");
+  EXPECT_EQ(encodeForMember(Asked, std::nullopt, std::nullopt),
+            "QUERY 5c0e WRITE 1a4  two  blanks \r\n");
+  TermPosition At{.WrittenIn = {3}, .Position = {1207}};
+  EXPECT_EQ(encodeForMember(statement("QUERY 1 READ 1a4"), std::nullopt, At),
+            "QUERY 1 AFTERLSN 3.1207 READ 1a4\r\n");
+  EXPECT_EQ(encodeForMember(statement("QUERY 1 EXECUTE s1 1a4 data"), "p7", At),
+            "QUERY 1 AFTERLSN 3.1207 EXECUTE p7 1a4 data\r\n");
+}
+
+TEST(SessionLines, GathersAReplyFromItsLines) {
+  MemberReplyReader Reader;
+  auto Feed = [&](std::string_view Line) {
+    return keepOutcome([&] { return Reader.feed(Line); });
+  };
+  EXPECT_FALSE(Feed("DATAROW qhz").value());
+  EXPECT_FALSE(Feed("COMPLETE 7.1f3").value());
+  auto Whole = Feed("READY I 3.1209");
+  ASSERT_TRUE(Whole && Whole.value());
+  const StatementReply &Reply = *Whole.value();
+  EXPECT_EQ(Reply.Rows, std::vector<std::string>{"qhz"});
+  EXPECT_EQ(Reply.Signature, "7.1f3");
+  EXPECT_EQ(Reply.Position->Position.Value, 1209U);
+  EXPECT_EQ(encodeReply(Reply),
+            "DATAROW qhz\r\nCOMPLETE 7.1f3\r\nREADY I 3.1209\r\n");
+}
+
+TEST(SessionLines, AnErrorKeepsItsWordAndText) {
+  MemberReplyReader Reader;
+  auto Ignored =
+      keepOutcome([&] { return Reader.feed("ERROR READONLY i-7f3a91c2"); });
+  EXPECT_TRUE(Ignored);
+  auto Whole = keepOutcome([&] { return Reader.feed("READY E 3.1209"); });
+  ASSERT_TRUE(Whole && Whole.value());
+  EXPECT_EQ(Whole.value()->Failure->Code, ReplyError::ReadOnly);
+  EXPECT_EQ(Whole.value()->Mark, TransactionMark::Failed);
+  EXPECT_EQ(encodeReply(*Whole.value()),
+            "ERROR READONLY i-7f3a91c2\r\nREADY E 3.1209\r\n");
+}
+
+TEST(SessionLines, RepliesOutOfOrderEndTheConnection) {
+  for (const char *Second : {"COMPLETE b", "DATAROW c", "NONSENSE"}) {
+    MemberReplyReader Reader;
+    auto First = keepOutcome([&] { return Reader.feed("COMPLETE a"); });
+    EXPECT_TRUE(First);
+    EXPECT_FALSE(keepOutcome([&] { return Reader.feed(Second); })) << Second;
+  }
+  MemberReplyReader Reader;
+  EXPECT_FALSE(keepOutcome([&] { return Reader.feed("READY X -"); }));
+}
+
+TEST(SessionLines, ReadsAMembersReport) {
+  StatementReply Reply;
+  Reply.Rows = {"replica 3 2.1209 0 12 2 17"};
+  auto Report = keepOutcome([&] { return decodeMemberReport(Reply); });
+  ASSERT_TRUE(Report);
+  EXPECT_FALSE(Report.value().Primary);
+  EXPECT_EQ(Report.value().Newest.Value, 3U);
+  EXPECT_EQ(Report.value().Received.WrittenIn.Value, 2U);
+  Reply.Rows = {"leader 3 2.1209"};
+  EXPECT_FALSE(keepOutcome([&] { return decodeMemberReport(Reply); }));
+  EXPECT_FALSE(keepOutcome([&] { return decodeMemberReport({}); }));
+}
+
+} // namespace
+} // namespace turmericpitch
--- /dev/null
+++ b/tests/platform/StoreCallsTest.cpp
@@ -0,0 +1,134 @@
+#include "platform/StoreCalls.h"
+#include "core/Digest.h"
+#include "platform/StoredObjects.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+HttpReply reply(unsigned Status, std::string Body = "{}") {
+  return {.Status = Status, .Body = std::move(Body)};
+}
+
+TEST(StoreCalls, WritesConditionsWritesAndRemovals) {
+  TransactionRequest Request;
+  Request.Compares = {{.Key = "a/b", .Modified = {7}}};
+  Request.Writes = {PutOperation{.Key = "k", .Value = "v", .Lease = {9}},
+                    DeleteOperation{.Key = "old"}};
+  HttpRequest Encoded = encodeCommit(Request);
+  EXPECT_EQ(Encoded.Target, "/api/kv-txn");
+  EXPECT_EQ(Encoded.Body, R"({"if_rev":[{"key":"a/b","revision":7}],)"
+                          R"("writes":[{"key":"k","value":"dg==","lease":9}],)"
+                          R"("remove":["old"]})");
+}
+
+TEST(StoreCalls, EscapesWhatAQueryCannotCarry) {
+  EXPECT_EQ(encodeKeyRead("a b&c/d").Target, "/api/kv-key?key=a%20b%26c/d");
+  EXPECT_EQ(encodePageRead("p/", "p/x", ReadAge::MayBeOld).Target,
+            "/api/kv-range?prefix=p/&after=p/x&stale_ok=1");
+}
+
+TEST(StoreCalls, TellsRefusalsFromUnknownOutcomes) {
+  EXPECT_EQ(decodeCommit(reply(503)).error().Kind, ErrorKind::Unavailable);
+  EXPECT_EQ(decodeCommit(reply(429)).error().Kind, ErrorKind::Overloaded);
+  EXPECT_EQ(decodeCommit(reply(500)).error().Kind, ErrorKind::OutcomeUnknown);
+  EXPECT_EQ(decodeCommit(reply(200, "{")).error().Kind,
+            ErrorKind::OutcomeUnknown);
+  EXPECT_EQ(decodeCommit(reply(412)).value().Result,
+            CommitAnswer::Verdict::ConditionFailed);
+  EXPECT_EQ(decodeCommit(reply(404)).value().Result,
+            CommitAnswer::Verdict::LeaseGone);
+}
+
+TEST(StoreCalls, ReadsPagesKeysAndWatches) {
+  auto Page = decodePage(reply(
+      200, R"({"items":[{"key":"k","value":"dg==","revision":4,"created":4,)"
+           R"("lease":0}],"more_pages":true,"current_rev":9})"));
+  ASSERT_TRUE(Page);
+  EXPECT_TRUE(Page.value().More);
+  EXPECT_EQ(Page.value().Entries[0].Value, "v");
+  EXPECT_FALSE(decodeKeyRead(reply(404)).value());
+  EXPECT_TRUE(decodeWatch(reply(410)).value().HistoryGone);
+  auto Watch = decodeWatch(
+      reply(200, R"({"events":[{"key":"k","revision":5,"deleted":true}],)"
+                 R"("current_rev":5})"));
+  ASSERT_TRUE(Watch);
+  EXPECT_TRUE(Watch.value().Events[0].Deleted);
+}
+
+TEST(StoreCalls, APromotionCarriesItsHolderAndToken) {
+  HttpRequest Order = encodePromotion({.Service = {"ledger"},
+                                       .Target = {"m2"},
+                                       .Orderer = {"front-1"},
+                                       .FencingToken = 41});
+  EXPECT_EQ(Order.Body, R"({"service":"ledger","id":"m2"})");
+  ASSERT_EQ(Order.Fields.size(), 2U);
+  EXPECT_EQ(Order.Fields[1].Value, "41");
+  EXPECT_FALSE(decodePromotion(reply(409)).value());
+}
+
+KeyValueEntry entry(std::string Value) {
+  return {.Key = "servers/i-1", .Value = std::move(Value), .Modified = {1}};
+}
+
+TEST(StoredObjects, ReadsAMembersEntry) {
+  auto Member = keepOutcome([] {
+    return decodeMemberEntry(
+        entry(R"({"service":"ledger","addr":"10.1.0.9:8080","zone":"a",)"
+              R"("version":"v1","slots":5,"state":"draining",)"
+              R"("cold_left_ms":0,"db_role":"primary","seq":4,"born":77})"));
+  });
+  ASSERT_TRUE(Member);
+  EXPECT_EQ(Member.value().Id.Value, "i-1");
+  EXPECT_TRUE(Member.value().Draining);
+  EXPECT_EQ(Member.value().Role, MemberRole::Primary);
+  EXPECT_EQ(Member.value().BornAt, 77U);
+}
+
+TEST(StoredObjects, AnotherWritersEntryNamesNoMember) {
+  for (const char *Value :
+       {"", "no json", "[]", R"({"service":"ledger"})",
+        R"({"service":1,"addr":"10.1.0.9:8080","zone":"a","slots":5,)"
+        R"("state":"ready","db_role":"replica"})",
+        R"({"service":"l","addr":"10.1.0.9:8080","zone":"a","slots":5,)"
+        R"("state":"asleep","db_role":"replica"})",
+        R"({"service":"l","addr":"nowhere","zone":"a","slots":5,)"
+        R"("state":"ready","db_role":"replica"})",
+        R"({"service":"l","addr":"10.1.0.9:8080","zone":"a","slots":0,)"
+        R"("state":"ready","db_role":"replica"})"})
+    EXPECT_FALSE(keepOutcome([&] { return decodeMemberEntry(entry(Value)); }))
+        << Value;
+}
+
+TEST(StoredObjects, ARouteOfAnUnknownKindHidesNoOther) {
+  auto Table = keepOutcome([] {
+    return decodeRouteTable(
+        R"({"version":7,"routes":[)"
+        R"({"name":"a","host":"x","kind":"quorum","service":"s",)"
+        R"("timeout_ms":1000,"latency_goal_ms":200},)"
+        R"({"name":"b","host":"y","kind":"primary","service":"s",)"
+        R"("timeout_ms":1000,"latency_goal_ms":200,"priority":1}],)"
+        R"("services":[{"name":"s","max_conns":60}],)"
+        R"("limits":{"tx_idle_ms":3000,"max_body_bytes":1}})");
+  });
+  ASSERT_TRUE(Table);
+  EXPECT_EQ(Table.value().Version, 7U);
+  EXPECT_EQ(Table.value().Routes.size(), 1U);
+  EXPECT_TRUE(Table.value().Routes.contains("y"));
+  EXPECT_EQ(Table.value().Services.at({"s"}).MaximumConnections, 60U);
+  EXPECT_EQ(Table.value().TransactionIdleLimit, std::chrono::seconds(3));
+  EXPECT_FALSE(keepOutcome([] { return decodeRouteTable("{}"); }));
+}
+
+TEST(RouteTable, NeverGoesBackToAnOlderVersion) {
+  RouteController Routes;
+  EXPECT_FALSE(Routes.loaded());
+  EXPECT_TRUE(Routes.offer({.Version = 5, .Routes = {}, .Services = {}}));
+  EXPECT_FALSE(Routes.offer({.Version = 5, .Routes = {}, .Services = {}}));
+  EXPECT_FALSE(Routes.offer({.Version = 3, .Routes = {}, .Services = {}}));
+  EXPECT_EQ(Routes.version(), 5U);
+}
+
+} // namespace
+} // namespace turmericpitch
--- a/tools/DecoderFuzz.cpp
+++ b/tools/DecoderFuzz.cpp
@@ -5,9 +5,15 @@
 #include "drivers/HttpMessages.h"
 #include "drivers/MemberCodec.h"
 #include "drivers/PlatformCodec.h"
+#include "failover/RightMessages.h"
 #include "main/DaemonSettings.h"
 #include "main/StatusTable.h"
+#include "membership/InstanceRoster.h"
 #include "membership/PeerFrame.h"
+#include "platform/InstanceSettings.h"
+#include "platform/SessionLines.h"
+#include "platform/StoreCalls.h"
+#include "platform/StoredObjects.h"
 #include "session/SessionToken.h"
 #include "tools/LoadPlan.h"
 
@@ -213,6 +219,82 @@
   }
 }
 
+std::string fuzzCallerLine(const std::string &Input) {
+  CallerLine Line = decodeCallerLine(Input);
+  const auto *Asked = std::get_if<Statement>(&Line);
+  if (!Asked)
+    return "";
+  // A member gets the text as it came.
+  std::string Sent = encodeForMember(*Asked, std::nullopt, std::nullopt);
+  return Sent.find(Asked->Text) == std::string::npos ? "text changed" : "";
+}
+
+std::string fuzzMemberLines(const std::string &Input) {
+  return verdictOf([&]() -> Result<bool> {
+    MemberReplyReader Reader;
+    std::size_t From = 0;
+    while (From < Input.size()) {
+      std::size_t End = std::min(Input.find('\n', From), Input.size());
+      BOOST_LEAF_AUTO(
+          Whole, Reader.feed(std::string_view(Input).substr(From, End - From)));
+      if (Whole && !Whole->Rows.empty())
+        BOOST_LEAF_CHECK(decodeMemberReport(*Whole));
+      From = End + 1;
+    }
+    return true;
+  });
+}
+
+std::string fuzzInstanceSettings(const std::string &Input) {
+  return verdictOf([&] { return decodeInstanceSettings(Input, "fuzz"); });
+}
+
+std::string fuzzRouteTable(const std::string &Input) {
+  return verdictOf([&] { return decodeRouteTable(Input); });
+}
+
+std::string fuzzMemberEntry(const std::string &Input) {
+  return verdictOf([&] {
+    return decodeMemberEntry({.Key = "servers/i-1", .Value = Input});
+  });
+}
+
+std::string fuzzReignRecord(const std::string &Input) {
+  return verdictOf([&] {
+    return decodeReign({.Key = reignKey({"ledger"}), .Value = Input});
+  });
+}
+
+std::string fuzzRightMessage(const std::string &Input) {
+  return verdictOf([&] { return decodeRightMessage(Input); });
+}
+
+std::string fuzzStoreReplies(const std::string &Input) {
+  HttpReply Reply{.Status = 200, .Body = Input};
+  auto Untyped = [](const auto &Decoded) {
+    return !Decoded && Decoded.error().Remedy.empty();
+  };
+  bool Bad = Untyped(decodePage(Reply)) || Untyped(decodeKeyRead(Reply)) ||
+             Untyped(decodeWatch(Reply)) || Untyped(decodeCommit(Reply)) ||
+             Untyped(decodeLeaseGrant(Reply));
+  return Bad ? "error without a remedy" : "";
+}
+
+const std::string SampleInstanceSettings =
+    "node: a\nzone: z\nip: 10.0.0.1\nlisten: {front: '10.0.0.1:1', "
+    "ready: '10.0.0.1:2'}\ninternal_ports: [7440, 7455]\n"
+    "platform: {addr: '10.0.0.2:3'}\ncloud_api: {addr: '10.0.0.3:4'}\n";
+const std::string SampleRouteTable =
+    R"({"version":7,"routes":[{"name":"a","host":"x","kind":"primary",)"
+    R"("service":"s","timeout_ms":1000,"latency_goal_ms":200}],)"
+    R"("services":[{"name":"s","max_conns":60}],"limits":{"tx_idle_ms":3}})";
+const std::string SampleMemberEntry =
+    R"({"service":"s","addr":"10.1.0.9:8080","zone":"a","slots":5,)"
+    R"("state":"ready","db_role":"primary","seq":4})";
+const std::string SampleStorePage =
+    R"({"items":[{"key":"k","value":"dg==","revision":4}],)"
+    R"("more_pages":false,"current_rev":9})";
+
 } // namespace
 
 std::vector<FuzzTarget> fuzzTargets() {
@@ -227,7 +309,26 @@
           {"platform_answer", {SampleRange}, fuzzPlatformAnswer},
           {"status", {SampleStatus}, fuzzStatus},
           {"http_request", {SampleHttpRequest}, fuzzHttpRequest},
-          {"http_reply", {SampleHttpReply}, fuzzHttpReply}};
+          {"http_reply", {SampleHttpReply}, fuzzHttpReply},
+          {"caller_line",
+           {"QUERY 1 PREPARE s WRITE q", "STARTUP db user", "QUERY 1 SET a b"},
+           fuzzCallerLine},
+          {"member_lines",
+           {"DATAROW replica 3 3.12 0 1 2 3\nCOMPLETE -\nREADY I 3.12",
+            "ERROR BUSY x\nREADY E -"},
+           fuzzMemberLines},
+          {"instance_settings", {SampleInstanceSettings}, fuzzInstanceSettings},
+          {"route_table", {SampleRouteTable}, fuzzRouteTable},
+          {"member_entry", {SampleMemberEntry}, fuzzMemberEntry},
+          {"reign_record",
+           {encodeReign({.Service = {"ledger"}, .Reign = 1, .Primary = {"m"}})},
+           fuzzReignRecord},
+          {"right_message",
+           {encodeRightMessage(RightQuestion{.Serial = 1}),
+            encodeRightMessage(
+                RightAnswer{.Serial = 1, .Services = {ToldService{}}})},
+           fuzzRightMessage},
+          {"store_replies", {SampleStorePage}, fuzzStoreReplies}};
 }
 
 std::vector<FuzzFinding> runDecoderFuzz(const std::vector<FuzzTarget> &Targets,
