Bound the log in rate and size and never wait for its reader

Cause: each line was written at once to a pipe that may be full. Change: easylogging++ hands its lines to a buffer with a budget of lines a second, steps apart from failures; it is written when the pipe takes it, what was dropped is counted in a line.

--- a/core/DecisionLog.cpp
+++ b/core/DecisionLog.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Metrics.h"
 
+#include <array>
 #include <easylogging++.h>
 
 namespace turmericpitch {
@@ -15,7 +16,7 @@
 struct LogTarget {
   bool Terminal = true;
   /// Empty for no file.
-  std::string File;
+  std::string File = {};
 };
 
 void configureLog(const LogTarget &Target) {
@@ -39,6 +40,34 @@
   static_cast<void>(Configured);
 }
 
+/// Kinds of lines that tell of steps on the way.
+constexpr std::array<std::string_view, 5> MinorKinds{
+    "decision=retry", "decision=hedge", "decision=link_not_opened",
+    "decision=successor_candidate", "decision=end_idle_transaction"};
+
+LogWeight weightOf(std::string_view Text) {
+  for (std::string_view Kind : MinorKinds)
+    if (Text.starts_with(Kind))
+      return LogWeight::Minor;
+  return LogWeight::Major;
+}
+
+/// Where gathered lines go; set once.
+BoundedLog *&gatheringLog() {
+  static BoundedLog *Log = nullptr;
+  return Log;
+}
+
+/// Takes the library's finished lines.
+class GatherLines : public el::LogDispatchCallback {
+protected:
+  void handle(const el::LogDispatchData *Data) override {
+    const el::LogMessage *Message = Data->logMessage();
+    std::string Line = Message->logger()->logBuilder()->build(Message, false);
+    gatheringLog()->add(Line, weightOf(Message->message()), BootClock().now());
+  }
+};
+
 std::string quoted(std::string_view Value) {
   std::string Text = "\"";
   for (char Character : Value) {
@@ -73,6 +102,13 @@
   return *this;
 }
 
+void sendLogTo(BoundedLog &Into) {
+  ensureConfigured();
+  configureLog(LogTarget{.Terminal = false});
+  gatheringLog() = &Into;
+  el::Helpers::installLogDispatchCallback<GatherLines>("GatherLines");
+}
+
 void writeDecision(const DecisionLine &Line) {
   processMetrics().count("decisions_total", Line.kind());
   ensureConfigured();
--- a/core/DecisionLog.h
+++ b/core/DecisionLog.h
@@ -1,6 +1,8 @@
 // One structured line for each routing or placement decision.
 #pragma once
 
+#include "core/BoundedLog.h"
+
 #include <concepts>
 #include <string>
 #include <string_view>
@@ -34,6 +36,10 @@
 void writeInfo(std::string_view Text);
 /// Writes a warning line for operators. Thread-safe.
 void writeWarning(std::string_view Text);
+/// Gathers all log lines in Into instead of writing them at once, each with
+/// the weight of its kind. Into must outlive all logging. Call before
+/// starting threads.
+void sendLogTo(BoundedLog &Into);
 /// Sends all log lines to the file, or drops them if Path is empty; by
 /// default they go to standard error. Call before starting threads.
 void sendLogTo(const std::string &Path);
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -3,6 +3,7 @@
 #include "core/DecisionLog.h"
 #include "core/Metrics.h"
 #include "drivers/HttpServer.h"
+#include "drivers/LogPipe.h"
 #include "drivers/ReignKeeper.h"
 #include "drivers/SessionServer.h"
 #include "drivers/StoreClient.h"
@@ -18,6 +19,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <random>
+#include <unistd.h>
 
 namespace turmericpitch {
 
@@ -57,7 +59,7 @@
 
 struct SessionDaemon::Parts {
   explicit Parts(InstanceSettings Settings, SessionDaemonOptions Options)
-      : Settings(std::move(Settings)),
+      : Settings(std::move(Settings)), Log(Options.Log),
         Store(this->Loop.get_executor(),
               {.Store = this->Settings.Store,
                .Promotions = this->Settings.Promotions}),
@@ -128,6 +130,8 @@
   }
 
   InstanceSettings Settings;
+  /// Not set where lines are written as they come.
+  BoundedLog *Log = nullptr;
   asio::io_context Loop{1};
   RouteController Routes;
   Revision ConfigurationRevision;
@@ -380,6 +384,8 @@
 Awaitable<void> SessionDaemon::Parts::maintain() {
   while (true) {
     co_await this->pause(MaintainInterval);
+    if (this->Log)
+      writePending(*this->Log, STDOUT_FILENO);
     this->Dispatcher.maintain();
     // Once the balancer leads new sessions elsewhere, the open ones follow.
     if (!this->Stopping &&
@@ -465,6 +471,8 @@
   P.spawn(P.maintain());
   P.spawn(P.summarize());
   P.Loop.run();
+  if (P.Log)
+    writePending(*P.Log, STDOUT_FILENO);
   return std::monostate{};
 }
 
--- a/main/SessionDaemon.h
+++ b/main/SessionDaemon.h
@@ -1,6 +1,7 @@
 // The daemon that serves sessions on the users' platform.
 #pragma once
 
+#include "core/BoundedLog.h"
 #include "failover/PromotionRules.h"
 #include "platform/InstanceSettings.h"
 
@@ -10,6 +11,9 @@
 
 struct SessionDaemonOptions {
   PromotionRulesOptions Rules = {};
+  /// The gathered log lines, which the daemon writes to standard output; not
+  /// set where lines are written as they come.
+  BoundedLog *Log = nullptr;
 };
 
 /// Runs on one thread, as its instances have one core. Not thread-safe.
--- a/main/SessionMain.cpp
+++ b/main/SessionMain.cpp
@@ -1,3 +1,4 @@
+#include "core/DecisionLog.h"
 #include "main/ExitCode.h"
 #include "main/SessionDaemon.h"
 
@@ -52,7 +53,10 @@
       return ExitUsage;
     if (Parsed.count("check") > 0)
       return ExitSuccess;
-    Status Ended = SessionDaemon(*Settings).run();
+    static BoundedLog Log;
+    sendLogTo(Log);
+    SessionDaemonOptions Daemon{.Rules = {}, .Log = &Log};
+    Status Ended = SessionDaemon(*Settings, Daemon).run();
     if (Ended)
       return ExitSuccess;
     std::cerr << Ended.error().Message << "\nremedy: " << Ended.error().Remedy
--- /dev/null
+++ b/tests/core/BoundedLogTest.cpp
@@ -0,0 +1,65 @@
+#include "core/BoundedLog.h"
+#include "drivers/LogPipe.h"
+
+#include <array>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace turmericpitch {
+namespace {
+
+const TimePoint Start(std::chrono::seconds(100));
+
+TEST(BoundedLog, KeepsLinesInOrder) {
+  BoundedLog Log;
+  Log.add("a", LogWeight::Major, Start);
+  Log.add("b", LogWeight::Minor, Start);
+  EXPECT_EQ(Log.pending(), "a\nb\n");
+  Log.onWritten(2);
+  EXPECT_EQ(Log.pending(), "b\n");
+}
+
+TEST(BoundedLog, StepsNeverCrowdOutFailures) {
+  BoundedLog Log({.MinorPerSecond = 1, .MinorAtOnce = 2});
+  for (int Index = 0; Index < 1000; ++Index)
+    Log.add("step", LogWeight::Minor, Start);
+  Log.add("failure", LogWeight::Major, Start);
+  EXPECT_EQ(Log.pending(),
+            "step\nstep\ndecision=log_dropped lines=998\nfailure\n");
+  EXPECT_EQ(Log.dropped(), 998U);
+}
+
+TEST(BoundedLog, TheBudgetFillsUpWithTime) {
+  BoundedLog Log({.MajorPerSecond = 10, .MajorAtOnce = 1});
+  Log.add("a", LogWeight::Major, Start);
+  Log.add("b", LogWeight::Major, Start + std::chrono::milliseconds(50));
+  EXPECT_EQ(Log.dropped(), 1U);
+  Log.add("c", LogWeight::Major, Start + std::chrono::milliseconds(200));
+  EXPECT_EQ(Log.dropped(), 1U);
+}
+
+/// A reader that stops: the pipe fills up, then the buffer, then lines are
+/// dropped; nothing waits.
+TEST(BoundedLog, AReaderThatStopsCostsLinesAlone) {
+  std::array<int, 2> Pipe{};
+  ASSERT_EQ(pipe(Pipe.data()), 0);
+  BoundedLog Log({.MajorPerSecond = 1e9, .MajorAtOnce = 1e9});
+  std::string Line(100, 'x');
+  for (int Index = 0; Index < 10'000; ++Index) {
+    Log.add(Line, LogWeight::Major, Start);
+    writePending(Log, Pipe[1]);
+  }
+  EXPECT_GT(Log.dropped(), 0U);
+  EXPECT_LE(Log.pending().size(), BoundedLogOptions{}.MostBytes);
+  // The reader comes back and finds whole lines.
+  std::string Read(4096, '\0');
+  ssize_t Count = read(Pipe[0], Read.data(), Read.size());
+  ASSERT_GT(Count, 0);
+  EXPECT_EQ(Read.substr(0, 101), Line + "\n");
+  writePending(Log, Pipe[1]);
+  close(Pipe[0]);
+  close(Pipe[1]);
+}
+
+} // namespace
+} // namespace turmericpitch
