--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -328,7 +328,7 @@
                         .field("service", Record.Service.Value)
                         .field("reign", Record.Reign)
                         .field("primary", Record.Primary.Value)
-                        .field("phase", static_cast<int>(Record.Phase))
+                        .field("phase", toString(Record.Phase))
                         .field("revision", Record.Stored.Value));
   this->Dispatcher.onRightsChanged();
   co_return true;
@@ -491,7 +491,7 @@
                     .field("service", Record.Service.Value)
                     .field("reign", Record.Reign)
                     .field("primary", Record.Primary.Value)
-                    .field("phase", static_cast<int>(Record.Phase))
+                    .field("phase", toString(Record.Phase))
                     .field("target", Record.Target.Value)
                     .field("outcome", Stored ? "written" : "not_written"));
   co_return Stored;
@@ -509,7 +509,7 @@
                     .field("reign", From.Reign)
                     .field("primary", From.Primary.Value)
                     .field("reason", toString(Reason))
-                    .field("phase", static_cast<int>(From.Phase))
+                    .field("phase", toString(From.Phase))
                     .field("outcome", Wanted ? "begun" : "not_begun"));
   bool Closed = Wanted && co_await this->close(C);
   bool Led = false;
--- a/failover/ReignRecord.cpp
+++ b/failover/ReignRecord.cpp
@@ -10,6 +10,14 @@
 
 constexpr std::string_view ServicePart = "of/";
 
+Error malformed(const std::string &Key) {
+  return {.Kind = ErrorKind::BadRequest,
+          .Message = "malformed record at " + Key,
+          .Remedy = "look who wrote it; remove it once no instance runs"};
+}
+
+} // namespace
+
 std::string_view toString(ReignPhase Phase) {
   switch (Phase) {
   case ReignPhase::Closing:
@@ -22,14 +30,6 @@
   return "open";
 }
 
-Error malformed(const std::string &Key) {
-  return {.Kind = ErrorKind::BadRequest,
-          .Message = "malformed record at " + Key,
-          .Remedy = "look who wrote it; remove it once no instance runs"};
-}
-
-} // namespace
-
 std::string reignKey(const ServiceId &Service) {
   return std::string(ReignPrefix) + std::string(ServicePart) + Service.Value;
 }
--- a/failover/ReignRecord.h
+++ b/failover/ReignRecord.h
@@ -28,6 +28,9 @@
   Ordered,
 };
 
+/// The phase's stable name, as stored and in the decision log. Thread-safe.
+std::string_view toString(ReignPhase Phase);
+
 /// One service's record. Immutable value.
 struct ReignRecord {
   ServiceId Service;
