Watch the configuration from the store's revision

Change: the read's own revision is the start; a pause after lost history. A test forgets the history and bounds the reads.

--- a/drivers/StoreClient.cpp
+++ b/drivers/StoreClient.cpp
@@ -43,8 +43,7 @@
   }
 }
 
-Awaitable<Outcome<std::optional<KeyValueEntry>>>
-StoreClient::readKey(std::string Key) {
+Awaitable<Outcome<StoreItem>> StoreClient::readKey(std::string Key) {
   processMetrics().count("store_calls_total", "read");
   auto Reply =
       co_await this->Store.call(encodeKeyRead(Key), this->Options.CallLimit);
--- a/drivers/StoreClient.h
+++ b/drivers/StoreClient.h
@@ -29,7 +29,7 @@
   Awaitable<Outcome<StorePage>> readAll(std::string Prefix, ReadAge Age);
   /// The same under the shorter limit.
   Awaitable<Outcome<StorePage>> readAllQuickly(std::string Prefix);
-  Awaitable<Outcome<std::optional<KeyValueEntry>>> readKey(std::string Key);
+  Awaitable<Outcome<StoreItem>> readKey(std::string Key);
   Awaitable<Outcome<WatchAnswer>> watch(std::string Prefix, Revision After,
                                         std::chrono::milliseconds Wait);
   Awaitable<Outcome<CommitAnswer>> commit(TransactionRequest Request);
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -178,15 +178,16 @@
   this->Reading = true;
   auto Read = co_await this->Store.readKey(std::string(ConfigurationKey));
   this->Reading = false;
-  if (!Read || !Read.value()) {
+  if (!Read || !Read.value().Entry) {
     writeWarning("event=configuration_read_failed reason=\"" +
                  (Read ? std::string("no such key") : Read.error().Message) +
                  "\"");
     co_return;
   }
-  const KeyValueEntry &Entry = *Read.value();
+  const KeyValueEntry &Entry = *Read.value().Entry;
+  // Not the entry's own revision: the history may no longer reach back to it.
   this->ConfigurationRevision =
-      std::max(this->ConfigurationRevision, Entry.Modified);
+      std::max(this->ConfigurationRevision, Read.value().AsOf);
   auto Table = keepOutcome([&] { return decodeRouteTable(Entry.Value); });
   if (!Table) {
     writeWarning("event=configuration_refused reason=\"" +
@@ -245,7 +246,7 @@
       Quiet = Seen && !Seen.value().HistoryGone && Seen.value().Events.empty();
       if (Quiet)
         this->ConfigurationRevision = Seen.value().AsOf;
-      if (!Seen)
+      if (!Seen || Seen.value().HistoryGone)
         co_await this->pause(RetryInterval);
     }
   }
--- a/stand_ins/RevisionStore.cpp
+++ b/stand_ins/RevisionStore.cpp
@@ -13,6 +13,7 @@
 
 constexpr unsigned NotFound = 404;
 constexpr unsigned Conflict = 409;
+constexpr unsigned HistoryGone = 410;
 constexpr unsigned ConditionFailed = 412;
 constexpr unsigned NotAvailable = 503;
 /// A watch without events is answered after this; shorter than asked for, so
@@ -67,6 +68,8 @@
     return replyOf(json::object{}, NotAvailable);
   if (Target.starts_with("/api/kv-range"))
     return this->range(fieldOf(Target, "prefix"));
+  if (Target.starts_with("/api/kv-key"))
+    ++this->KeyReads;
   if (Target.starts_with("/api/kv-key"))
     return this->key(fieldOf(Target, "key"));
   if (Target.starts_with("/api/kv-watch"))
@@ -118,6 +121,8 @@
 
 HttpReply RevisionStore::changes(const std::string &Prefix,
                                  std::uint64_t After) const {
+  if (After < this->HistoryFrom)
+    return replyOf(json::object{}, HistoryGone);
   json::array Events;
   for (const auto &[Key, Each] : this->Items)
     if (Key.starts_with(Prefix) && Each.Revision > After)
--- a/stand_ins/RevisionStore.h
+++ b/stand_ins/RevisionStore.h
@@ -24,6 +24,10 @@
   /// Answers 503 to everything.
   void setAway(bool Away) { this->Away = Away; }
   [[nodiscard]] std::uint16_t port() const { return this->Server.port(); }
+  /// Forgets the history: watches from before are told that it is gone.
+  void forgetHistory() { this->HistoryFrom = this->Revision; }
+  /// Reads of single keys since the start.
+  [[nodiscard]] std::uint64_t keyReads() const { return this->KeyReads; }
   [[nodiscard]] std::uint64_t promotions() const { return this->Promotions; }
 
 private:
@@ -49,6 +53,8 @@
   std::uint64_t Revision = 1;
   std::uint64_t Leases = 0;
   std::uint64_t Promotions = 0;
+  std::uint64_t HistoryFrom = 0;
+  std::uint64_t KeyReads = 0;
   bool Away = false;
 };
 
--- a/tests/main/SessionDaemonTest.cpp
+++ b/tests/main/SessionDaemonTest.cpp
@@ -292,6 +292,38 @@
                     .starts_with("COMPLETE signed"));
 }
 
+/// Own day split-and-freeze: restarted instances read an old configuration
+/// and watched from its revision, which the history no longer held.
+TEST_F(SessionDaemonTest, AForgottenHistoryCostsOneReadMore) {
+  auto Before = this->onStandIns([this] {
+    for (int Index = 0; Index < 100; ++Index)
+      this->Store.put("other/" + std::to_string(Index), "x");
+    this->Store.forgetHistory();
+    return this->Store.keyReads();
+  });
+  // Each round of writes lets the watch come round several times.
+  for (int Round = 0; Round < 3; ++Round)
+    this->writeUntilDone("round", std::to_string(Round));
+  std::string Changed = configuration(9);
+  this->onStandIns([&] {
+    this->Store.put("op/config", Changed);
+    return 0;
+  });
+  Changed.replace(Changed.find("fittings"), 8, "repairs!");
+  Changed.replace(Changed.find("9"), 1, "10");
+  this->onStandIns([&] {
+    this->Store.put("op/config", Changed);
+    return 0;
+  });
+  bool Served = false;
+  auto GiveUpAt = std::chrono::steady_clock::now() + GiveUpAfter;
+  while (!Served && std::chrono::steady_clock::now() < GiveUpAt)
+    Served = Caller("repairs!").Greeting == "READY I -";
+  EXPECT_TRUE(Served);
+  EXPECT_LE(this->onStandIns([this] { return this->Store.keyReads(); }),
+            Before + 4);
+}
+
 TEST_F(SessionDaemonTest, ANewRouteIsServedAndADroppedOneRefused) {
   std::string Changed = configuration(5);
   Changed.replace(Changed.find("fittings"), 8, "repairs!");
--- a/tests/platform/StoreCallsTest.cpp
+++ b/tests/platform/StoreCallsTest.cpp
@@ -48,7 +48,11 @@
   ASSERT_TRUE(Page);
   EXPECT_TRUE(Page.value().More);
   EXPECT_EQ(Page.value().Entries[0].Value, "v");
-  EXPECT_FALSE(decodeKeyRead(reply(404)).value());
+  EXPECT_FALSE(decodeKeyRead(reply(404)).value().Entry);
+  auto Key = decodeKeyRead(reply(200, R"({"key":"k","value":"dg==",)"
+                                      R"("revision":4,"current_rev":90})"));
+  ASSERT_TRUE(Key);
+  EXPECT_EQ(Key.value().AsOf.Value, 90U);
   EXPECT_TRUE(decodeWatch(reply(410)).value().HistoryGone);
   auto Watch = decodeWatch(
       reply(200, R"({"events":[{"key":"k","revision":5,"deleted":true}],)"
