Halve what is sent to a member that refuses, and grow it back

Change: limits/ConcurrencyLimit with growing pauses, transactions back off, replicas short of new data still serve older reads; retries name their cause. Ruled out: a lost primary, dead links at the limit. Replayed in virtual time by ConcurrencyLimitTest.

--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -21,7 +21,8 @@
                        ConnectionAllowanceOptions Allowance,
                        MemberPortOptions Options)
     : On(std::move(On)), Member(std::move(Member)), Options(Options),
-      Allowance(Allowance), Typical(Options.FirstTypical) {}
+      Allowance(Allowance), Concurrency({.Most = this->Member.Slots}),
+      Typical(Options.FirstTypical) {}
 
 MemberPort::~MemberPort() { this->dropIdle(); }
 
@@ -59,10 +60,11 @@
           .Excluded = this->Member.Draining || Now < this->PausedUntil,
           .InFlight = this->InFlight,
           .MostInFlight =
-              std::min<std::size_t>(this->Member.Slots, this->InFlight + Room),
+              std::min(this->Concurrency.allowed(Now), this->InFlight + Room),
           .Typical = this->Typical,
           .Reached = this->Reached,
-          .ShortUntil = this->ShortUntil};
+          .ShortUntil = this->ShortUntil,
+          .ShortOf = this->ShortOf};
 }
 
 std::shared_ptr<MemberLink>
@@ -210,8 +212,10 @@
 
 void MemberPort::onStatementOver(std::optional<Duration> Took) {
   --this->InFlight;
-  if (Took)
-    this->Typical += (*Took - this->Typical) / ObservationShare;
+  if (!Took)
+    return;
+  this->Typical += (*Took - this->Typical) / ObservationShare;
+  this->Concurrency.onRun();
 }
 
 void MemberPort::onReached(const TermPosition &Position) {
@@ -219,19 +223,18 @@
     this->Reached = Position;
 }
 
-void MemberPort::onShort(TimePoint Now) {
+void MemberPort::onShort(const TermPosition &Asked, TimePoint Now) {
   // Several statements may find out at once; it counts as one time.
-  if (Now < this->ShortUntil)
+  if (Now < this->ShortUntil) {
+    this->ShortOf = std::min(this->ShortOf, Asked);
     return;
+  }
+  this->ShortOf = Asked;
   this->ShortPause = doubled(this->ShortPause, this->Options.FirstShortPause,
                              this->Options.MostShortPause);
   this->ShortUntil = Now + this->ShortPause;
 }
 
-void MemberPort::onBusy(TimePoint Now) {
-  this->PausedUntil = Now + this->Options.BusyPause;
-}
-
 void MemberPort::onAnswered(TimePoint Now) {
   this->AnsweredAt = Now;
   this->SilentSince.reset();
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "drivers/MemberLink.h"
+#include "limits/ConcurrencyLimit.h"
 #include "limits/ConnectionAllowance.h"
 #include "routing/Placement.h"
 
@@ -17,9 +18,6 @@
   /// after each further failure, up to MostPause.
   Duration FirstPause = std::chrono::milliseconds(100);
   Duration MostPause = std::chrono::milliseconds(1000);
-  /// Pause after the member refused for lack of capacity; about the work of
-  /// one statement.
-  Duration BusyPause = std::chrono::milliseconds(15);
   /// A replica whose log fell short is not asked for further positions for
   /// this long, twice as long after each further time, up to MostShortPause.
   Duration FirstShortPause = std::chrono::milliseconds(10);
@@ -74,8 +72,9 @@
   /// The member served a read that asked for a position.
   void onSufficed() { this->ShortPause = Duration{0}; }
   /// The member's log fell short of a position asked for.
-  void onShort(TimePoint Now);
-  void onBusy(TimePoint Now);
+  void onShort(const TermPosition &Asked, TimePoint Now);
+  /// The member refused a statement for lack of capacity.
+  void onBusy(TimePoint Now) { this->Concurrency.onRefused(Now); }
   void onAnswered(TimePoint Now);
   /// The member can't be reached, or left a question unanswered.
   void onUnanswered(TimePoint Now);
@@ -119,6 +118,7 @@
   RegisteredMember Member;
   MemberPortOptions Options;
   ConnectionAllowance Allowance;
+  ConcurrencyLimit Concurrency;
   std::vector<std::shared_ptr<MemberLink>> Idle;
   /// Links idle, in use and being opened.
   std::size_t Open = 0;
@@ -129,6 +129,7 @@
   std::optional<TermPosition> Reached;
   Duration ShortPause{0};
   TimePoint ShortUntil;
+  TermPosition ShortOf;
   TimePoint PausedUntil;
   Duration Pause{0};
   std::uint32_t Failures = 0;
--- a/drivers/StatementCall.h
+++ b/drivers/StatementCall.h
@@ -48,6 +48,8 @@
   /// Members tried in vain.
   std::vector<UpstreamId> Excluded;
   std::uint32_t Attempts = 0;
+  /// How often the member refused it within its transaction.
+  std::uint32_t BusyTimes = 0;
 
   /// The present attempt.
   std::shared_ptr<MemberLink> Link;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -15,6 +15,9 @@
 /// statements.
 constexpr int WorkObservationShare = 16;
 
+/// A transaction's pause after a refusal doubles so often at the most.
+constexpr std::uint32_t MostBusyDoublings = 4;
+
 std::int64_t inMilliseconds(Duration Length) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
 }
@@ -257,7 +260,7 @@
       return;
     bool AtLimit =
         How == LinkOpening::RefusedAtLimit || How == LinkOpening::EndedEarly;
-    this->retry(Call, !AtLimit);
+    this->retry(Call, !AtLimit, toString(How));
   });
 }
 
@@ -303,7 +306,7 @@
   if (Call->Reign != 0 &&
       !this->holdsRight(Call->Session->Route.Service, Call->Reign)) {
     this->releaseLink(Call);
-    return this->retry(Call, false);
+    return this->retry(Call, false, "right_ran_out");
   }
   Call->Link->run(encodeBegin(Call->Session->State.onlyReads(), Call->AtLeast),
                   [this, Call](Outcome<StatementReply> Reply) {
@@ -333,7 +336,7 @@
   bool Running = Session.State.transaction() == SessionTransaction::Running;
   if (Call->Reign != 0 && !Running && !this->holdsRight(Service, Call->Reign)) {
     this->releaseLink(Call);
-    return this->retry(Call, false);
+    return this->retry(Call, false, "right_ran_out");
   }
   std::optional<std::string> PreparedAs;
   if (Call->Asked.Kind == StatementKind::Execute)
@@ -385,7 +388,7 @@
       });
   Call->Counted = false;
   Call->Link.reset();
-  this->retry(Call, true);
+  this->retry(Call, true, "unanswered");
 }
 
 void StatementDispatcher::onLateReply(const SharedCall &Call,
@@ -504,21 +507,27 @@
   SessionContext &Session = *Call->Session;
   bool Running = Session.State.transaction() == SessionTransaction::Running;
   bool NotRun = provesMemberDidNotRun(Failure.Code);
-  if (Failure.Code == ReplyError::Lagging)
-    Call->Port->onShort(Now);
+  if (Failure.Code == ReplyError::Lagging && Call->AtLeast)
+    Call->Port->onShort(*Call->AtLeast, Now);
   if (Failure.Code == ReplyError::Busy)
     Call->Port->onBusy(Now);
   if (!Running) {
     this->releaseLink(Call);
+    // A member that answers at once that it can't is no attempt: the deadline
+    // and the queue bound these.
+    if (Failure.Code == ReplyError::Busy)
+      --Call->Attempts;
     if (NotRun)
-      return this->retry(Call, false);
+      return this->retry(Call, false, toString(Failure.Code));
     return this->deliver(Call, std::move(Reply));
   }
   bool Open = Reply.Mark == TransactionMark::Open;
+  // The transaction keeps its link and tries again, ever more seldom.
+  Duration Pause = this->Options.FirstBusyPause * (1U << Call->BusyTimes);
   if (Failure.Code == ReplyError::Busy && Open &&
-      Call->Terms.Deadline - Now > 2 * this->Options.WakeInterval) {
-    auto Again = std::make_shared<asio::steady_timer>(
-        this->On, this->Options.WakeInterval);
+      Call->Terms.Deadline - Now > 2 * Pause) {
+    Call->BusyTimes = std::min(Call->BusyTimes + 1, MostBusyDoublings);
+    auto Again = std::make_shared<asio::steady_timer>(this->On, Pause);
     Again->async_wait([this, Call, Again](const boost::system::error_code &) {
       if (Call->Over)
         return;
@@ -558,14 +567,15 @@
                         Duration{0});
   }
   if (!Running)
-    return this->retry(Call, true);
+    return this->retry(Call, true, "link_ended");
   this->endTransaction(Call, Call->Asked.Kind != StatementKind::Commit);
   this->refuse(Call, ReplyError::Aborted,
                "the transaction's connection to its member ended",
                this->Options.ComeBackAfter);
 }
 
-void StatementDispatcher::retry(const SharedCall &Call, bool ExcludeMember) {
+void StatementDispatcher::retry(const SharedCall &Call, bool ExcludeMember,
+                                std::string_view Cause) {
   // The only member that will do is not excluded: it may answer next.
   if (ExcludeMember && !Call->NeedsPrimary)
     Call->Excluded.push_back(Call->Port->member().Id);
@@ -574,6 +584,7 @@
   writeDecision(DecisionLine("retry")
                     .field("request", Call->Asked.Id)
                     .field("member", Call->Port->member().Id.Value)
+                    .field("cause", Cause)
                     .field("attempts", Call->Attempts));
   if (Call->Attempts >= this->Options.MostAttempts)
     return this->refuse(Call, ReplyError::Busy, "no attempt succeeded",
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -31,6 +31,9 @@
   Duration ComeBackAfter = std::chrono::milliseconds(100);
   /// How often waiting statements are looked at while no reply comes in.
   Duration WakeInterval = std::chrono::milliseconds(10);
+  /// After a member refused a transaction's statement for lack of capacity;
+  /// about the work of one short statement.
+  Duration FirstBusyPause = std::chrono::milliseconds(15);
   /// A primary that was not heard for this long is asked for its position,
   /// so that replicas can go on serving reads of a stated age.
   Duration SampleLimit = std::chrono::milliseconds(500);
@@ -117,7 +120,8 @@
   void onFailure(const SharedCall &Call, const ReplyFailure &Failure,
                  StatementReply Reply);
   void onLost(const SharedCall &Call);
-  void retry(const SharedCall &Call, bool ExcludeMember);
+  void retry(const SharedCall &Call, bool ExcludeMember,
+             std::string_view Cause);
   void releaseLink(const SharedCall &Call);
   void onDeadline(const SharedCall &Call);
   void refuse(const SharedCall &Call, ReplyError Code, std::string_view Reason,
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -404,7 +404,9 @@
     Line.field("sessions", this->Sessions.sessions())
         .field("links_opened", this->Dispatcher.linksOpened())
         .field("configuration", this->Routes.version())
-        .field("instances", this->Roster.count());
+        .field("instances", this->Roster.count())
+        .field("retries", processMetrics().counted("decisions_total", "retry"))
+        .field("hedges", processMetrics().counted("decisions_total", "hedge"));
     for (const char *Call : Calls)
       Line.field(Call, processMetrics().counted("store_calls_total", Call));
     writeDecision(Line);
--- a/routing/Placement.cpp
+++ b/routing/Placement.cpp
@@ -1,5 +1,7 @@
 #include "routing/Placement.h"
 
+#include <algorithm>
+
 namespace turmericpitch {
 
 namespace {
@@ -14,14 +16,15 @@
   if (Need.Primary || Each.Primary || !Need.AtLeast)
     return false;
   bool Reaches = Each.Reached && *Each.Reached >= *Need.AtLeast;
-  return Reaches || Now >= Each.ShortUntil;
+  return Reaches || Now >= Each.ShortUntil || *Need.AtLeast < Each.ShortOf;
 }
 
 double expectedTime(const MemberCandidate &Each, const PlacementNeed &Need,
                     const PlacementOptions &Options) {
-  double Time = static_cast<double>(Each.Typical.count()) *
-                static_cast<double>(Each.InFlight + 1) /
-                static_cast<double>(Each.MostInFlight);
+  double Time =
+      static_cast<double>(Each.Typical.count()) *
+      static_cast<double>(Each.InFlight + 1) /
+      static_cast<double>(std::max<std::size_t>(1, Each.MostInFlight));
   if (!Each.SameZone)
     Time += static_cast<double>(Options.OtherZoneCost.count());
   if (Each.UsablePrimary && !Need.Primary)
--- a/routing/Placement.h
+++ b/routing/Placement.h
@@ -29,9 +29,10 @@
   Duration Typical{0};
   /// The furthest position that its log is known to reach.
   std::optional<TermPosition> Reached = std::nullopt;
-  /// Its log fell short of a position lately; until then it is only asked
-  /// for positions that it is known to reach.
+  /// Its log fell short of ShortOf lately; until then it is only asked for
+  /// positions before that, or that it is known to reach.
   TimePoint ShortUntil = {};
+  TermPosition ShortOf = {};
 };
 
 /// What a statement needs of the member.
--- /dev/null
+++ b/tests/limits/ConcurrencyLimitTest.cpp
@@ -0,0 +1,77 @@
+#include "limits/ConcurrencyLimit.h"
+#include "core/EventQueue.h"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(ConcurrencyLimit, HalvesAtARefusalAndGrowsWithSuccess) {
+  ConcurrencyLimit Limit({.Most = 6});
+  TimePoint Now(milliseconds(1000));
+  EXPECT_EQ(Limit.allowed(Now), 6U);
+  Limit.onRefused(Now);
+  EXPECT_EQ(Limit.allowed(Now), 0U);
+  EXPECT_EQ(Limit.allowed(Now + milliseconds(15)), 3U);
+  for (int Index = 0; Index < 8; ++Index)
+    Limit.onRun();
+  EXPECT_EQ(Limit.allowed(Now + milliseconds(15)), 4U);
+}
+
+TEST(ConcurrencyLimit, PausesGrowUntilSomethingRuns) {
+  ConcurrencyLimit Limit({.Most = 6});
+  TimePoint Now(milliseconds(1000));
+  for (int Index = 0; Index < 10; ++Index, Now += milliseconds(300))
+    Limit.onRefused(Now);
+  Now -= milliseconds(300);
+  EXPECT_EQ(Limit.allowed(Now + milliseconds(239)), 0U);
+  EXPECT_EQ(Limit.allowed(Now + milliseconds(240)), 1U);
+}
+
+/// Grown chechia scale-2: both replicas of a database are behind, and 34
+/// instances ask its primary, which runs 6 statements and lets 48 wait. What
+/// it refuses comes back at once.
+TEST(ConcurrencyLimit, ManyInstancesStayWithinWhatAMemberTakes) {
+  constexpr std::size_t Instances = 34;
+  constexpr std::size_t Slots = 6;
+  constexpr std::size_t Room = Slots + 48;
+  EventQueue Events;
+  std::vector<ConcurrencyLimit> Limits(Instances,
+                                       ConcurrencyLimit({.Most = Slots}));
+  std::vector<std::size_t> InFlight(Instances, 0);
+  std::size_t AtMember = 0;
+  std::size_t Refused = 0;
+  std::size_t Ran = 0;
+  std::function<void(std::size_t)> Fill = [&](std::size_t Who) {
+    while (InFlight[Who] < Limits[Who].allowed(Events.now())) {
+      if (AtMember == Room) {
+        ++Refused;
+        Limits[Who].onRefused(Events.now());
+        Events.after(milliseconds(10), [&Fill, Who] { Fill(Who); });
+        return;
+      }
+      ++AtMember;
+      ++InFlight[Who];
+      // Six at once, 33 ms each: the wait grows with those before it.
+      Duration Stay = milliseconds(33) * static_cast<int>(AtMember / Slots + 1);
+      Events.after(Stay, [&, Who] {
+        --AtMember;
+        --InFlight[Who];
+        ++Ran;
+        Limits[Who].onRun();
+        Fill(Who);
+      });
+    }
+  };
+  for (std::size_t Who = 0; Who < Instances; ++Who)
+    Fill(Who);
+  Events.runUntil(TimePoint(std::chrono::seconds(2)));
+  EXPECT_GT(Ran, 200U);
+  EXPECT_LT(Refused, Ran / 2);
+}
+
+} // namespace
+} // namespace turmericpitch
--- a/tests/routing/PlacementTest.cpp
+++ b/tests/routing/PlacementTest.cpp
@@ -60,12 +60,25 @@
   std::vector<MemberCandidate> Candidates{replica("a")};
   Candidates[0].ShortUntil = Now + milliseconds(1);
   Candidates[0].Reached = Ten;
+  Candidates[0].ShortOf = Twenty;
   EXPECT_EQ(place(Candidates, {.Primary = false, .AtLeast = Twenty}).Verdict,
             PlacementVerdict::NoMember);
   EXPECT_EQ(place(Candidates, {.Primary = false, .AtLeast = Ten}).Verdict,
             PlacementVerdict::Place);
 }
 
+/// Grown chechia scale-2: sessions that had just written found the replicas
+/// short, and reads of older data were kept from them as well.
+TEST(Placement, AReplicaShortOfNewDataStillServesOlderReads) {
+  std::vector<MemberCandidate> Candidates{replica("a")};
+  Candidates[0].ShortUntil = Now + milliseconds(1);
+  Candidates[0].ShortOf = Twenty;
+  EXPECT_EQ(place(Candidates, {.Primary = false, .AtLeast = Ten}).Verdict,
+            PlacementVerdict::Place);
+  EXPECT_EQ(place(Candidates, {.Primary = false, .AtLeast = Twenty}).Verdict,
+            PlacementVerdict::NoMember);
+}
+
 TEST(Placement, TakesTheMemberWithTheLeastExpectedTime) {
   std::vector<MemberCandidate> Candidates{replica("a"), replica("b")};
   Candidates[0].InFlight = 2;
