--- a/stand_ins/SessionGroup.cpp
+++ b/stand_ins/SessionGroup.cpp
@@ -144,8 +144,8 @@
 std::string SessionGroup::run(Connection &From, const std::string &Id,
                               const std::string &Text) {
   SessionGroupMember &State = From.At->State;
-  const std::string Signed = "COMPLETE signed-by-" + State.Id + "\r\n";
-  const std::string Done = "COMPLETE -\r\n";
+  std::string Signed = "COMPLETE signed-by-" + State.Id + "\r\n";
+  std::string Done = "COMPLETE -\r\n";
   std::string Rest = Text;
   std::string Word = nextWord(Rest);
   if (Word == "STATUS") {
