--- a/drivers/CallerSession.cpp
+++ b/drivers/CallerSession.cpp
@@ -37,9 +37,17 @@
 }
 
 void CallerSession::start() {
-  auto Self = this->shared_from_this();
-  this->Lines->start([Self](std::string_view Line) { Self->onLine(Line); },
-                     [Self](const std::string &) { Self->end(); });
+  // The server holds the session; its connection must not.
+  std::weak_ptr<CallerSession> Weak = this->weak_from_this();
+  this->Lines->start(
+      [Weak](std::string_view Line) {
+        if (auto Session = Weak.lock())
+          Session->onLine(Line);
+      },
+      [Weak](const std::string &) {
+        if (auto Session = Weak.lock())
+          Session->end();
+      });
 }
 
 bool CallerSession::busy() const {
--- a/drivers/MemberLink.cpp
+++ b/drivers/MemberLink.cpp
@@ -136,6 +136,16 @@
     Handle();
 }
 
+void MemberLink::drop() {
+  // They may hold this link.
+  auto Self = this->shared_from_this();
+  ReplyHandler ForgottenReply = std::move(this->Waiting);
+  OpenHandler ForgottenOpening = std::move(this->OnOpened);
+  this->Waiting = nullptr;
+  this->OnOpened = nullptr;
+  this->close();
+}
+
 void MemberLink::close() {
   if (this->Closed)
     return;
--- a/drivers/MemberLink.h
+++ b/drivers/MemberLink.h
@@ -49,6 +49,9 @@
   /// Ends the link; the member rolls back. A statement under way ends as of
   /// unknown outcome, later.
   void close();
+  /// Ends the link and forgets its handlers: none runs any more. For the end
+  /// of the process.
+  void drop();
   /// Called when the member ends an idle link; may be empty.
   void onLost(std::function<void()> Handle) { this->Lost = std::move(Handle); }
 
--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -98,6 +98,8 @@
 std::shared_ptr<MemberLink>
 MemberPort::openLink(MemberLink::OpenHandler OnOpened) {
   auto Link = std::make_shared<MemberLink>(this->On, this->Member);
+  std::erase_if(this->All, [](const auto &Each) { return Each.expired(); });
+  this->All.push_back(Link);
   ++this->Open;
   ++this->Opening;
   ++this->Opened;
@@ -252,6 +254,15 @@
   this->dropIdle();
 }
 
+void MemberPort::dropAll() {
+  this->Idle.clear();
+  std::vector<std::weak_ptr<MemberLink>> Links = std::move(this->All);
+  this->All.clear();
+  for (const auto &Weak : Links)
+    if (auto Link = Weak.lock())
+      Link->drop();
+}
+
 void MemberPort::closeExtraIdle(TimePoint Now) {
   bool Small = this->Allowance.evenShare() < this->Options.LeastShareToKeep;
   std::size_t Kept = Small ? 0 : this->Options.KeptIdle;
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -78,6 +78,9 @@
   void onAnswered(TimePoint Now);
   /// The member can't be reached, or left a question unanswered.
   void onUnanswered(TimePoint Now);
+  /// Ends all links, also those in use, without calling anyone. For the end
+  /// of the process.
+  void dropAll();
   /// Closes idle links that are not needed.
   void closeExtraIdle(TimePoint Now);
 
@@ -120,6 +123,8 @@
   ConnectionAllowance Allowance;
   ConcurrencyLimit Concurrency;
   std::vector<std::shared_ptr<MemberLink>> Idle;
+  /// Every link that may still be open.
+  std::vector<std::weak_ptr<MemberLink>> All;
   /// Links idle, in use and being opened.
   std::size_t Open = 0;
   std::size_t Opening = 0;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -70,6 +70,12 @@
     : On(On), Options(std::move(Options)), RightOf(std::move(RightOf)),
       ReturnOf(std::move(ReturnOf)), WakeTimer(On) {}
 
+StatementDispatcher::~StatementDispatcher() {
+  for (auto &[Id, Desk] : this->Desks)
+    for (auto &[Member, Port] : Desk.Ports)
+      Port->dropAll();
+}
+
 std::uint64_t StatementDispatcher::linksOpened() const {
   std::uint64_t Sum = 0;
   for (const auto &[Id, Desk] : this->Desks)
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -69,6 +69,10 @@
                       StatementDispatcherOptions Options, RightLookup RightOf,
                       ReturnLookup ReturnOf);
 
+  ~StatementDispatcher();
+  StatementDispatcher(const StatementDispatcher &) = delete;
+  StatementDispatcher &operator=(const StatementDispatcher &) = delete;
+
   /// Runs a statement that a member must run; OnReply runs once, maybe at
   /// once.
   void submit(const SharedCall &Call);
--- a/failover/RightMessages.cpp
+++ b/failover/RightMessages.cpp
@@ -40,12 +40,18 @@
   return static_cast<Enumeration>(Raw);
 }
 
+bool readFlag(Reader &From) {
+  enum class Flag : std::uint8_t { Off, On };
+  return readEnumeration(From, Flag::On) == Flag::On;
+}
+
 void writeService(Writer &To, const ToldService &Each) {
   writeName(To, Each.Record.Service.Value);
   writeName(To, Each.Record.Primary.Value);
   To(Each.Record.Reign, static_cast<std::uint8_t>(Each.Record.Phase),
      Each.Record.Stored.Value, static_cast<std::uint64_t>(Each.Age.count()),
-     Each.Granted, static_cast<std::uint8_t>(Each.Contact));
+     static_cast<std::uint8_t>(Each.Granted),
+     static_cast<std::uint8_t>(Each.Contact));
 }
 
 ToldService readService(Reader &From) {
@@ -55,7 +61,8 @@
   From(Each.Record.Reign);
   Each.Record.Phase = readEnumeration(From, ReignPhase::Ordered);
   std::uint64_t Age = 0;
-  From(Each.Record.Stored.Value, Age, Each.Granted);
+  From(Each.Record.Stored.Value, Age);
+  Each.Granted = readFlag(From);
   Each.Age = Duration(static_cast<Duration::rep>(Age & INT64_MAX));
   Each.Contact = readEnumeration(From, PrimaryContact::Silent);
   return Each;
@@ -76,7 +83,7 @@
 
 void writeBody(Writer &To, const RightQuestion &Message) {
   To(static_cast<std::uint8_t>(Kind::Question), Message.Serial,
-     Message.WantsGrants);
+     static_cast<std::uint8_t>(Message.WantsGrants));
 }
 
 void writeBody(Writer &To, const RightAnswer &Message) {
@@ -99,7 +106,8 @@
   switch (readEnumeration(From, Kind::News)) {
   case Kind::Question: {
     RightQuestion Question;
-    From(Question.Serial, Question.WantsGrants);
+    From(Question.Serial);
+    Question.WantsGrants = readFlag(From);
     return Question;
   }
   case Kind::Answer: {
--- a/stand_ins/RevisionStore.cpp
+++ b/tests/platform/RevisionStore.cpp
@@ -1,4 +1,4 @@
-#include "stand_ins/RevisionStore.h"
+#include "tests/platform/RevisionStore.h"
 
 #include "core/Digest.h"
 
--- a/stand_ins/RevisionStore.h
+++ b/tests/platform/RevisionStore.h
@@ -3,7 +3,7 @@
 
 #include "core/Endpoint.h"
 #include "drivers/HttpServer.h"
-#include "stand_ins/SessionGroup.h"
+#include "tests/platform/SessionGroup.h"
 
 #include <boost/json.hpp>
 #include <map>
--- a/tests/main/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -3,7 +3,7 @@
 #include "main/SessionDaemon.h"
 
 #include "core/DecisionLog.h"
-#include "stand_ins/RevisionStore.h"
+#include "tests/platform/RevisionStore.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/executor_work_guard.hpp>
--- a/stand_ins/SessionGroup.cpp
+++ b/tests/platform/SessionGroup.cpp
@@ -1,4 +1,4 @@
-#include "stand_ins/SessionGroup.h"
+#include "tests/platform/SessionGroup.h"
 
 #include <algorithm>
 #include <sstream>
@@ -33,11 +33,12 @@
 
   SessionGroupMember State;
   asio::ip::tcp::acceptor Acceptor;
-  std::vector<std::weak_ptr<LineConnection>> Open;
+  std::vector<std::shared_ptr<Connection>> Open;
 };
 
 struct SessionGroup::Connection {
-  std::shared_ptr<Member> At;
+  /// Holds this connection.
+  Member *At = nullptr;
   std::shared_ptr<LineConnection> Lines;
   bool Started = false;
   bool InTransaction = false;
@@ -89,13 +90,16 @@
     if (Failure)
       return;
     auto From = std::make_shared<Connection>();
-    From->At = At;
+    From->At = At.get();
     From->Lines = std::make_shared<LineConnection>(std::move(Connected),
                                                    LineConnectionOptions{});
-    At->Open.push_back(From->Lines);
-    // The handler keeps the connection until its lines end.
+    At->Open.push_back(From);
+    std::weak_ptr<Connection> Weak = From;
     From->Lines->start(
-        [this, From](std::string_view Line) { this->onLine(From, Line); },
+        [this, Weak](std::string_view Line) {
+          if (auto Open = Weak.lock())
+            this->onLine(Open, Line);
+        },
         [](const std::string &) {});
     this->accept(At);
   });
@@ -243,9 +247,8 @@
   At.State.Down = true;
   boost::system::error_code Ignored;
   At.Acceptor.close(Ignored);
-  for (const auto &Weak : At.Open)
-    if (auto Lines = Weak.lock())
-      Lines->close();
+  for (const auto &Open : At.Open)
+    Open->Lines->close();
   At.Open.clear();
 }
 
