--- a/drivers/MemberLink.cpp
+++ b/drivers/MemberLink.cpp
@@ -129,11 +129,7 @@
   this->concludeOpening(LinkOpening::EndedEarly);
   if (this->Closed)
     return;
-  std::function<void()> Handle = this->Lost;
-  bool WasIdle = !this->Waiting;
   this->close();
-  if (WasIdle && Handle)
-    Handle();
 }
 
 void MemberLink::drop() {
--- a/drivers/MemberLink.h
+++ b/drivers/MemberLink.h
@@ -52,8 +52,6 @@
   /// Ends the link and forgets its handlers: none runs any more. For the end
   /// of the process.
   void drop();
-  /// Called when the member ends an idle link; may be empty.
-  void onLost(std::function<void()> Handle) { this->Lost = std::move(Handle); }
 
   /// Open and with no statement under way.
   [[nodiscard]] bool idle() const;
@@ -86,7 +84,6 @@
   MemberReplyReader Reader;
   OpenHandler OnOpened;
   ReplyHandler Waiting;
-  std::function<void()> Lost;
   TransactionMark Mark = TransactionMark::None;
   std::optional<TermPosition> OpenedAt;
   bool Ready = false;
--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -40,7 +40,6 @@
   if (Another) {
     this->Reached.reset();
     this->PausedUntil = {};
-    this->Failures = 0;
   }
   if (Another || Now.Draining)
     this->dropIdle();
@@ -238,16 +237,13 @@
 }
 
 void MemberPort::onAnswered(TimePoint Now) {
-  this->AnsweredAt = Now;
   this->SilentSince.reset();
   if (this->InFlight + this->Questions > 0)
     this->SilentSince = Now;
-  this->Failures = 0;
   this->Pause = Duration{0};
 }
 
 void MemberPort::onUnanswered(TimePoint Now) {
-  ++this->Failures;
   this->Pause =
       doubled(this->Pause, this->Options.FirstPause, this->Options.MostPause);
   this->PausedUntil = Now + this->Pause;
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -85,14 +85,8 @@
   void closeExtraIdle(TimePoint Now);
 
   [[nodiscard]] const RegisteredMember &member() const { return this->Member; }
-  [[nodiscard]] std::size_t openLinks() const { return this->Open; }
   [[nodiscard]] std::uint64_t linksOpened() const { return this->Opened; }
   [[nodiscard]] TimePoint pausedUntil() const { return this->PausedUntil; }
-  [[nodiscard]] std::uint32_t failuresInRow() const { return this->Failures; }
-  /// When the member last answered anything; nothing before.
-  [[nodiscard]] std::optional<TimePoint> answeredAt() const {
-    return this->AnsweredAt;
-  }
   /// Since when the member owes an answer to everything asked of it; nothing
   /// if it owes none.
   [[nodiscard]] const std::optional<TimePoint> &silentSince() const {
@@ -106,9 +100,6 @@
   void
   askStatus(std::function<void(std::optional<MemberReport>, TimePoint AskedAt)>
                 OnReport);
-  [[nodiscard]] std::size_t statementsInFlight() const {
-    return this->InFlight;
-  }
   [[nodiscard]] Duration typical() const { return this->Typical; }
 
 private:
@@ -137,8 +128,6 @@
   TermPosition ShortOf;
   TimePoint PausedUntil;
   Duration Pause{0};
-  std::uint32_t Failures = 0;
-  std::optional<TimePoint> AnsweredAt;
   std::optional<TimePoint> SilentSince;
   std::size_t Questions = 0;
   /// A question for the member's status is under way.
--- a/limits/WaitQueue.h
+++ b/limits/WaitQueue.h
@@ -72,18 +72,6 @@
     return Hopeless;
   }
 
-  /// Removes and returns the statements for which Match holds.
-  template <typename Callable> std::vector<Item> extract(Callable &&Match) {
-    std::vector<Item> Found;
-    auto Last = std::stable_partition(
-        this->Waiting.begin(), this->Waiting.end(),
-        [&](const Entry &Each) { return !Match(Each.What, Each.Terms); });
-    for (auto It = Last; It != this->Waiting.end(); ++It)
-      Found.push_back(std::move(It->What));
-    this->Waiting.erase(Last, this->Waiting.end());
-    return Found;
-  }
-
   [[nodiscard]] std::size_t size() const { return this->Waiting.size(); }
   [[nodiscard]] bool empty() const { return this->Waiting.empty(); }
 
--- a/tools/DecoderFuzz.cpp
+++ b/tools/DecoderFuzz.cpp
@@ -255,7 +255,8 @@
 
 std::string fuzzMemberEntry(const std::string &Input) {
   return verdictOf([&] {
-    return decodeMemberEntry({.Key = "servers/i-1", .Value = Input});
+    return decodeMemberEntry(
+        {.Key = std::string(MembersPrefix) + "i-1", .Value = Input});
   });
 }
 
