Rank promoters over zones and pass over those that can't act

Ruled out: the consultation (80 ms) and the store (10 ms a write). Change: duties of listed instances through the existing DutyAssignment (zones in turn); silent and newly come ones are passed over; 150 ms a rank; readers are spread over zones, and the near one is asked.

--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -2,6 +2,8 @@
 
 #include "core/DecisionLog.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -41,7 +43,7 @@
                          StoreClient &Store, const InstanceRoster &Roster,
                          StatementDispatcher &Dispatcher,
                          RegistrationLookup Registration, VersionHooks Versions)
-    : On(On), Options(Options), Store(Store), Roster(Roster),
+    : On(On), Options(Options), Store(Store), Roster(Roster), Duties(Roster),
       Dispatcher(Dispatcher), Registration(std::move(Registration)),
       Versions(std::move(Versions)), Rights(Options.Rules.Rights),
       Peers(On, {.Self = Options.Self, .Listen = Options.Listen}, this->Rights,
@@ -156,11 +158,41 @@
     }
     if (this->isReader())
       continue;
-    std::size_t Readers = std::min(this->readers(), this->Roster.all().size());
-    if (Readers > 0)
-      this->Peers.ask(
-          this->Roster.all()[(this->Roster.rank() + Turn) % Readers]);
+    if (const RosterEntry *Reader = this->readerToAsk(Turn))
+      this->Peers.ask(*Reader);
+  }
+}
+
+bool ReignKeeper::isSilent(const InstanceId &Id) const {
+  auto Since = this->Peers.silentSince(Id);
+  return Since && this->Clock.now() - *Since > this->Options.PeerSilenceLimit;
+}
+
+std::size_t ReignKeeper::promoterRank() const {
+  Duration Probation =
+      this->Options.Rules.ListingValidity + this->Options.Rules.ListingMargin;
+  TimePoint Now = this->Clock.now();
+  return this->Duties.rank(PromoteDuty, [&](const InstanceId &Id) {
+    return this->isSilent(Id) || this->Roster.isNew(Id, Probation, Now);
+  });
+}
+
+const RosterEntry *ReignKeeper::readerToAsk(std::size_t Turn) const {
+  std::vector<InstanceId> Readers =
+      this->Duties.holders(ReadDuty, this->readers());
+  std::vector<const RosterEntry *> All;
+  const RosterEntry *Near = nullptr;
+  for (const RosterEntry &Each : this->Roster.all()) {
+    if (std::find(Readers.begin(), Readers.end(), Each.Id) == Readers.end())
+      continue;
+    All.push_back(&Each);
+    // A near one that owes an answer is passed over for one turn.
+    if (Each.Zone == this->Options.Zone && !this->Peers.silentSince(Each.Id))
+      Near = &Each;
   }
+  if (Near || All.empty())
+    return Near;
+  return All[Turn % All.size()];
 }
 
 OutsideView ReignKeeper::outside(TimePoint Now) {
@@ -204,7 +236,7 @@
   while (true) {
     co_await this->pause(this->Options.RollCallInterval);
     if (this->Stopping || this->StoreLost ||
-        this->Roster.rank() >= this->Options.RollCallers)
+        !this->Duties.holds(ReadDuty, this->Options.RollCallers))
       continue;
     this->Peers.askAll(false);
     TimePoint Now = this->Clock.now();
@@ -374,7 +406,7 @@
         .at(Id)
         .Ports.at(Record->Primary)
         ->askStatus([](const auto &, TimePoint) {});
-  ReplaceReason Reason = Watch.look(Seen, this->Roster.rank(), Now);
+  ReplaceReason Reason = Watch.look(Seen, this->promoterRank(), Now);
   if (Reason == ReplaceReason::None || Now < this->ConsultAfter[Id])
     return;
   this->UnderWay.insert(Id);
@@ -398,7 +430,7 @@
 void ReignKeeper::lookAtUnfinished(const ReignRecord &Record, TimePoint Now) {
   Duration Limit = this->Options.TakeOverAfter +
                    this->Options.Watch.RankDelay *
-                       static_cast<Duration::rep>(this->Roster.rank());
+                       static_cast<Duration::rep>(this->promoterRank());
   if (Now - this->UnfinishedRecords.at(Record.Service).SeenAt < Limit)
     return;
   this->UnderWay.insert(Record.Service);
@@ -408,7 +440,7 @@
 Awaitable<void> ReignKeeper::install(ServiceId Id) {
   co_await this->pause(this->Options.PollInterval +
                        this->Options.Watch.RankDelay *
-                           static_cast<Duration::rep>(this->Roster.rank()));
+                           static_cast<Duration::rep>(this->promoterRank()));
   std::vector<std::shared_ptr<MemberPort>> Leading;
   auto Desk = this->Dispatcher.desks().find(Id);
   for (const auto &[Member, Port] : Desk->second.Ports)
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -8,6 +8,7 @@
 #include "failover/PrimaryWatch.h"
 #include "failover/PromotionRules.h"
 #include "membership/IsolationDetector.h"
+#include "membership/RosterDuties.h"
 
 #include <set>
 
@@ -27,7 +28,7 @@
   /// One more instance reads the store for the others for so many; a reader
   /// then answers about 80 questions a second.
   std::size_t InstancesPerReader = 12;
-  /// Instances that ask all others regularly, the first by rank.
+  /// Instances that ask all others regularly, the first of the readers.
   std::size_t RollCallers = 2;
   /// How often the others ask a reader.
   Duration AskInterval = std::chrono::milliseconds(150);
@@ -86,6 +87,14 @@
 /// Belongs to one thread's executor.
 class ReignKeeper {
 public:
+  /// Reading the store for others.
+  inline static const DutyKey ReadDuty{.Kind = Duty::Watch,
+                                       .Subject = "records"};
+  /// One instance replaces the primaries of all services, as another one has
+  /// to wait for PromoterDistance.
+  inline static const DutyKey PromoteDuty{.Kind = Duty::Promote,
+                                          .Subject = "primaries"};
+
   /// Nothing while this instance is not registered.
   using RegistrationLookup = std::function<std::optional<OwnRegistration>()>;
   /// How instances keep one another recent.
@@ -121,7 +130,7 @@
   }
   /// Whether this instance reads the store for others.
   [[nodiscard]] bool isReader() const {
-    return this->Roster.rank() < this->readers();
+    return this->Duties.holds(ReadDuty, this->readers());
   }
   [[nodiscard]] const PrimaryRights &rights() const { return this->Rights; }
 
@@ -144,6 +153,10 @@
   [[nodiscard]] PrimaryContact contact(const ServiceId &Id) const;
   [[nodiscard]] PrimarySighting sighting(const ReignRecord &Record) const;
   [[nodiscard]] std::size_t readers() const;
+  [[nodiscard]] bool isSilent(const InstanceId &Id) const;
+  /// How many instances come before this one to replace primaries.
+  [[nodiscard]] std::size_t promoterRank() const;
+  [[nodiscard]] const RosterEntry *readerToAsk(std::size_t Turn) const;
   Awaitable<void> askPeers();
   [[nodiscard]] OutsideView outside(TimePoint Now);
   void lookOutside(TimePoint Now);
@@ -178,6 +191,7 @@
   ReignKeeperOptions Options;
   StoreClient &Store;
   const InstanceRoster &Roster;
+  RosterDuties Duties;
   StatementDispatcher &Dispatcher;
   RegistrationLookup Registration;
   VersionHooks Versions;
--- a/failover/PrimaryWatch.h
+++ b/failover/PrimaryWatch.h
@@ -21,8 +21,9 @@
   /// there. A member that restarts at once is not replaced.
   Duration RefusalLimit = std::chrono::milliseconds(250);
   /// Further wait for each rank among the instances, so that they seldom
-  /// compete.
-  Duration RankDelay = std::chrono::milliseconds(250);
+  /// compete: consulting the others takes 80 ms at most, and the record's
+  /// closing reaches them within some ten.
+  Duration RankDelay = std::chrono::milliseconds(150);
   /// A longer gap between two looks means that this process stood still; what
   /// it missed proves nothing.
   Duration OwnPauseLimit = std::chrono::milliseconds(350);
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -368,7 +368,7 @@
     co_return;
   writeDecision(DecisionLine("instances_known")
                     .field("count", this->Roster.count())
-                    .field("rank", this->Roster.rank()));
+                    .field("reader", this->Reigns.isReader() ? 1 : 0));
   this->Dispatcher.onRegistry({}, this->Routes, this->Roster.count());
 }
 
--- a/membership/InstanceRoster.cpp
+++ b/membership/InstanceRoster.cpp
@@ -52,11 +52,33 @@
   return Decoded;
 }
 
+void InstanceRoster::noteArrivals(TimePoint AskedAt) {
+  std::map<InstanceId, Arrival> Present;
+  for (const RosterEntry &Each : this->Entries) {
+    auto Known = this->Arrivals.find(Each.Id);
+    bool Same =
+        Known != this->Arrivals.end() && Known->second.Stored == Each.Stored;
+    // What was there at first may be of any age.
+    TimePoint SeenAt = this->Listed ? AskedAt : TimePoint::min();
+    Present[Each.Id] =
+        Same ? Known->second : Arrival{.Stored = Each.Stored, .SeenAt = SeenAt};
+  }
+  this->Arrivals = std::move(Present);
+  this->Listed = true;
+}
+
+bool InstanceRoster::isNew(const InstanceId &Id, Duration Limit,
+                           TimePoint Now) const {
+  auto Known = this->Arrivals.find(Id);
+  return Known != this->Arrivals.end() && Known->second.SeenAt > Now - Limit;
+}
+
 bool InstanceRoster::onListing(std::vector<RosterEntry> Listed,
                                TimePoint AskedAt) {
   std::sort(Listed.begin(), Listed.end());
   bool Changed = Listed != this->Entries;
   this->Entries = std::move(Listed);
+  this->noteArrivals(AskedAt);
   if (Changed) {
     this->ReadTimes.clear();
     this->AskedAt.reset();
@@ -86,13 +108,6 @@
   return Found;
 }
 
-std::size_t InstanceRoster::rank() const {
-  std::size_t Place = 0;
-  for (const RosterEntry &Entry : this->Entries)
-    Place += Entry.Id < this->Self ? 1 : 0;
-  return this->listsSelf() ? Place : this->Entries.size();
-}
-
 std::size_t InstanceRoster::count() const {
   return std::max<std::size_t>(1, this->Entries.size() +
                                       (this->listsSelf() ? 0 : 1));
--- a/membership/InstanceRoster.h
+++ b/membership/InstanceRoster.h
@@ -8,6 +8,7 @@
 #include "core/Time.h"
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,8 +51,11 @@
   [[nodiscard]] std::optional<TimePoint> askedAtBefore(TimePoint Latest) const;
   /// Tells two lists apart.
   [[nodiscard]] std::uint64_t digest() const { return this->Digest; }
-  /// The own place among the instances, from 0; behind all if not listed.
-  [[nodiscard]] std::size_t rank() const;
+  [[nodiscard]] const InstanceId &self() const { return this->Self; }
+  /// Whether an instance registered less than Limit ago, as far as this one
+  /// has seen it come; who was there at the first listing counts as old.
+  [[nodiscard]] bool isNew(const InstanceId &Id, Duration Limit,
+                           TimePoint Now) const;
   /// How many instances there are, the own one included.
   [[nodiscard]] std::size_t count() const;
   /// Whether an instance of another zone is listed.
@@ -66,8 +70,18 @@
   }
 
 private:
+  /// When a registration was first seen.
+  struct Arrival {
+    Revision Stored;
+    TimePoint SeenAt;
+  };
+  void noteArrivals(TimePoint AskedAt);
+
   InstanceId Self;
   std::vector<RosterEntry> Entries;
+  /// Of instances that came after the first listing.
+  std::map<InstanceId, Arrival> Arrivals;
+  bool Listed = false;
   std::optional<TimePoint> AskedAt;
   /// Times at which the present list was read, oldest first.
   std::deque<TimePoint> ReadTimes;
--- /dev/null
+++ b/tests/failover/PrimaryWatchTest.cpp
@@ -0,0 +1,74 @@
+#include "failover/PrimaryWatch.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(int Milliseconds) { return TimePoint(milliseconds(Milliseconds)); }
+
+/// Looks each 50 ms from FromMs; returns when the watch first acts.
+std::optional<int> actsAt(PrimaryWatch &Watch, const PrimarySighting &Seen,
+                          std::size_t Rank, int FromMs, int ToMs) {
+  for (int Now = FromMs; Now <= ToMs; Now += 50)
+    if (Watch.look(Seen, Rank, at(Now)) != ReplaceReason::None)
+      return Now;
+  return std::nullopt;
+}
+
+TEST(PrimaryWatch, SilenceIsALossAndRefusedConnectionsSooner) {
+  PrimarySighting Silent{.SilentSince = at(1000)};
+  PrimaryWatch First;
+  actsAt(First, {}, 0, 500, 1000);
+  EXPECT_EQ(actsAt(First, Silent, 0, 1050, 3000), 1500);
+  Silent.Refusing = true;
+  PrimaryWatch Second;
+  actsAt(Second, {}, 0, 500, 1000);
+  EXPECT_EQ(actsAt(Second, Silent, 0, 1050, 3000), 1250);
+}
+
+TEST(PrimaryWatch, LaterRanksGiveTheFirstTime) {
+  PrimarySighting Silent{.SilentSince = at(1000)};
+  PrimaryWatch Watch;
+  actsAt(Watch, {}, 2, 500, 1000);
+  // The silence limit and two rank delays.
+  EXPECT_EQ(actsAt(Watch, Silent, 2, 1050, 3000), 1800);
+}
+
+TEST(PrimaryWatch, OwnStandstillProvesNothing) {
+  PrimarySighting Silent{.SilentSince = at(1000)};
+  PrimaryWatch Watch;
+  actsAt(Watch, {}, 0, 500, 1000);
+  // The process stood still for four seconds.
+  EXPECT_EQ(actsAt(Watch, Silent, 0, 5000, 8000), 5500);
+}
+
+TEST(PrimaryWatch, AnAnswerEndsTheSuspicion) {
+  PrimaryWatch Watch;
+  PrimarySighting Silent{.SilentSince = at(1000)};
+  EXPECT_FALSE(actsAt(Watch, Silent, 0, 1000, 1400));
+  EXPECT_FALSE(actsAt(Watch, {}, 0, 1450, 1600));
+  Silent.SilentSince = at(1600);
+  EXPECT_FALSE(actsAt(Watch, Silent, 0, 1650, 2050));
+}
+
+TEST(PrimaryWatch, ALeavingPrimaryIsHandedOverAtOnce) {
+  PrimaryWatch Watch;
+  EXPECT_EQ(Watch.look({.Draining = true}, 0, at(1000)),
+            ReplaceReason::Leaving);
+  EXPECT_EQ(Watch.look({.Listed = false}, 0, at(1050)), ReplaceReason::Lost);
+}
+
+TEST(PrimaryWatch, TheFurthestLogSucceeds) {
+  EXPECT_FALSE(chooseSuccessor({}));
+  std::vector<SuccessorCandidate> All{
+      {.Id = {"a"}, .Received = {.WrittenIn = {1}, .Position = {9}}},
+      {.Id = {"b"}, .Received = {.WrittenIn = {2}, .Position = {3}}},
+      {.Id = {"c"}, .Received = {.WrittenIn = {1}, .Position = {10}}}};
+  EXPECT_EQ(chooseSuccessor(All)->Value, "b");
+}
+
+} // namespace
+} // namespace turmericpitch
