Hand over where all replicas are far behind; let rights last through a closing

A member's status says how long it needs to catch up (31,448 ms). A promoted replica leads with all that it received. Also: promoters that had not read the store lately took an old step for a new one and waited 2 s; those in doubt whether a primary was lost lost its reads too. Ruled out: waiting longer at replicas; asking less often (an answer costs them nothing). Change: BacklogWatch decides by the members' reports; a planned change asks the old primary what must not be lost, and has it step down; a right from a read before the closing lasts to its end; the former primary serves reads of a stated age; samples outlive a reign; readers promote, and tell when the last step was seen; after three ranks the delay is 20 ms each; a commit whose primary is on its way out is not sent, so that its caller may repeat it.

--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -162,12 +162,19 @@
   this->noteAsked();
 }
 
-void MemberPort::askStatus(
-    std::function<void(std::optional<MemberReport>, TimePoint)> OnReport) {
+void MemberPort::askStatus(ReportHandler OnReport) {
+  this->question(encodeStatusQuestion(), std::move(OnReport));
+}
+
+void MemberPort::stepDown(const Term &Newest, ReportHandler OnReport) {
+  this->question(encodeStepDown(Newest), std::move(OnReport));
+}
+
+void MemberPort::question(const std::string &Bytes, ReportHandler OnReport) {
   if (this->AskingStatus)
     return OnReport(std::nullopt, TimePoint{});
   this->AskingStatus = true;
-  auto Ask = [Self = this->shared_from_this(),
+  auto Ask = [Self = this->shared_from_this(), Bytes,
               OnReport](const std::shared_ptr<MemberLink> &Link) {
     ++Self->Questions;
     Self->noteAsked();
@@ -178,25 +185,24 @@
       if (!Failure)
         Link->close();
     });
-    Link->run(
-        encodeStatusQuestion(), [Self, Link, OnReport, AskedAt,
-                                 GiveUp](const Outcome<StatementReply> &Reply) {
-          --Self->Questions;
-          Self->AskingStatus = false;
-          GiveUp->cancel();
-          Self->giveBack(Link, Self->Clock.now());
-          std::optional<MemberReport> Report;
-          if (Reply) {
-            Self->onAnswered(Self->Clock.now());
-            auto Decoded =
-                keepOutcome([&] { return decodeMemberReport(Reply.value()); });
-            if (Decoded)
-              Report = Decoded.value();
-          } else {
-            Self->onUnanswered(Self->Clock.now());
-          }
-          OnReport(Report, AskedAt);
-        });
+    Link->run(Bytes, [Self, Link, OnReport, AskedAt,
+                      GiveUp](const Outcome<StatementReply> &Reply) {
+      --Self->Questions;
+      Self->AskingStatus = false;
+      GiveUp->cancel();
+      Self->giveBack(Link, Self->Clock.now());
+      std::optional<MemberReport> Report;
+      if (Reply) {
+        Self->onAnswered(Self->Clock.now());
+        auto Decoded =
+            keepOutcome([&] { return decodeMemberReport(Reply.value()); });
+        if (Decoded)
+          Report = Decoded.value();
+      } else {
+        Self->onUnanswered(Self->Clock.now());
+      }
+      OnReport(Report, AskedAt);
+    });
   };
   if (auto Link = this->takeIdle({}))
     return Ask(Link);
@@ -236,6 +242,11 @@
   this->ShortUntil = Now + this->ShortPause;
 }
 
+bool MemberPort::fallsShort(TimePoint Now) const {
+  return this->ShortPause >= this->Options.RepeatedShortPause &&
+         Now - this->ShortUntil < this->Options.ShortMemory;
+}
+
 void MemberPort::onAnswered(TimePoint Now) {
   this->SilentSince.reset();
   if (this->InFlight + this->Questions > 0)
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -22,6 +22,11 @@
   /// this long, twice as long after each further time, up to MostShortPause.
   Duration FirstShortPause = std::chrono::milliseconds(10);
   Duration MostShortPause = std::chrono::milliseconds(320);
+  /// Falls short several times in a row: its pause has doubled to this.
+  Duration RepeatedShortPause = std::chrono::milliseconds(40);
+  /// A replica that was not asked for longer than this is not known to fall
+  /// short.
+  Duration ShortMemory = std::chrono::milliseconds(1500);
   /// Links kept however long they are idle. Few, as a member holds those of
   /// an instance without power for three seconds more, and they count against
   /// its limit when the instance is back.
@@ -94,15 +99,21 @@
   }
   /// Whether the newest attempt to connect was refused.
   [[nodiscard]] bool refusing() const { return this->Refusing; }
+  using ReportHandler =
+      std::function<void(std::optional<MemberReport>, TimePoint AskedAt)>;
   /// Asks the member for its status, on an idle link or a new one, unless
   /// such a question is under way. OnReport runs later, with nothing if no
   /// answer came or the member had no capacity for one.
-  void
-  askStatus(std::function<void(std::optional<MemberReport>, TimePoint AskedAt)>
-                OnReport);
+  void askStatus(ReportHandler OnReport);
+  /// The same, and makes it a replica if it leads an earlier term.
+  void stepDown(const Term &Newest, ReportHandler OnReport);
+  /// Whether the member refused reads several times in a row for lack of
+  /// entries, the last time lately.
+  [[nodiscard]] bool fallsShort(TimePoint Now) const;
   [[nodiscard]] Duration typical() const { return this->Typical; }
 
 private:
+  void question(const std::string &Bytes, ReportHandler OnReport);
   void noteOpening(LinkOpening How);
   void noteAsked();
   void dropIdle();
--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -12,6 +12,7 @@
 namespace turmericpitch {
 
 namespace asio = boost::asio;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -35,8 +36,10 @@
   std::optional<TermPosition> Acknowledged;
   /// Members that refused the order.
   std::set<UpstreamId> Refused;
-  /// The old primary leads and answers again.
-  bool OldIsBack = false;
+  /// The old primary goes on to lead.
+  bool KeepsOld = false;
+  /// The term of the new primary.
+  Term Newest;
 };
 
 ReignKeeper::ReignKeeper(Executor On, ReignKeeperOptions Options,
@@ -54,15 +57,34 @@
   return {
       .MayGrant = [this](const ServiceId &Id) { return this->mayGrant(Id); },
       .Contact = [this](const ServiceId &Id) { return this->contact(Id); },
-      .Versions = [this] { return this->Versions.Own(); },
+      .Versions = [this] { return this->ownVersions(); },
       .OnVersions =
           [this](const KnownVersions &Other, TimePoint AskedAt) {
-            this->Versions.OnOther(Other, AskedAt);
+            this->onOtherVersions(Other, AskedAt);
           },
       .OnChanged = [this] { this->Dispatcher.onRightsChanged(); },
       .OnComplete = [this](const RightRound &Round) { this->extendBy(Round); }};
 }
 
+KnownVersions ReignKeeper::ownVersions() const {
+  KnownVersions Own = this->Versions.Own();
+  Own.PromoterStep = this->PromoterRevision.Value;
+  Own.PromoterStepAge =
+      std::max(Duration{0}, this->Clock.now() - this->PromoterSeenAt);
+  return Own;
+}
+
+void ReignKeeper::onOtherVersions(const KnownVersions &Other,
+                                  TimePoint AskedAt) {
+  if (Other.PromoterStep > this->PromoterRevision.Value) {
+    this->PromoterRevision = {Other.PromoterStep};
+    this->PromoterSeenAt = this->Clock.now() - Other.PromoterStepAge;
+    // The name comes with the next own read; it wasn't this instance.
+    this->Promoter.clear();
+  }
+  this->Versions.OnOther(Other, AskedAt);
+}
+
 bool ReignKeeper::mayGrant(const ServiceId &Id) const {
   // A process that has not read the store itself may not know what an earlier
   // life of it has ordered.
@@ -172,7 +194,7 @@
   Duration Probation =
       this->Options.Rules.ListingValidity + this->Options.Rules.ListingMargin;
   TimePoint Now = this->Clock.now();
-  return this->Duties.rank(PromoteDuty, [&](const InstanceId &Id) {
+  return this->Duties.rank(ReadDuty, [&](const InstanceId &Id) {
     return this->isSilent(Id) || this->Roster.isNew(Id, Probation, Now);
   });
 }
@@ -200,7 +222,7 @@
   for (const ReignRecord &Record : this->Rights.all()) {
     auto Right = this->Rights.right(Record.Service);
     // A record under change is no sign of a partition.
-    AnyRight = AnyRight || !Right || Right->Until > Now;
+    AnyRight = AnyRight || !Right || Right->Ending || Right->Until > Now;
   }
   if (AnyRight)
     this->RightsLostAt.reset();
@@ -407,7 +429,9 @@
         .Ports.at(Record->Primary)
         ->askStatus([](const auto &, TimePoint) {});
   ReplaceReason Reason = Watch.look(Seen, this->promoterRank(), Now);
-  if (Reason == ReplaceReason::None || Now < this->ConsultAfter[Id])
+  if (Reason == ReplaceReason::None)
+    return this->lookAtBacklog(*Record, Now);
+  if (Now < this->ConsultAfter[Id] || !this->mayBegin(Now))
     return;
   this->UnderWay.insert(Id);
   this->spawn(this->replace(*Record, Reason));
@@ -429,9 +453,9 @@
 
 void ReignKeeper::lookAtUnfinished(const ReignRecord &Record, TimePoint Now) {
   Duration Limit = this->Options.TakeOverAfter +
-                   this->Options.Watch.RankDelay *
-                       static_cast<Duration::rep>(this->promoterRank());
-  if (Now - this->UnfinishedRecords.at(Record.Service).SeenAt < Limit)
+                   rankDelay(this->Options.Watch, this->promoterRank());
+  if (Now - this->UnfinishedRecords.at(Record.Service).SeenAt < Limit ||
+      !this->mayBegin(Now))
     return;
   this->UnderWay.insert(Record.Service);
   this->spawn(this->replace(Record, ReplaceReason::Lost));
@@ -439,8 +463,7 @@
 
 Awaitable<void> ReignKeeper::install(ServiceId Id) {
   co_await this->pause(this->Options.PollInterval +
-                       this->Options.Watch.RankDelay *
-                           static_cast<Duration::rep>(this->promoterRank()));
+                       rankDelay(this->Options.Watch, this->promoterRank()));
   std::vector<std::shared_ptr<MemberPort>> Leading;
   auto Desk = this->Dispatcher.desks().find(Id);
   for (const auto &[Member, Port] : Desk->second.Ports)
@@ -546,7 +569,7 @@
   bool Closed = Wanted && co_await this->close(C);
   bool Led = false;
   TimePoint GiveUpAt = this->Clock.now() + this->Options.SearchLimit;
-  while (Closed && !Led && !C.OldIsBack && this->Clock.now() < GiveUpAt) {
+  while (Closed && !Led && !C.KeepsOld && this->Clock.now() < GiveUpAt) {
     auto Target = co_await this->findSuccessor(C);
     if (!Target)
       break;
@@ -554,10 +577,12 @@
       break;
     Led = co_await this->awaitLead(C);
   }
-  if (Led || C.OldIsBack) {
+  if (Led || C.KeepsOld) {
     ReignRecord Next{.Service = C.Record.Service,
                      .Reign = C.Record.Reign + (Led ? 1 : 0),
                      .Primary = Led ? C.Record.Target : C.Record.Primary};
+    if (Led)
+      this->stepDownFormer(C);
     co_await this->write(Next, C.Record.Stored);
   }
   this->UnderWay.erase(From.Service);
@@ -599,20 +624,18 @@
 }
 
 Awaitable<std::vector<ReignKeeper::MemberAnswered>>
-ReignKeeper::askMembers(Change &C) {
+ReignKeeper::askMembers(ServiceId Service, std::set<UpstreamId> Skipped,
+                        std::set<UpstreamId> NotAwaited) {
   auto Answers = std::make_shared<std::vector<MemberAnswered>>();
   auto Missing = std::make_shared<std::size_t>(0);
-  for (const auto &[Id, Port] :
-       this->Dispatcher.desks().at(C.Record.Service).Ports) {
-    bool Old = Id == C.Record.Primary;
-    if (C.Refused.contains(Id) || Port->member().Draining ||
-        (Old && (C.WasOrdered || C.Reason == ReplaceReason::Leaving)))
+  for (const auto &[Id, Port] : this->Dispatcher.desks().at(Service).Ports) {
+    if (Skipped.contains(Id))
       continue;
-    // The old primary is not waited for.
-    *Missing += Old ? 0 : 1;
-    Port->askStatus([Answers, Missing, Old, Id = Id](
+    bool Awaited = !NotAwaited.contains(Id);
+    *Missing += Awaited ? 1 : 0;
+    Port->askStatus([Answers, Missing, Awaited, Id = Id](
                         const std::optional<MemberReport> &Report, TimePoint) {
-      *Missing -= Old ? 0 : 1;
+      *Missing -= Awaited ? 1 : 0;
       if (Report)
         Answers->push_back({.Id = Id, .Report = *Report});
     });
@@ -623,21 +646,45 @@
   co_return *Answers;
 }
 
+Awaitable<std::vector<ReignKeeper::MemberAnswered>>
+ReignKeeper::askCandidates(Change &C) {
+  std::set<UpstreamId> Skipped = C.Refused;
+  std::set<UpstreamId> NotAwaited;
+  for (const auto &[Id, Port] :
+       this->Dispatcher.desks().at(C.Record.Service).Ports)
+    if (Port->member().Draining && Id != C.Record.Primary)
+      Skipped.insert(Id);
+  if (C.WasOrdered)
+    Skipped.insert(C.Record.Primary);
+  // A lost primary is not waited for.
+  if (!isPlanned(C.Reason))
+    NotAwaited.insert(C.Record.Primary);
+  co_return co_await this->askMembers(C.Record.Service, Skipped, NotAwaited);
+}
+
 Awaitable<std::optional<UpstreamId>> ReignKeeper::findSuccessor(Change &C) {
   TimePoint GiveUpAt = this->Clock.now() + this->Options.SearchLimit;
   TimePoint CatchUpUntil = this->Clock.now() + this->Options.CatchUpLimit;
   while (this->Clock.now() < GiveUpAt) {
-    auto Answers = co_await this->askMembers(C);
+    auto Answers = co_await this->askCandidates(C);
     std::vector<SuccessorCandidate> Candidates;
     for (const MemberAnswered &Each : Answers) {
       bool Old = Each.Id == C.Record.Primary;
+      if (Old && isPlanned(C.Reason)) {
+        // What it acknowledged last must not be lost.
+        C.Acknowledged =
+            std::max(C.Acknowledged, std::optional(Each.Report.Received));
+        continue;
+      }
       if (Old && Each.Report.Primary) {
-        C.OldIsBack = true;
+        C.KeepsOld = true;
         co_return std::nullopt;
       }
       if (C.WasOrdered && Each.Id == C.Record.Target)
         co_return Each.Id;
-      Candidates.push_back({.Id = Each.Id, .Received = Each.Report.Received});
+      Candidates.push_back({.Id = Each.Id,
+                            .Received = Each.Report.Received,
+                            .CatchUp = Each.Report.CatchUp});
       writeDecision(DecisionLine("successor_candidate")
                         .field("service", C.Record.Service.Value)
                         .field("member", Each.Id.Value)
@@ -650,13 +697,75 @@
     bool Enough = false;
     for (const SuccessorCandidate &Each : Candidates)
       Enough = Enough || !C.Acknowledged || Each.Received >= *C.Acknowledged;
-    if (Best && (Enough || this->Clock.now() >= CatchUpUntil))
+    if (Best && Enough)
+      co_return Best;
+    bool Late = this->Clock.now() >= CatchUpUntil;
+    if (Late && C.Reason == ReplaceReason::Backlog) {
+      C.KeepsOld = true;
+      co_return std::nullopt;
+    }
+    if (Best && Late)
       co_return Best;
     co_await this->pause(this->Options.PollInterval);
   }
   co_return std::nullopt;
 }
 
+void ReignKeeper::lookAtBacklog(const ReignRecord &Record, TimePoint Now) {
+  BacklogWatch &Watch =
+      this->Backlogs.try_emplace(Record.Service, this->Options.Backlog)
+          .first->second;
+  bool Short = this->Dispatcher.readsFallShort(Record.Service, Record.Primary);
+  if (!Watch.wantsReports(Short, this->promoterRank(), Now) ||
+      Now < this->ConsultAfter[Record.Service] || !this->mayBegin(Now))
+    return;
+  this->UnderWay.insert(Record.Service);
+  this->spawn(this->relieve(Record));
+}
+
+Awaitable<void> ReignKeeper::relieve(ReignRecord Record) {
+  auto Answers = co_await this->askMembers(Record.Service, {}, {});
+  const auto &Ports = this->Dispatcher.desks().at(Record.Service).Ports;
+  std::vector<MemberBacklog> Reports;
+  for (const MemberAnswered &Each : Answers) {
+    auto Port = Ports.find(Each.Id);
+    if (Port == Ports.end() || Port->second->member().Draining)
+      continue;
+    Reports.push_back({.Id = Each.Id,
+                       .Primary = Each.Id == Record.Primary,
+                       .Received = Each.Report.Received,
+                       .CatchUp = Each.Report.CatchUp,
+                       .Busy = Each.Report.Busy,
+                       .Slots = Port->second->member().Slots});
+    writeDecision(
+        DecisionLine("replica_backlog")
+            .field("service", Record.Service.Value)
+            .field("member", Each.Id.Value)
+            .field("received", positionText(Each.Report.Received))
+            .field("catch_up_ms", Each.Report.CatchUp / milliseconds(1))
+            .field("busy", Each.Report.Busy));
+  }
+  if (this->Backlogs.at(Record.Service).shouldHandOver(Reports))
+    co_return co_await this->replace(Record, ReplaceReason::Backlog);
+  this->UnderWay.erase(Record.Service);
+}
+
+void ReignKeeper::stepDownFormer(const Change &C) {
+  const auto &Ports = this->Dispatcher.desks().at(C.Record.Service).Ports;
+  auto Former = Ports.find(C.Record.Primary);
+  if (!isPlanned(C.Reason) || Former == Ports.end())
+    return;
+  Former->second->stepDown(
+      C.Newest, [Id = C.Record.Primary](
+                    const std::optional<MemberReport> &Report, TimePoint) {
+        writeDecision(DecisionLine("step_down")
+                          .field("member", Id.Value)
+                          .field("outcome", !Report           ? "unanswered"
+                                            : Report->Primary ? "still_leads"
+                                                              : "follows"));
+      });
+}
+
 Awaitable<bool> ReignKeeper::order(Change &C, UpstreamId Target) {
   ReignRecord Next = C.Record;
   Next.Phase = ReignPhase::Ordered;
@@ -705,8 +814,10 @@
     if (Port == Ports.end())
       break;
     auto Report = co_await this->askStatus(Port->second);
-    if (Report && Report->Primary)
+    if (Report && Report->Primary) {
+      C.Newest = Report->Newest;
       co_return true;
+    }
     co_await this->pause(this->Options.PollInterval);
   }
   co_return false;
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -5,6 +5,7 @@
 #include "drivers/RightPeers.h"
 #include "drivers/StatementDispatcher.h"
 #include "drivers/StoreClient.h"
+#include "failover/BacklogWatch.h"
 #include "failover/PrimaryWatch.h"
 #include "failover/PromotionRules.h"
 #include "membership/IsolationDetector.h"
@@ -22,6 +23,7 @@
   std::uint64_t Seed = 1;
   PromotionRulesOptions Rules = {};
   PrimaryWatchOptions Watch = {};
+  BacklogWatchOptions Backlog = {};
   /// How often rights are renewed; less than a third of their validity, so
   /// that one lost answer costs nothing.
   Duration RenewInterval = std::chrono::milliseconds(250);
@@ -87,13 +89,11 @@
 /// Belongs to one thread's executor.
 class ReignKeeper {
 public:
-  /// Reading the store for others.
+  /// Reading the store for others, and replacing the primaries of all
+  /// services: a second promoter has to wait for PromoterDistance, and who
+  /// reads knows best when the last step was made.
   inline static const DutyKey ReadDuty{.Kind = Duty::Watch,
                                        .Subject = "records"};
-  /// One instance replaces the primaries of all services, as another one has
-  /// to wait for PromoterDistance.
-  inline static const DutyKey PromoteDuty{.Kind = Duty::Promote,
-                                          .Subject = "primaries"};
 
   /// Nothing while this instance is not registered.
   using RegistrationLookup = std::function<std::optional<OwnRegistration>()>;
@@ -148,6 +148,8 @@
   };
 
   RightPeers::Hooks peerHooks();
+  [[nodiscard]] KnownVersions ownVersions() const;
+  void onOtherVersions(const KnownVersions &Other, TimePoint AskedAt);
   void extendBy(const RightRound &Round);
   [[nodiscard]] bool mayGrant(const ServiceId &Id) const;
   [[nodiscard]] PrimaryContact contact(const ServiceId &Id) const;
@@ -168,6 +170,8 @@
   Awaitable<bool> readRecords();
   Awaitable<void> look();
   void lookAt(const ServiceId &Id, TimePoint Now);
+  void lookAtBacklog(const ReignRecord &Record, TimePoint Now);
+  Awaitable<void> relieve(ReignRecord Record);
   void noteUnfinished(const ServiceId &Id, TimePoint Now);
   void lookAtUnfinished(const ReignRecord &Record, TimePoint Now);
   [[nodiscard]] bool mayBegin(TimePoint Now) const;
@@ -175,7 +179,13 @@
   Awaitable<void> replace(ReignRecord From, ReplaceReason Reason);
   Awaitable<bool> isStillWanted(ReignRecord From, ReplaceReason Reason);
   Awaitable<bool> close(Change &C);
-  Awaitable<std::vector<MemberAnswered>> askMembers(Change &C);
+  /// Asks the members of a service; answers when all but those in Skipped
+  /// and Awaited have answered, or at the limit.
+  Awaitable<std::vector<MemberAnswered>>
+  askMembers(ServiceId Service, std::set<UpstreamId> Skipped,
+             std::set<UpstreamId> NotAwaited);
+  Awaitable<std::vector<MemberAnswered>> askCandidates(Change &C);
+  void stepDownFormer(const Change &C);
   Awaitable<std::optional<UpstreamId>> findSuccessor(Change &C);
   Awaitable<bool> order(Change &C, UpstreamId Target);
   Awaitable<bool> awaitLead(Change &C);
@@ -206,6 +216,7 @@
   std::optional<TimePoint> RightsLostAt;
   std::map<ServiceId, TimePoint> ConsultAfter;
   std::map<ServiceId, PrimaryWatch> Watches;
+  std::map<ServiceId, BacklogWatch> Backlogs;
   std::map<ServiceId, Unfinished> UnfinishedRecords;
   std::set<ServiceId> UnderWay;
   Revision PromoterRevision;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -84,6 +84,30 @@
   return Sum;
 }
 
+bool StatementDispatcher::readsFallShort(const ServiceId &Service,
+                                         const UpstreamId &Primary) const {
+  auto Desk = this->Desks.find(Service);
+  if (Desk == this->Desks.end())
+    return false;
+  TimePoint Now = this->Clock.now();
+  bool Any = false;
+  for (const auto &[Id, Port] : Desk->second.Ports) {
+    if (Id == Primary || Port->candidate(this->Options.Zone, Now).Excluded)
+      continue;
+    if (!Port->fallsShort(Now))
+      return false;
+    Any = true;
+  }
+  return Any;
+}
+
+bool StatementDispatcher::isBeingReplaced(const SharedCall &Call) const {
+  const ServiceId &Service = Call->Session->Route.Service;
+  auto Right = this->RightOf(Service);
+  return Right && !this->holdsRight(Service, Call->Reign) &&
+         (Right->Ending || Right->Reign != Call->Reign);
+}
+
 bool StatementDispatcher::holdsRight(const ServiceId &Service,
                                      std::uint64_t Reign) const {
   auto Right = this->RightOf(Service);
@@ -204,15 +228,22 @@
 bool StatementDispatcher::tryPlace(ServiceDesk &Desk, const SharedCall &Call) {
   TimePoint Now = this->Clock.now();
   auto Right = this->RightOf(Desk.Id);
-  if (Right && Right->Until <= Now)
+  // Without the right, the primary's log still holds what was seen in it.
+  std::optional<UpstreamId> Former;
+  if (Right && Right->Until <= Now) {
+    if (Desk.Freshness.reign() == Right->Reign)
+      Former = Right->Primary;
+    Right.reset();
+  }
+  if (Now < Desk.NotLeadingUntil)
     Right.reset();
   std::vector<MemberCandidate> Candidates;
   std::vector<std::shared_ptr<MemberPort>> Ports;
   for (const auto &[Id, Port] : Desk.Ports) {
     MemberCandidate Each = Port->candidate(this->Options.Zone, Now);
     Each.UsablePrimary = Right && Right->Primary == Id;
-    Each.Primary =
-        Each.UsablePrimary || Port->member().Role == MemberRole::Primary;
+    Each.Primary = Each.UsablePrimary ||
+                   (Port->member().Role == MemberRole::Primary && Former != Id);
     Each.Excluded =
         Each.Excluded || std::find(Call->Excluded.begin(), Call->Excluded.end(),
                                    Id) != Call->Excluded.end();
@@ -344,6 +375,12 @@
     this->releaseLink(Call);
     return this->retry(Call, false, "right_ran_out");
   }
+  if (Running && Call->LastingEffect && this->isBeingReplaced(Call)) {
+    this->endTransaction(Call, false);
+    return this->refuse(
+        Call, ReplyError::Aborted, "the primary is being replaced",
+        this->ReturnOf(Service).value_or(this->Options.ComeBackAfter));
+  }
   std::optional<std::string> PreparedAs;
   if (Call->Asked.Kind == StatementKind::Execute)
     PreparedAs = this->Names.nameOf(*Session.State.prepared(Call->Asked.Name));
@@ -517,6 +554,9 @@
     Call->Port->onShort(*Call->AtLeast, Now);
   if (Failure.Code == ReplyError::Busy)
     Call->Port->onBusy(Now);
+  if (Failure.Code == ReplyError::ReadOnly && Call->Reign != 0)
+    this->Desks[Session.Route.Service].NotLeadingUntil =
+        Now + this->Options.NotLeadingPause;
   if (!Running) {
     this->releaseLink(Call);
     // A member that answers at once that it can't is no attempt: the deadline
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -34,6 +34,9 @@
   /// After a member refused a transaction's statement for lack of capacity;
   /// about the work of one short statement.
   Duration FirstBusyPause = std::chrono::milliseconds(15);
+  /// After a primary answered that it leads no more, it is tried again after
+  /// this; the record of its successor comes within about a second.
+  Duration NotLeadingPause = std::chrono::milliseconds(50);
   /// A primary that was not heard for this long is asked for its position,
   /// so that replicas can go on serving reads of a stated age.
   Duration SampleLimit = std::chrono::milliseconds(500);
@@ -46,6 +49,8 @@
   WaitQueue<SharedCall> Queue;
   FreshnessTracker Freshness;
   TimePoint SampleAskedAt;
+  /// The primary answered that it leads no more.
+  TimePoint NotLeadingUntil;
   RetryBudget Hedges;
   /// How long statements of each route usually take, by the route's name.
   std::map<std::string, Duration> Work;
@@ -94,6 +99,10 @@
     return this->Desks;
   }
   [[nodiscard]] std::uint64_t linksOpened() const;
+  /// Whether every replica of the service that could be asked refuses reads
+  /// for lack of entries.
+  [[nodiscard]] bool readsFallShort(const ServiceId &Service,
+                                    const UpstreamId &Primary) const;
 
 private:
   struct Unconfirmed {
@@ -135,6 +144,9 @@
   void endTransaction(const SharedCall &Call, bool Failed);
   [[nodiscard]] bool holdsRight(const ServiceId &Service,
                                 std::uint64_t Reign) const;
+  /// Whether the primary of the call's transaction is known to be on its way
+  /// out.
+  [[nodiscard]] bool isBeingReplaced(const SharedCall &Call) const;
   void noteReply(const SharedCall &Call, const StatementReply &Reply);
   void askForSample(ServiceDesk &Desk, TimePoint Now);
   void wakeSoon();
--- a/failover/PrimaryRight.h
+++ b/failover/PrimaryRight.h
@@ -16,6 +16,8 @@
   UpstreamId Primary;
   /// By the clock that also counts a suspend.
   TimePoint Until;
+  /// A change of primary is under way: the right is not renewed.
+  bool Ending = false;
 
   auto operator<=>(const PrimaryRight &) const = default;
 };
--- a/failover/PrimaryRights.cpp
+++ b/failover/PrimaryRights.cpp
@@ -20,7 +20,7 @@
 
 bool PrimaryRights::onRecord(const ReignRecord &Record, TimePoint AskedAt) {
   auto [Found, Added] =
-      this->Records.try_emplace(Record.Service, Known{Record, AskedAt, {}});
+      this->Records.try_emplace(Record.Service, Known{Record, AskedAt, {}, {}});
   Known &Present = Found->second;
   if (Added)
     return true;
@@ -32,12 +32,24 @@
     Present.AskedAt = std::max(Present.AskedAt, AskedAt);
     return false;
   }
+  // Whoever closed the record waits until the rights from earlier reads have
+  // ended, so that work under way may end in time.
+  bool SameReign = Present.Record.Reign == Record.Reign;
+  if (SameReign && Present.Record.Phase == ReignPhase::Open)
+    Present.ClosingUntil = this->openUntil(Present);
+  else if (!SameReign)
+    Present.ClosingUntil = {};
   Present.AskedAt = AskedAt;
   Present.Record = Record;
   Present.ExtendedUntil = {};
   return true;
 }
 
+TimePoint PrimaryRights::openUntil(const Known &Present) const {
+  return std::max(Present.AskedAt + this->Options.Validity,
+                  Present.ExtendedUntil);
+}
+
 void PrimaryRights::extend(const ServiceId &Id, std::uint64_t Reign,
                            TimePoint Until) {
   auto Found = this->Records.find(Id);
@@ -48,15 +60,17 @@
 
 std::optional<PrimaryRight> PrimaryRights::right(const ServiceId &Id) const {
   auto Found = this->Records.find(Id);
-  if (Found == this->Records.end() ||
-      Found->second.Record.Phase != ReignPhase::Open)
+  if (Found == this->Records.end())
     return std::nullopt;
   const Known &Present = Found->second;
+  bool Open = Present.Record.Phase == ReignPhase::Open;
+  if (!Open && Present.ClosingUntil == TimePoint{})
+    return std::nullopt;
   return PrimaryRight{.Reign = Present.Record.Reign,
                       .Primary = Present.Record.Primary,
-                      .Until =
-                          std::max(Present.AskedAt + this->Options.Validity,
-                                   Present.ExtendedUntil)};
+                      .Until = Open ? this->openUntil(Present)
+                                    : Present.ClosingUntil,
+                      .Ending = !Open};
 }
 
 const ReignRecord *PrimaryRights::record(const ServiceId &Id) const {
--- a/failover/PrimaryRights.h
+++ b/failover/PrimaryRights.h
@@ -47,8 +47,9 @@
   /// Until.
   void extend(const ServiceId &Id, std::uint64_t Reign, TimePoint Until);
 
-  /// The right to a service's primary; nothing unless its record is open.
-  /// It may have run out.
+  /// The right to a service's primary. It may have run out. While a change of
+  /// primary is under way it is the one that a read before the change gave;
+  /// nothing if there was none.
   [[nodiscard]] std::optional<PrimaryRight> right(const ServiceId &Id) const;
   /// The newest record of a service, or nullptr; valid until the next
   /// change.
@@ -68,8 +69,13 @@
     TimePoint AskedAt;
     /// By the word of the other instances.
     TimePoint ExtendedUntil;
+    /// End of the right that stood when the record was seen closed; not set
+    /// if there was none.
+    TimePoint ClosingUntil;
   };
 
+  [[nodiscard]] TimePoint openUntil(const Known &Present) const;
+
   PrimaryRightsOptions Options;
   std::map<ServiceId, Known> Records;
 };
--- a/failover/PrimaryWatch.cpp
+++ b/failover/PrimaryWatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <tuple>
 
 namespace turmericpitch {
 
@@ -11,12 +12,24 @@
     return "lost";
   case ReplaceReason::Leaving:
     return "leaving";
+  case ReplaceReason::Backlog:
+    return "backlog";
   case ReplaceReason::None:
     break;
   }
   return "none";
 }
 
+bool isPlanned(ReplaceReason Reason) {
+  return Reason == ReplaceReason::Leaving || Reason == ReplaceReason::Backlog;
+}
+
+Duration rankDelay(const PrimaryWatchOptions &Options, std::size_t Rank) {
+  std::size_t Slow = std::min(Rank, Options.SlowRanks);
+  return Options.RankDelay * static_cast<Duration::rep>(Slow) +
+         Options.LaterRankDelay * static_cast<Duration::rep>(Rank - Slow);
+}
+
 bool PrimaryWatch::wantsProbe(const PrimarySighting &Seen,
                               TimePoint Now) const {
   return Seen.SilentSince && Now - *Seen.SilentSince > this->Options.ProbeAfter;
@@ -50,15 +63,16 @@
   }
   if (!this->ReasonSince)
     this->ReasonSince = Now;
-  Duration Delay = this->Options.RankDelay * static_cast<Duration::rep>(Rank);
-  return Now - *this->ReasonSince >= Delay ? Reason : ReplaceReason::None;
+  bool MyTurn = Now - *this->ReasonSince >= rankDelay(this->Options, Rank);
+  return MyTurn ? Reason : ReplaceReason::None;
 }
 
 std::optional<UpstreamId>
 chooseSuccessor(std::span<const SuccessorCandidate> Candidates) {
   const SuccessorCandidate *Best = nullptr;
   for (const SuccessorCandidate &Each : Candidates)
-    if (!Best || Each.Received > Best->Received)
+    if (!Best || std::tie(Each.Received, Each.CatchUp) >
+                     std::tie(Best->Received, Best->CatchUp))
       Best = &Each;
   if (!Best)
     return std::nullopt;
--- a/failover/PrimaryWatch.h
+++ b/failover/PrimaryWatch.h
@@ -24,6 +24,10 @@
   /// compete: consulting the others takes 80 ms at most, and the record's
   /// closing reaches them within some ten.
   Duration RankDelay = std::chrono::milliseconds(150);
+  /// Only so many ranks are waited for so long; of those after them many may
+  /// act at a time when several can't, and the loser of two loses one write.
+  std::size_t SlowRanks = 3;
+  Duration LaterRankDelay = std::chrono::milliseconds(20);
   /// A longer gap between two looks means that this process stood still; what
   /// it missed proves nothing.
   Duration OwnPauseLimit = std::chrono::milliseconds(350);
@@ -41,7 +45,20 @@
   bool Refusing = false;
 };
 
-enum class ReplaceReason : std::uint8_t { None, Lost, Leaving };
+/// How much later than the first an instance of this rank acts. Pure.
+Duration rankDelay(const PrimaryWatchOptions &Options, std::size_t Rank);
+
+enum class ReplaceReason : std::uint8_t {
+  None,
+  Lost,
+  Leaving,
+  /// All replicas are too far behind to serve reads, and it is overloaded.
+  Backlog,
+};
+
+/// Whether the primary still runs, so that nothing need be lost.
+/// Thread-safe.
+bool isPlanned(ReplaceReason Reason);
 
 /// The reason's stable name in the decision log. Thread-safe.
 std::string_view toString(ReplaceReason Reason);
@@ -75,9 +92,12 @@
   UpstreamId Id;
   /// The last entry in its log.
   TermPosition Received;
+  /// Until it has applied what it received.
+  Duration CatchUp{0};
 };
 
-/// The candidate with the furthest log, or nothing. Pure; thread-safe.
+/// The candidate with the furthest log, among equals the one with the longest
+/// backlog, as a promotion ends it; or nothing. Pure; thread-safe.
 std::optional<UpstreamId>
 chooseSuccessor(std::span<const SuccessorCandidate> Candidates);
 
--- a/failover/RightMessages.cpp
+++ b/failover/RightMessages.cpp
@@ -12,7 +12,7 @@
 using Reader = cereal::PortableBinaryInputArchive;
 
 /// Raised with each change of the form; others are dropped.
-constexpr std::uint8_t FormVersion = 1;
+constexpr std::uint8_t FormVersion = 2;
 
 enum class Kind : std::uint8_t { Question = 1, Answer = 2, News = 3 };
 
@@ -45,12 +45,23 @@
   return readEnumeration(From, Flag::On) == Flag::On;
 }
 
+void writeAge(Writer &To, Duration Age) {
+  To(static_cast<std::uint64_t>(Age.count()));
+}
+
+Duration readAge(Reader &From) {
+  std::uint64_t Age = 0;
+  From(Age);
+  return Duration(static_cast<Duration::rep>(Age & INT64_MAX));
+}
+
 void writeService(Writer &To, const ToldService &Each) {
   writeName(To, Each.Record.Service.Value);
   writeName(To, Each.Record.Primary.Value);
   To(Each.Record.Reign, static_cast<std::uint8_t>(Each.Record.Phase),
-     Each.Record.Stored.Value, static_cast<std::uint64_t>(Each.Age.count()),
-     static_cast<std::uint8_t>(Each.Granted),
+     Each.Record.Stored.Value);
+  writeAge(To, Each.Age);
+  To(static_cast<std::uint8_t>(Each.Granted),
      static_cast<std::uint8_t>(Each.Contact));
 }
 
@@ -60,24 +71,26 @@
   Each.Record.Primary.Value = readName(From);
   From(Each.Record.Reign);
   Each.Record.Phase = readEnumeration(From, ReignPhase::Ordered);
-  std::uint64_t Age = 0;
-  From(Each.Record.Stored.Value, Age);
+  From(Each.Record.Stored.Value);
+  Each.Age = readAge(From);
   Each.Granted = readFlag(From);
-  Each.Age = Duration(static_cast<Duration::rep>(Age & INT64_MAX));
   Each.Contact = readEnumeration(From, PrimaryContact::Silent);
   return Each;
 }
 
 void writeVersions(Writer &To, const KnownVersions &Versions) {
-  To(Versions.Configuration, Versions.Members, Versions.Instances,
-     static_cast<std::uint64_t>(Versions.InstancesAge.count()));
+  To(Versions.Configuration, Versions.Members, Versions.Instances);
+  writeAge(To, Versions.InstancesAge);
+  To(Versions.PromoterStep);
+  writeAge(To, Versions.PromoterStepAge);
 }
 
 KnownVersions readVersions(Reader &From) {
   KnownVersions Versions;
-  std::uint64_t Age = 0;
-  From(Versions.Configuration, Versions.Members, Versions.Instances, Age);
-  Versions.InstancesAge = Duration(static_cast<Duration::rep>(Age & INT64_MAX));
+  From(Versions.Configuration, Versions.Members, Versions.Instances);
+  Versions.InstancesAge = readAge(From);
+  From(Versions.PromoterStep);
+  Versions.PromoterStepAge = readAge(From);
   return Versions;
 }
 
--- a/failover/RightMessages.h
+++ b/failover/RightMessages.h
@@ -44,6 +44,10 @@
   std::uint64_t Instances = 0;
   /// How old the read behind the list of instances is at most.
   Duration InstancesAge{0};
+  /// The store's revision of the newest step in a change of any primary.
+  std::uint64_t PromoterStep = 0;
+  /// How long ago that step was seen; it was made no later.
+  Duration PromoterStepAge{0};
 
   bool operator==(const KnownVersions &) const = default;
 };
--- a/routing/FreshnessTracker.cpp
+++ b/routing/FreshnessTracker.cpp
@@ -11,8 +11,11 @@
     return;
   if (Reign != this->Reign) {
     this->Reign = Reign;
-    this->Samples.clear();
     this->FirstOfReign.reset();
+    // What a promotion cut off is in no log any more. The other samples still
+    // say how old a log is that reaches them.
+    std::erase_if(this->Samples,
+                  [&](const Sample &Each) { return Reached < Each.Reached; });
   }
   if (!this->FirstOfReign)
     this->FirstOfReign = Reached;
--- a/routing/FreshnessTracker.h
+++ b/routing/FreshnessTracker.h
@@ -28,7 +28,8 @@
   explicit FreshnessTracker(FreshnessOptions Options = {}) : Options(Options) {}
 
   /// The primary of Reign answered with Reached. Precondition: it was proven
-  /// to be the primary at AskedAt. Samples of another reign are dropped.
+  /// to be the primary at AskedAt. Samples of an earlier reign stay unless
+  /// the new primary lacks them.
   void onPrimaryAnswer(std::uint64_t Reign, const TermPosition &Reached,
                        TimePoint AskedAt);
   /// The lowest position that makes a read which began at BeganAt no older
--- /dev/null
+++ b/tests/failover/BacklogWatchTest.cpp
@@ -0,0 +1,95 @@
+#include "failover/BacklogWatch.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(int Milliseconds) { return TimePoint(milliseconds(Milliseconds)); }
+
+TermPosition position(std::uint64_t Index) {
+  return {.WrittenIn = {1}, .Position = {Index}};
+}
+
+/// As three members of a grown deployment reported: both replicas half a
+/// minute behind, 47 statements at a primary that runs six at once.
+std::vector<MemberBacklog> stuckService() {
+  return {{.Id = {"m1"},
+           .Primary = true,
+           .Received = position(118),
+           .Busy = 47,
+           .Slots = 6},
+          {.Id = {"m2"},
+           .Received = position(116),
+           .CatchUp = milliseconds(31'448),
+           .Busy = 3,
+           .Slots = 6},
+          {.Id = {"m3"},
+           .Received = position(116),
+           .CatchUp = milliseconds(28'770),
+           .Busy = 1,
+           .Slots = 6}};
+}
+
+TEST(BacklogWatch, AnOverloadedPrimaryOfStuckReplicasHandsOver) {
+  EXPECT_TRUE(BacklogWatch().shouldHandOver(stuckService()));
+}
+
+TEST(BacklogWatch, OneUsefulReplicaIsEnough) {
+  auto Reports = stuckService();
+  Reports[2].CatchUp = milliseconds(400);
+  EXPECT_FALSE(BacklogWatch().shouldHandOver(Reports));
+}
+
+TEST(BacklogWatch, ABacklogThatEndsSoonIsWaitedFor) {
+  auto Reports = stuckService();
+  Reports[1].CatchUp = milliseconds(4000);
+  Reports[2].CatchUp = milliseconds(4900);
+  EXPECT_FALSE(BacklogWatch().shouldHandOver(Reports));
+}
+
+TEST(BacklogWatch, APrimaryWithRoomKeepsTheLead) {
+  auto Reports = stuckService();
+  Reports[0].Busy = 6;
+  EXPECT_FALSE(BacklogWatch().shouldHandOver(Reports));
+  Reports[0].Busy = 7;
+  EXPECT_TRUE(BacklogWatch().shouldHandOver(Reports));
+}
+
+// A replica that receives nothing would lose acknowledged commits.
+TEST(BacklogWatch, NobodyWhoLacksEntriesSucceeds) {
+  auto Reports = stuckService();
+  Reports[0].Received = position(400);
+  EXPECT_FALSE(BacklogWatch().shouldHandOver(Reports));
+  Reports[1].Received = {.WrittenIn = {0}, .Position = {400}};
+  EXPECT_FALSE(BacklogWatch().shouldHandOver(Reports));
+}
+
+TEST(BacklogWatch, WithoutThePrimaryNothingIsDecided) {
+  auto Reports = stuckService();
+  Reports.erase(Reports.begin());
+  EXPECT_FALSE(BacklogWatch().shouldHandOver(Reports));
+}
+
+TEST(BacklogWatch, AsksOnceReadsHaveFallenShortForAWhile) {
+  BacklogWatch Watch;
+  EXPECT_FALSE(Watch.wantsReports(true, 0, at(1000)));
+  EXPECT_FALSE(Watch.wantsReports(true, 0, at(1500)));
+  EXPECT_TRUE(Watch.wantsReports(true, 0, at(1600)));
+  EXPECT_FALSE(Watch.wantsReports(true, 0, at(2000)));
+  EXPECT_TRUE(Watch.wantsReports(true, 0, at(2100)));
+  EXPECT_FALSE(Watch.wantsReports(false, 0, at(2600)));
+  EXPECT_FALSE(Watch.wantsReports(true, 0, at(2700)));
+}
+
+TEST(BacklogWatch, LaterRanksLeaveTheFirstTime) {
+  BacklogWatch Watch;
+  EXPECT_FALSE(Watch.wantsReports(true, 2, at(0)));
+  EXPECT_FALSE(Watch.wantsReports(true, 2, at(2500)));
+  EXPECT_TRUE(Watch.wantsReports(true, 2, at(2600)));
+}
+
+} // namespace
+} // namespace turmericpitch
--- a/tests/failover/PrimaryWatchTest.cpp
+++ b/tests/failover/PrimaryWatchTest.cpp
@@ -70,5 +70,22 @@
   EXPECT_EQ(chooseSuccessor(All)->Value, "b");
 }
 
+TEST(PrimaryWatch, AmongEqualLogsTheLongestBacklogSucceeds) {
+  TermPosition Whole{.WrittenIn = {1}, .Position = {9}};
+  std::vector<SuccessorCandidate> All{
+      {.Id = {"a"}, .Received = Whole, .CatchUp = milliseconds(200)},
+      {.Id = {"b"}, .Received = Whole, .CatchUp = milliseconds(9000)},
+      {.Id = {"c"}, .Received = Whole, .CatchUp = milliseconds(0)}};
+  EXPECT_EQ(chooseSuccessor(All)->Value, "b");
+}
+
+// A zone is cut off while instances restart one after the other: ten ranks
+// come before the first that can act.
+TEST(PrimaryWatch, ManyRanksThatCanNotActCostHalfASecond) {
+  EXPECT_EQ(rankDelay({}, 0), Duration{0});
+  EXPECT_EQ(rankDelay({}, 1), milliseconds(150));
+  EXPECT_LT(rankDelay({}, 10), milliseconds(600));
+}
+
 } // namespace
 } // namespace turmericpitch
--- a/tests/failover/RightMessagesTest.cpp
+++ b/tests/failover/RightMessagesTest.cpp
@@ -22,7 +22,9 @@
           .Versions = {.Configuration = 5,
                        .Members = 6,
                        .Instances = 7,
-                       .InstancesAge = milliseconds(8)},
+                       .InstancesAge = milliseconds(8),
+                       .PromoterStep = 9,
+                       .PromoterStepAge = milliseconds(10)},
           .Services = {Told}};
 }
 
--- a/tests/platform/SessionLinesTest.cpp
+++ b/tests/platform/SessionLinesTest.cpp
@@ -97,6 +97,10 @@
   EXPECT_FALSE(keepOutcome([&] { return Reader.feed("READY X -"); }));
 }
 
+TEST(SessionLines, AStepDownNamesTheNewestTerm) {
+  EXPECT_EQ(encodeStepDown({7}), "QUERY - STEPDOWN 7\r\n");
+}
+
 TEST(SessionLines, ReadsAMembersReport) {
   StatementReply Reply;
   Reply.Rows = {"replica 3 2.1209 0 12 2 17"};
@@ -105,7 +109,11 @@
   EXPECT_FALSE(Report.value().Primary);
   EXPECT_EQ(Report.value().Newest.Value, 3U);
   EXPECT_EQ(Report.value().Received.WrittenIn.Value, 2U);
-  Reply.Rows = {"leader 3 2.1209"};
+  EXPECT_EQ(Report.value().CatchUp, std::chrono::milliseconds(12));
+  EXPECT_EQ(Report.value().Busy, 2U);
+  Reply.Rows = {"leader 3 2.1209 0 12 2 17"};
+  EXPECT_FALSE(keepOutcome([&] { return decodeMemberReport(Reply); }));
+  Reply.Rows = {"replica 3 2.1209 0 soon 2 17"};
   EXPECT_FALSE(keepOutcome([&] { return decodeMemberReport(Reply); }));
   EXPECT_FALSE(keepOutcome([&] { return decodeMemberReport({}); }));
 }
--- a/tests/routing/FreshnessTrackerTest.cpp
+++ b/tests/routing/FreshnessTrackerTest.cpp
@@ -49,6 +49,15 @@
   EXPECT_EQ(Tracker.newest(), position(1, 40));
 }
 
+// Replicas go on serving reads of a stated age over a change of primary.
+TEST(FreshnessTracker, SamplesThatTheNewPrimaryHoldsStillTellTheAge) {
+  FreshnessTracker Tracker;
+  Tracker.onPrimaryAnswer(1, position(1, 50), at(1000));
+  Tracker.onPrimaryAnswer(2, position(2, 51), at(2000));
+  EXPECT_EQ(Tracker.positionFor(milliseconds(1500), at(2300)), position(1, 50));
+  EXPECT_EQ(Tracker.positionFor(milliseconds(1500), at(2600)), position(2, 51));
+}
+
 TEST(FreshnessTracker, OwnCommitsThatAPromotionCutOffNoLongerCount) {
   FreshnessTracker Tracker;
   Tracker.onPrimaryAnswer(2, position(1, 40), at(1000));
