--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -229,8 +229,10 @@
   else if (!this->RightsLostAt)
     this->RightsLostAt = Now;
   const ZoneId &Zone = this->Options.Zone;
-  return {.ContactAt = std::max(this->StoreAnsweredAt,
-                                this->Peers.answeredOutside(Zone)),
+  // What a reader of the own zone tells was read from the store, too.
+  return {.ContactAt = std::max({this->StoreAnsweredAt,
+                                 this->Peers.answeredOutside(Zone),
+                                 this->Rights.oldestAskedAt()}),
           .OthersElsewhere = this->Roster.anyOutside(Zone),
           .OthersSilent = this->Peers.anySilentOutside(
               Zone, this->Options.PeerSilenceLimit),
@@ -330,9 +332,10 @@
 }
 
 Awaitable<void> ReignKeeper::renew() {
+  StoreBackoff Backoff;
   while (true) {
     TimePoint Began = this->Clock.now();
-    auto Oldest = this->Rights.oldestAskedAt();
+    bool AnyRecord = this->Rights.oldestAskedAt().has_value();
     if (!this->isReader() && !this->recordsAreLate(Began)) {
       co_await this->pause(this->Options.LookInterval);
       continue;
@@ -342,9 +345,14 @@
       this->StoreLost = !Read;
       writeDecision(DecisionLine(Read ? "store_regained" : "store_lost"));
     }
-    // Before the first records there is nothing to renew.
-    Duration Interval =
-        Oldest ? this->Options.RenewInterval : 2 * this->Options.RenewInterval;
+    if (Read && AnyRecord)
+      Backoff.onAnswered();
+    // Where nothing is renewed, the readers try often and the others seldom;
+    // they hear of success.
+    bool Renewed = Read && AnyRecord;
+    Duration Interval = Renewed || this->isReader()
+                            ? this->Options.RenewInterval
+                            : Backoff.onFailed(this->Random);
     Duration Took = this->Clock.now() - Began;
     co_await this->pause(std::max(Duration{0}, Interval - Took));
   }
@@ -463,14 +471,14 @@
 
 Awaitable<void> ReignKeeper::install(ServiceId Id) {
   co_await this->pause(this->Options.PollInterval +
-                       rankDelay(this->Options.Watch, this->promoterRank()));
+                       this->Options.InstallRankDelay *
+                           static_cast<Duration::rep>(this->promoterRank()));
   std::vector<std::shared_ptr<MemberPort>> Leading;
   auto Desk = this->Dispatcher.desks().find(Id);
   for (const auto &[Member, Port] : Desk->second.Ports)
     if (Port->member().Role == MemberRole::Primary && !Port->member().Draining)
       Leading.push_back(Port);
-  bool Wanted = Leading.size() == 1 && !this->Rights.record(Id);
-  if (Wanted) {
+  if (Leading.size() == 1 && !this->Rights.record(Id)) {
     auto Report = co_await this->askStatus(Leading.front());
     if (Report && Report->Primary) {
       ReignRecord First{.Service = Id,
@@ -478,8 +486,8 @@
                         .Primary = Leading.front()->member().Id};
       co_await this->write(First, Revision{});
     }
+    co_await this->readRecords();
   }
-  co_await this->readRecords();
   this->UnderWay.erase(Id);
 }
 
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -8,6 +8,7 @@
 #include "failover/BacklogWatch.h"
 #include "failover/PrimaryWatch.h"
 #include "failover/PromotionRules.h"
+#include "limits/StoreBackoff.h"
 #include "membership/IsolationDetector.h"
 #include "membership/RosterDuties.h"
 
@@ -52,6 +53,9 @@
   /// list; if it lives, it registers again.
   Duration StrikeAfter = std::chrono::milliseconds(2200);
   Duration LookInterval = std::chrono::milliseconds(100);
+  /// How much later each rank writes the first record of a service; a write
+  /// and the word of it take some ten milliseconds.
+  Duration InstallRankDelay = std::chrono::milliseconds(250);
   /// A change of primary that stays unfinished is taken over after this; it
   /// exceeds the closing wait and the limits of the two calls that follow.
   Duration TakeOverAfter = std::chrono::milliseconds(3500);
--- a/drivers/RightPeers.cpp
+++ b/drivers/RightPeers.cpp
@@ -1,6 +1,7 @@
 #include "drivers/RightPeers.h"
 
 #include "core/DecisionLog.h"
+#include "core/Metrics.h"
 
 #include <algorithm>
 
@@ -36,6 +37,7 @@
   if (Peer.Id == this->Options.Self)
     return;
   Question Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  processMetrics().count("peer_questions_total", "one");
   this->note(Peer, Sent);
   this->send(Peer.Peers, RightQuestion{.Serial = Sent.Serial});
 }
@@ -50,6 +52,7 @@
   for (const RosterEntry &Peer : this->Roster.all()) {
     if (Peer.Id == this->Options.Self)
       continue;
+    processMetrics().count("peer_questions_total", "all");
     this->note(Peer, Sent);
     this->send(Peer.Peers, RightQuestion{.Serial = Sent.Serial,
                                          .WantsGrants = WantsGrants});
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -7,6 +7,7 @@
 #include "drivers/ReignKeeper.h"
 #include "drivers/SessionServer.h"
 #include "drivers/StoreClient.h"
+#include "limits/StoreBackoff.h"
 #include "membership/InstanceRoster.h"
 #include "platform/StoredObjects.h"
 
@@ -28,17 +29,19 @@
 namespace {
 
 constexpr unsigned ServiceUnavailable = 503;
-/// A watch waits this long while other instances tell of new versions, and
-/// while they don't: twice that and a read must fit the three seconds within
-/// which a configuration has to be in force.
-constexpr std::chrono::milliseconds WatchWait(10'000);
-constexpr std::chrono::milliseconds AloneWatchWait(1000);
+/// How long a watch waits while other instances tell of new versions: the
+/// longest that the store takes.
+constexpr std::chrono::milliseconds WatchWait(30'000);
+/// The same while they don't: a watch that has gone silent, its slack and the
+/// question to the reader must fit the time within which a configuration has
+/// to be in force.
+constexpr int WatchesInApplyLimit = 3;
 constexpr Duration ListingInterval = std::chrono::milliseconds(1000);
 /// Each third listing is current, so that leaving members are known within
 /// four seconds; those between may be old and cost a tenth.
 constexpr std::uint32_t ListingsForCurrent = 3;
 /// The same while others tell when the list has changed.
-constexpr std::uint32_t QuietListingsForCurrent = 12;
+constexpr std::uint32_t QuietListingsForCurrent = 30;
 constexpr Duration SummaryInterval = std::chrono::seconds(10);
 constexpr Duration MaintainInterval = std::chrono::milliseconds(100);
 /// An instance that ends without saying so is counted for as long.
@@ -101,6 +104,9 @@
   HttpReply answer(const HttpRequest &Request);
   void awaitSignal();
   Awaitable<void> pause(Duration Length);
+  /// Waits after a failed call of the store, until it is time for the next or
+  /// others reach the store again that nobody reached.
+  Awaitable<void> pauseAfterFailure(StoreBackoff &Backoff);
   Awaitable<void> followConfiguration();
   Awaitable<void> readConfiguration();
   [[nodiscard]] KnownVersions ownVersions() const;
@@ -152,6 +158,7 @@
   /// Whether the configuration is being read.
   bool Reading = false;
   bool Stopping = false;
+  RandomSource Random{std::random_device{}()};
 };
 
 HttpReply SessionDaemon::Parts::answer(const HttpRequest &Request) {
@@ -174,6 +181,16 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
+Awaitable<void> SessionDaemon::Parts::pauseAfterFailure(StoreBackoff &Backoff) {
+  TimePoint Until = BootClock().now() + Backoff.onFailed(this->Random);
+  bool NobodyReached = this->Reigns.late();
+  while (BootClock().now() < Until) {
+    if (NobodyReached && !this->Reigns.late())
+      break;
+    co_await this->pause(std::min(RetryInterval, Until - BootClock().now()));
+  }
+}
+
 Awaitable<void> SessionDaemon::Parts::readConfiguration() {
   this->Reading = true;
   auto Read = co_await this->Store.readKey(std::string(ConfigurationKey));
@@ -232,22 +249,28 @@
 }
 
 Awaitable<void> SessionDaemon::Parts::followConfiguration() {
+  StoreBackoff Backoff;
   while (true) {
     co_await this->readConfiguration();
     if (!this->Routes.loaded()) {
-      co_await this->pause(RetryInterval);
+      co_await this->pauseAfterFailure(Backoff);
       continue;
     }
     bool Quiet = true;
     while (Quiet) {
       auto Seen = co_await this->Store.watch(
           std::string(ConfigurationKey), this->ConfigurationRevision,
-          this->isToldOfChanges() ? WatchWait : AloneWatchWait);
+          this->isToldOfChanges()
+              ? WatchWait
+              : std::chrono::duration_cast<std::chrono::milliseconds>(
+                    this->Settings.ApplyLimit / WatchesInApplyLimit));
       Quiet = Seen && !Seen.value().HistoryGone && Seen.value().Events.empty();
+      if (Seen)
+        Backoff.onAnswered();
       if (Quiet)
         this->ConfigurationRevision = Seen.value().AsOf;
       if (!Seen || Seen.value().HistoryGone)
-        co_await this->pause(RetryInterval);
+        co_await this->pauseAfterFailure(Backoff);
     }
   }
 }
@@ -289,15 +312,20 @@
 
 Awaitable<void> SessionDaemon::Parts::followMembers() {
   std::uint32_t Turn = 0;
+  StoreBackoff Backoff;
   while (true) {
     std::uint32_t Between =
         this->isToldOfChanges() ? QuietListingsForCurrent : ListingsForCurrent;
     bool Current = Turn++ % Between == 0;
     bool Read = co_await this->listMembers(Current ? ReadAge::Current
                                                    : ReadAge::MayBeOld);
-    if (!Read)
+    if (Read) {
+      Backoff.onAnswered();
+      co_await this->pause(ListingInterval);
+    } else {
       Turn = 0;
-    co_await this->pause(Read ? ListingInterval : RetryInterval);
+      co_await this->pauseAfterFailure(Backoff);
+    }
   }
 }
 
@@ -327,6 +355,7 @@
 
 Awaitable<void> SessionDaemon::Parts::keepRegistered() {
   std::optional<LeaseId> Lease;
+  StoreBackoff Backoff;
   while (!this->Stopping) {
     if (Lease) {
       auto Stands = co_await this->Store.renewLease(*Lease);
@@ -341,7 +370,12 @@
     }
     if (!Lease)
       Lease = co_await this->registerSelf();
-    co_await this->pause(Lease ? RegistrationInterval : RetryInterval);
+    if (Lease) {
+      Backoff.onAnswered();
+      co_await this->pause(RegistrationInterval);
+    } else {
+      co_await this->pauseAfterFailure(Backoff);
+    }
   }
   if (Lease)
     co_await this->Store.endLease(*Lease);
@@ -406,7 +440,11 @@
         .field("configuration", this->Routes.version())
         .field("instances", this->Roster.count())
         .field("retries", processMetrics().counted("decisions_total", "retry"))
-        .field("hedges", processMetrics().counted("decisions_total", "hedge"));
+        .field("hedges", processMetrics().counted("decisions_total", "hedge"))
+        .field("asked_one",
+               processMetrics().counted("peer_questions_total", "one"))
+        .field("asked_all",
+               processMetrics().counted("peer_questions_total", "all"));
     for (const char *Call : Calls)
       Line.field(Call, processMetrics().counted("store_calls_total", Call));
     writeDecision(Line);
--- a/membership/IsolationDetector.h
+++ b/membership/IsolationDetector.h
@@ -8,8 +8,10 @@
 namespace turmericpitch {
 
 struct IsolationDetectorOptions {
-  /// Without contact for so long, the others are asked out of turn.
-  Duration AskAfter = std::chrono::milliseconds(300);
+  /// Without contact for so long, the others are asked out of turn. What a
+  /// reader tells is up to 410 ms old: it reads each 250 ms and is asked each
+  /// 150 ms.
+  Duration AskAfter = std::chrono::milliseconds(450);
   /// Without contact for so long, the instance counts as cut off; several
   /// questions to everyone have then stayed unanswered.
   Duration Limit = std::chrono::milliseconds(700);
--- a/membership/RosterDuties.cpp
+++ b/membership/RosterDuties.cpp
@@ -4,9 +4,13 @@
 
 namespace turmericpitch {
 
-const DutyAssignment &RosterDuties::assignment() const {
-  if (this->Prepared && this->PreparedFor == this->Roster.digest())
-    return *this->Prepared;
+const std::vector<InstanceId> &RosterDuties::ranked(const DutyKey &Key) const {
+  if (this->RankedFor != this->Roster.digest())
+    this->Ranked.clear();
+  this->RankedFor = this->Roster.digest();
+  auto Known = this->Ranked.find(Key);
+  if (Known != this->Ranked.end())
+    return Known->second;
   std::vector<InstanceView> Views;
   for (const RosterEntry &Each : this->Roster.all())
     Views.push_back({.Id = Each.Id,
@@ -14,15 +18,17 @@
                      .Peers = Each.Peers,
                      .Life = {},
                      .State = InstanceState::Live});
-  this->Prepared.emplace(MembershipSnapshot(this->Roster.self(), {}, true,
-                                            false, std::move(Views)));
-  this->PreparedFor = this->Roster.digest();
-  return *this->Prepared;
+  std::size_t Count = Views.size();
+  DutyAssignment Assignment(MembershipSnapshot(this->Roster.self(), {}, true,
+                                               false, std::move(Views)));
+  return this->Ranked[Key] = Assignment.holders(Key, Count);
 }
 
 std::vector<InstanceId> RosterDuties::holders(const DutyKey &Key,
                                               std::size_t Count) const {
-  return this->assignment().holders(Key, Count);
+  std::vector<InstanceId> All = this->ranked(Key);
+  All.resize(std::min(Count, All.size()));
+  return All;
 }
 
 std::size_t RosterDuties::rank(const DutyKey &Key,
@@ -37,9 +43,10 @@
 }
 
 bool RosterDuties::holds(const DutyKey &Key, std::size_t Count) const {
-  std::vector<InstanceId> First = this->holders(Key, Count);
-  return std::find(First.begin(), First.end(), this->Roster.self()) !=
-         First.end();
+  const std::vector<InstanceId> &All = this->ranked(Key);
+  auto Last =
+      All.begin() + static_cast<std::ptrdiff_t>(std::min(Count, All.size()));
+  return std::find(All.begin(), Last, this->Roster.self()) != Last;
 }
 
 } // namespace turmericpitch
--- a/membership/RosterDuties.h
+++ b/membership/RosterDuties.h
@@ -30,12 +30,12 @@
   [[nodiscard]] bool holds(const DutyKey &Key, std::size_t Count) const;
 
 private:
-  [[nodiscard]] const DutyAssignment &assignment() const;
+  const std::vector<InstanceId> &ranked(const DutyKey &Key) const;
 
   const InstanceRoster &Roster;
-  /// Prepared once for each list of instances.
-  mutable std::optional<DutyAssignment> Prepared;
-  mutable std::uint64_t PreparedFor = 0;
+  /// Ranked once for each list of instances.
+  mutable std::map<DutyKey, std::vector<InstanceId>> Ranked;
+  mutable std::uint64_t RankedFor = 0;
 };
 
 } // namespace turmericpitch
