Keep the wait out of the members; one promoter at a time; retire before leaving; fewer store calls

Load at its worst: statements waited up to 264 ms in a member's own queue (48 places, first come first served), where neither urgency nor goals count, and late reads were sent twice. Limits towards members now follow the time that statements spend there against a fifth of their goal, below one by pauses; urgent work passes the pauses; shorter work first, by observed averages over routes of one class. Ruled out: fewer readers (not tried yet); a static share of one statement an instance (bursts would wait).

--- a/configuration/RouteTable.cpp
+++ b/configuration/RouteTable.cpp
@@ -1,5 +1,7 @@
 #include "configuration/RouteTable.h"
 
+#include <algorithm>
+
 namespace turmericpitch {
 
 std::string_view toString(Consistency Level) {
@@ -39,4 +41,14 @@
   return Found == this->Present->Services.end() ? nullptr : &Found->second;
 }
 
+std::uint32_t RouteController::leastUrgent(const ServiceId &Id) const {
+  std::uint32_t Least = 0;
+  if (!this->Present)
+    return Least;
+  for (const auto &[Database, Route] : this->Present->Routes)
+    if (Route.Service == Id)
+      Least = std::max(Least, Route.Priority);
+  return Least;
+}
+
 } // namespace turmericpitch
--- a/configuration/RouteTable.h
+++ b/configuration/RouteTable.h
@@ -76,6 +76,8 @@
   /// The route of a database name, or nullptr; valid until the next offer().
   [[nodiscard]] const RouteRule *route(std::string_view Database) const;
   [[nodiscard]] const ServiceRule *service(const ServiceId &Id) const;
+  /// The greatest number, so the least urgency, of a service's routes.
+  [[nodiscard]] std::uint32_t leastUrgent(const ServiceId &Id) const;
   [[nodiscard]] const std::optional<RouteTable> &present() const {
     return this->Present;
   }
--- a/drivers/MemberPort.cpp
+++ b/drivers/MemberPort.cpp
@@ -21,7 +21,8 @@
                        ConnectionAllowanceOptions Allowance,
                        MemberPortOptions Options)
     : On(std::move(On)), Member(std::move(Member)), Options(Options),
-      Allowance(Allowance), Concurrency({.Most = this->Member.Slots}),
+      Allowance(Allowance), Concurrency({.Most = this->Member.Slots,
+                                         .Instances = Allowance.Instances}),
       Typical(Options.FirstTypical) {}
 
 MemberPort::~MemberPort() { this->dropIdle(); }
@@ -47,6 +48,7 @@
 
 void MemberPort::setAllowance(ConnectionAllowanceOptions Allowance) {
   this->Allowance.configure(Allowance);
+  this->Concurrency.setInstances(Allowance.Instances);
 }
 
 MemberCandidate MemberPort::candidate(const ZoneId &OwnZone,
@@ -60,6 +62,9 @@
           .InFlight = this->InFlight,
           .MostInFlight =
               std::min(this->Concurrency.allowed(Now), this->InFlight + Room),
+          .MostUrgent = std::min(this->Concurrency.allowedUrgent(Now),
+                                 this->InFlight + Room),
+          .Share = this->Concurrency.limit(),
           .Typical = this->Typical,
           .Reached = this->Reached,
           .ShortUntil = this->ShortUntil,
@@ -217,12 +222,12 @@
   });
 }
 
-void MemberPort::onStatementOver(std::optional<Duration> Took) {
+void MemberPort::onStatementOver(const std::optional<RunTime> &Ran) {
   --this->InFlight;
-  if (!Took)
+  if (!Ran)
     return;
-  this->Typical += (*Took - this->Typical) / ObservationShare;
-  this->Concurrency.onRun();
+  this->Typical += (Ran->Took - this->Typical) / ObservationShare;
+  this->Concurrency.onRun(Ran->Took, Ran->Allotted, this->Clock.now());
 }
 
 void MemberPort::onReached(const TermPosition &Position) {
--- a/drivers/MemberPort.h
+++ b/drivers/MemberPort.h
@@ -70,8 +70,16 @@
   void giveBack(const std::shared_ptr<MemberLink> &Link, TimePoint Now);
 
   void onStatementSent();
-  /// A statement sent is over. Took: set if the member ran it.
-  void onStatementOver(std::optional<Duration> Took);
+  /// How long a statement was at the member, and how long it should be at
+  /// the most for its caller's goal to be met.
+  struct RunTime {
+    Duration Took{0};
+    Duration Allotted{0};
+  };
+  /// A statement sent is over. Ran: set if the member ran it.
+  void onStatementOver(const std::optional<RunTime> &Ran);
+  /// Whether statements wait at the member.
+  [[nodiscard]] bool crowded() const { return this->Concurrency.crowded(); }
   /// The member's log was seen to reach a position.
   void onReached(const TermPosition &Position);
   /// The member served a read that asked for a position.
@@ -91,6 +99,9 @@
 
   [[nodiscard]] const RegisteredMember &member() const { return this->Member; }
   [[nodiscard]] std::uint64_t linksOpened() const { return this->Opened; }
+  /// Links open at present, idle ones included.
+  [[nodiscard]] std::size_t linksHeld() const { return this->Open; }
+  [[nodiscard]] std::size_t linksIdle() const { return this->Idle.size(); }
   [[nodiscard]] TimePoint pausedUntil() const { return this->PausedUntil; }
   /// Since when the member owes an answer to everything asked of it; nothing
   /// if it owes none.
--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -56,6 +56,7 @@
 RightPeers::Hooks ReignKeeper::peerHooks() {
   return {
       .MayGrant = [this](const ServiceId &Id) { return this->mayGrant(Id); },
+      .Retired = [this] { return this->retiredAs(); },
       .Contact = [this](const ServiceId &Id) { return this->contact(Id); },
       .Versions = [this] { return this->ownVersions(); },
       .OnVersions =
@@ -91,6 +92,13 @@
   return this->ReadAt && !this->UnderWay.contains(Id);
 }
 
+std::optional<Revision> ReignKeeper::retiredAs() const {
+  auto Own = this->Registration();
+  if (!this->Stopping || !this->UnderWay.empty() || !Own)
+    return std::nullopt;
+  return Own->Stored;
+}
+
 PrimarySighting ReignKeeper::sighting(const ReignRecord &Record) const {
   PrimarySighting Seen{.Listed = false};
   auto Desk = this->Dispatcher.desks().find(Record.Service);
@@ -164,6 +172,11 @@
   this->Dispatcher.onRightsChanged();
 }
 
+void ReignKeeper::stop() {
+  this->Stopping = true;
+  this->Peers.tellNews();
+}
+
 std::size_t ReignKeeper::readers() const {
   return 1 + this->Roster.count() / this->Options.InstancesPerReader;
 }
@@ -178,6 +191,9 @@
       this->Peers.askAll(true);
       continue;
     }
+    // The others leave further losses to the promoter that is at work.
+    if (this->isActivePromoter(this->Clock.now()))
+      this->Peers.askAll(false);
     if (this->isReader())
       continue;
     if (const RosterEntry *Reader = this->readerToAsk(Turn))
@@ -190,7 +206,21 @@
   return Since && this->Clock.now() - *Since > this->Options.PeerSilenceLimit;
 }
 
+bool ReignKeeper::isActivePromoter(TimePoint Now) const {
+  return this->Promoter == this->Options.Self.Value &&
+         Now - this->PromoterSeenAt < this->Options.PromoterDistance;
+}
+
+bool ReignKeeper::othersFindSilent(const ServiceId &Id, TimePoint Now) const {
+  const RightRound &Round = this->Peers.round();
+  ContactTally Tally = Round.contacts(Id);
+  return Now - Round.sentAt() < 2 * this->Options.AskInterval &&
+         Tally.Silent > Tally.Answers + 1;
+}
+
 std::size_t ReignKeeper::promoterRank() const {
+  if (this->isActivePromoter(this->Clock.now()))
+    return 0;
   Duration Probation =
       this->Options.Rules.ListingValidity + this->Options.Rules.ListingMargin;
   TimePoint Now = this->Clock.now();
@@ -230,12 +260,13 @@
     this->RightsLostAt = Now;
   const ZoneId &Zone = this->Options.Zone;
   // What a reader of the own zone tells was read from the store, too.
-  return {.ContactAt = std::max({this->StoreAnsweredAt,
-                                 this->Peers.answeredOutside(Zone),
-                                 this->Rights.oldestAskedAt()}),
+  auto StoreSeenAt =
+      std::max(this->StoreAnsweredAt, this->Rights.oldestAskedAt());
+  return {.ContactAt = std::max(StoreSeenAt, this->Peers.answeredOutside(Zone)),
           .OthersElsewhere = this->Roster.anyOutside(Zone),
-          .OthersSilent = this->Peers.anySilentOutside(
+          .OthersSilentSince = this->Peers.silentOutsideSince(
               Zone, this->Options.PeerSilenceLimit),
+          .StoreSeenAt = StoreSeenAt,
           .RightsLostAt = this->RightsLostAt};
 }
 
@@ -247,7 +278,7 @@
     writeDecision(
         DecisionLine(this->Isolation.isolated() ? "cut_off" : "cut_healed")
             .field("zone", this->Options.Zone.Value)
-            .field("others_silent", Seen.OthersSilent ? 1 : 0)
+            .field("others_silent", Seen.OthersSilentSince ? 1 : 0)
             .field("rights_lost", Seen.RightsLostAt ? 1 : 0));
 }
 
@@ -298,12 +329,14 @@
   while (!this->Peers.round().complete() && this->Clock.now() < GiveUpAt)
     co_await this->pause(this->Options.ConsultLimit / 8);
   ContactTally Tally = this->Peers.round().contacts(Id);
-  // The own word counts as silent.
+  PrimaryContact Own = this->contact(Id);
+  Tally.Answers += Own == PrimaryContact::Answers ? 1 : 0;
+  Tally.Silent += Own == PrimaryContact::Silent ? 1 : 0;
   bool Reach = Tally.Answers > Tally.Silent;
   writeDecision(DecisionLine("consult_instances")
                     .field("service", Id.Value)
                     .field("answers", Tally.Answers)
-                    .field("silent", Tally.Silent + 1)
+                    .field("silent", Tally.Silent)
                     .field("outcome", Reach ? "keep" : "replace"));
   co_return Reach;
 }
@@ -437,6 +470,9 @@
         .Ports.at(Record->Primary)
         ->askStatus([](const auto &, TimePoint) {});
   ReplaceReason Reason = Watch.look(Seen, this->promoterRank(), Now);
+  if (Reason == ReplaceReason::None && this->isActivePromoter(Now) &&
+      this->othersFindSilent(Id, Now))
+    Reason = ReplaceReason::Lost;
   if (Reason == ReplaceReason::None)
     return this->lookAtBacklog(*Record, Now);
   if (Now < this->ConsultAfter[Id] || !this->mayBegin(Now))
@@ -515,6 +551,33 @@
   while (this->Writing)
     co_await this->pause(this->Options.PollInterval / 10);
   this->Writing = true;
+  auto Stored = co_await this->writeOnce(Record, Expected);
+  // Another promoter's step for another service came between; the new primary
+  // leads all the same.
+  for (int Again = 0; !Stored && Record.Phase == ReignPhase::Open &&
+                      Again < this->Options.OpeningRetries;
+       ++Again) {
+    bool Read = co_await this->readRecords();
+    const ReignRecord *Now = this->Rights.record(Record.Service);
+    if (!Read || (Now ? Now->Stored : Revision{}) != Expected)
+      break;
+    Stored = co_await this->writeOnce(Record, Expected);
+  }
+  this->Writing = false;
+  if (Stored)
+    this->Peers.tellNews();
+  writeDecision(DecisionLine("reign_write")
+                    .field("service", Record.Service.Value)
+                    .field("reign", Record.Reign)
+                    .field("primary", Record.Primary.Value)
+                    .field("phase", toString(Record.Phase))
+                    .field("target", Record.Target.Value)
+                    .field("outcome", Stored ? "written" : "not_written"));
+  co_return Stored;
+}
+
+Awaitable<std::optional<Revision>> ReignKeeper::writeOnce(ReignRecord Record,
+                                                          Revision Expected) {
   Record.Writer = this->Options.Self;
   Record.Attempt = this->Random.below(MostAttempts);
   std::string Key = reignKey(Record.Service);
@@ -538,6 +601,7 @@
     Stored = Written.value().Written;
     this->PromoterRevision = *Stored;
     this->Promoter = this->Options.Self.Value;
+    this->PromoterSeenAt = this->Clock.now();
     Record.Stored = *Stored;
     this->Rights.onRecord(Record, SentAt);
     this->Dispatcher.onRightsChanged();
@@ -547,16 +611,6 @@
     if (Now && Now->Writer == Record.Writer && Now->Attempt == Record.Attempt)
       Stored = Now->Stored;
   }
-  this->Writing = false;
-  if (Stored)
-    this->Peers.tellNews();
-  writeDecision(DecisionLine("reign_write")
-                    .field("service", Record.Service.Value)
-                    .field("reign", Record.Reign)
-                    .field("primary", Record.Primary.Value)
-                    .field("phase", toString(Record.Phase))
-                    .field("target", Record.Target.Value)
-                    .field("outcome", Stored ? "written" : "not_written"));
   co_return Stored;
 }
 
@@ -615,6 +669,9 @@
 }
 
 Awaitable<bool> ReignKeeper::close(Change &C) {
+  // Another promoter may have begun while the others were consulted.
+  if (!this->mayBegin(this->Clock.now()))
+    co_return false;
   ReignRecord Next = C.Record;
   if (Next.Phase == ReignPhase::Open)
     Next.Phase = ReignPhase::Closing;
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -65,6 +65,8 @@
   /// From the write that announces an order to the order itself; beyond it
   /// another promoter may have taken over.
   Duration OrderLimit = std::chrono::milliseconds(300);
+  /// How often the opening of a new reign is tried again.
+  int OpeningRetries = 3;
   Duration OrderCallLimit = std::chrono::milliseconds(1000);
   /// How long a member that was ordered to lead may take to do so; the users
   /// state 1 s.
@@ -119,8 +121,10 @@
   /// isn't known.
   [[nodiscard]] std::optional<Duration>
   expectedReturn(const ServiceId &Id) const;
-  /// Begins no further change of primary.
-  void stop() { this->Stopping = true; }
+  /// Begins no further change of primary, and tells the others.
+  void stop();
+  /// Whether no change of primary is under way.
+  [[nodiscard]] bool atRest() const { return this->UnderWay.empty(); }
   [[nodiscard]] std::optional<PrimaryRight> right(const ServiceId &Id) const {
     return this->Rights.right(Id);
   }
@@ -155,11 +159,17 @@
   [[nodiscard]] KnownVersions ownVersions() const;
   void onOtherVersions(const KnownVersions &Other, TimePoint AskedAt);
   void extendBy(const RightRound &Round);
+  [[nodiscard]] std::optional<Revision> retiredAs() const;
   [[nodiscard]] bool mayGrant(const ServiceId &Id) const;
   [[nodiscard]] PrimaryContact contact(const ServiceId &Id) const;
   [[nodiscard]] PrimarySighting sighting(const ReignRecord &Record) const;
   [[nodiscard]] std::size_t readers() const;
   [[nodiscard]] bool isSilent(const InstanceId &Id) const;
+  /// Whether this instance made the newest step in a change of any primary,
+  /// and others have to wait.
+  [[nodiscard]] bool isActivePromoter(TimePoint Now) const;
+  /// Whether most others that asked a primary find it silent.
+  [[nodiscard]] bool othersFindSilent(const ServiceId &Id, TimePoint Now) const;
   /// How many instances come before this one to replace primaries.
   [[nodiscard]] std::size_t promoterRank() const;
   [[nodiscard]] const RosterEntry *readerToAsk(std::size_t Turn) const;
@@ -196,6 +206,8 @@
   /// Writes a record in place of the one at Expected. Returns the revision.
   Awaitable<std::optional<Revision>> write(ReignRecord Record,
                                            Revision Expected);
+  Awaitable<std::optional<Revision>> writeOnce(ReignRecord Record,
+                                               Revision Expected);
   Awaitable<std::optional<MemberReport>>
   askStatus(std::shared_ptr<MemberPort> Port);
   Awaitable<void> pause(Duration Length);
--- a/drivers/RightPeers.cpp
+++ b/drivers/RightPeers.cpp
@@ -46,7 +46,7 @@
   Question Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
   std::set<InstanceId> Asked;
   for (const RosterEntry &Peer : this->Roster.all())
-    if (Peer.Id != this->Options.Self)
+    if (Peer.Id != this->Options.Self && !this->isRetired(Peer))
       Asked.insert(Peer.Id);
   this->Round = RightRound(Sent.Serial, Sent.SentAt, Asked);
   for (const RosterEntry &Peer : this->Roster.all()) {
@@ -61,6 +61,11 @@
     this->Calls.OnComplete(this->Round);
 }
 
+bool RightPeers::isRetired(const RosterEntry &Peer) const {
+  auto Found = this->RetiredAs.find(Peer.Id);
+  return Found != this->RetiredAs.end() && Found->second == Peer.Stored;
+}
+
 void RightPeers::note(const RosterEntry &Peer, const Question &Sent) {
   this->Questions[Peer.Id] = Sent;
   Silence Begins{.Registered = Peer.Stored, .Since = Sent.SentAt};
@@ -87,14 +92,18 @@
   return Newest;
 }
 
-bool RightPeers::anySilentOutside(const ZoneId &Zone, Duration Limit) const {
+std::optional<TimePoint> RightPeers::silentOutsideSince(const ZoneId &Zone,
+                                                        Duration Limit) const {
   TimePoint Now = this->Clock.now();
+  std::optional<TimePoint> First;
   for (const RosterEntry &Peer : this->Roster.all()) {
     auto Since = this->silentSince(Peer.Id);
-    if (Peer.Zone != Zone && Since && Now - *Since > Limit)
-      return true;
+    if (Peer.Zone == Zone || this->isRetired(Peer) || !Since ||
+        Now - *Since <= Limit)
+      continue;
+    First = std::min(First.value_or(*Since), *Since);
   }
-  return false;
+  return First;
 }
 
 void RightPeers::tellNews() {
@@ -142,6 +151,7 @@
                        .Part = static_cast<std::uint8_t>(Part),
                        .Parts = static_cast<std::uint8_t>(Parts),
                        .Versions = this->Calls.Versions(),
+                       .RetiredAs = this->Calls.Retired().value_or(Revision{}),
                        .Services = {}};
     std::size_t End = std::min(All.size(), (Part + 1) * ServicesInPart);
     for (std::size_t Index = Part * ServicesInPart; Index < End; ++Index)
@@ -154,6 +164,8 @@
   const InstanceId &Peer = From.Frame.From;
   this->Silent.erase(Peer);
   this->AnsweredAt[Peer] = this->Clock.now();
+  if (Answer.RetiredAs.Value != 0)
+    this->RetiredAs[Peer] = Answer.RetiredAs;
   auto Asked = this->Questions.find(Peer);
   if (Asked == this->Questions.end() || Asked->second.Serial != Answer.Serial)
     return;
--- a/drivers/RightPeers.h
+++ b/drivers/RightPeers.h
@@ -19,6 +19,9 @@
   struct Hooks {
     /// Whether this instance may promise not to close a service's record.
     std::function<bool(const ServiceId &)> MayGrant;
+    /// The own registration, once this process begins no further change of
+    /// any primary and has none under way; nothing before.
+    std::function<std::optional<Revision>()> Retired;
     /// How a service's primary answers this instance.
     std::function<PrimaryContact(const ServiceId &)> Contact;
     /// How recent what this instance knows is.
@@ -39,7 +42,8 @@
   Status start();
   /// Asks one instance for what it knows.
   void ask(const RosterEntry &Peer);
-  /// Asks all others and begins a new round.
+  /// Asks all others and begins a new round. Those that have retired promise
+  /// for good.
   void askAll(bool WantsGrants);
   /// Tells all others that asking this instance is worth it.
   void tellNews();
@@ -50,9 +54,10 @@
   /// When an instance outside a zone last answered; nothing if none has.
   [[nodiscard]] std::optional<TimePoint>
   answeredOutside(const ZoneId &Zone) const;
-  /// Whether an instance outside a zone has left a question unanswered for
-  /// longer than Limit.
-  [[nodiscard]] bool anySilentOutside(const ZoneId &Zone, Duration Limit) const;
+  /// Since when the first instance outside a zone has left questions
+  /// unanswered; nothing if none has for longer than Limit.
+  [[nodiscard]] std::optional<TimePoint>
+  silentOutsideSince(const ZoneId &Zone, Duration Limit) const;
   /// The newest round.
   [[nodiscard]] const RightRound &round() const { return this->Round; }
 
@@ -84,11 +89,14 @@
   };
 
   void note(const RosterEntry &Peer, const Question &Sent);
+  [[nodiscard]] bool isRetired(const RosterEntry &Peer) const;
 
   /// The newest question to each instance.
   std::map<InstanceId, Question> Questions;
   std::map<InstanceId, Silence> Silent;
   std::map<InstanceId, TimePoint> AnsweredAt;
+  /// Registrations whose processes will not change any primary again.
+  std::map<InstanceId, Revision> RetiredAs;
   RightRound Round;
   BootClock Clock;
 };
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-/// Weight of the newest observation in the usual time of a route's
-/// statements.
-constexpr int WorkObservationShare = 16;
-
 /// A transaction's pause after a refusal doubles so often at the most.
 constexpr std::uint32_t MostBusyDoublings = 4;
 
@@ -45,6 +41,12 @@
   return std::max(*Needed, *Own);
 }
 
+StatementClass classOf(const RouteRule &Route) {
+  return {.Level = Route.Level,
+          .Priority = Route.Priority,
+          .Goal = Route.LatencyGoal};
+}
+
 /// Counts the statement among those at its member.
 void countIn(StatementCall &Call) {
   if (Call.Counted)
@@ -53,12 +55,13 @@
   Call.Port->onStatementSent();
 }
 
-/// The statement is no longer at its member. Took: set if it ran.
-void settle(StatementCall &Call, std::optional<Duration> Took) {
+/// The statement is no longer at its member. Ran: set if it ran.
+void settle(StatementCall &Call,
+            const std::optional<MemberPort::RunTime> &Ran) {
   if (!Call.Counted)
     return;
   Call.Counted = false;
-  Call.Port->onStatementOver(Took);
+  Call.Port->onStatementOver(Ran);
 }
 
 } // namespace
@@ -76,11 +79,14 @@
       Port->dropAll();
 }
 
-std::uint64_t StatementDispatcher::linksOpened() const {
-  std::uint64_t Sum = 0;
+StatementDispatcher::LinkCounts StatementDispatcher::links() const {
+  LinkCounts Sum;
   for (const auto &[Id, Desk] : this->Desks)
-    for (const auto &[Member, Port] : Desk.Ports)
-      Sum += Port->linksOpened();
+    for (const auto &[Member, Port] : Desk.Ports) {
+      Sum.Held += Port->linksHeld();
+      Sum.Idle += Port->linksIdle();
+      Sum.Opened += Port->linksOpened();
+    }
   return Sum;
 }
 
@@ -137,9 +143,11 @@
   std::for_each(Change.Changed.begin(), Change.Changed.end(), Update);
   for (const RegisteredMember &Member : Change.Left)
     this->Desks[Member.Service].Ports.erase(Member.Id);
-  for (auto &[Service, Desk] : this->Desks)
+  for (auto &[Service, Desk] : this->Desks) {
+    Desk.LeastUrgent = Routes.leastUrgent(Service);
     for (auto &[Id, Port] : Desk.Ports)
       Port->setAllowance(AllowanceOf(Service));
+  }
 }
 
 void StatementDispatcher::submit(const SharedCall &Call) {
@@ -171,7 +179,7 @@
 void StatementDispatcher::enqueue(const SharedCall &Call) {
   ServiceDesk &Desk = this->Desks[Call->Session->Route.Service];
   Desk.Id = Call->Session->Route.Service;
-  Call->Terms.Work = Desk.Work[Call->Session->Route.Name];
+  Call->Terms.Work = this->Work[classOf(Call->Session->Route)].value();
   if (Desk.Queue.empty() && this->tryPlace(Desk, Call))
     return;
   Desk.Queue.push(Call, Call->Terms);
@@ -208,18 +216,19 @@
 void StatementDispatcher::shedHopeless(ServiceDesk &Desk) {
   TimePoint Now = this->Clock.now();
   Duration Typical{0};
-  std::size_t AtOnce = 0;
+  double AtOnce = 0;
   for (const auto &[Id, Port] : Desk.Ports) {
     MemberCandidate Each = Port->candidate(this->Options.Zone, Now);
     if (Each.Excluded)
       continue;
-    AtOnce += Each.MostInFlight;
+    AtOnce += Each.Share;
     Typical = std::max(Typical, Each.Typical);
   }
   // Without a member the patience of each statement decides.
   if (AtOnce == 0)
     return;
-  Duration Step = Typical / static_cast<Duration::rep>(AtOnce);
+  Duration Step(static_cast<Duration::rep>(
+      static_cast<double>(Typical.count()) / AtOnce));
   for (const SharedCall &Call : Desk.Queue.shed(Now, Step, Typical))
     this->refuse(Call, ReplyError::Busy, "too many wait for a member",
                  Step * static_cast<Duration::rep>(Desk.Queue.size() + 1));
@@ -251,7 +260,8 @@
     Ports.push_back(Port);
   }
   PlacementNeed Need{.Primary = Call->NeedsPrimary,
-                     .AtLeast = replicaNeed(Desk, *Call)};
+                     .AtLeast = replicaNeed(Desk, *Call),
+                     .Urgent = Call->Terms.Priority < Desk.LeastUrgent};
   Placement Chosen =
       placeStatement(Candidates, Need, this->Options.Placing, Now);
   if (Chosen.Verdict == PlacementVerdict::Wait)
@@ -470,14 +480,16 @@
                                   Outcome<StatementReply> Reply) {
   TimePoint Now = this->Clock.now();
   bool Answered = Reply.hasValue();
-  settle(*Call, Answered && !Reply.value().Failure
-                    ? std::optional<Duration>(Now - Call->SentAt)
-                    : std::nullopt);
+  std::optional<MemberPort::RunTime> Ran;
+  if (Answered && !Reply.value().Failure) {
+    const RouteRule &Route = Call->Session->Route;
+    Ran = {.Took = Now - Call->SentAt,
+           .Allotted = Route.LatencyGoal / this->Options.GoalShare};
+    this->Work[classOf(Route)].observe(Ran->Took, Now);
+  }
+  settle(*Call, Ran);
   if (!Answered)
     return this->onLost(Call);
-  Duration &Work =
-      this->Desks[Call->Session->Route.Service].Work[Call->Session->Route.Name];
-  Work += (Now - Call->SentAt - Work) / WorkObservationShare;
   this->noteReply(Call, Reply.value());
   if (Call->Over) {
     if (Call->Session->Pinned != Call->Link)
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -7,6 +7,7 @@
 #include "failover/PrimaryRight.h"
 #include "limits/OutagePatience.h"
 #include "limits/RetryBudget.h"
+#include "limits/UsualWork.h"
 #include "routing/FreshnessTracker.h"
 #include "routing/MemberRegistry.h"
 
@@ -27,6 +28,11 @@
   /// time, and for at least LeastHedgeDelay, is sent to another member too.
   int HedgeFactor = 4;
   Duration LeastHedgeDelay = std::chrono::milliseconds(120);
+  /// A statement should be at its member for this part of its operation's
+  /// goal at the most; the rest is for waiting here, for the way and for
+  /// further statements. A fifth served most in time when the load of an
+  /// overloaded primary was replayed.
+  int GoalShare = 5;
   /// What a refused caller is told to wait.
   Duration ComeBackAfter = std::chrono::milliseconds(100);
   /// How often waiting statements are looked at while no reply comes in.
@@ -42,6 +48,16 @@
   Duration SampleLimit = std::chrono::milliseconds(500);
 };
 
+/// Routes whose statements are taken to be alike: an instance sees too few of
+/// one route to know their work soon.
+struct StatementClass {
+  Consistency Level = Consistency::Strong;
+  std::uint32_t Priority = 0;
+  Duration Goal{0};
+
+  auto operator<=>(const StatementClass &) const = default;
+};
+
 /// One service as the dispatcher keeps it.
 struct ServiceDesk {
   ServiceId Id;
@@ -52,8 +68,8 @@
   /// The primary answered that it leads no more.
   TimePoint NotLeadingUntil;
   RetryBudget Hedges;
-  /// How long statements of each route usually take, by the route's name.
-  std::map<std::string, Duration> Work;
+  /// Routes with a smaller number are more urgent than others of the service.
+  std::uint32_t LeastUrgent = 0;
   bool Serving = false;
 };
 
@@ -98,7 +114,13 @@
   [[nodiscard]] const std::map<ServiceId, ServiceDesk> &desks() const {
     return this->Desks;
   }
-  [[nodiscard]] std::uint64_t linksOpened() const;
+  /// Links to members at present and since the start.
+  struct LinkCounts {
+    std::size_t Held = 0;
+    std::size_t Idle = 0;
+    std::uint64_t Opened = 0;
+  };
+  [[nodiscard]] LinkCounts links() const;
   /// Whether every replica of the service that could be asked refuses reads
   /// for lack of entries.
   [[nodiscard]] bool readsFallShort(const ServiceId &Service,
@@ -156,6 +178,7 @@
   RightLookup RightOf;
   ReturnLookup ReturnOf;
   std::map<ServiceId, ServiceDesk> Desks;
+  std::map<StatementClass, UsualWork> Work;
   std::vector<Unconfirmed> Held;
   PreparedNames Names;
   boost::asio::steady_timer WakeTimer;
--- a/failover/RightMessages.cpp
+++ b/failover/RightMessages.cpp
@@ -12,7 +12,7 @@
 using Reader = cereal::PortableBinaryInputArchive;
 
 /// Raised with each change of the form; others are dropped.
-constexpr std::uint8_t FormVersion = 2;
+constexpr std::uint8_t FormVersion = 3;
 
 enum class Kind : std::uint8_t { Question = 1, Answer = 2, News = 3 };
 
@@ -103,6 +103,7 @@
   To(static_cast<std::uint8_t>(Kind::Answer), Message.Serial, Message.Part,
      Message.Parts, static_cast<std::uint8_t>(Message.Services.size()));
   writeVersions(To, Message.Versions);
+  To(Message.RetiredAs.Value);
   for (const ToldService &Each : Message.Services)
     writeService(To, Each);
 }
@@ -128,6 +129,7 @@
     std::uint8_t Count = 0;
     From(Answer.Serial, Answer.Part, Answer.Parts, Count);
     Answer.Versions = readVersions(From);
+    From(Answer.RetiredAs.Value);
     if (Count > ServicesInPart)
       throw cereal::Exception("too many services");
     for (std::uint8_t Index = 0; Index < Count; ++Index)
--- a/failover/RightMessages.h
+++ b/failover/RightMessages.h
@@ -66,6 +66,9 @@
   std::uint8_t Part = 0;
   std::uint8_t Parts = 1;
   KnownVersions Versions = {};
+  /// The registration under which the sender will not change any primary
+  /// again, as it is about to end; 0 while it may.
+  Revision RetiredAs = {};
   std::vector<ToldService> Services = {};
 
   bool operator==(const RightAnswer &) const = default;
--- a/limits/WaitQueue.h
+++ b/limits/WaitQueue.h
@@ -4,7 +4,7 @@
 #include "core/Time.h"
 
 #include <algorithm>
-#include <bit>
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -97,16 +97,17 @@
       return Left.Priority < Right.Priority;
     if (LeftLate)
       return Left.ArrivedAt > Right.ArrivedAt;
-    // Observed times vary; only a difference of a power of two counts.
-    std::uint64_t LeftSize = sizeOf(Left.Work);
-    std::uint64_t RightSize = sizeOf(Right.Work);
+    // Observed times vary; only a difference of some 40% counts.
+    int LeftSize = sizeOf(Left.Work);
+    int RightSize = sizeOf(Right.Work);
     if (LeftSize != RightSize)
       return LeftSize < RightSize;
     return Left.Goal < Right.Goal;
   }
-  static std::uint64_t sizeOf(Duration Work) {
-    return std::bit_width(
-        static_cast<std::uint64_t>(std::max<Duration::rep>(0, Work.count())));
+  /// Grows by one with each factor of the square root of two.
+  static int sizeOf(Duration Work) {
+    return static_cast<int>(2 * std::log2(static_cast<double>(
+                                    std::max<Duration::rep>(1, Work.count()))));
   }
 
   std::vector<Entry> Waiting;
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -104,6 +104,8 @@
   HttpReply answer(const HttpRequest &Request);
   void awaitSignal();
   Awaitable<void> pause(Duration Length);
+  /// The same, but ends once the process is about to stop.
+  Awaitable<void> rest(Duration Length);
   /// Waits after a failed call of the store, until it is time for the next or
   /// others reach the store again that nobody reached.
   Awaitable<void> pauseAfterFailure(StoreBackoff &Backoff);
@@ -181,6 +183,12 @@
   co_await Timer.async_wait(asio::use_awaitable);
 }
 
+Awaitable<void> SessionDaemon::Parts::rest(Duration Length) {
+  TimePoint Until = BootClock().now() + Length;
+  while (!this->Stopping && BootClock().now() < Until)
+    co_await this->pause(DrainLook);
+}
+
 Awaitable<void> SessionDaemon::Parts::pauseAfterFailure(StoreBackoff &Backoff) {
   TimePoint Until = BootClock().now() + Backoff.onFailed(this->Random);
   bool NobodyReached = this->Reigns.late();
@@ -372,11 +380,14 @@
       Lease = co_await this->registerSelf();
     if (Lease) {
       Backoff.onAnswered();
-      co_await this->pause(RegistrationInterval);
+      co_await this->rest(RegistrationInterval);
     } else {
       co_await this->pauseAfterFailure(Backoff);
     }
   }
+  // A change under way needs the registration.
+  while (!this->Reigns.atRest())
+    co_await this->pause(DrainLook);
   if (Lease)
     co_await this->Store.endLease(*Lease);
 }
@@ -435,8 +446,11 @@
   while (true) {
     co_await this->pause(SummaryInterval);
     DecisionLine Line("summary");
+    auto Links = this->Dispatcher.links();
     Line.field("sessions", this->Sessions.sessions())
-        .field("links_opened", this->Dispatcher.linksOpened())
+        .field("links", Links.Held)
+        .field("links_idle", Links.Idle)
+        .field("links_opened", Links.Opened)
         .field("configuration", this->Routes.version())
         .field("instances", this->Roster.count())
         .field("retries", processMetrics().counted("decisions_total", "retry"))
--- a/membership/IsolationDetector.cpp
+++ b/membership/IsolationDetector.cpp
@@ -15,7 +15,10 @@
     return true;
   // Where everyone answers, the store is away for all, and no other instance
   // could do better.
-  return Seen.OthersSilent && Seen.RightsLostAt &&
+  bool SameCause = Seen.OthersSilentSince && Seen.StoreSeenAt &&
+                   *Seen.OthersSilentSince - *Seen.StoreSeenAt <
+                       this->Options.SameCauseLimit;
+  return SameCause && Seen.RightsLostAt &&
          Now - *Seen.RightsLostAt > this->Options.RightsLimit;
 }
 
--- a/membership/IsolationDetector.h
+++ b/membership/IsolationDetector.h
@@ -18,6 +18,10 @@
   /// Without a right to any primary for so long, while others that may hold
   /// one are silent, the instance counts as cut off too.
   Duration RightsLimit = std::chrono::milliseconds(400);
+  /// Others that fell silent this much later than the store do not have it
+  /// either: it was away before. A partition is noticed towards both within
+  /// about a second.
+  Duration SameCauseLimit = std::chrono::milliseconds(1500);
   /// Contact must last for so long before the instance counts as back.
   Duration ReturnAfter = std::chrono::milliseconds(300);
 };
@@ -29,8 +33,11 @@
   std::optional<TimePoint> ContactAt = std::nullopt;
   /// Whether an instance of another zone is listed.
   bool OthersElsewhere = false;
-  /// Whether a listed instance of another zone leaves questions unanswered.
-  bool OthersSilent = false;
+  /// Since when the first listed instance of another zone has left questions
+  /// unanswered; nothing if all answer.
+  std::optional<TimePoint> OthersSilentSince = std::nullopt;
+  /// The newest sign of the store itself.
+  std::optional<TimePoint> StoreSeenAt = std::nullopt;
   /// Since when there has been no right to any primary; nothing while there
   /// is one.
   std::optional<TimePoint> RightsLostAt = std::nullopt;
--- a/routing/Placement.cpp
+++ b/routing/Placement.cpp
@@ -43,7 +43,7 @@
     const MemberCandidate &Each = Candidates[Index];
     if (!maySuffice(Each, Need, Now))
       continue;
-    if (Each.InFlight >= Each.MostInFlight) {
+    if (Each.InFlight >= (Need.Urgent ? Each.MostUrgent : Each.MostInFlight)) {
       if (Best.Verdict == PlacementVerdict::NoMember)
         Best.Verdict = PlacementVerdict::Wait;
       continue;
--- a/routing/Placement.h
+++ b/routing/Placement.h
@@ -23,8 +23,12 @@
   bool Excluded = false;
   /// Statements of this instance that are there now.
   std::size_t InFlight = 0;
-  /// How many may be.
+  /// How many may be, and how many if the newest is urgent.
   std::size_t MostInFlight = 1;
+  std::size_t MostUrgent = 1;
+  /// How many this instance has there on average while work waits for it;
+  /// below one where it pauses between statements.
+  double Share = 1;
   /// Typical time of a statement there, as observed.
   Duration Typical{0};
   /// The furthest position that its log is known to reach.
@@ -42,6 +46,8 @@
   /// For a replica: what its log must reach; nothing if no position proves
   /// enough, and then only the primary will do.
   std::optional<TermPosition> AtLeast = std::nullopt;
+  /// Goes before other work of the service.
+  bool Urgent = false;
 };
 
 struct PlacementOptions {
--- a/tests/failover/RightMessagesTest.cpp
+++ b/tests/failover/RightMessagesTest.cpp
@@ -25,6 +25,7 @@
                        .InstancesAge = milliseconds(8),
                        .PromoterStep = 9,
                        .PromoterStepAge = milliseconds(10)},
+          .RetiredAs = {11},
           .Services = {Told}};
 }
 
--- a/tests/failover/RightModelTest.cpp
+++ b/tests/failover/RightModelTest.cpp
@@ -19,7 +19,13 @@
 const ServiceId Service{"ledger"};
 
 /// Which rule the model leaves out, to show that the search finds its lack.
-enum class Fault { None, NoClosingWait, NoRegistrationAge, ListedAfterRecord };
+enum class Fault {
+  None,
+  NoClosingWait,
+  NoRegistrationAge,
+  ListedAfterRecord,
+  ClosesAfterRetiring,
+};
 
 /// The store: one record, the registrations, and a revision.
 struct ModelStore {
@@ -39,8 +45,13 @@
 
   PrimaryRights Rights;
   RightGrants Grants;
-  std::vector<int> Listed;
+  /// The registrations as read last.
+  std::map<int, std::uint64_t> Listed;
   std::optional<TimePoint> ListedAt;
+  /// Registrations of others that have retired, as they said themselves.
+  std::map<int, std::uint64_t> RetiredAs;
+  /// It is about to end and begins no further change.
+  bool Stopping = false;
   std::optional<TimePoint> RegisteredAt;
   std::uint64_t RegisteredAs = 0;
   bool HasRead = false;
@@ -49,13 +60,25 @@
   std::optional<TimePoint> OrderAt;
   std::uint64_t ClosedAs = 0;
   TimePoint FrozenUntil;
-  /// The store turns this instance away until then.
-  TimePoint TurnedAwayUntil;
+  /// A time without something.
+  struct Gap {
+    TimePoint From;
+    TimePoint Until;
+
+    [[nodiscard]] bool covers(TimePoint Now) const {
+      return this->From <= Now && Now < this->Until;
+    }
+  };
+  /// The store turns this instance away.
+  Gap TurnedAway;
+  /// The others don't hear it.
+  Gap Unheard;
 };
 
 class RightModel {
 public:
-  RightModel(std::uint64_t Seed, Fault Left) : Random(Seed), Left(Left) {
+  RightModel(std::uint64_t Seed, Fault Left)
+      : Random(Seed), Left(Left), RegistrationsVanish(Seed % 2 == 0) {
     this->Store.Record = {.Service = Service,
                           .Reign = 1,
                           .Primary = {"m1"},
@@ -81,20 +104,32 @@
 
   int promotions() const { return this->Promotions; }
   int extensions() const { return this->Extensions; }
+  int retirements() const { return this->Retirements; }
 
 private:
   static constexpr int InstanceCount = 3;
 
-  /// The store serves at most one instance for a while.
+  /// The store soon serves at most one instance for a while, which may be out
+  /// of the others' reach then, and about to end.
   void turnAwayMost() {
     int Served = static_cast<int>(this->Random.below(InstanceCount + 1));
-    TimePoint Until = this->Now + milliseconds(this->Random.below(4000));
+    TimePoint From = this->Now + milliseconds(this->Random.below(400));
+    ModelInstance::Gap Gap{
+        .From = From, .Until = From + milliseconds(this->Random.below(4000))};
     for (int Who = 0; Who < InstanceCount; ++Who)
       if (Who != Served)
-        this->Instances[Who].TurnedAwayUntil = Until;
+        this->Instances[Who].TurnedAway = Gap;
+    if (Served == InstanceCount || this->Random.chance(0.5))
+      return;
+    this->Instances[Served].Unheard = Gap;
+    if (this->Random.chance(0.3))
+      this->Instances[Served].Stopping = true;
+  }
+  [[nodiscard]] bool answers(const ModelInstance &I) const {
+    return I.FrozenUntil <= this->Now && !I.Unheard.covers(this->Now);
   }
   [[nodiscard]] bool reachesStore(const ModelInstance &I) const {
-    return I.TurnedAwayUntil <= this->Now;
+    return !I.TurnedAway.covers(this->Now);
   }
 
   void act(int Who) {
@@ -112,17 +147,20 @@
       this->close(Who);
     else if (Draw < 0.455)
       I.FrozenUntil = this->Now + milliseconds(this->Random.below(4000));
-    else if (Draw < 0.457)
+    else if (Draw < 0.459)
       this->restart(Who);
-    else if (Draw < 0.47)
+    else if (Draw < 0.4605)
+      I.Stopping = true;
+    else if (Draw < (this->RegistrationsVanish ? 0.47 : 0.461))
       // A registration that vanishes unseen.
       this->Store.Instances.erase(Who);
   }
 
   void restart(int Who) {
-    TimePoint TurnedAway = this->Instances[Who].TurnedAwayUntil;
+    ModelInstance Before = this->Instances[Who];
     this->Instances[Who] = ModelInstance(this->Rules);
-    this->Instances[Who].TurnedAwayUntil = TurnedAway;
+    this->Instances[Who].TurnedAway = Before.TurnedAway;
+    this->Instances[Who].Unheard = Before.Unheard;
   }
 
   void readRecord(ModelInstance &I) {
@@ -147,10 +185,16 @@
     }
     I.Listed.clear();
     for (const auto &[Each, Registration] : this->Store.Instances)
-      I.Listed.push_back(Each);
+      I.Listed[Each] = Registration.Revision;
     I.ListedAt = this->Now;
   }
 
+  bool hasRetired(const ModelInstance &Asker, int Who) const {
+    auto Told = Asker.RetiredAs.find(Who);
+    return Told != Asker.RetiredAs.end() &&
+           Told->second == Asker.Listed.at(Who);
+  }
+
   bool mayPromise(const ModelInstance &I) const {
     return I.HasRead && !I.Changing;
   }
@@ -161,19 +205,20 @@
     if (!Record || !I.ListedAt || !this->mayPromise(I))
       return;
     std::set<InstanceId> Asked;
-    for (int Each : I.Listed)
-      if (Each != Who)
+    for (const auto &[Each, Revision] : I.Listed)
+      if (Each != Who && !this->hasRetired(I, Each))
         Asked.insert({std::to_string(Each)});
     // Answers arrive later than the question by up to 100 ms.
     TimePoint AskedAt = this->Now - milliseconds(this->Random.below(100));
     RightRound Round(1, AskedAt, Asked);
-    for (int Each : I.Listed)
-      if (Each != Who && this->Instances[Each].FrozenUntil <= this->Now)
+    for (const auto &[Each, Revision] : I.Listed)
+      if (Each != Who && this->answers(this->Instances[Each]) &&
+          this->answers(I))
         this->answer(Round, I, Each, AskedAt);
     Duration Use = this->Rules.Rights.longestUse();
     std::vector<GrantedReign> All = Round.granted();
     // Alone, an instance asks nobody.
-    if (I.Listed == std::vector<int>{Who})
+    if (Asked.empty())
       All = {{.Service = Service, .Reign = I.Rights.record(Service)->Reign}};
     for (const GrantedReign &Granted : All) {
       auto Until = extensionEnd(this->Rules, this->grounds(I, AskedAt));
@@ -197,6 +242,10 @@
     ModelInstance &I = this->Instances[Who];
     const ReignRecord *Record = I.Rights.record(Service);
     RightAnswer Answer{.Serial = 1};
+    if (I.Stopping && !I.Changing && I.RegisteredAs != 0) {
+      Asker.RetiredAs[Who] = I.RegisteredAs;
+      ++this->Retirements;
+    }
     if (Record) {
       ToldService Told{.Record = *Record};
       Told.Age = this->Now - *I.Rights.askedAt(Service);
@@ -214,7 +263,8 @@
     const ReignRecord *Record = I.Rights.record(Service);
     bool Old = this->Left == Fault::NoRegistrationAge ||
                mayClose(this->Rules, I.RegisteredAt, this->Now);
-    if (!this->reachesStore(I) || I.Changing || !Record || !Old ||
+    bool Retired = I.Stopping && this->Left != Fault::ClosesAfterRetiring;
+    if (!this->reachesStore(I) || I.Changing || Retired || !Record || !Old ||
         !I.RegisteredAt)
       return;
     auto Own = this->Store.Instances.find(Who);
@@ -263,6 +313,8 @@
 
   RandomSource Random;
   Fault Left;
+  /// Often; seldom in the other runs.
+  bool RegistrationsVanish;
   PromotionRulesOptions Rules{.ListingValidity = milliseconds(3000)};
   ModelStore Store;
   std::vector<ModelInstance> Instances;
@@ -270,6 +322,7 @@
   std::uint64_t Newest = 1;
   int Promotions = 0;
   int Extensions = 0;
+  int Retirements = 0;
 };
 
 /// How many of the seeds break the invariant.
@@ -283,16 +336,23 @@
 TEST(RightModel, NoRightOutlivesItsReign) {
   int Promotions = 0;
   int Extensions = 0;
+  int Retirements = 0;
   for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
     RightModel Model(Seed, Fault::None);
     auto Breach = Model.run();
     EXPECT_FALSE(Breach) << "seed " << Seed << ": " << Breach.value_or("");
     Promotions += Model.promotions();
     Extensions += Model.extensions();
+    Retirements += Model.retirements();
   }
   // The search has to reach what it is about.
   EXPECT_GT(Promotions, static_cast<int>(Seeds));
   EXPECT_GT(Extensions, static_cast<int>(Seeds));
+  EXPECT_GT(Retirements, static_cast<int>(Seeds));
+}
+
+TEST(RightModel, FindsAnInstanceThatChangesAPrimaryAfterRetiring) {
+  EXPECT_GT(breaches(Fault::ClosesAfterRetiring), 0);
 }
 
 TEST(RightModel, FindsAPromotionThatWaitsForNothing) {
--- a/tests/limits/ConcurrencyLimitTest.cpp
+++ b/tests/limits/ConcurrencyLimitTest.cpp
@@ -17,10 +17,39 @@
   EXPECT_EQ(Limit.allowed(Now), 0U);
   EXPECT_EQ(Limit.allowed(Now + milliseconds(15)), 3U);
   for (int Index = 0; Index < 8; ++Index)
-    Limit.onRun();
+    Limit.onRun(milliseconds(30), milliseconds(30), Now);
   EXPECT_EQ(Limit.allowed(Now + milliseconds(15)), 4U);
 }
 
+TEST(ConcurrencyLimit, GivesWayWhereStatementsWaitAtTheMember) {
+  ConcurrencyLimit Limit({.Most = 6, .Instances = 4});
+  TimePoint Now(milliseconds(1000));
+  for (int Index = 0; Index < 40; ++Index, Now += milliseconds(100))
+    Limit.onRun(milliseconds(100), milliseconds(60), Now);
+  EXPECT_TRUE(Limit.crowded());
+  // All four together still keep six slots busy.
+  EXPECT_DOUBLE_EQ(Limit.limit(), 1.5 * 6 / 4);
+  for (int Index = 0; Index < 100; ++Index)
+    Limit.onRun(milliseconds(30), milliseconds(60), Now);
+  EXPECT_FALSE(Limit.crowded());
+  EXPECT_EQ(Limit.allowed(Now), 6U);
+}
+
+TEST(ConcurrencyLimit, PausesBetweenStatementsBelowOne) {
+  ConcurrencyLimit Limit({.Most = 6, .Instances = 36});
+  TimePoint Now(milliseconds(1000));
+  for (int Index = 0; Index < 40; ++Index, Now += milliseconds(120))
+    Limit.onRun(milliseconds(120), milliseconds(30), Now);
+  Now -= milliseconds(120);
+  EXPECT_DOUBLE_EQ(Limit.limit(), 0.25);
+  EXPECT_EQ(Limit.allowed(Now + milliseconds(359)), 0U);
+  EXPECT_EQ(Limit.allowed(Now + milliseconds(360)), 1U);
+  // Urgent work doesn't wait for the pause, but for one after a refusal.
+  EXPECT_EQ(Limit.allowedUrgent(Now), 2U);
+  Limit.onRefused(Now);
+  EXPECT_EQ(Limit.allowedUrgent(Now), 0U);
+}
+
 TEST(ConcurrencyLimit, PausesGrowUntilSomethingRuns) {
   ConcurrencyLimit Limit({.Most = 6});
   TimePoint Now(milliseconds(1000));
@@ -57,11 +86,11 @@
       ++InFlight[Who];
       // Six at once, 33 ms each: the wait grows with those before it.
       Duration Stay = milliseconds(33) * static_cast<int>(AtMember / Slots + 1);
-      Events.after(Stay, [&, Who] {
+      Events.after(Stay, [&, Who, Stay] {
         --AtMember;
         --InFlight[Who];
         ++Ran;
-        Limits[Who].onRun();
+        Limits[Who].onRun(Stay, milliseconds(33), Events.now());
         Fill(Who);
       });
     }
--- a/tests/membership/IsolationDetectorTest.cpp
+++ b/tests/membership/IsolationDetectorTest.cpp
@@ -43,11 +43,30 @@
   IsolationDetector Detector;
   OutsideView Side = contactAt(9990);
   Side.RightsLostAt = at(9000);
+  Side.StoreSeenAt = at(8200);
   EXPECT_FALSE(Detector.look(Side, at(10'000)));
-  Side.OthersSilent = true;
+  Side.OthersSilentSince = at(9000);
   EXPECT_TRUE(Detector.look(Side, at(10'000)));
 }
 
+/// Grown chechia trouble-3: the store was away for all at 31.0 s, a zone was
+/// cut off at 33.5 s, and the three others took themselves for the wrong side.
+TEST(IsolationDetector, OthersThatFallSilentLaterDoNotHaveTheStore) {
+  IsolationDetector Detector;
+  OutsideView Side = contactAt(33'900);
+  Side.StoreSeenAt = at(31'000);
+  Side.RightsLostAt = at(31'800);
+  Side.OthersSilentSince = at(33'500);
+  EXPECT_FALSE(Detector.look(Side, at(34'000)));
+}
+
+/// A reader of the own zone is asked each 150 ms and reads each 250 ms.
+TEST(IsolationDetector, AReadersWordOf410MillisecondsIsContact) {
+  IsolationDetector Detector;
+  EXPECT_FALSE(Detector.wantsContact(contactAt(1000), at(1410)));
+  EXPECT_TRUE(Detector.wantsContact(contactAt(1000), at(1451)));
+}
+
 TEST(IsolationDetector, AStoreThatIsAwayForAllCutsNobodyOff) {
   IsolationDetector Detector;
   OutsideView Everyone = contactAt(9990);
