Let one instance read the store, and relays in the zones tell what it read

Cause: four readers on the grown sites read the records four times a second and the instances once a second each (212 listings in 10 s); each change of the list made all others read it; all wrote the first records at once, as everyone counted as new; what others told was read again each 150 ms while the store refused (517 reads in 10 s). Ruled out: a longer interval of renewal (each failover would wait for it). Change: the first of the duty's holders reads, the next relay it, one a zone on the grown sites; a reader whose word grows old is passed over for 3 s; lists of instances are read at most each 2.5 s; first records by rank; pauses grow after failures.

--- a/drivers/ReignKeeper.cpp
+++ b/drivers/ReignKeeper.cpp
@@ -186,8 +186,31 @@
   this->Peers.tellNews();
 }
 
-std::size_t ReignKeeper::readers() const {
-  return 1 + this->Roster.count() / this->Options.InstancesPerReader;
+std::size_t ReignKeeper::relays() const {
+  return 1 + this->Roster.count() / this->Options.InstancesPerRelay;
+}
+
+bool ReignKeeper::cannotRead(const InstanceId &Id) const {
+  auto Found = this->PassedOver.find(Id);
+  bool Over =
+      Found != this->PassedOver.end() && this->Clock.now() < Found->second;
+  return Over || this->isSilent(Id);
+}
+
+void ReignKeeper::passOverReader(TimePoint Now) {
+  for (const InstanceId &Id : this->Duties.holders(ReadDuty, this->relays())) {
+    if (Id == this->Options.Self)
+      return;
+    if (this->cannotRead(Id))
+      continue;
+    this->PassedOver[Id] = Now + this->Options.PassOver;
+    return;
+  }
+}
+
+std::size_t ReignKeeper::readerRank() const {
+  return this->Duties.rank(
+      ReadDuty, [this](const InstanceId &Id) { return this->cannotRead(Id); });
 }
 
 Awaitable<void> ReignKeeper::askPeers() {
@@ -203,10 +226,8 @@
     // The others leave further losses to the promoter that is at work.
     if (this->isActivePromoter(this->Clock.now()))
       this->Peers.askAll(false);
-    if (this->isReader())
-      continue;
-    if (const RosterEntry *Reader = this->readerToAsk(Turn))
-      this->Peers.ask(*Reader);
+    if (const RosterEntry *Source = this->sourceToAsk(Turn))
+      this->Peers.ask(*Source);
   }
 }
 
@@ -238,22 +259,30 @@
   });
 }
 
-const RosterEntry *ReignKeeper::readerToAsk(std::size_t Turn) const {
-  std::vector<InstanceId> Readers =
-      this->Duties.holders(ReadDuty, this->readers());
-  std::vector<const RosterEntry *> All;
+const RosterEntry *ReignKeeper::sourceToAsk(std::size_t Turn) const {
+  if (this->isReader())
+    return nullptr;
+  std::vector<InstanceId> Relays =
+      this->Duties.holders(ReadDuty, this->relays());
+  bool Relay = this->Duties.holds(ReadDuty, Relays.size());
+  std::vector<const RosterEntry *> Usable;
   const RosterEntry *Near = nullptr;
-  for (const RosterEntry &Each : this->Roster.all()) {
-    if (std::find(Readers.begin(), Readers.end(), Each.Id) == Readers.end())
+  for (const InstanceId &Id : Relays) {
+    const RosterEntry *Entry = this->Roster.find(Id);
+    if (!Entry || Id == this->Options.Self ||
+        (Relay ? this->cannotRead(Id) : this->isSilent(Id)))
       continue;
-    All.push_back(&Each);
+    // The first of them is the reader.
+    if (Relay)
+      return Entry;
+    Usable.push_back(Entry);
     // A near one that owes an answer is passed over for one turn.
-    if (Each.Zone == this->Options.Zone && !this->Peers.silentSince(Each.Id))
-      Near = &Each;
+    if (Entry->Zone == this->Options.Zone && !this->Peers.silentSince(Id))
+      Near = Entry;
   }
-  if (Near || All.empty())
+  if (Near || Usable.empty())
     return Near;
-  return All[Turn % All.size()];
+  return Usable[Turn % Usable.size()];
 }
 
 OutsideView ReignKeeper::outside(TimePoint Now) {
@@ -379,9 +408,11 @@
     TimePoint Began = this->Clock.now();
     bool AnyRecord = this->Rights.oldestAskedAt().has_value();
     if (!this->isReader() && !this->recordsAreLate(Began)) {
-      co_await this->pause(this->Options.LookInterval);
+      co_await this->pause(this->Options.LookInterval / 2);
       continue;
     }
+    if (AnyRecord && !this->isReader())
+      this->passOverReader(Began);
     bool Read = co_await this->readRecords();
     if (Read == this->StoreLost) {
       this->StoreLost = !Read;
@@ -517,7 +548,7 @@
 Awaitable<void> ReignKeeper::install(ServiceId Id) {
   co_await this->pause(this->Options.PollInterval +
                        this->Options.InstallRankDelay *
-                           static_cast<Duration::rep>(this->promoterRank()));
+                           static_cast<Duration::rep>(this->readerRank()));
   std::vector<std::shared_ptr<MemberPort>> Leading;
   auto Desk = this->Dispatcher.desks().find(Id);
   for (const auto &[Member, Port] : Desk->second.Ports)
--- a/drivers/ReignKeeper.h
+++ b/drivers/ReignKeeper.h
@@ -28,16 +28,19 @@
   /// How often rights are renewed; less than a third of their validity, so
   /// that one lost answer costs nothing.
   Duration RenewInterval = std::chrono::milliseconds(250);
-  /// One more instance reads the store for the others for so many; a reader
-  /// then answers about 80 questions a second.
-  std::size_t InstancesPerReader = 12;
-  /// Instances that ask all others regularly, the first of the readers.
+  /// One instance reads the store; one more relays what it read for so many
+  /// others, and then answers about 80 questions a second.
+  std::size_t InstancesPerRelay = 12;
+  /// Instances that ask all others regularly, the first of the relays.
   std::size_t RollCallers = 2;
-  /// How often the others ask a reader.
+  /// How often relays ask the reader, and the others a relay.
   Duration AskInterval = std::chrono::milliseconds(150);
-  /// Records older than this make an instance ask the store or, where that
-  /// fails, everyone.
-  Duration LateAge = std::chrono::milliseconds(550);
+  /// Records older than this make an instance ask the store and everyone.
+  /// What comes through a relay is up to 560 ms old.
+  Duration LateAge = std::chrono::milliseconds(620);
+  /// A reader whose word has become old without its being silent is passed
+  /// over for so long: the store may turn it away alone.
+  Duration PassOver = std::chrono::milliseconds(3000);
   /// How long the others are waited for when they are asked how a primary
   /// answers them.
   Duration ConsultLimit = std::chrono::milliseconds(80);
@@ -95,9 +98,9 @@
 /// Belongs to one thread's executor.
 class ReignKeeper {
 public:
-  /// Reading the store for others, and replacing the primaries of all
-  /// services: a second promoter has to wait for PromoterDistance, and who
-  /// reads knows best when the last step was made.
+  /// Reading the store for others, relaying it, and replacing the primaries
+  /// of all services: a second promoter has to wait for PromoterDistance, and
+  /// who reads knows best when the last step was made.
   inline static const DutyKey ReadDuty{.Kind = Duty::Watch,
                                        .Subject = "records"};
 
@@ -136,10 +139,8 @@
   [[nodiscard]] bool late() const {
     return this->recordsAreLate(this->Clock.now());
   }
-  /// Whether this instance reads the store for others.
-  [[nodiscard]] bool isReader() const {
-    return this->Duties.holds(ReadDuty, this->readers());
-  }
+  /// Whether this instance reads the store for all others.
+  [[nodiscard]] bool isReader() const { return this->readerRank() == 0; }
   [[nodiscard]] const PrimaryRights &rights() const { return this->Rights; }
 
 private:
@@ -163,8 +164,14 @@
   [[nodiscard]] bool mayGrant(const ServiceId &Id) const;
   [[nodiscard]] PrimaryContact contact(const ServiceId &Id) const;
   [[nodiscard]] PrimarySighting sighting(const ReignRecord &Record) const;
-  [[nodiscard]] std::size_t readers() const;
+  [[nodiscard]] std::size_t relays() const;
+  /// How many instances come before this one to read the store.
+  [[nodiscard]] std::size_t readerRank() const;
   [[nodiscard]] bool isSilent(const InstanceId &Id) const;
+  /// Whether an instance can't read the store for others at present.
+  [[nodiscard]] bool cannotRead(const InstanceId &Id) const;
+  /// The records are late: passes over the reader that should have told.
+  void passOverReader(TimePoint Now);
   /// Whether this instance made the newest step in a change of any primary,
   /// and others have to wait.
   [[nodiscard]] bool isActivePromoter(TimePoint Now) const;
@@ -172,7 +179,8 @@
   [[nodiscard]] bool othersFindSilent(const ServiceId &Id, TimePoint Now) const;
   /// How many instances come before this one to replace primaries.
   [[nodiscard]] std::size_t promoterRank() const;
-  [[nodiscard]] const RosterEntry *readerToAsk(std::size_t Turn) const;
+  /// Whom to ask for what the store holds; nullptr for the reader itself.
+  [[nodiscard]] const RosterEntry *sourceToAsk(std::size_t Turn) const;
   Awaitable<void> askPeers();
   [[nodiscard]] OutsideView outside(TimePoint Now);
   void lookOutside(TimePoint Now);
@@ -231,6 +239,8 @@
   IsolationDetector Isolation;
   std::optional<TimePoint> RightsLostAt;
   std::map<ServiceId, TimePoint> ConsultAfter;
+  /// Readers that are passed over, and until when.
+  std::map<InstanceId, TimePoint> PassedOver;
   std::map<ServiceId, PrimaryWatch> Watches;
   std::map<ServiceId, BacklogWatch> Backlogs;
   std::map<ServiceId, Unfinished> UnfinishedRecords;
--- a/limits/ConnectionAllowance.h
+++ b/limits/ConnectionAllowance.h
@@ -14,9 +14,8 @@
   std::size_t Instances = 1;
   /// After a refusal at the limit, how long no further one is opened.
   Duration RefusalPause = std::chrono::milliseconds(500);
-  /// The same while this instance holds none: about the time for which
-  /// another holds one.
-  Duration RefusalPauseAtNone = std::chrono::milliseconds(50);
+  /// The same while this instance holds none.
+  Duration RefusalPauseAtNone = std::chrono::milliseconds(100);
 };
 
 /// Starts at twice the even share, so that instances with more callers find
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -50,6 +50,7 @@
 /// Readers list the instances so often; the others hear of it from them, or
 /// list them once what they know is older than the limit.
 constexpr Duration RosterInterval = std::chrono::milliseconds(1000);
+constexpr Duration StartListingPause = std::chrono::milliseconds(500);
 constexpr Duration RosterAgeLimit = std::chrono::milliseconds(2500);
 constexpr Duration RetryInterval = std::chrono::milliseconds(200);
 /// The balancer asks once a second and needs two misses.
@@ -156,10 +157,14 @@
   Revision MembersAsOf;
   Revision MembersChangedAt;
   bool Listing = false;
-  bool ListingInstances = false;
   /// Whether the configuration is being read.
   bool Reading = false;
   bool Stopping = false;
+  /// After a failure, what others tell is read no sooner.
+  TimePoint ReadAgainAt;
+  TimePoint ListAgainAt;
+  StoreBackoff ReadBackoff;
+  StoreBackoff ListBackoff;
   RandomSource Random{std::random_device{}()};
 };
 
@@ -203,6 +208,11 @@
   this->Reading = true;
   auto Read = co_await this->Store.readKey(std::string(ConfigurationKey));
   this->Reading = false;
+  if (Read)
+    this->ReadBackoff.onAnswered();
+  else
+    this->ReadAgainAt =
+        BootClock().now() + this->ReadBackoff.onFailed(this->Random);
   if (!Read || !Read.value().Entry) {
     writeWarning("event=configuration_read_failed reason=\"" +
                  (Read ? std::string("no such key") : Read.error().Message) +
@@ -243,17 +253,20 @@
 
 void SessionDaemon::Parts::onOtherVersions(const KnownVersions &Other,
                                            TimePoint AskedAt) {
-  if (Other.Configuration > this->Routes.version() && !this->Reading)
+  TimePoint Now = BootClock().now();
+  if (Other.Configuration > this->Routes.version() && !this->Reading &&
+      Now >= this->ReadAgainAt)
     this->spawn(this->readConfiguration());
-  if (Other.Members > this->MembersAsOf.Value && !this->Listing)
+  if (Other.Members > this->MembersAsOf.Value && !this->Listing &&
+      Now >= this->ListAgainAt)
     this->spawn(this->listMembersNow());
   if (Other.Instances == 0 || !this->Roster.askedAt())
     return;
   TimePoint ReadAt = AskedAt - Other.InstancesAge;
+  // Another list is read once the own one is old: where instances restart
+  // one after the other, each change would make all of them read.
   if (Other.Instances == this->Roster.digest())
     this->Roster.onConfirmed(ReadAt);
-  else if (ReadAt > *this->Roster.askedAt() && !this->ListingInstances)
-    this->spawn(this->listInstances());
 }
 
 Awaitable<void> SessionDaemon::Parts::followConfiguration() {
@@ -288,6 +301,11 @@
   TimePoint AskedAt = BootClock().now();
   auto Listed = co_await this->Store.readAll(std::string(MembersPrefix), Age);
   this->Listing = false;
+  if (Listed)
+    this->ListBackoff.onAnswered();
+  else
+    this->ListAgainAt =
+        BootClock().now() + this->ListBackoff.onFailed(this->Random);
   if (!Listed) {
     writeWarning("event=members_read_failed reason=\"" +
                  Listed.error().Message + "\"");
@@ -393,11 +411,9 @@
 }
 
 Awaitable<void> SessionDaemon::Parts::listInstances() {
-  this->ListingInstances = true;
   TimePoint AskedAt = BootClock().now();
   auto Listed = co_await this->Store.readAll(std::string(InstancesPrefix),
                                              ReadAge::Current);
-  this->ListingInstances = false;
   if (!Listed || (this->Roster.askedAt() && AskedAt < *this->Roster.askedAt()))
     co_return;
   std::vector<RosterEntry> Entries;
@@ -418,6 +434,10 @@
 }
 
 Awaitable<void> SessionDaemon::Parts::followInstances() {
+  co_await this->listInstances();
+  // The others of a whole system that starts register meanwhile.
+  co_await this->pause(StartListingPause);
+  co_await this->listInstances();
   while (true) {
     auto Known = this->Roster.askedAt();
     bool Old = !Known || BootClock().now() - *Known > RosterAgeLimit;
--- a/membership/InstanceRoster.cpp
+++ b/membership/InstanceRoster.cpp
@@ -119,10 +119,15 @@
       [&](const RosterEntry &Each) { return Each.Zone != Zone; });
 }
 
+const RosterEntry *InstanceRoster::find(const InstanceId &Id) const {
+  auto Found =
+      std::find_if(this->Entries.begin(), this->Entries.end(),
+                   [&](const RosterEntry &Each) { return Each.Id == Id; });
+  return Found == this->Entries.end() ? nullptr : &*Found;
+}
+
 bool InstanceRoster::listsSelf() const {
-  return std::any_of(
-      this->Entries.begin(), this->Entries.end(),
-      [this](const RosterEntry &Each) { return Each.Id == this->Self; });
+  return this->find(this->Self) != nullptr;
 }
 
 } // namespace turmericpitch
--- a/membership/InstanceRoster.h
+++ b/membership/InstanceRoster.h
@@ -60,6 +60,8 @@
   [[nodiscard]] std::size_t count() const;
   /// Whether an instance of another zone is listed.
   [[nodiscard]] bool anyOutside(const ZoneId &Zone) const;
+  /// The entry of an instance, or nullptr; valid until the next listing.
+  [[nodiscard]] const RosterEntry *find(const InstanceId &Id) const;
   /// Whether the own entry was in the newest listing.
   [[nodiscard]] bool listsSelf() const;
   [[nodiscard]] const std::vector<RosterEntry> &all() const {
