Hold connections at small shares; place reads where a connection is idle

Cause: with 118 instances before members that accept 173 connections, an instance sends each member one statement every few seconds. Idle links were closed after 0.3 to 1 s, so nearly each statement opened a connection, which occupies a slot for 12 ms beside 8 to 40 ms of work; reads went to whichever replica looked fastest, seldom to the one with an open link. Each instance also queried each primary twice a second for its log position, on a connection of its own.

Ruled out: the members' limit itself. 118 of 173 fits one held link for each instance, and larger fleets hold by a stable position (LinkRetention).

Change: limits/LinkRetention decides the idle timeout by share, the member's reported connections and refusals; routing/Placement counts the cost of connecting; instances that receive the samples of others ask a primary only once those are a second old.

--- a/configuration/RouteTable.cpp
+++ b/configuration/RouteTable.cpp
@@ -51,4 +51,16 @@
   return Lowest;
 }
 
+std::optional<Duration>
+RouteController::strictestMaximumAge(const ServiceId &Id) const {
+  std::optional<Duration> Strictest;
+  if (!this->Table)
+    return Strictest;
+  for (const auto &[Database, Route] : this->Table->Routes)
+    if (Route.Service == Id && Route.Level != Consistency::Strong)
+      Strictest =
+          std::min(Strictest.value_or(Route.MaximumAge), Route.MaximumAge);
+  return Strictest;
+}
+
 } // namespace turmericpitch
--- a/configuration/RouteTable.h
+++ b/configuration/RouteTable.h
@@ -84,6 +84,10 @@
   /// The lowest priority (the greatest number) among the routes of a service; 0
   /// if it has none.
   [[nodiscard]] std::uint32_t lowestPriority(const ServiceId &Id) const;
+  /// The strictest limit on the age of data among the routes of a service;
+  /// empty if none has one.
+  [[nodiscard]] std::optional<Duration>
+  strictestMaximumAge(const ServiceId &Id) const;
   [[nodiscard]] const std::optional<RouteTable> &table() const {
     return this->Table;
   }
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -149,6 +149,10 @@
   }
   /// Whether this instance reads the store for all other instances.
   [[nodiscard]] bool isReader() const { return this->readerRank() == 0; }
+  /// Whether other instances query this one for records and samples.
+  [[nodiscard]] bool providesRecords() const {
+    return this->Duties.holds(ReadDuty, this->relays());
+  }
   [[nodiscard]] const PrimaryLeases &leases() const { return this->Leases; }
 
 private:
--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -18,13 +18,19 @@
 } // namespace
 
 MemberLinkPool::MemberLinkPool(boost::asio::any_io_executor Exec,
-                               RegisteredMember Member,
+                               const InstanceId &Self, RegisteredMember Member,
                                ConnectionAllowanceOptions Allowance,
                                MemberLinkPoolOptions Options)
     : Exec(std::move(Exec)), Member(std::move(Member)), Options(Options),
-      Allowance(Allowance), Concurrency({.Max = this->Member.Slots,
-                                         .Instances = Allowance.Instances}),
-      CreatedAt(BootClock().now()), ServiceTime(Options.InitialServiceTime) {}
+      Allowance(Allowance),
+      Retention(Options.Retention), Occupancy{.Limit = Allowance.MemberLimit,
+                                              .Instances = Allowance.Instances,
+                                              .Position = retentionPosition(
+                                                  Self, this->Member.Id),
+                                              .StartedAt = BootClock().now()},
+      Concurrency(
+          {.Max = this->Member.Slots, .Instances = Allowance.Instances}),
+      ServiceTime(Options.InitialServiceTime) {}
 
 MemberLinkPool::~MemberLinkPool() { this->dropIdle(); }
 
@@ -49,6 +55,8 @@
 
 void MemberLinkPool::setAllowance(ConnectionAllowanceOptions Allowance) {
   this->Allowance.configure(Allowance);
+  this->Occupancy.Limit = Allowance.MemberLimit;
+  this->Occupancy.Instances = Allowance.Instances;
   this->Concurrency.setInstances(Allowance.Instances);
 }
 
@@ -67,6 +75,7 @@
           .MaxInFlightUrgent = std::min(this->Concurrency.allowedUrgent(Now),
                                         this->InFlight + AvailableLinks),
           .Share = this->Concurrency.limit(),
+          .HasIdleConnection = !this->IdleLinks.empty(),
           .TypicalServiceTime = this->ServiceTime,
           .Reached = this->Reached,
           .LaggingUntil = this->LaggingUntil,
@@ -142,6 +151,7 @@
   // A member that rejects connections beyond its limit is reachable.
   this->onAnswered(Now);
   this->Allowance.onRefused(EstablishedLinks, Now);
+  this->Occupancy.RefusedAt = Now;
 }
 
 void MemberLinkPool::release(const std::shared_ptr<MemberLink> &Link,
@@ -211,8 +221,11 @@
         Self->onAnswered(Self->Clock.now());
         auto Decoded =
             toOutcome([&] { return decodeMemberReport(Reply.value()); });
-        if (Decoded)
+        if (Decoded) {
           Report = Decoded.value();
+          Self->Occupancy.Reported = Report->ConnectionCount;
+          Self->ConnectionsReportedAt = SentAt;
+        }
       } else {
         Self->onUnanswered(Self->Clock.now());
       }
@@ -288,21 +301,24 @@
       Link->drop();
 }
 
+MemberOccupancy MemberLinkPool::occupancy(TimePoint Now) const {
+  MemberOccupancy Seen = this->Occupancy;
+  if (Now - this->ConnectionsReportedAt >
+      this->Options.ConnectionReportValidity)
+    Seen.Reported.reset();
+  return Seen;
+}
+
 void MemberLinkPool::closeExtraIdle(TimePoint Now) {
-  bool SmallShare =
-      this->Allowance.evenShare() < this->Options.MinShareToKeepLinks;
-  bool Starting = Now - this->CreatedAt < this->Options.StartPeriod;
-  std::size_t MinLinks = SmallShare ? 0 : this->Options.MinOpenLinks;
-  std::shared_ptr<MemberLink> Last;
+  MemberOccupancy Seen = this->occupancy(Now);
+  std::size_t MinOpen = this->Retention.minOpen(Seen);
+  std::shared_ptr<MemberLink> MostRecent;
   if (!this->IdleLinks.empty())
-    Last = this->IdleLinks.back();
+    MostRecent = this->IdleLinks.back();
   std::erase_if(this->IdleLinks, [&](const auto &Link) {
-    Duration Timeout = SmallShare && Link != Last
-                           ? this->Options.SmallShareIdleTimeout
-                           : this->Options.ExtraIdleTimeout;
-    if (SmallShare && Starting)
-      Timeout = Duration{0};
-    bool Extra = this->OpenCount > MinLinks && Now - Link->IdleSince > Timeout;
+    Duration Timeout =
+        this->Retention.idleTimeout(Seen, Link == MostRecent, Now);
+    bool Extra = this->OpenCount > MinOpen && Now - Link->IdleSince > Timeout;
     if (!Extra && Link->idle())
       return false;
     Link->close();
--- a/drivers/MemberLinkPool.h
+++ b/drivers/MemberLinkPool.h
@@ -4,6 +4,7 @@
 #include "drivers/MemberLink.h"
 #include "limits/ConcurrencyLimit.h"
 #include "limits/ConnectionAllowance.h"
+#include "limits/LinkRetention.h"
 #include "routing/Placement.h"
 
 #include <vector>
@@ -30,24 +31,9 @@
   /// A replica no longer counts as lagging repeatedly when its last lag
   /// back-off ended longer ago than this.
   Duration LagMemory = std::chrono::milliseconds(1500);
-  /// Idle links are closed only while more links than this are open. The number
-  /// is small because a member holds the links of an instance that lost power
-  /// for three more seconds, and they count against its connection limit when
-  /// the instance has restarted.
-  std::size_t MinOpenLinks = 2;
-  /// If this instance's even share of the member's connection limit is
-  /// smaller than this, MinOpenLinks does not apply. All instances together
-  /// then hold less than half of the limit while load is low.
-  std::size_t MinShareToKeepLinks = 4;
-  /// Links beyond MinOpenLinks are closed after this idle time. If the share
-  /// is small, SmallShareIdleTimeout applies to all of them but the most
-  /// recently used one.
-  Duration ExtraIdleTimeout = std::chrono::seconds(1);
-  Duration SmallShareIdleTimeout = std::chrono::milliseconds(300);
-  /// If the share is small, no idle link is kept for this long after the
-  /// start. Members still hold the links of earlier processes for three
-  /// seconds, and all instances have to share the remaining connections.
-  Duration StartPeriod = std::chrono::milliseconds(3500);
+  LinkRetentionOptions Retention = {};
+  /// How long a member's reported number of connections is used.
+  Duration ConnectionReportValidity = std::chrono::milliseconds(1500);
   /// Typical service time assumed until the first one was observed.
   Duration InitialServiceTime = std::chrono::milliseconds(25);
 };
@@ -57,8 +43,9 @@
 /// only on the thread of its executor.
 class MemberLinkPool : public std::enable_shared_from_this<MemberLinkPool> {
 public:
-  MemberLinkPool(boost::asio::any_io_executor Exec, RegisteredMember Member,
-                 ConnectionAllowanceOptions Allowance,
+  /// Self: this instance.
+  MemberLinkPool(boost::asio::any_io_executor Exec, const InstanceId &Self,
+                 RegisteredMember Member, ConnectionAllowanceOptions Allowance,
                  MemberLinkPoolOptions Options = {});
   ~MemberLinkPool();
   MemberLinkPool(const MemberLinkPool &) = delete;
@@ -158,6 +145,7 @@
 
 private:
   void sendQuery(const std::string &Bytes, ReportHandler OnReport);
+  [[nodiscard]] MemberOccupancy occupancy(TimePoint Now) const;
   void onOpeningEnded(LinkOpening Result);
   void onRequestSent();
   void dropIdle();
@@ -167,6 +155,11 @@
   RegisteredMember Member;
   MemberLinkPoolOptions Options;
   ConnectionAllowance Allowance;
+  LinkRetention Retention;
+  /// What is known of the member's connections; Limit and Instances are those
+  /// of Allowance.
+  MemberOccupancy Occupancy;
+  TimePoint ConnectionsReportedAt;
   ConcurrencyLimit Concurrency;
   std::vector<std::shared_ptr<MemberLink>> IdleLinks;
   /// All links that may still be open, for dropAll().
@@ -176,7 +169,6 @@
   std::size_t OpeningCount = 0;
   std::size_t InFlight = 0;
   std::uint64_t OpenedCount = 0;
-  TimePoint CreatedAt;
   Duration ServiceTime;
   std::optional<TermPosition> Reached;
   Duration LagBackoff{0};
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -137,9 +137,9 @@
     auto Found = State.Pools.find(Member.Id);
     if (Found != State.Pools.end())
       return Found->second->onEntryChanged(Member);
-    State.Pools.emplace(Member.Id,
-                        std::make_shared<MemberLinkPool>(
-                            this->Exec, Member, AllowanceOf(Member.Service)));
+    State.Pools.emplace(Member.Id, std::make_shared<MemberLinkPool>(
+                                       this->Exec, this->Options.Self, Member,
+                                       AllowanceOf(Member.Service)));
   };
   std::for_each(Change.Added.begin(), Change.Added.end(), Update);
   std::for_each(Change.Changed.begin(), Change.Changed.end(), Update);
@@ -147,6 +147,7 @@
     this->Services[Member.Service].Pools.erase(Member.Id);
   for (auto &[Service, State] : this->Services) {
     State.LowestPriority = Routes.lowestPriority(Service);
+    State.StrictestMaximumAge = Routes.strictestMaximumAge(Service);
     for (auto &[Id, Pool] : State.Pools)
       Pool->setAllowance(AllowanceOf(Service));
   }
@@ -804,22 +805,35 @@
                                             Sample.AskedAt);
 }
 
-void StatementDispatcher::maintain() {
+void StatementDispatcher::maintain(bool SamplesForOthers) {
   TimePoint Now = this->Clock.now();
   for (auto &[Id, State] : this->Services) {
     for (auto &[Member, Pool] : State.Pools)
       Pool->closeExtraIdle(Now);
-    this->requestSample(State, Now);
+    this->requestSample(State, SamplesForOthers, Now);
   }
   this->onLeasesChanged();
 }
 
-void StatementDispatcher::requestSample(ServiceState &State, TimePoint Now) {
+Duration StatementDispatcher::sampleInterval(const ServiceState &State,
+                                             bool SamplesForOthers) const {
+  if (SamplesForOthers)
+    return this->Options.SampleInterval;
+  Duration Interval = this->Options.ReceivedSampleInterval;
+  // Leaves a third of the accepted age for the query and the replica's lag.
+  if (State.StrictestMaximumAge)
+    Interval = std::min(Interval, *State.StrictestMaximumAge * 2 / 3);
+  return std::max(Interval, this->Options.SampleInterval);
+}
+
+void StatementDispatcher::requestSample(ServiceState &State,
+                                        bool SamplesForOthers, TimePoint Now) {
+  Duration Interval = this->sampleInterval(State, SamplesForOthers);
   auto Lease = this->LeaseOf(State.Id);
   auto Newest = State.Freshness.newest();
   bool Recent = Newest &&
                 State.Freshness.epoch() == (Lease ? Lease->Epoch : 0) &&
-                Now - Newest->AskedAt < this->Options.SampleInterval;
+                Now - Newest->AskedAt < Interval;
   if (!Lease || Lease->ExpiresAt <= Now || Recent ||
       Now - State.SampleRequestedAt < this->Options.SampleInterval)
     return;
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -16,6 +16,7 @@
 namespace turmericpitch {
 
 struct StatementDispatcherOptions {
+  InstanceId Self;
   ZoneId Zone;
   PlacementOptions Placement = {};
   /// Maximum number of attempts for one statement.
@@ -48,6 +49,9 @@
   /// its status is queried, so that replicas can continue to serve reads with
   /// bounded staleness.
   Duration SampleInterval = std::chrono::milliseconds(500);
+  /// The same for an instance that receives the samples of others, unless the
+  /// age that a route accepts is shorter. A relayed sample is up to 850 ms old.
+  Duration ReceivedSampleInterval = std::chrono::milliseconds(1000);
 };
 
 /// Routes that share a service time estimate: an instance sees too few
@@ -74,6 +78,8 @@
   /// The largest priority number among the service's routes. Routes with a
   /// smaller number are more urgent.
   std::uint32_t LowestPriority = 0;
+  /// The strictest limit on the age of data among the service's routes.
+  std::optional<Duration> StrictestMaximumAge;
   /// Whether the queue is being served; prevents recursion.
   bool Serving = false;
 };
@@ -127,8 +133,9 @@
   void onSample(const ServiceId &Service, std::uint64_t Epoch,
                 const PrimarySample &Sample);
   /// Closes idle links, queries samples and re-evaluates held
-  /// acknowledgements. Call about ten times a second.
-  void maintain();
+  /// acknowledgements. Call about ten times a second. SamplesForOthers: whether
+  /// other instances receive this instance's samples.
+  void maintain(bool SamplesForOthers);
 
   [[nodiscard]] const std::map<ServiceId, ServiceState> &services() const {
     return this->Services;
@@ -192,7 +199,10 @@
   /// transaction, or its lease is ending.
   [[nodiscard]] bool isBeingReplaced(const SharedCall &Call) const;
   void recordReply(const SharedCall &Call, const StatementReply &Reply);
-  void requestSample(ServiceState &State, TimePoint Now);
+  void requestSample(ServiceState &State, bool SamplesForOthers, TimePoint Now);
+  /// The age from which a sample of the service is replaced.
+  [[nodiscard]] Duration sampleInterval(const ServiceState &State,
+                                        bool SamplesForOthers) const;
   void scheduleWake();
 
   boost::asio::any_io_executor Exec;
--- /dev/null
+++ b/limits/LinkRetention.cpp
@@ -0,0 +1,55 @@
+#include "limits/LinkRetention.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace turmericpitch {
+
+double retentionPosition(const InstanceId &Instance, const UpstreamId &Member) {
+  std::string Text = Instance.Value + "\n" + Member.Value;
+  // The upper 53 bits fit the mantissa of a double.
+  constexpr int UnusedBits = 11;
+  constexpr double Range = 1ULL << 53;
+  return static_cast<double>(XXH64(Text.data(), Text.size(), 0) >> UnusedBits) /
+         Range;
+}
+
+bool LinkRetention::hasSmallShare(const MemberOccupancy &Seen) const {
+  return Seen.Limit < this->Options.MinShareToKeepLinks *
+                          std::max<std::size_t>(1, Seen.Instances);
+}
+
+bool LinkRetention::holdsOne(const MemberOccupancy &Seen) const {
+  double Held = this->Options.MaxHeldFraction * static_cast<double>(Seen.Limit);
+  return Seen.Position * static_cast<double>(Seen.Instances) < Held;
+}
+
+bool LinkRetention::isCrowded(const MemberOccupancy &Seen,
+                              TimePoint Now) const {
+  if (Seen.RefusedAt &&
+      Now - *Seen.RefusedAt < this->Options.CrowdedAfterRefusal)
+    return true;
+  if (Seen.Reported)
+    return static_cast<double>(*Seen.Reported) >
+           this->Options.CrowdedFraction * static_cast<double>(Seen.Limit);
+  return Now - Seen.StartedAt < this->Options.StartPeriod;
+}
+
+std::size_t LinkRetention::minOpen(const MemberOccupancy &Seen) const {
+  return this->hasSmallShare(Seen) ? 0 : this->Options.MinOpenLinks;
+}
+
+Duration LinkRetention::idleTimeout(const MemberOccupancy &Seen,
+                                    bool MostRecent, TimePoint Now) const {
+  if (!this->hasSmallShare(Seen))
+    return this->Options.ExtraIdleTimeout;
+  if (this->isCrowded(Seen, Now)) {
+    bool Starting = Now - Seen.StartedAt < this->Options.StartPeriod;
+    return Starting ? Duration{0} : this->Options.SmallShareIdleTimeout;
+  }
+  return MostRecent && this->holdsOne(Seen)
+             ? this->Options.HeldIdleTimeout
+             : this->Options.SmallShareIdleTimeout;
+}
+
+} // namespace turmericpitch
--- /dev/null
+++ b/limits/LinkRetention.h
@@ -0,0 +1,90 @@
+// Decides how long this instance keeps idle connections to a member open.
+#pragma once
+
+#include "core/Identifiers.h"
+#include "core/Time.h"
+
+#include <cstddef>
+#include <optional>
+
+namespace turmericpitch {
+
+struct LinkRetentionOptions {
+  /// If this instance's even share of the member's connection limit is at least
+  /// this, MinOpenLinks connections are kept open regardless of use.
+  std::size_t MinShareToKeepLinks = 4;
+  /// The number is small because a member holds the connections of an instance
+  /// that lost power for three more seconds, and they count against its limit
+  /// when the instance has restarted.
+  std::size_t MinOpenLinks = 2;
+  /// Idle timeout of further connections if the share is large.
+  Duration ExtraIdleTimeout = std::chrono::milliseconds(1000);
+  /// Idle timeout of connections that are not held if the share is small.
+  Duration SmallShareIdleTimeout = std::chrono::milliseconds(300);
+  /// Idle timeout of a held connection. Members close connections that are idle
+  /// for a minute.
+  Duration HeldIdleTimeout = std::chrono::seconds(30);
+  /// Fraction of the member's limit that held connections of all instances may
+  /// occupy. The rest is for peaks and for instances that have restarted.
+  double MaxHeldFraction = 0.7;
+  /// Above this fraction of its limit a member counts as crowded, and idle
+  /// connections to it are not held.
+  double CrowdedFraction = 0.9;
+  /// A member also counts as crowded for this long after it has refused a
+  /// connection at its limit. Members drop dead connections after 3 s.
+  Duration CrowdedAfterRefusal = std::chrono::milliseconds(3000);
+  /// After its start, an instance holds no connection for this long unless the
+  /// member reports that it has room: members may still hold those of earlier
+  /// processes.
+  Duration StartPeriod = std::chrono::milliseconds(3500);
+};
+
+/// The connections of one member as seen by this instance. Immutable value.
+struct MemberOccupancy {
+  /// Connections that the member accepts from all instances together.
+  std::size_t Limit = 1;
+  std::size_t Instances = 1;
+  /// This instance's position among those that use the member, from 0 to 1; see
+  /// retentionPosition().
+  double Position = 0;
+  /// Connections of all instances in the member's newest report; empty if there
+  /// is no recent one.
+  std::optional<std::size_t> Reported = std::nullopt;
+  /// When the member last refused a connection at its limit.
+  std::optional<TimePoint> RefusedAt = std::nullopt;
+  /// When this instance began to use the member.
+  TimePoint StartedAt = {};
+};
+
+/// A position that is uniformly distributed over the pairs of instances and
+/// members and never changes. Pure; thread-safe.
+double retentionPosition(const InstanceId &Instance, const UpstreamId &Member);
+
+/// Keeps connections of fleets in which each instance sends a member only one
+/// or two statements per second. A new connection occupies one of the member's
+/// slots for about as long as a short statement, so closing it between two
+/// statements costs the member a third of its capacity. If the limit is too
+/// small for a connection of each instance, only those with the lowest
+/// positions hold one. Immutable; thread-safe.
+class LinkRetention {
+public:
+  explicit LinkRetention(LinkRetentionOptions Options = {})
+      : Options(Options) {}
+
+  /// Number of connections that are kept open regardless of use.
+  [[nodiscard]] std::size_t minOpen(const MemberOccupancy &Seen) const;
+  /// Idle timeout of a connection. MostRecent: whether it is the most recently
+  /// used one among the idle connections.
+  [[nodiscard]] Duration idleTimeout(const MemberOccupancy &Seen,
+                                     bool MostRecent, TimePoint Now) const;
+
+private:
+  [[nodiscard]] bool hasSmallShare(const MemberOccupancy &Seen) const;
+  [[nodiscard]] bool holdsOne(const MemberOccupancy &Seen) const;
+  [[nodiscard]] bool isCrowded(const MemberOccupancy &Seen,
+                               TimePoint Now) const;
+
+  LinkRetentionOptions Options;
+};
+
+} // namespace turmericpitch
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -73,7 +73,8 @@
               {.Store = this->Settings.Store,
                .Promotions = this->Settings.Promotions}),
         Dispatcher(
-            this->Loop.get_executor(), {.Zone = this->Settings.Zone},
+            this->Loop.get_executor(),
+            {.Self = this->Settings.Self, .Zone = this->Settings.Zone},
             [this](const ServiceId &Id) { return this->Failover.lease(Id); },
             [this](const ServiceId &Id) {
               return this->Failover.expectedRecovery(Id);
@@ -474,7 +475,7 @@
     co_await this->pause(MaintenanceInterval);
     if (this->Log)
       writePending(*this->Log, STDOUT_FILENO);
-    this->Dispatcher.maintain();
+    this->Dispatcher.maintain(this->Failover.providesRecords());
     // Once the load balancer directs new sessions to other instances, idle
     // sessions are closed so that their clients reconnect there.
     if (!this->Stopping && this->Failover.isolation().isolatedFor(
--- a/routing/Placement.cpp
+++ b/routing/Placement.cpp
@@ -28,7 +28,10 @@
                 static_cast<double>(std::max<std::size_t>(1, Each.MaxInFlight));
   if (!Each.SameZone)
     Time += static_cast<double>(Options.CrossZonePenalty.count());
-  if (Each.UsablePrimary && !Requirements.Primary)
+  bool ReadAtPrimary = Each.UsablePrimary && !Requirements.Primary;
+  if (!Each.HasIdleConnection || ReadAtPrimary)
+    Time += static_cast<double>(Options.ConnectPenalty.count());
+  if (ReadAtPrimary)
     Time *= Options.PrimaryReadCostFactor;
   return Time;
 }
--- a/routing/Placement.h
+++ b/routing/Placement.h
@@ -32,6 +32,8 @@
   /// Average number of statements in flight while statements wait for the
   /// member; below one if statements are paced.
   double Share = 1;
+  /// Whether a statement can start without opening a connection first.
+  bool HasIdleConnection = true;
   /// Observed typical time of a statement at the member.
   Duration TypicalServiceTime{0};
   /// The highest position that its log is known to reach.
@@ -60,8 +62,12 @@
   /// connection that counts against the member's limit. Less than half of a
   /// statement's time.
   Duration CrossZonePenalty = std::chrono::milliseconds(12);
+  /// Cost of opening a connection: it occupies one of the member's slots for
+  /// about 12 ms, beside two round trips.
+  Duration ConnectPenalty = std::chrono::milliseconds(15);
   /// Factor on the expected time of a read at the primary, because writes can
-  /// run nowhere else.
+  /// run nowhere else. Reads go to a replica even if only the primary has an
+  /// idle connection.
   double PrimaryReadCostFactor = 1.6;
 };
 
--- /dev/null
+++ b/tests/limits/LinkRetentionTest.cpp
@@ -0,0 +1,150 @@
+// Replays the connections of a fleet whose instances each send a member a
+// statement every few seconds, as on the calm day of the load test "sabedge
+// large": 118 instances before a member that accepts 173 connections.
+#include "limits/LinkRetention.h"
+#include "core/RandomSource.h"
+
+#include <algorithm>
+#include <cmath>
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t Limit = 173;
+constexpr Duration Tick = milliseconds(10);
+constexpr Duration MaintenanceInterval = milliseconds(100);
+constexpr Duration StatementTime = milliseconds(30);
+constexpr Duration Start = std::chrono::seconds(100);
+constexpr Duration Length = std::chrono::seconds(120);
+/// Statements per second of one instance at one member.
+constexpr double Rate = 0.35;
+
+/// One instance's connection to the member. More than one is not needed at this
+/// rate.
+struct Connection {
+  bool Open = false;
+  TimePoint BusyUntil;
+};
+
+struct FleetResult {
+  std::size_t Statements = 0;
+  std::size_t Opened = 0;
+  std::size_t MostOpen = 0;
+};
+
+InstanceId instance(std::size_t Index) {
+  return {"instance-" + std::to_string(Index)};
+}
+
+MemberOccupancy occupancy(std::size_t Index, std::size_t Instances) {
+  return {.Limit = Limit,
+          .Instances = Instances,
+          .Position = retentionPosition(instance(Index), {"member"}),
+          .StartedAt = TimePoint{}};
+}
+
+/// Runs a fleet on one member. Reported is what the member reports as its
+/// number of connections, if anything.
+FleetResult runFleet(std::size_t Instances,
+                     std::optional<std::size_t> Reported = std::nullopt) {
+  LinkRetention Retention;
+  RandomSource Random(7);
+  std::vector<Connection> Connections(Instances);
+  FleetResult Result;
+  double ChancePerTick = Rate * std::chrono::duration<double>(Tick).count();
+  TimePoint From(Start);
+  for (TimePoint Now = From; Now < From + Length; Now += Tick) {
+    std::size_t Open = 0;
+    for (std::size_t Index = 0; Index < Instances; ++Index) {
+      Connection &Own = Connections[Index];
+      if (Now >= Own.BusyUntil && Random.chance(ChancePerTick)) {
+        ++Result.Statements;
+        Result.Opened += Own.Open ? 0 : 1;
+        Own = {.Open = true, .BusyUntil = Now + StatementTime};
+      }
+      MemberOccupancy Seen = occupancy(Index, Instances);
+      Seen.Reported = Reported;
+      bool Maintained = (Now - From) % MaintenanceInterval == Duration{0};
+      if (Maintained && Own.Open &&
+          Now - Own.BusyUntil > Retention.idleTimeout(Seen, true, Now))
+        Own.Open = false;
+      Open += Own.Open ? 1 : 0;
+    }
+    Result.MostOpen = std::max(Result.MostOpen, Open);
+  }
+  return Result;
+}
+
+double openedPerStatement(const FleetResult &Result) {
+  return static_cast<double>(Result.Opened) /
+         static_cast<double>(Result.Statements);
+}
+
+TEST(LinkRetention, CalmFleetSeldomOpensConnections) {
+  FleetResult Result = runFleet(118);
+  EXPECT_LT(openedPerStatement(Result), 0.05);
+  EXPECT_LT(Result.MostOpen, Limit);
+}
+
+TEST(LinkRetention, FleetBeyondTheLimitLeavesRoomForOthers) {
+  FleetResult Result = runFleet(300);
+  EXPECT_LT(Result.MostOpen, Limit);
+  // The instances that hold a connection seldom open one.
+  EXPECT_LT(openedPerStatement(Result), 0.7);
+}
+
+/// After a loss of power the member still counts the dead connections.
+TEST(LinkRetention, HoldsNothingAtACrowdedMember) {
+  FleetResult Result = runFleet(118, Limit);
+  EXPECT_LT(Result.MostOpen, Limit / 3);
+}
+
+TEST(LinkRetention, ReleasesConnectionsAfterARefusalAtTheLimit) {
+  LinkRetention Retention;
+  TimePoint Now(Start);
+  MemberOccupancy Seen{.Limit = Limit, .Instances = 118};
+  EXPECT_GT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(10));
+  Seen.RefusedAt = Now - milliseconds(500);
+  EXPECT_LT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(1));
+  Seen.RefusedAt = Now - std::chrono::seconds(4);
+  EXPECT_GT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(10));
+}
+
+/// After its start an instance can't tell whether members still hold the
+/// connections of the processes before, unless they report it.
+TEST(LinkRetention, HoldsNothingAfterTheStartUnlessTheMemberHasRoom) {
+  LinkRetention Retention;
+  TimePoint Now(Start);
+  MemberOccupancy Seen{
+      .Limit = Limit, .Instances = 118, .StartedAt = Now - milliseconds(500)};
+  EXPECT_LT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(1));
+  Seen.Reported = Limit;
+  EXPECT_LT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(1));
+  Seen.Reported = Limit / 2;
+  EXPECT_GT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(10));
+}
+
+TEST(LinkRetention, LargeShareKeepsSomeConnectionsOpen) {
+  LinkRetention Retention;
+  TimePoint Now(Start);
+  MemberOccupancy Seen{.Limit = 22, .Instances = 5};
+  EXPECT_EQ(Retention.minOpen(Seen), 2U);
+  EXPECT_EQ(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(1));
+  Seen.Instances = 37;
+  EXPECT_EQ(Retention.minOpen(Seen), 0U);
+}
+
+TEST(LinkRetention, PositionsSpreadEvenly) {
+  constexpr std::size_t Samples = 2000;
+  std::size_t Lower = 0;
+  for (std::size_t Index = 0; Index < Samples; ++Index)
+    Lower += retentionPosition(instance(Index), {"member"}) < 0.3 ? 1 : 0;
+  EXPECT_NEAR(static_cast<double>(Lower) / Samples, 0.3, 0.04);
+}
+
+} // namespace
+} // namespace turmericpitch
--- a/tests/routing/PlacementTest.cpp
+++ b/tests/routing/PlacementTest.cpp
@@ -100,6 +100,28 @@
             1U);
 }
 
+/// Guards against a connection being opened for each read, as on the load test
+/// "sabedge large": with a statement every few seconds, an instance seldom
+/// found an idle connection at the replica that it chose.
+TEST(Placement, PrefersTheReplicaWithAnIdleConnection) {
+  std::vector<MemberCandidate> Candidates{replica("a"), replica("b")};
+  Candidates[0].HasIdleConnection = false;
+  EXPECT_EQ(place(Candidates, {.Primary = false, .MinPosition = Ten}).Index,
+            1U);
+  // It even pays to cross to another zone.
+  Candidates[1].SameZone = false;
+  EXPECT_EQ(place(Candidates, {.Primary = false, .MinPosition = Ten}).Index,
+            1U);
+}
+
+TEST(Placement, OpensAConnectionToAReplicaRatherThanReadAtThePrimary) {
+  std::vector<MemberCandidate> Candidates{primary(), replica("a")};
+  Candidates[1].HasIdleConnection = false;
+  Candidates[1].SameZone = false;
+  EXPECT_EQ(place(Candidates, {.Primary = false, .MinPosition = Ten}).Index,
+            1U);
+}
+
 TEST(Placement, WaitsForAFullMemberButNotForAnExcludedOne) {
   std::vector<MemberCandidate> Candidates{primary()};
   Candidates[0].InFlight = 3;
