Start a fleet within the members' capacity

Cause: after a loss of power of all machines, 118 instances start at once. A pool was made before the number of instances was known, so its limit began at all of the member's slots, else at one statement for each instance: 118 or 472 statements at a member with 4 slots and a queue of 32. Each refused statement had opened a connection first, as no link was kept for 3.5 s after a start.

Change: the limit begins at the even share and follows the number of instances until the first statement completes; slow start raises it within two statements at a calm member.

--- a/limits/ConcurrencyLimit.cpp
+++ b/limits/ConcurrencyLimit.cpp
@@ -5,7 +5,13 @@
 namespace turmericpitch {
 
 ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions Options)
-    : Options(Options), Limit(std::max(1.0, this->minLimit())) {}
+    : Options(Options), Limit(this->minLimit()) {}
+
+void ConcurrencyLimit::setInstances(std::size_t Instances) {
+  this->Options.Instances = Instances;
+  if (!this->Used)
+    this->Limit = this->minLimit();
+}
 
 double ConcurrencyLimit::minLimit() const {
   double Max = static_cast<double>(this->Options.Max);
@@ -15,6 +21,7 @@
 }
 
 void ConcurrencyLimit::onRefused(TimePoint Now) {
+  this->Used = true;
   // Refusals during a pause count as part of the one that started it.
   if (Now < this->PausedUntil)
     return;
@@ -28,6 +35,7 @@
 
 void ConcurrencyLimit::onCompleted(Duration Took, Duration TargetTime,
                                    TimePoint Now) {
+  this->Used = true;
   this->Pause = Duration{0};
   double TimeRatio =
       static_cast<double>(Took.count()) /
--- a/limits/ConcurrencyLimit.h
+++ b/limits/ConcurrencyLimit.h
@@ -37,19 +37,18 @@
   double StatementsToGrowInSlowStart = 2;
 };
 
-/// Adaptive concurrency limit with slow start. Starts at one statement, halves
-/// on a refusal, decreases while statements wait at the member, and grows as
-/// statements complete in time, so that many instances using the same member
-/// stay within its capacity. A limit below one is enforced by pacing:
-/// statements are sent one at a time with pauses in between. Pure; not
-/// thread-safe.
+/// Adaptive concurrency limit with slow start. Starts at the even share, as all
+/// instances may be starting at the same time, halves on a refusal, decreases
+/// while statements wait at the member, and grows as statements complete in
+/// time, so that many instances using the same member stay within its capacity.
+/// A limit below one is enforced by pacing: statements are sent one at a time
+/// with pauses in between. Pure; not thread-safe.
 class ConcurrencyLimit {
 public:
   explicit ConcurrencyLimit(ConcurrencyLimitOptions Options);
 
-  void setInstances(std::size_t Instances) {
-    this->Options.Instances = Instances;
-  }
+  /// Until the first statement completes, the limit follows the even share.
+  void setInstances(std::size_t Instances);
   /// The member refused a statement for lack of capacity.
   void onRefused(TimePoint Now);
   /// A statement has completed after Took. If statements take longer than
@@ -73,6 +72,8 @@
   double Limit;
   /// True until statements first wait at the member.
   bool InSlowStart = true;
+  /// Whether a statement has completed or was refused.
+  bool Used = false;
   /// Moving average of the ratio of a statement's time to its target time.
   double MeanTimeRatio = 0;
   TimePoint LoweredAt;
--- a/limits/LinkRetention.cpp
+++ b/limits/LinkRetention.cpp
@@ -43,13 +43,9 @@
                                     bool MostRecent, TimePoint Now) const {
   if (!this->hasSmallShare(Seen))
     return this->Options.ExtraIdleTimeout;
-  if (this->isCrowded(Seen, Now)) {
-    bool Starting = Now - Seen.StartedAt < this->Options.StartPeriod;
-    return Starting ? Duration{0} : this->Options.SmallShareIdleTimeout;
-  }
-  return MostRecent && this->holdsOne(Seen)
-             ? this->Options.HeldIdleTimeout
-             : this->Options.SmallShareIdleTimeout;
+  bool Hold = MostRecent && this->holdsOne(Seen) && !this->isCrowded(Seen, Now);
+  return Hold ? this->Options.HeldIdleTimeout
+              : this->Options.SmallShareIdleTimeout;
 }
 
 } // namespace turmericpitch
--- a/tests/limits/ConcurrencyLimitTest.cpp
+++ b/tests/limits/ConcurrencyLimitTest.cpp
@@ -50,6 +50,35 @@
   EXPECT_EQ(Limit.allowedUrgent(Now), 0U);
 }
 
+/// Guards against a fleet that overloads the members when all its instances
+/// start at once, as in the load test "sabedge large trouble-1" after a loss of
+/// power: the number of instances is often known only after the limit was made.
+TEST(ConcurrencyLimit, FleetThatStartsStaysWithinTheMembersCapacity) {
+  constexpr std::size_t Instances = 118;
+  constexpr std::size_t Slots = 4;
+  TimePoint Now(milliseconds(1000));
+  double Sum = 0;
+  for (std::size_t Index = 0; Index < Instances; ++Index) {
+    ConcurrencyLimit Limit({.Max = Slots});
+    Limit.setInstances(Instances);
+    // The first statements wait at the member for other instances' ones.
+    Limit.onCompleted(milliseconds(300), milliseconds(40), Now);
+    Sum += Limit.limit();
+  }
+  EXPECT_LE(Sum, 2.0 * Slots);
+}
+
+/// A single instance that starts beside a calm fleet isn't held back for long.
+TEST(ConcurrencyLimit, RisesQuicklyAtACalmMember) {
+  ConcurrencyLimit Limit({.Max = 4});
+  Limit.setInstances(118);
+  TimePoint Now(milliseconds(1000));
+  EXPECT_EQ(Limit.allowed(Now), 1U);
+  for (int Index = 0; Index < 4; ++Index, Now += milliseconds(60))
+    Limit.onCompleted(milliseconds(20), milliseconds(40), Now);
+  EXPECT_GE(Limit.allowed(Now), 2U);
+}
+
 TEST(ConcurrencyLimit, PauseDoublesWithEachRefusalUpToMaximum) {
   ConcurrencyLimit Limit({.Max = 6});
   TimePoint Now(milliseconds(1000));
