--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -5,6 +5,7 @@
 #include "drivers/LeaseExchange.h"
 #include "drivers/StatementDispatcher.h"
 #include "drivers/StoreClient.h"
+#include "failover/GrantorMaintenance.h"
 #include "failover/PrimaryMonitor.h"
 #include "failover/PromotionRules.h"
 #include "failover/ReplicaBacklogMonitor.h"
@@ -36,9 +37,24 @@
   std::size_t LivenessCheckers = 2;
   /// How often relays query the reader, and the other instances a relay.
   Duration QueryInterval = std::chrono::milliseconds(150);
-  /// If its records are older than this, an instance queries the store and
-  /// all other instances. Records from a relay are up to 560 ms old.
+  /// If its records are older than this, an instance queries the store, and
+  /// relays request grants. Records from a relay are up to 560 ms old.
   Duration MaxRecordAge = std::chrono::milliseconds(620);
+  /// If its leases are counted from longer ago than this while its records are
+  /// too old, an instance requests grants itself.
+  Duration MaxLeaseAge = std::chrono::milliseconds(450);
+  /// Time within which an instance reads a changed grantor set, at random, so
+  /// that not all read it at once.
+  Duration GrantorReadSpread = std::chrono::milliseconds(1500);
+  GrantorMaintenanceOptions GrantorSelection = {};
+  /// How often the grantor set is checked.
+  Duration GrantorCheckInterval = std::chrono::milliseconds(500);
+  /// How often unanswered requests to grantors are repeated.
+  Duration GrantorRetryInterval = std::chrono::milliseconds(60);
+  /// How much later each rank verifies the records of a restored store.
+  Duration VerificationRankDelay = std::chrono::milliseconds(1000);
+  /// How often an instance that isn't the reader looks for the first records.
+  Duration FirstRecordInterval = std::chrono::milliseconds(4000);
   /// How long a reader is excluded that responds but provides only stale
   /// records: the store may reject only this reader.
   Duration ReaderExclusion = std::chrono::milliseconds(3000);
@@ -90,14 +106,6 @@
   Duration ReportTimeout = std::chrono::milliseconds(150);
 };
 
-/// This instance's own entry in the registry, as the store acknowledged it.
-struct OwnRegistration {
-  std::string Key;
-  Revision Stored;
-  /// When the acknowledgement arrived.
-  TimePoint Since;
-};
-
 /// Renews leases on primaries, monitors the primaries and coordinates their
 /// replacement. Not thread-safe: use only from the thread that runs Exec.
 class FailoverCoordinator {
@@ -109,8 +117,6 @@
   inline static const DutyKey ReadDuty{.Kind = Duty::Watch,
                                        .Subject = "records"};
 
-  /// Returns nothing while this instance is not registered.
-  using RegistrationLookup = std::function<std::optional<OwnRegistration>()>;
   /// Exchanges the versions of the data that instances have, so that instances
   /// with stale data catch up.
   struct VersionHooks {
@@ -122,8 +128,7 @@
 
   FailoverCoordinator(Executor Exec, FailoverCoordinatorOptions Options,
                       StoreClient &Store, const InstanceRegistry &Instances,
-                      StatementDispatcher &Dispatcher,
-                      RegistrationLookup Registration, VersionHooks Versions);
+                      StatementDispatcher &Dispatcher, VersionHooks Versions);
 
   /// Starts to renew leases and to monitor primaries. Errors: Unavailable if
   /// the address for other instances can't be bound.
@@ -161,6 +166,11 @@
     Revision Stored;
     TimePoint SeenAt;
   };
+  /// When this instance first saw the closing of a record.
+  struct SeenClosing {
+    Revision ClosedFrom;
+    TimePoint SeenAt;
+  };
   struct Failover;
   /// A member's status reply to a promoter.
   struct MemberReply {
@@ -171,8 +181,7 @@
   LeaseExchange::Hooks peerHooks();
   [[nodiscard]] KnownVersions ownVersions() const;
   void onOtherVersions(const KnownVersions &Other, TimePoint QuerySentAt);
-  void extendLeases(const LeaseRound &Round);
-  [[nodiscard]] std::optional<Revision> retiredRegistration() const;
+  void onGranted(const GrantedEpoch &Granted, const GrantRound &Round);
   [[nodiscard]] bool mayGrant(const ServiceId &Id) const;
   [[nodiscard]] PrimaryReachability reachability(const ServiceId &Id) const;
   [[nodiscard]] PrimaryObservation
@@ -205,6 +214,15 @@
   Awaitable<bool> othersReachPrimary(ServiceId Id);
   Awaitable<void> renew();
   Awaitable<bool> readRecords();
+  /// Applies a listing of the records if it is of a verified era.
+  void onRecordListing(const StorePage &Listing, TimePoint ReadSentAt);
+  [[nodiscard]] bool hasOutdatedGrantors() const;
+  Awaitable<void> maintainGrantors();
+  Awaitable<void> writeGrantors(GrantorSet Next);
+  /// Verifies the records for the era that the store has entered.
+  Awaitable<void> verifyRecords();
+  Awaitable<bool> writeVerified(const RecordVerification &Verification,
+                                TimePoint Now);
   Awaitable<void> checkServices();
   void checkService(const ServiceId &Id, TimePoint Now);
   void checkBacklog(const PrimaryRecord &Record, TimePoint Now);
@@ -228,6 +246,8 @@
   Awaitable<std::optional<UpstreamId>> findSuccessor(Failover &F);
   Awaitable<bool> orderPromotion(Failover &F, UpstreamId Target);
   Awaitable<bool> awaitPromotion(Failover &F);
+  /// When the closing of a record was first seen here.
+  TimePoint closingSeenAt(const PrimaryRecord &Record, TimePoint Now);
   /// Replaces the record that has the revision Expected. Returns the new
   /// revision, or nothing if the record was not written.
   Awaitable<std::optional<Revision>> write(PrimaryRecord Record,
@@ -245,13 +265,21 @@
   const InstanceRegistry &Instances;
   RegistryDuties Duties;
   StatementDispatcher &Dispatcher;
-  RegistrationLookup Registration;
   VersionHooks Versions;
   PrimaryLeases Leases;
   LeaseGrants Grants;
   LeaseExchange Exchange;
-  /// When this instance's newest read of the store was sent; nothing before
-  /// the first.
+  /// The grantor set as this instance last read it from the store.
+  GrantorSet Grantors;
+  GrantorMaintenance GrantorUpkeep;
+  /// An era of the store whose records are not verified, and since when it is
+  /// known. The copy's entries are kept for the verification.
+  std::optional<StoreEra> UnverifiedEra;
+  TimePoint UnverifiedSince;
+  std::vector<PrimaryRecord> UnverifiedRecords;
+  GrantorSet UnverifiedGrantors;
+  /// When this instance's newest read of verified records was sent; nothing
+  /// before the first.
   std::optional<TimePoint> ReadAt;
   /// When the store last replied; nothing before the first reply.
   std::optional<TimePoint> StoreAnsweredAt;
@@ -263,10 +291,13 @@
   std::map<ServiceId, PrimaryMonitor> Monitors;
   std::map<ServiceId, ReplicaBacklogMonitor> BacklogMonitors;
   std::map<ServiceId, Unfinished> UnfinishedRecords;
+  std::map<ServiceId, SeenClosing> SeenClosings;
   /// Services for which a failover, a check that may start one, or the write
   /// of the first record is in progress.
   std::set<ServiceId> ActiveFailovers;
   Revision PromoterRevision;
+  /// The newest step that this process made.
+  Revision OwnStep;
   std::string Promoter;
   TimePoint PromoterSeenAt;
   bool Writing = false;
--- a/drivers/Http.h
+++ b/drivers/Http.h
@@ -16,7 +16,7 @@
 template <typename T> using Awaitable = boost::asio::awaitable<T>;
 using Executor = boost::asio::any_io_executor;
 
-/// An additional header field of a request.
+/// A header field.
 struct HttpField {
   std::string Name;
   std::string Value;
@@ -42,6 +42,8 @@
   unsigned Status = 200;
   std::string Body;
   std::string ContentType = "application/json";
+  /// The additional header fields. In a received reply, all fields.
+  std::vector<HttpField> Fields = {};
   /// Sent as the Retry-After header, rounded up to whole seconds.
   std::optional<Duration> RetryAfter = std::nullopt;
   /// Whether the connection is pinned by open work, such as a transaction. A
--- a/drivers/HttpConnection.cpp
+++ b/drivers/HttpConnection.cpp
@@ -137,6 +137,7 @@
     co_return failed(ErrorKind::OutcomeUnknown, Read.error().Message);
   HttpReply Reply;
   Reply.Status = Reader.status();
+  Reply.Fields = Reader.fields();
   Reply.Body = Reader.takeBody();
   // Bytes after the reply belong to no request, so the connection is not
   // reused.
--- a/drivers/HttpMessages.cpp
+++ b/drivers/HttpMessages.cpp
@@ -121,6 +121,14 @@
   return HeaderDone ? this->Impl->Parser.get().result_int() : 0;
 }
 
+std::vector<HttpField> HttpReplyReader::fields() const {
+  std::vector<HttpField> Fields;
+  for (const auto &Each : this->Impl->Parser.get())
+    Fields.push_back({.Name = std::string(Each.name_string()),
+                      .Value = std::string(Each.value())});
+  return Fields;
+}
+
 std::string HttpReplyReader::takeBody() {
   return std::exchange(this->Impl->Parser.get().body(), std::string());
 }
@@ -146,6 +154,8 @@
   http::response<http::string_body> Message;
   Message.result(Reply.Status);
   Message.set(http::field::content_type, Reply.ContentType);
+  for (const HttpField &Each : Reply.Fields)
+    Message.set(Each.Name, Each.Value);
   if (Reply.RetryAfter) {
     auto Seconds = std::chrono::ceil<std::chrono::seconds>(*Reply.RetryAfter);
     Message.set(http::field::retry_after, std::to_string(Seconds.count()));
--- a/drivers/HttpMessages.h
+++ b/drivers/HttpMessages.h
@@ -51,6 +51,8 @@
   [[nodiscard]] bool keepAlive() const;
   /// The HTTP status code; 0 until the header is complete.
   [[nodiscard]] unsigned status() const;
+  /// The header fields. Precondition: done().
+  [[nodiscard]] std::vector<HttpField> fields() const;
   /// Returns the part of the body received since the last call.
   std::string takeBody();
 
--- a/drivers/LeaseExchange.cpp
+++ b/drivers/LeaseExchange.cpp
@@ -38,44 +38,122 @@
     return;
   SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
   processMetrics().count("peer_questions_total", "one");
-  this->trackQuery(Peer, Sent);
+  this->trackQuery(Peer.Id, Sent);
   this->send(Peer.PeerEndpoint, LeaseQuery{.Serial = Sent.Serial});
 }
 
-void LeaseExchange::queryAll(bool WantsGrants) {
+void LeaseExchange::queryAll() {
   SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
   std::set<InstanceId> Queried;
-  for (const RegisteredInstance &Peer : this->Instances.all())
-    if (Peer.Id != this->Options.Self && !this->isRetired(Peer))
-      Queried.insert(Peer.Id);
-  this->Round = LeaseRound(Sent.Serial, Sent.SentAt, Queried);
   for (const RegisteredInstance &Peer : this->Instances.all()) {
     if (Peer.Id == this->Options.Self)
       continue;
+    if (!this->isStopping(Peer))
+      Queried.insert(Peer.Id);
     processMetrics().count("peer_questions_total", "all");
-    this->trackQuery(Peer, Sent);
+    this->trackQuery(Peer.Id, Sent);
+    this->send(Peer.PeerEndpoint, LeaseQuery{.Serial = Sent.Serial});
+  }
+  this->Round = LeaseRound(Sent.Serial, Sent.SentAt, std::move(Queried));
+}
+
+void LeaseExchange::pingAll() {
+  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  for (const RegisteredInstance &Peer : this->Instances.all()) {
+    if (Peer.Id == this->Options.Self)
+      continue;
+    processMetrics().count("peer_questions_total", "brief");
+    this->trackQuery(Peer.Id, Sent);
     this->send(Peer.PeerEndpoint,
-               LeaseQuery{.Serial = Sent.Serial, .WantsGrants = WantsGrants});
+               LeaseQuery{.Serial = Sent.Serial, .Brief = true});
+  }
+}
+
+void LeaseExchange::requestGrants(const GrantorSet &Set) {
+  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  LeaseQuery Query{.Serial = Sent.Serial, .WantsGrants = true};
+  this->NewestGrants = GrantRound(Sent.Serial, Sent.SentAt, Set);
+  for (const Grantor &Each : Set.Current) {
+    if (Each == this->self())
+      continue;
+    processMetrics().count("peer_questions_total", "grantors");
+    this->trackQuery(Each.Id, Sent);
+    this->send(Each.PeerEndpoint, Query);
+  }
+  if (std::find(Set.Current.begin(), Set.Current.end(), this->self()) ==
+      Set.Current.end())
+    return;
+  for (const LeaseReply &Own : this->replies(Query))
+    this->onGrants(this->self(), Own);
+}
+
+const ConsentRound &LeaseExchange::requestConsent(const GrantorSet &Set,
+                                                  const ServiceId &Service,
+                                                  Revision Closed) {
+  ConsentRound &Round = this->ConsentRounds[Service];
+  if (Round.request().Closed != Closed)
+    Round = ConsentRound(
+        {.Serial = this->NextSerial++, .Service = Service, .Closed = Closed},
+        Set);
+  for (const Grantor &Each : Round.grantors().all()) {
+    if (Round.hasAnswered(Each))
+      continue;
+    if (Each != this->self()) {
+      this->send(Each.PeerEndpoint, Round.request());
+      continue;
+    }
+    this->Grants.consent(Service, Closed);
+    Round.onConsent(Each, Round.request().Serial, this->Clock.now());
   }
-  if (Queried.empty())
-    this->Callbacks.OnComplete(this->Round);
+  return Round;
 }
 
-bool LeaseExchange::isRetired(const RegisteredInstance &Peer) const {
-  auto Found = this->RetiredRegistrations.find(Peer.Id);
-  return Found != this->RetiredRegistrations.end() &&
+void LeaseExchange::queryForVerification(RecordVerification &Verification) {
+  this->Verification = &Verification;
+  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  LeaseQuery Query{.Serial = Sent.Serial};
+  this->VerificationSerials.insert(Sent.Serial);
+  for (const Grantor &Each : Verification.grantors().all()) {
+    if (Each == this->self()) {
+      for (const LeaseReply &Own : this->replies(Query))
+        Verification.onReply(Each, Own);
+      continue;
+    }
+    this->trackQuery(Each.Id, Sent);
+    this->send(Each.PeerEndpoint, Query);
+  }
+}
+
+bool LeaseExchange::isStopping(const RegisteredInstance &Peer) const {
+  auto Found = this->StoppingRegistrations.find(Peer.Id);
+  return Found != this->StoppingRegistrations.end() &&
          Found->second == Peer.Stored;
 }
 
-void LeaseExchange::trackQuery(const RegisteredInstance &Peer,
-                               const SentQuery &Sent) {
-  this->LastQueries[Peer.Id] = Sent;
-  Silence Begins{.Registered = Peer.Stored, .Since = Sent.SentAt};
-  Silence &Known = this->Silences.try_emplace(Peer.Id, Begins).first->second;
-  if (Known.Registered != Peer.Stored)
+void LeaseExchange::trackQuery(const InstanceId &Peer, const SentQuery &Sent) {
+  std::deque<SentQuery> &Pending = this->PendingQueries[Peer];
+  Pending.push_back(Sent);
+  if (Pending.size() > MaxPendingQueries)
+    Pending.pop_front();
+  const RegisteredInstance *Entry = this->Instances.find(Peer);
+  Revision Registered = Entry ? Entry->Stored : Revision{};
+  Silence Begins{.Registered = Registered, .Since = Sent.SentAt};
+  Silence &Known = this->Silences.try_emplace(Peer, Begins).first->second;
+  if (Known.Registered != Registered)
     Known = Begins;
 }
 
+std::optional<TimePoint> LeaseExchange::sentAt(const InstanceId &Peer,
+                                               std::uint32_t Serial) const {
+  auto Pending = this->PendingQueries.find(Peer);
+  if (Pending == this->PendingQueries.end())
+    return std::nullopt;
+  for (const SentQuery &Each : Pending->second)
+    if (Each.Serial == Serial)
+      return Each.SentAt;
+  return std::nullopt;
+}
+
 std::optional<TimePoint>
 LeaseExchange::silentSince(const InstanceId &Id) const {
   auto Found = this->Silences.find(Id);
@@ -102,7 +180,7 @@
   std::optional<TimePoint> First;
   for (const RegisteredInstance &Peer : this->Instances.all()) {
     auto Since = this->silentSince(Peer.Id);
-    if (Peer.Zone == Zone || this->isRetired(Peer) || !Since ||
+    if (Peer.Zone == Zone || this->isStopping(Peer) || !Since ||
         Now - *Since <= Limit)
       continue;
     First = std::min(First.value_or(*Since), *Since);
@@ -128,76 +206,114 @@
     return this->onQuery(Arrival, *Query);
   if (const auto *Reply = std::get_if<LeaseReply>(&Message.value()))
     return this->onReply(Arrival, *Reply);
+  if (const auto *Request = std::get_if<CloseRequest>(&Message.value()))
+    return this->onCloseRequest(Arrival, *Request);
+  if (const auto *Consent = std::get_if<CloseConsent>(&Message.value()))
+    return this->onCloseConsent(
+        {.Id = Arrival.Frame.From, .PeerEndpoint = Arrival.Source}, *Consent);
   this->query(
       {.Id = Arrival.Frame.From, .PeerEndpoint = Arrival.Source, .Zone = {}});
 }
 
+void LeaseExchange::onCloseRequest(const PeerArrival &From,
+                                   const CloseRequest &Request) {
+  this->Grants.consent(Request.Service, Request.Closed);
+  writeDecision(DecisionLine("close_consent")
+                    .field("service", Request.Service.Value)
+                    .field("revision", Request.Closed.Value)
+                    .field("promoter", From.Frame.From.Value));
+  this->send(From.Source, CloseConsent{.Serial = Request.Serial});
+}
+
+void LeaseExchange::onCloseConsent(const Grantor &From,
+                                   const CloseConsent &Consent) {
+  for (auto &[Service, Round] : this->ConsentRounds)
+    Round.onConsent(From, Consent.Serial, this->Clock.now());
+}
+
 ServiceReport LeaseExchange::report(const PrimaryRecord &Record,
                                     bool WantsGrants, TimePoint Now) {
   ServiceReport Report{.Record = Record};
-  Report.Age =
-      std::max(Duration{0}, Now - *this->Leases.readSentAt(Record.Service));
+  RecordEvidence Evidence = *this->Leases.evidence(Record.Service);
+  TimePoint LeaseFrom = std::max(Evidence.ReadSentAt, Evidence.GrantedAt);
+  Report.Age = std::max(Duration{0}, Now - Evidence.ReadSentAt);
+  Report.LeaseAge = std::max(Duration{0}, Now - LeaseFrom);
+  Report.Grantors = Evidence.Grantors;
+  Report.ConsentedTo = this->Grants.consentedTo(Record.Service);
   Report.Reachability = this->Callbacks.Reachability(Record.Service);
   if (auto Sample = this->Callbacks.Sample(Record.Service, Record.Epoch)) {
     Report.Sample = Sample->Reached;
     Report.SampleAge = std::max(Duration{0}, Now - Sample->AskedAt);
   }
-  Report.Granted = WantsGrants && Record.Phase == PrimaryPhase::Open &&
-                   this->Callbacks.MayGrant(Record.Service);
-  if (Report.Granted)
-    this->Grants.grant(Record.Service, this->Leases.options().maxUse(), Now);
+  Report.Granted = WantsGrants && this->Callbacks.MayGrant(Record.Service) &&
+                   this->Grants.grant(Record, Now);
   return Report;
 }
 
-void LeaseExchange::onQuery(const PeerArrival &From, const LeaseQuery &Query) {
+std::vector<LeaseReply> LeaseExchange::replies(const LeaseQuery &Query) {
   TimePoint Now = this->Clock.now();
-  std::vector<PrimaryRecord> All = this->Leases.all();
+  std::vector<PrimaryRecord> All;
+  if (!Query.Brief)
+    All = this->Leases.all();
   std::size_t Parts = std::max<std::size_t>(
       1, (All.size() + MaxServicesPerPart - 1) / MaxServicesPerPart);
+  std::vector<LeaseReply> Replies;
   for (std::size_t Part = 0; Part < Parts; ++Part) {
     LeaseReply Reply{.Serial = Query.Serial,
                      .Part = static_cast<std::uint8_t>(Part),
                      .Parts = static_cast<std::uint8_t>(Parts),
                      .Versions = this->Callbacks.Versions(),
-                     .RetiredRegistration =
-                         this->Callbacks.Retired().value_or(Revision{}),
+                     .RemembersGrants = this->Callbacks.RemembersGrants(),
+                     .Stopping = this->Callbacks.Stopping(),
                      .Services = {}};
     std::size_t End = std::min(All.size(), (Part + 1) * MaxServicesPerPart);
     for (std::size_t Index = Part * MaxServicesPerPart; Index < End; ++Index)
       Reply.Services.push_back(
           this->report(All[Index], Query.WantsGrants, Now));
-    this->send(From.Source, Reply);
+    Replies.push_back(std::move(Reply));
   }
+  return Replies;
+}
+
+void LeaseExchange::onQuery(const PeerArrival &From, const LeaseQuery &Query) {
+  for (const LeaseReply &Reply : this->replies(Query))
+    this->send(From.Source, Reply);
+}
+
+void LeaseExchange::onGrants(const Grantor &From, const LeaseReply &Reply) {
+  for (const GrantedEpoch &Each : this->NewestGrants.onReply(From, Reply))
+    this->Callbacks.OnGranted(Each, this->NewestGrants);
 }
 
 void LeaseExchange::onReply(const PeerArrival &From, const LeaseReply &Reply) {
   const InstanceId &Peer = From.Frame.From;
   this->Silences.erase(Peer);
   this->LastReplyAt[Peer] = this->Clock.now();
-  if (Reply.RetiredRegistration.Value != 0)
-    this->RetiredRegistrations[Peer] = Reply.RetiredRegistration;
-  auto LastQuery = this->LastQueries.find(Peer);
-  if (LastQuery == this->LastQueries.end() ||
-      LastQuery->second.Serial != Reply.Serial)
+  const RegisteredInstance *Entry = this->Instances.find(Peer);
+  if (Reply.Stopping && Entry)
+    this->StoppingRegistrations[Peer] = Entry->Stored;
+  auto SentAt = this->sentAt(Peer, Reply.Serial);
+  if (!SentAt)
     return;
-  this->Callbacks.OnVersions(Reply.Versions, LastQuery->second.SentAt);
+  this->Callbacks.OnVersions(Reply.Versions, *SentAt);
   bool Changed = false;
-  // The age in the reply is that at the peer's receipt of the query. The query
+  // An age in the reply is that at the peer's receipt of the query. The query
   // was sent earlier, so its send time minus the age is no later than the read.
   for (const ServiceReport &Each : Reply.Services) {
-    Changed = this->Leases.onRecord(Each.Record,
-                                    LastQuery->second.SentAt - Each.Age) ||
-              Changed;
+    RecordEvidence Evidence{.ReadSentAt = *SentAt - Each.Age,
+                            .GrantedAt = *SentAt - Each.LeaseAge,
+                            .Grantors = Each.Grantors};
+    Changed = this->Leases.onRecord(Each.Record, Evidence) || Changed;
     if (Each.Sample)
       this->Callbacks.OnSample(
           Each.Record.Service, Each.Record.Epoch,
-          {.AskedAt = LastQuery->second.SentAt - Each.SampleAge,
-           .Reached = *Each.Sample});
+          {.AskedAt = *SentAt - Each.SampleAge, .Reached = *Each.Sample});
   }
-  bool WasComplete = this->Round.complete();
+  Grantor Sender{.Id = Peer, .PeerEndpoint = From.Source};
   this->Round.onReply(Peer, Reply);
-  if (!WasComplete && this->Round.complete())
-    this->Callbacks.OnComplete(this->Round);
+  this->onGrants(Sender, Reply);
+  if (this->Verification && this->VerificationSerials.contains(Reply.Serial))
+    this->Verification->onReply(Sender, Reply);
   if (Changed)
     this->Callbacks.OnChanged();
 }
--- a/drivers/LeaseExchange.h
+++ b/drivers/LeaseExchange.h
@@ -2,11 +2,16 @@
 #pragma once
 
 #include "drivers/PeerTransport.h"
+#include "failover/GrantRound.h"
+#include "failover/LeaseGrants.h"
 #include "failover/LeaseRound.h"
 #include "failover/PrimaryLeases.h"
+#include "failover/RecordVerification.h"
 #include "membership/InstanceRegistry.h"
 #include "routing/FreshnessTracker.h"
 
+#include <deque>
+
 namespace turmericpitch {
 
 struct LeaseExchangeOptions {
@@ -14,17 +19,18 @@
   Endpoint Listen;
 };
 
-/// Queries other instances for primary records and lease grants, and answers
-/// their queries. Not thread-safe: use only from the thread that runs Exec.
+/// Queries other instances for primary records, the grantors for grants and
+/// consents, and answers their queries. Not thread-safe: use only from the
+/// thread that runs Exec.
 class LeaseExchange {
 public:
   struct Hooks {
-    /// Whether this instance may grant a lease, which promises not to close the
-    /// service's record.
+    /// Whether this instance may grant leases on a service's primary.
     std::function<bool(const ServiceId &)> MayGrant;
-    /// This process's own registration, once it starts no further failover and
-    /// has none in progress; nothing before.
-    std::function<std::optional<Revision>()> Retired;
+    /// Whether this instance remembers what it has consented to.
+    std::function<bool()> RemembersGrants;
+    /// Whether this instance is stopping.
+    std::function<bool()> Stopping;
     /// Whether this instance reaches a service's primary.
     std::function<PrimaryReachability(const ServiceId &)> Reachability;
     /// The newest sample of the primary of an epoch, or nothing.
@@ -43,8 +49,8 @@
         OnVersions;
     /// Called when a record has changed.
     std::function<void()> OnChanged;
-    /// Called when all instances of a round have replied.
-    std::function<void(const LeaseRound &)> OnComplete;
+    /// Called when a majority of the grantors has granted an epoch in a round.
+    std::function<void(const GrantedEpoch &, const GrantRound &)> OnGranted;
   };
 
   LeaseExchange(Executor Exec, LeaseExchangeOptions Options,
@@ -55,9 +61,26 @@
   Status start();
   /// Queries one instance for its records.
   void query(const RegisteredInstance &Peer);
-  /// Queries all other instances and starts a new round. The round does not
-  /// wait for retired instances: their grants are permanent.
-  void queryAll(bool WantsGrants);
+  /// Queries all other instances and starts a new round.
+  void queryAll();
+  /// Queries all other instances for a sign of life only.
+  void pingAll();
+  /// Requests grants of all grantors, this instance included if it is one, and
+  /// starts a new round of grants.
+  void requestGrants(const GrantorSet &Set);
+  /// Requests consent to the closing of a service's record, which the store
+  /// holds at Closed. Repeats the requests that are unanswered if the round for
+  /// this closing is in progress.
+  const ConsentRound &requestConsent(const GrantorSet &Set,
+                                     const ServiceId &Service, Revision Closed);
+  /// Asks the grantors what they know for a verification that is in progress.
+  /// Repeat until its status changes; the replies go into Verification.
+  void queryForVerification(RecordVerification &Verification);
+  /// Stops passing replies to a verification.
+  void endVerification() {
+    this->Verification = nullptr;
+    this->VerificationSerials.clear();
+  }
   /// Notifies all other instances that records here have changed, so that they
   /// query this instance.
   void notifyChange();
@@ -75,19 +98,32 @@
   silentOutsideSince(const ZoneId &Zone, Duration Limit) const;
   /// The newest round.
   [[nodiscard]] const LeaseRound &round() const { return this->Round; }
+  /// This instance as a grantor.
+  [[nodiscard]] Grantor self() const {
+    return {.Id = this->Options.Self, .PeerEndpoint = this->Options.Listen};
+  }
 
 private:
   struct SentQuery {
     std::uint32_t Serial = 0;
     TimePoint SentAt;
   };
+  /// Queries to one instance whose replies are still accepted.
+  static constexpr std::size_t MaxPendingQueries = 4;
 
   void send(const Endpoint &To, const LeaseMessage &Message);
   void onArrival(const PeerArrival &Arrival);
   void onQuery(const PeerArrival &From, const LeaseQuery &Query);
   void onReply(const PeerArrival &From, const LeaseReply &Reply);
+  void onCloseRequest(const PeerArrival &From, const CloseRequest &Request);
+  void onCloseConsent(const Grantor &From, const CloseConsent &Consent);
+  void onGrants(const Grantor &From, const LeaseReply &Reply);
   ServiceReport report(const PrimaryRecord &Record, bool WantsGrants,
                        TimePoint Now);
+  /// The parts of this instance's reply to a query.
+  std::vector<LeaseReply> replies(const LeaseQuery &Query);
+  [[nodiscard]] std::optional<TimePoint> sentAt(const InstanceId &Peer,
+                                                std::uint32_t Serial) const;
 
   LeaseExchangeOptions Options;
   PrimaryLeases &Leases;
@@ -103,16 +139,22 @@
     TimePoint Since;
   };
 
-  void trackQuery(const RegisteredInstance &Peer, const SentQuery &Sent);
-  [[nodiscard]] bool isRetired(const RegisteredInstance &Peer) const;
+  void trackQuery(const InstanceId &Peer, const SentQuery &Sent);
+  [[nodiscard]] bool isStopping(const RegisteredInstance &Peer) const;
 
-  /// The newest query to each instance.
-  std::map<InstanceId, SentQuery> LastQueries;
+  /// The newest queries to each instance, oldest first.
+  std::map<InstanceId, std::deque<SentQuery>> PendingQueries;
   std::map<InstanceId, Silence> Silences;
   std::map<InstanceId, TimePoint> LastReplyAt;
-  /// Registrations whose processes will not start a failover again.
-  std::map<InstanceId, Revision> RetiredRegistrations;
+  /// Registrations of processes that have reported to be stopping.
+  std::map<InstanceId, Revision> StoppingRegistrations;
   LeaseRound Round;
+  GrantRound NewestGrants;
+  /// The newest round of each service.
+  std::map<ServiceId, ConsentRound> ConsentRounds;
+  RecordVerification *Verification = nullptr;
+  /// Only replies to these queries count for the verification.
+  std::set<std::uint32_t> VerificationSerials;
   BootClock Clock;
 };
 
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -122,6 +122,11 @@
   return Lease && Lease->Epoch == Epoch && Lease->ExpiresAt > this->Clock.now();
 }
 
+bool StatementDispatcher::ranUnderLease(const ServiceId &Service,
+                                        std::uint64_t Epoch) const {
+  return Epoch == 0 || this->holdsLease(Service, Epoch);
+}
+
 void StatementDispatcher::onRegistry(const RegistryChange &Change,
                                      const RouteController &Routes,
                                      std::size_t Instances) {
@@ -377,6 +382,17 @@
           ReplyFailure Failure = *Reply.value().Failure;
           return this->onFailure(Call, Failure, std::move(Reply.value()));
         }
+        if (!this->ranUnderLease(Call->Session->Route.Service, Call->Epoch)) {
+          // Nothing has run in the transaction yet.
+          auto Link = Call->Link;
+          auto Pool = Call->Pool;
+          endAtMember(*Call, std::nullopt);
+          Link->run(encodeRollback(),
+                    [this, Link, Pool](const Outcome<StatementReply> &) {
+                      Pool->release(Link, this->Clock.now());
+                    });
+          return this->retry(Call, false, "right_ran_out");
+        }
         SessionContext &Session = *Call->Session;
         Session.State.onTransactionStarted();
         Session.PinnedLink = Call->Link;
@@ -411,10 +427,10 @@
   Call->SentAt = this->Clock.now();
   Call->Link->run(encodeForMember(Call->Request, PreparedName,
                                   Running ? std::nullopt : Call->MinPosition),
-                  [this, Call, Link = Call->Link,
-                   Pool = Call->Pool](Outcome<StatementReply> Reply) {
+                  [this, Call, Link = Call->Link, Pool = Call->Pool,
+                   Epoch = Call->Epoch](Outcome<StatementReply> Reply) {
                     if (Call->Link != Link)
-                      return this->onLateReply(Call, Link, Pool,
+                      return this->onLateReply(Call, Link, Pool, Epoch,
                                                std::move(Reply));
                     this->onReply(Call, std::move(Reply));
                   });
@@ -465,7 +481,7 @@
 
 void StatementDispatcher::onLateReply(
     const SharedCall &Call, const std::shared_ptr<MemberLink> &Link,
-    const std::shared_ptr<MemberLinkPool> &Pool,
+    const std::shared_ptr<MemberLinkPool> &Pool, std::uint64_t Epoch,
     Outcome<StatementReply> Reply) {
   TimePoint Now = this->Clock.now();
   Pool->onStatementEnded(std::nullopt);
@@ -473,7 +489,8 @@
   if (!Reply)
     return;
   Pool->onAnswered(Now);
-  if (!Call->Finished && !Reply.value().Failure)
+  if (!Call->Finished && !Reply.value().Failure &&
+      this->ranUnderLease(Call->Session->Route.Service, Epoch))
     this->deliver(Call, std::move(Reply.value()));
 }
 
@@ -521,6 +538,11 @@
     return this->onFailure(Call, Failure, std::move(Reply.value()));
   }
   SessionContext &Session = *Call->Session;
+  if (!Session.State.inTransaction() && !Call->LastingEffect &&
+      !this->ranUnderLease(Session.Route.Service, Call->Epoch)) {
+    this->releaseLink(Call);
+    return this->retry(Call, false, "right_ran_out");
+  }
   bool Ends = Call->Request.Kind == StatementKind::Commit;
   if (Ends)
     this->endTransaction(Call, false);
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -180,7 +180,7 @@
   void onLateReply(const SharedCall &Call,
                    const std::shared_ptr<MemberLink> &Link,
                    const std::shared_ptr<MemberLinkPool> &Pool,
-                   Outcome<StatementReply> Reply);
+                   std::uint64_t Epoch, Outcome<StatementReply> Reply);
   void onFailure(const SharedCall &Call, const ReplyFailure &Failure,
                  StatementReply Reply);
   void onLinkLost(const SharedCall &Call);
@@ -195,6 +195,12 @@
   void endTransaction(const SharedCall &Call, bool Failed);
   [[nodiscard]] bool holdsLease(const ServiceId &Service,
                                 std::uint64_t Epoch) const;
+  /// Whether a reply proves that a read, or the begin of a transaction, ran
+  /// before its member may have been replaced as primary. A request can be held
+  /// up on its way for longer than a lease lasts. Epoch: that of the primary,
+  /// or 0 for a replica, which proves this by its position.
+  [[nodiscard]] bool ranUnderLease(const ServiceId &Service,
+                                   std::uint64_t Epoch) const;
   /// Whether another primary is known to have replaced the one of the call's
   /// transaction, or its lease is ending.
   [[nodiscard]] bool isBeingReplaced(const SharedCall &Call) const;
--- a/drivers/StoreClient.h
+++ b/drivers/StoreClient.h
@@ -4,6 +4,8 @@
 #include "drivers/HttpClient.h"
 #include "platform/StoreCalls.h"
 
+#include <atomic>
+
 namespace turmericpitch {
 
 struct StoreClientOptions {
@@ -26,7 +28,8 @@
   StoreClient(const Executor &Exec, StoreClientOptions Options);
 
   /// Reads all entries below a prefix, page by page. In the result, More is
-  /// false and StoreRevision is that of the first page.
+  /// false and StoreRevision is that of the first page. Fails if the store is
+  /// restored between two pages.
   Awaitable<Outcome<StorePage>> readAll(std::string Prefix,
                                         ReadConsistency Consistency);
   /// Reads all current entries below a prefix, with RecentReadTimeout for each
@@ -35,6 +38,9 @@
   Awaitable<Outcome<StoreItem>> readKey(std::string Key);
   Awaitable<Outcome<WatchReply>> watch(std::string Prefix, Revision After,
                                        std::chrono::milliseconds Wait);
+  /// Conditions on revisions of an earlier era than era() fail without a call,
+  /// as the store may have given out the same revision again. If the reply
+  /// tells of a later era than the conditions, the outcome is OutcomeUnknown.
   Awaitable<Outcome<CommitReply>> commit(TransactionRequest Request);
   Awaitable<Outcome<GrantedLease>>
   grantLease(std::chrono::milliseconds TimeToLive);
@@ -46,6 +52,10 @@
   Awaitable<Outcome<bool>> promote(PromotionOrder Order, Duration Timeout,
                                    std::function<bool()> ShouldSend);
 
+  /// The newest era of the store that a reply has told.
+  [[nodiscard]] StoreEra era() const {
+    return {this->NewestEra.load(std::memory_order_relaxed)};
+  }
   /// Number of calls to the store since the start.
   [[nodiscard]] std::uint64_t calls() const;
 
@@ -53,7 +63,10 @@
   Awaitable<Outcome<StorePage>>
   readPages(std::string Prefix, ReadConsistency Consistency, Duration Timeout);
 
+  Awaitable<Outcome<HttpReply>> call(HttpRequest Request, Duration Timeout);
+
   StoreClientOptions Options;
+  std::atomic<std::uint64_t> NewestEra = 0;
   HttpClient Store;
   HttpClient Promotions;
 };
--- a/failover/LeaseMessages.cpp
+++ b/failover/LeaseMessages.cpp
@@ -13,9 +13,15 @@
 
 /// Incremented with each change of the format. Messages of other versions are
 /// dropped.
-constexpr std::uint8_t FormatVersion = 4;
+constexpr std::uint8_t FormatVersion = 5;
 
-enum class Kind : std::uint8_t { Query = 1, Reply = 2, Notification = 3 };
+enum class Kind : std::uint8_t {
+  Query = 1,
+  Reply = 2,
+  Notification = 3,
+  CloseRequest = 4,
+  CloseConsent = 5
+};
 
 constexpr std::size_t MaxNameBytes = 200;
 
@@ -60,8 +66,10 @@
   writeName(To, Each.Record.Service.Value);
   writeName(To, Each.Record.Primary.Value);
   To(Each.Record.Epoch, static_cast<std::uint8_t>(Each.Record.Phase),
-     Each.Record.Stored.Value);
+     Each.Record.Stored.Value, Each.Record.ClosedFrom.Value);
   writeAge(To, Each.Age);
+  writeAge(To, Each.LeaseAge);
+  To(Each.Grantors.Value, Each.ConsentedTo.Value);
   To(static_cast<std::uint8_t>(Each.Granted),
      static_cast<std::uint8_t>(Each.Reachability),
      static_cast<std::uint8_t>(Each.Sample.has_value()));
@@ -77,8 +85,10 @@
   Each.Record.Primary.Value = readName(From);
   From(Each.Record.Epoch);
   Each.Record.Phase = readEnumeration(From, PrimaryPhase::Ordered);
-  From(Each.Record.Stored.Value);
+  From(Each.Record.Stored.Value, Each.Record.ClosedFrom.Value);
   Each.Age = readAge(From);
+  Each.LeaseAge = readAge(From);
+  From(Each.Grantors.Value, Each.ConsentedTo.Value);
   Each.Granted = readFlag(From);
   Each.Reachability = readEnumeration(From, PrimaryReachability::Silent);
   if (!readFlag(From))
@@ -107,14 +117,16 @@
 
 void writeBody(Writer &To, const LeaseQuery &Message) {
   To(static_cast<std::uint8_t>(Kind::Query), Message.Serial,
-     static_cast<std::uint8_t>(Message.WantsGrants));
+     static_cast<std::uint8_t>(Message.WantsGrants),
+     static_cast<std::uint8_t>(Message.Brief));
 }
 
 void writeBody(Writer &To, const LeaseReply &Message) {
   To(static_cast<std::uint8_t>(Kind::Reply), Message.Serial, Message.Part,
      Message.Parts, static_cast<std::uint8_t>(Message.Services.size()));
   writeVersions(To, Message.Versions);
-  To(Message.RetiredRegistration.Value);
+  To(static_cast<std::uint8_t>(Message.RemembersGrants),
+     static_cast<std::uint8_t>(Message.Stopping));
   for (const ServiceReport &Each : Message.Services)
     writeService(To, Each);
 }
@@ -123,16 +135,27 @@
   To(static_cast<std::uint8_t>(Kind::Notification));
 }
 
+void writeBody(Writer &To, const CloseRequest &Message) {
+  To(static_cast<std::uint8_t>(Kind::CloseRequest), Message.Serial);
+  writeName(To, Message.Service.Value);
+  To(Message.Closed.Value);
+}
+
+void writeBody(Writer &To, const CloseConsent &Message) {
+  To(static_cast<std::uint8_t>(Kind::CloseConsent), Message.Serial);
+}
+
 LeaseMessage readMessage(Reader &From) {
   std::uint8_t Version = 0;
   From(Version);
   if (Version != FormatVersion)
     throw cereal::Exception("unsupported format version");
-  switch (readEnumeration(From, Kind::Notification)) {
+  switch (readEnumeration(From, Kind::CloseConsent)) {
   case Kind::Query: {
     LeaseQuery Query;
     From(Query.Serial);
     Query.WantsGrants = readFlag(From);
+    Query.Brief = readFlag(From);
     return Query;
   }
   case Kind::Reply: {
@@ -140,7 +163,8 @@
     std::uint8_t Count = 0;
     From(Reply.Serial, Reply.Part, Reply.Parts, Count);
     Reply.Versions = readVersions(From);
-    From(Reply.RetiredRegistration.Value);
+    Reply.RemembersGrants = readFlag(From);
+    Reply.Stopping = readFlag(From);
     if (Count > MaxServicesPerPart)
       throw cereal::Exception("too many services in one part");
     for (std::uint8_t Index = 0; Index < Count; ++Index)
@@ -149,6 +173,18 @@
   }
   case Kind::Notification:
     return ChangeNotification{};
+  case Kind::CloseRequest: {
+    CloseRequest Request;
+    From(Request.Serial);
+    Request.Service.Value = readName(From);
+    From(Request.Closed.Value);
+    return Request;
+  }
+  case Kind::CloseConsent: {
+    CloseConsent Consent;
+    From(Consent.Serial);
+    return Consent;
+  }
   }
   throw cereal::Exception("unknown message kind");
 }
--- a/failover/LeaseMessages.h
+++ b/failover/LeaseMessages.h
@@ -27,9 +27,16 @@
   PrimaryRecord Record;
   /// Maximum age of the read that showed the record.
   Duration Age{0};
-  /// Whether the sender promises not to close the record of this epoch for the
+  /// Maximum age of what the sender's lease is counted from: that read, or a
+  /// later round of grants.
+  Duration LeaseAge{0};
+  /// The revision of the grantor set that the read showed.
+  Revision Grantors = {};
+  /// Whether the sender promises to keep the record of this epoch open for the
   /// maximum use of a lease, counted from the receipt of the query.
   bool Granted = false;
+  /// The newest closing of this service that the sender has consented to.
+  Revision ConsentedTo = {};
   PrimaryReachability Reachability = PrimaryReachability::Unknown;
   /// The newest log position of the record's primary that was read while it
   /// was certainly the primary; nothing if none was read.
@@ -62,9 +69,11 @@
 /// Queries the reports of an instance.
 struct LeaseQuery {
   std::uint32_t Serial = 0;
-  /// Whether the receiver should promise not to close open records for the
+  /// Whether the receiver should promise to keep open records open for the
   /// maximum use of a lease.
   bool WantsGrants = false;
+  /// Whether a reply without reports on services suffices.
+  bool Brief = false;
 
   bool operator==(const LeaseQuery &) const = default;
 };
@@ -74,9 +83,11 @@
   std::uint8_t Part = 0;
   std::uint8_t Parts = 1;
   KnownVersions Versions = {};
-  /// The registration of a sender that is stopping and will start no further
-  /// change of primary under it; 0 while the sender may start one.
-  Revision RetiredRegistration = {};
+  /// Whether the sender remembers what it has consented to: it has read
+  /// verified records from the store since its start.
+  bool RemembersGrants = false;
+  /// Whether the sender is stopping, so that its silence is expected.
+  bool Stopping = false;
   std::vector<ServiceReport> Services = {};
 
   bool operator==(const LeaseReply &) const = default;
@@ -86,7 +97,24 @@
   bool operator==(const ChangeNotification &) const = default;
 };
 
-using LeaseMessage = std::variant<LeaseQuery, LeaseReply, ChangeNotification>;
+/// Asks a grantor to grant nothing more on a record that was closed.
+struct CloseRequest {
+  std::uint32_t Serial = 0;
+  ServiceId Service;
+  /// The revision of the closed record.
+  Revision Closed = {};
+
+  bool operator==(const CloseRequest &) const = default;
+};
+/// Consents to a CloseRequest.
+struct CloseConsent {
+  std::uint32_t Serial = 0;
+
+  bool operator==(const CloseConsent &) const = default;
+};
+
+using LeaseMessage = std::variant<LeaseQuery, LeaseReply, ChangeNotification,
+                                  CloseRequest, CloseConsent>;
 
 /// Maximum number of services in one part of a reply.
 inline constexpr std::size_t MaxServicesPerPart = 8;
--- a/failover/LeaseRound.cpp
+++ b/failover/LeaseRound.cpp
@@ -4,17 +4,13 @@
 
 LeaseRound::LeaseRound(std::uint32_t Serial, TimePoint SentAt,
                        std::set<InstanceId> Queried)
-    : Serial(Serial), SentAt(SentAt), QueriedCount(Queried.size()),
-      Pending(std::move(Queried)) {}
+    : Serial(Serial), SentAt(SentAt), Pending(std::move(Queried)) {}
 
 void LeaseRound::onReply(const InstanceId &From, const LeaseReply &Reply) {
   if (Reply.Serial != this->Serial || !this->Pending.contains(From) ||
       !this->ReceivedParts[From].insert(Reply.Part).second)
     return;
   for (const ServiceReport &Each : Reply.Services) {
-    if (Each.Granted)
-      ++this->Grants[{.Service = Each.Record.Service,
-                      .Epoch = Each.Record.Epoch}];
     ReachabilityCounts &Counts = this->Reachability[Each.Record.Service];
     Counts.Responding +=
         Each.Reachability == PrimaryReachability::Responding ? 1 : 0;
@@ -24,16 +20,6 @@
     this->Pending.erase(From);
 }
 
-std::vector<GrantedEpoch> LeaseRound::granted() const {
-  std::vector<GrantedEpoch> All;
-  if (!this->complete())
-    return All;
-  for (const auto &[Epoch, Count] : this->Grants)
-    if (Count == this->QueriedCount)
-      All.push_back(Epoch);
-  return All;
-}
-
 ReachabilityCounts LeaseRound::reachability(const ServiceId &Id) const {
   auto Found = this->Reachability.find(Id);
   return Found == this->Reachability.end() ? ReachabilityCounts{}
--- a/failover/LeaseRound.h
+++ b/failover/LeaseRound.h
@@ -1,4 +1,4 @@
-// One round of lease queries to all registered instances.
+// One round of queries to all registered instances.
 #pragma once
 
 #include "core/Identifiers.h"
@@ -7,7 +7,6 @@
 
 #include <map>
 #include <set>
-#include <vector>
 
 namespace turmericpitch {
 
@@ -19,14 +18,6 @@
   bool operator==(const ReachabilityCounts &) const = default;
 };
 
-/// An epoch whose record all queried instances have promised not to close.
-struct GrantedEpoch {
-  ServiceId Service;
-  std::uint64_t Epoch = 0;
-
-  auto operator<=>(const GrantedEpoch &) const = default;
-};
-
 /// Collects the replies of one round. Pure; not thread-safe.
 class LeaseRound {
 public:
@@ -42,19 +33,15 @@
   [[nodiscard]] TimePoint sentAt() const { return this->SentAt; }
   /// Whether all parts of the reply of each queried instance have arrived.
   [[nodiscard]] bool complete() const { return this->Pending.empty(); }
-  /// The epochs that every queried instance granted; empty unless complete().
-  [[nodiscard]] std::vector<GrantedEpoch> granted() const;
   /// Counts over the parts that have arrived so far.
   [[nodiscard]] ReachabilityCounts reachability(const ServiceId &Id) const;
 
 private:
   std::uint32_t Serial = 0;
   TimePoint SentAt;
-  std::size_t QueriedCount = 0;
   /// The parts of each instance's reply that have arrived.
   std::map<InstanceId, std::set<std::uint8_t>> ReceivedParts;
   std::set<InstanceId> Pending;
-  std::map<GrantedEpoch, std::size_t> Grants;
   std::map<ServiceId, ReachabilityCounts> Reachability;
 };
 
--- a/failover/PrimaryLeases.cpp
+++ b/failover/PrimaryLeases.cpp
@@ -5,23 +5,24 @@
 namespace turmericpitch {
 
 bool PrimaryLeases::onListing(const std::vector<PrimaryRecord> &Listing,
-                              TimePoint ReadSentAt) {
+                              const RecordEvidence &Evidence) {
   bool Changed = false;
   std::map<ServiceId, bool> Current;
   for (const PrimaryRecord &Record : Listing) {
     Current[Record.Service] = true;
-    Changed = this->onRecord(Record, ReadSentAt) || Changed;
+    Changed = this->onRecord(Record, Evidence) || Changed;
   }
   std::size_t Gone = std::erase_if(this->Records, [&](const auto &Each) {
-    return !Current.contains(Each.first) && Each.second.ReadSentAt < ReadSentAt;
+    return !Current.contains(Each.first) &&
+           Each.second.Evidence.ReadSentAt < Evidence.ReadSentAt;
   });
   return Changed || Gone > 0;
 }
 
 bool PrimaryLeases::onRecord(const PrimaryRecord &Record,
-                             TimePoint ReadSentAt) {
+                             const RecordEvidence &Evidence) {
   auto [Found, Added] = this->Records.try_emplace(
-      Record.Service, TrackedRecord{Record, ReadSentAt, {}, {}});
+      Record.Service, TrackedRecord{Record, Evidence, {}});
   TrackedRecord &Current = Found->second;
   if (Added)
     return true;
@@ -30,7 +31,12 @@
   if (Record.Stored < Current.Record.Stored)
     return false;
   if (Record.Stored == Current.Record.Stored) {
-    Current.ReadSentAt = std::max(Current.ReadSentAt, ReadSentAt);
+    RecordEvidence &Known = Current.Evidence;
+    if (Evidence.ReadSentAt > Known.ReadSentAt) {
+      Known.ReadSentAt = Evidence.ReadSentAt;
+      Known.Grantors = Evidence.Grantors;
+    }
+    Known.GrantedAt = std::max(Known.GrantedAt, Evidence.GrantedAt);
     return false;
   }
   // The promoter that closed the record waits until leases from earlier reads
@@ -40,23 +46,23 @@
     Current.ClosingExpiry = this->openExpiry(Current);
   else if (!SameEpoch)
     Current.ClosingExpiry = {};
-  Current.ReadSentAt = ReadSentAt;
+  Current.Evidence = Evidence;
   Current.Record = Record;
-  Current.ExtendedUntil = {};
   return true;
 }
 
 TimePoint PrimaryLeases::openExpiry(const TrackedRecord &Current) const {
-  return std::max(Current.ReadSentAt + this->Options.Validity,
-                  Current.ExtendedUntil);
+  return std::max(Current.Evidence.ReadSentAt, Current.Evidence.GrantedAt) +
+         this->Options.Validity;
 }
 
-void PrimaryLeases::extend(const ServiceId &Id, std::uint64_t Epoch,
-                           TimePoint Until) {
+void PrimaryLeases::onGranted(const ServiceId &Id, std::uint64_t Epoch,
+                              TimePoint GrantedAt) {
   auto Found = this->Records.find(Id);
   if (Found == this->Records.end() || Found->second.Record.Epoch != Epoch)
     return;
-  Found->second.ExtendedUntil = std::max(Found->second.ExtendedUntil, Until);
+  TimePoint &Known = Found->second.Evidence.GrantedAt;
+  Known = std::max(Known, GrantedAt);
 }
 
 std::optional<PrimaryLease> PrimaryLeases::lease(const ServiceId &Id) const {
@@ -81,17 +87,30 @@
 
 std::optional<TimePoint> PrimaryLeases::oldestReadSentAt() const {
   std::optional<TimePoint> Oldest;
-  for (const auto &[Id, TrackedRecord] : this->Records)
-    if (!Oldest || TrackedRecord.ReadSentAt < *Oldest)
-      Oldest = TrackedRecord.ReadSentAt;
+  for (const auto &[Id, Each] : this->Records)
+    if (!Oldest || Each.Evidence.ReadSentAt < *Oldest)
+      Oldest = Each.Evidence.ReadSentAt;
+  return Oldest;
+}
+
+std::optional<TimePoint> PrimaryLeases::oldestEvidenceAt() const {
+  std::optional<TimePoint> Oldest;
+  for (const auto &[Id, Each] : this->Records) {
+    if (Each.Record.Phase != PrimaryPhase::Open)
+      continue;
+    TimePoint Newest =
+        std::max(Each.Evidence.ReadSentAt, Each.Evidence.GrantedAt);
+    Oldest = std::min(Oldest.value_or(Newest), Newest);
+  }
   return Oldest;
 }
 
-std::optional<TimePoint> PrimaryLeases::readSentAt(const ServiceId &Id) const {
+std::optional<RecordEvidence>
+PrimaryLeases::evidence(const ServiceId &Id) const {
   auto Found = this->Records.find(Id);
   if (Found == this->Records.end())
     return std::nullopt;
-  return Found->second.ReadSentAt;
+  return Found->second.Evidence;
 }
 
 std::vector<PrimaryRecord> PrimaryLeases::all() const {
@@ -101,14 +120,4 @@
   return All;
 }
 
-void LeaseGrants::grant(const ServiceId &Id, Duration MaxUse, TimePoint Now) {
-  TimePoint &Until = this->GrantedUntil[Id];
-  Until = std::max(Until, Now + MaxUse);
-}
-
-TimePoint LeaseGrants::grantedUntil(const ServiceId &Id) const {
-  auto Found = this->GrantedUntil.find(Id);
-  return Found == this->GrantedUntil.end() ? TimePoint{} : Found->second;
-}
-
 } // namespace turmericpitch
--- a/failover/PrimaryLeases.h
+++ b/failover/PrimaryLeases.h
@@ -25,28 +25,38 @@
   }
 };
 
+/// What shows that a record was open at a time.
+struct RecordEvidence {
+  /// When the read of the store that showed the record was sent.
+  TimePoint ReadSentAt;
+  /// When the newest round of requests was sent in which a majority of the
+  /// grantors promised to keep the record open; not set if there was none.
+  TimePoint GrantedAt = {};
+  /// The revision of the grantor set that the same read showed.
+  Revision Grantors = {};
+};
+
 /// Derives leases from reads of the store. If a record was open when the read
 /// was sent, no promotion can follow before the lease expires: a promoter
 /// first closes the record and then waits longer than any lease lasts. The
 /// read may be that of another instance if its age is known. While the store
-/// is unavailable, a promise of every registered instance not to close the
-/// record replaces the read. Times are of the clock that keeps running while
-/// the system is suspended. Pure; not thread-safe.
+/// is unavailable, promises of a majority of the grantors to keep the record
+/// open replace the read. Times are of the clock that keeps running while the
+/// system is suspended. Pure; not thread-safe.
 class PrimaryLeases {
 public:
   explicit PrimaryLeases(PrimaryLeaseOptions Options = {}) : Options(Options) {}
 
-  /// Updates all records from a listing whose read was sent at ReadSentAt.
-  /// Removes the records that it lacks unless they were read later. Returns
-  /// whether a record has changed.
+  /// Updates all records from a listing. Removes the records that it lacks
+  /// unless they were read later. Returns whether a record has changed.
   bool onListing(const std::vector<PrimaryRecord> &Listing,
-                 TimePoint ReadSentAt);
-  /// Updates one record from a read that was sent at ReadSentAt or later.
-  /// Returns whether it has changed.
-  bool onRecord(const PrimaryRecord &Record, TimePoint ReadSentAt);
-  /// Every registered instance has promised not to close the record of this
-  /// epoch before Until. Ignored if the record is of another epoch.
-  void extend(const ServiceId &Id, std::uint64_t Epoch, TimePoint Until);
+                 const RecordEvidence &Evidence);
+  /// Updates one record. Returns whether it has changed.
+  bool onRecord(const PrimaryRecord &Record, const RecordEvidence &Evidence);
+  /// A majority of the grantors promised to keep the record of this epoch open,
+  /// in a round that was sent at GrantedAt. Ignored if the record is of another
+  /// epoch.
+  void onGranted(const ServiceId &Id, std::uint64_t Epoch, TimePoint GrantedAt);
 
   /// The lease on a service's primary; it may have expired. While a change of
   /// primary is in progress, the lease that was held before the change, or
@@ -58,8 +68,12 @@
   /// When the read of the least recently read record was sent; nothing
   /// without records.
   [[nodiscard]] std::optional<TimePoint> oldestReadSentAt() const;
-  /// When the newest read of a record was sent; nothing without a record.
-  [[nodiscard]] std::optional<TimePoint> readSentAt(const ServiceId &Id) const;
+  /// What shows a record; nothing without a record.
+  [[nodiscard]] std::optional<RecordEvidence>
+  evidence(const ServiceId &Id) const;
+  /// The time from which the lease that ends first is counted; nothing without
+  /// records.
+  [[nodiscard]] std::optional<TimePoint> oldestEvidenceAt() const;
   [[nodiscard]] std::vector<PrimaryRecord> all() const;
   [[nodiscard]] const PrimaryLeaseOptions &options() const {
     return this->Options;
@@ -68,9 +82,7 @@
 private:
   struct TrackedRecord {
     PrimaryRecord Record;
-    TimePoint ReadSentAt;
-    /// End of the extension by the promises of all other instances.
-    TimePoint ExtendedUntil;
+    RecordEvidence Evidence;
     /// Expiry of the lease that was held when the record was found closed; not
     /// set if there was none.
     TimePoint ClosingExpiry;
@@ -82,17 +94,4 @@
   std::map<ServiceId, TrackedRecord> Records;
 };
 
-/// Promises of this instance to others not to close a record before a given
-/// time. Pure; not thread-safe.
-class LeaseGrants {
-public:
-  /// Promises not to close the record for MaxUse from Now.
-  void grant(const ServiceId &Id, Duration MaxUse, TimePoint Now);
-  /// The time before which this instance may not close the service's record.
-  [[nodiscard]] TimePoint grantedUntil(const ServiceId &Id) const;
-
-private:
-  std::map<ServiceId, TimePoint> GrantedUntil;
-};
-
 } // namespace turmericpitch
--- a/failover/PrimaryRecord.cpp
+++ b/failover/PrimaryRecord.cpp
@@ -42,7 +42,8 @@
                                       {"phase", toString(Record.Phase)},
                                       {"target", Record.Target.Value},
                                       {"writer", Record.Writer.Value},
-                                      {"attempt", Record.Attempt}});
+                                      {"attempt", Record.Attempt},
+                                      {"closed", Record.ClosedFrom.Value}});
 }
 
 Result<PrimaryRecord> decodePrimaryRecord(const KeyValueEntry &Entry) {
@@ -70,6 +71,8 @@
   };
   auto Epoch = Number("reign");
   auto Attempt = Number("attempt");
+  // Absent in records of earlier versions.
+  Record.ClosedFrom.Value = Number("closed").value_or(0);
   auto Primary = Text("primary");
   auto Phase = Text("phase");
   auto Target = Text("target");
--- a/failover/PrimaryRecord.h
+++ b/failover/PrimaryRecord.h
@@ -46,6 +46,8 @@
   InstanceId Writer = {};
   /// Distinguishes the writer's attempts.
   std::uint64_t Attempt = 0;
+  /// While it isn't open: the revision of the open record that was closed.
+  Revision ClosedFrom = {};
   /// The revision of the record in the store.
   Revision Stored = {};
 
--- a/failover/PromotionRules.cpp
+++ b/failover/PromotionRules.cpp
@@ -4,23 +4,19 @@
 
 namespace turmericpitch {
 
-bool mayCloseRecord(const PromotionRulesOptions &Options,
-                    std::optional<TimePoint> RegisteredAt, TimePoint Now) {
-  return RegisteredAt &&
-         Now - *RegisteredAt >= Options.ListingValidity + Options.ListingMargin;
-}
-
 TimePoint earliestPromotion(const PromotionRulesOptions &Options,
-                            TimePoint ClosedAt, TimePoint GrantedUntil) {
-  return std::max(ClosedAt + Options.Leases.maxUse(), GrantedUntil);
+                            const ClosingProgress &Progress) {
+  TimePoint GrantsEndAt =
+      Progress.ClosedAt + Options.RecordValidity + Options.RecordValidityMargin;
+  if (Progress.ConsentedAt)
+    GrantsEndAt = std::min(GrantsEndAt, *Progress.ConsentedAt);
+  return std::max(Progress.ClosedAt, GrantsEndAt) + Options.Leases.maxUse();
 }
 
-std::optional<TimePoint> leaseExtensionEnd(const PromotionRulesOptions &Options,
-                                           const LeaseExtensionBasis &Basis) {
-  if (Basis.QueriesSentAt - Basis.ListedAt > Options.ListingValidity ||
-      Basis.RecordReadAt < Basis.ListedAt)
-    return std::nullopt;
-  return Basis.QueriesSentAt + Options.Leases.Validity;
+bool mayExtendLease(const PromotionRulesOptions &Options,
+                    const RecordEvidence &Evidence, const GrantRound &Round) {
+  return Evidence.Grantors == Round.grantors().Stored &&
+         Round.sentAt() - Evidence.ReadSentAt <= Options.RecordValidity;
 }
 
 } // namespace turmericpitch
--- a/failover/PromotionRules.h
+++ b/failover/PromotionRules.h
@@ -1,8 +1,8 @@
-// Rules for when a primary record may be closed, a promotion requested and a
-// lease extended.
+// Rules for when a lease may be extended and a promotion requested.
 #pragma once
 
 #include "core/Time.h"
+#include "failover/GrantRound.h"
 #include "failover/PrimaryLeases.h"
 
 #include <optional>
@@ -11,43 +11,35 @@
 
 struct PromotionRulesOptions {
   PrimaryLeaseOptions Leases = {};
-  /// How long a listing of the instances may be used as complete while the
-  /// store is unavailable.
-  Duration ListingValidity = std::chrono::milliseconds(8000);
-  /// Added to the validity, as clock rates of instances differ.
-  Duration ListingMargin = std::chrono::milliseconds(200);
+  /// How long after a read of a record its leases may be extended by grants. An
+  /// outage of the store that lasts longer ends the service; a promoter that
+  /// reaches no majority of the grantors waits for as long.
+  Duration RecordValidity = std::chrono::milliseconds(15'000);
+  /// Added to the validity, as clock rates of instances differ by at most 2%.
+  Duration RecordValidityMargin = std::chrono::milliseconds(400);
 };
 
-/// Whether an instance may close records. It must have been registered for
-/// longer than a listing that lacks it can still be used as complete. The
-/// closing write is conditional on the same registration. RegisteredAt: when
-/// the registration was acknowledged; nothing if the instance isn't registered.
-/// Pure.
-bool mayCloseRecord(const PromotionRulesOptions &Options,
-                    std::optional<TimePoint> RegisteredAt, TimePoint Now);
-
-/// The earliest time at which a promotion may be requested: all leases must
-/// have expired, both those from reads before the record was closed and those
-/// that rest on promises to others. ClosedAt: when the closing write was
-/// acknowledged. GrantedUntil: end of the promises that this instance gave.
-/// Pure.
-TimePoint earliestPromotion(const PromotionRulesOptions &Options,
-                            TimePoint ClosedAt, TimePoint GrantedUntil);
-
-/// Times on which a lease extension by promises of all instances is based.
-struct LeaseExtensionBasis {
-  /// When the list of the queried instances was read.
-  TimePoint ListedAt;
-  /// When the record was read. Must not be before ListedAt, so that an instance
-  /// which closed the record after this read is in the list.
-  TimePoint RecordReadAt;
-  /// When the queries were sent.
-  TimePoint QueriesSentAt;
+/// How a record was closed, as known to the promoter.
+struct ClosingProgress {
+  /// When the write that closed the record was acknowledged, or this instance
+  /// first saw the record closed.
+  TimePoint ClosedAt;
+  /// When a majority of each grantor set had consented; nothing before.
+  std::optional<TimePoint> ConsentedAt = std::nullopt;
 };
 
-/// The time until which promises of all listed instances extend a lease;
-/// nothing if the list or the record is too old. Pure.
-std::optional<TimePoint> leaseExtensionEnd(const PromotionRulesOptions &Options,
-                                           const LeaseExtensionBasis &Basis);
+/// The earliest time at which a promotion may be requested. Leases from reads
+/// before the closing must have expired, and so must those that rest on grants:
+/// no more are given once a majority of the grantors has consented, else once
+/// all reads that showed the record open are too old to be extended. Pure.
+TimePoint earliestPromotion(const PromotionRulesOptions &Options,
+                            const ClosingProgress &Progress);
+
+/// Whether grants that a majority gave in a round may extend a lease on a
+/// record. The read that showed the record must have shown the set whose
+/// members were asked: a promoter needs the consent of a majority of the set
+/// that is in force when it closes the record, and of the one before. Pure.
+bool mayExtendLease(const PromotionRulesOptions &Options,
+                    const RecordEvidence &Evidence, const GrantRound &Round);
 
 } // namespace turmericpitch
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -37,13 +37,16 @@
 /// and the query to the reader must together fit into the apply timeout.
 constexpr int WatchesPerApplyTimeout = 3;
 constexpr Duration ListingInterval = std::chrono::milliseconds(1000);
+/// The same while other instances report changes of the member list. Also
+/// bounds the time for which a leaving member is used if no report arrives.
+constexpr Duration NotifiedListingInterval = std::chrono::milliseconds(2000);
 /// Every third member listing is a current read, so that leaving members are
 /// known within four seconds. The others may be stale and cost the store a
 /// tenth of a current one.
 constexpr std::uint32_t CurrentListingPeriod = 3;
 /// Replaces CurrentListingPeriod while other instances report changes of the
 /// member list.
-constexpr std::uint32_t NotifiedCurrentListingPeriod = 30;
+constexpr std::uint32_t NotifiedCurrentListingPeriod = 15;
 constexpr Duration SummaryInterval = std::chrono::seconds(10);
 constexpr Duration MaintenanceInterval = std::chrono::milliseconds(100);
 /// An instance that ends without revoking its lease stays registered for this
@@ -55,6 +58,7 @@
 /// is older than MaxInstanceListingAge.
 constexpr Duration InstanceListingInterval = std::chrono::milliseconds(1000);
 constexpr Duration StartupListingDelay = std::chrono::milliseconds(500);
+constexpr Duration StartupPollInterval = std::chrono::milliseconds(5);
 constexpr Duration MaxInstanceListingAge = std::chrono::milliseconds(2500);
 constexpr Duration RetryInterval = std::chrono::milliseconds(200);
 /// Time until the load balancer stops sending new sessions: it checks once a
@@ -86,9 +90,9 @@
              .Zone = this->Settings.Zone,
              .Listen = this->peerAddress(),
              .Seed = std::random_device{}(),
-             .Rules = Options.Rules},
+             .Rules = Options.Rules,
+             .GrantorSelection = Options.Grantors},
             this->Store, this->Instances, this->Dispatcher,
-            [this] { return this->Registration; },
             {.Own = [this] { return this->ownVersions(); },
              .OnOther =
                  [this](const KnownVersions &Other, TimePoint QuerySentAt) {
@@ -119,6 +123,8 @@
   Awaitable<void> pauseAfterFailure(StoreBackoff &Backoff);
   Awaitable<void> followConfiguration();
   Awaitable<void> readConfiguration();
+  /// Applies a stored configuration if it is newer than the one in force.
+  void applyConfiguration(const KeyValueEntry &Entry);
   [[nodiscard]] KnownVersions ownVersions() const;
   /// Whether other instances read the store for this one and report changes.
   [[nodiscard]] bool receivesChangeNotifications() const {
@@ -159,7 +165,9 @@
   SessionServer Sessions;
   HttpServer Readiness;
   asio::signal_set Signals;
-  std::optional<OwnRegistration> Registration;
+  /// When this instance's registration was acknowledged; nothing while it isn't
+  /// registered.
+  std::optional<TimePoint> RegisteredAt;
   /// Store revisions at which the member list was last read and last changed.
   Revision MembersStoreRevision;
   Revision MembersChangeRevision;
@@ -237,16 +245,20 @@
   // entry's own revision.
   this->ConfigurationRevision =
       std::max(this->ConfigurationRevision, Read.value().StoreRevision);
+  this->applyConfiguration(Entry);
+}
+
+void SessionDaemon::Components::applyConfiguration(const KeyValueEntry &Entry) {
   auto Table = toOutcome([&] { return decodeRouteTable(Entry.Value); });
   if (!Table) {
     writeWarning("event=configuration_refused reason=\"" +
                  Table.error().Message + "\"");
-    co_return;
+    return;
   }
   std::size_t Count = Table.value().Routes.size();
   std::uint64_t Version = Table.value().Version;
   if (!this->Routes.replaceIfNewer(std::move(Table.value())))
-    co_return;
+    return;
   writeDecision(DecisionLine("configuration_in_force")
                     .field("version", Version)
                     .field("routes", Count)
@@ -292,8 +304,8 @@
       co_await this->pauseAfterFailure(Backoff);
       continue;
     }
-    bool Unchanged = true;
-    while (Unchanged) {
+    bool Following = true;
+    while (Following) {
       auto Watched = co_await this->Store.watch(
           std::string(ConfigurationKey), this->ConfigurationRevision,
           this->receivesChangeNotifications()
@@ -301,12 +313,15 @@
               : std::chrono::duration_cast<std::chrono::milliseconds>(
                     this->Settings.ConfigurationApplyTimeout /
                     WatchesPerApplyTimeout));
-      Unchanged = Watched && !Watched.value().HistoryCompacted &&
-                  Watched.value().Events.empty();
+      Following = Watched && !Watched.value().HistoryCompacted;
       if (Watched)
         Backoff.onAnswered();
-      if (Unchanged)
+      if (Following) {
         this->ConfigurationRevision = Watched.value().StoreRevision;
+        for (const WatchEvent &Each : Watched.value().Events)
+          if (Each.Entry.Key == ConfigurationKey && !Each.Deleted)
+            this->applyConfiguration(Each.Entry);
+      }
       if (!Watched || Watched.value().HistoryCompacted)
         co_await this->pauseAfterFailure(Backoff);
     }
@@ -333,6 +348,10 @@
   // Listings can arrive out of order, and some are stale.
   if (Listing.value().StoreRevision < this->MembersStoreRevision)
     co_return true;
+  if (eraOf(this->MembersStoreRevision) <
+          eraOf(Listing.value().StoreRevision) &&
+      this->Registry.loaded())
+    this->Registry.onRestored(ReadSentAt);
   this->MembersStoreRevision = Listing.value().StoreRevision;
   std::vector<RegisteredMember> Members;
   for (const KeyValueEntry &Entry : Listing.value().Entries) {
@@ -357,6 +376,11 @@
 }
 
 Awaitable<void> SessionDaemon::Components::followMembers() {
+  // Limits and connections are shared with the other instances, so their number
+  // must be known before the members are used.
+  TimePoint GiveUpAt = BootClock().now() + StartupListingDelay;
+  while (!this->Instances.readSentAt() && BootClock().now() < GiveUpAt)
+    co_await this->pause(StartupPollInterval);
   std::uint32_t ListingCount = 0;
   StoreBackoff Backoff;
   while (true) {
@@ -368,7 +392,9 @@
         Current ? ReadConsistency::Current : ReadConsistency::MayBeStale);
     if (Read) {
       Backoff.onAnswered();
-      co_await this->pause(ListingInterval);
+      co_await this->pause(this->receivesChangeNotifications()
+                               ? NotifiedListingInterval
+                               : ListingInterval);
     } else {
       ListingCount = 0;
       co_await this->pauseAfterFailure(Backoff);
@@ -392,10 +418,7 @@
   auto Written = co_await this->Store.commit(std::move(Request));
   if (!Written || Written.value().Result != CommitReply::CommitStatus::Written)
     co_return std::nullopt;
-  this->Registration = OwnRegistration{.Key = std::string(InstancesPrefix) +
-                                              this->Settings.Self.Value,
-                                       .Stored = Written.value().Written,
-                                       .Since = BootClock().now()};
+  this->RegisteredAt = BootClock().now();
   writeDecision(DecisionLine("registered").field("lease", Lease.Value));
   co_return Lease;
 }
@@ -407,13 +430,13 @@
     if (Lease) {
       auto Renewed = co_await this->Store.renewLease(*Lease);
       // A key can be deleted although its lease is still valid.
-      bool Missing = this->Registration &&
-                     this->Instances.readSentAt() > this->Registration->Since &&
+      bool Missing = this->RegisteredAt &&
+                     this->Instances.readSentAt() > this->RegisteredAt &&
                      !this->Instances.listsSelf();
       if ((Renewed && !Renewed.value()) || Missing)
         Lease.reset();
       if (!Lease)
-        this->Registration.reset();
+        this->RegisteredAt.reset();
     }
     if (!Lease)
       Lease = co_await this->registerSelf();
--- a/main/SessionDaemon.h
+++ b/main/SessionDaemon.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/BoundedLog.h"
+#include "failover/GrantorMaintenance.h"
 #include "failover/PromotionRules.h"
 #include "platform/InstanceSettings.h"
 
@@ -11,6 +12,7 @@
 
 struct SessionDaemonOptions {
   PromotionRulesOptions Rules = {};
+  GrantorMaintenanceOptions Grantors = {};
   /// Buffered log lines, which the daemon writes to standard output. Null if
   /// log lines are written directly.
   BoundedLog *Log = nullptr;
--- a/membership/InstanceRegistry.cpp
+++ b/membership/InstanceRegistry.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Read times kept. With a few reads per second they cover several seconds.
-constexpr std::size_t MaxReadTimes = 32;
-
 std::optional<std::string> textAt(const json::object &Object,
                                   std::string_view Key) {
   const json::value *Found = Object.if_contains(Key);
@@ -53,37 +50,12 @@
   return Decoded;
 }
 
-void InstanceRegistry::updateRegistrations(TimePoint ReadSentAt) {
-  std::map<InstanceId, Registration> Present;
-  for (const RegisteredInstance &Each : this->Instances) {
-    auto Known = this->Registrations.find(Each.Id);
-    bool Same = Known != this->Registrations.end() &&
-                Known->second.Stored == Each.Stored;
-    // Instances in the first listing may be of any age.
-    TimePoint FirstSeenAt = this->HasListing ? ReadSentAt : TimePoint::min();
-    Present[Each.Id] =
-        Same ? Known->second
-             : Registration{.Stored = Each.Stored, .FirstSeenAt = FirstSeenAt};
-  }
-  this->Registrations = std::move(Present);
-  this->HasListing = true;
-}
-
-bool InstanceRegistry::isNew(const InstanceId &Id, Duration MaxAge,
-                             TimePoint Now) const {
-  auto Known = this->Registrations.find(Id);
-  return Known != this->Registrations.end() &&
-         Known->second.FirstSeenAt > Now - MaxAge;
-}
-
 bool InstanceRegistry::onListing(std::vector<RegisteredInstance> NewInstances,
                                  TimePoint ReadSentAt) {
   std::sort(NewInstances.begin(), NewInstances.end());
   bool Changed = NewInstances != this->Instances;
   this->Instances = std::move(NewInstances);
-  this->updateRegistrations(ReadSentAt);
   if (Changed) {
-    this->ReadTimes.clear();
     this->ReadSentAt.reset();
     std::string Text;
     for (const RegisteredInstance &Each : this->Instances)
@@ -98,18 +70,6 @@
   if (this->ReadSentAt && ReadSentAt <= *this->ReadSentAt)
     return;
   this->ReadSentAt = ReadSentAt;
-  this->ReadTimes.push_back(ReadSentAt);
-  if (this->ReadTimes.size() > MaxReadTimes)
-    this->ReadTimes.pop_front();
-}
-
-std::optional<TimePoint>
-InstanceRegistry::readSentBefore(TimePoint Latest) const {
-  std::optional<TimePoint> Found;
-  for (TimePoint Each : this->ReadTimes)
-    if (Each <= Latest)
-      Found = Each;
-  return Found;
 }
 
 std::size_t InstanceRegistry::count() const {
--- a/membership/InstanceRegistry.h
+++ b/membership/InstanceRegistry.h
@@ -7,8 +7,6 @@
 #include "core/KeyValue.h"
 #include "core/Time.h"
 
-#include <deque>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -48,17 +46,10 @@
   /// Records that another instance holds the same list, from a read sent no
   /// earlier than ReadSentAt.
   void onConfirmed(TimePoint ReadSentAt);
-  /// The send time of the newest read that returned the current list and was
-  /// sent no later than Latest; nothing if there is none.
-  [[nodiscard]] std::optional<TimePoint> readSentBefore(TimePoint Latest) const;
   /// Hash of the names and store revisions in the list; 0 before the first
   /// listing that is not empty.
   [[nodiscard]] std::uint64_t digest() const { return this->Digest; }
   [[nodiscard]] const InstanceId &self() const { return this->Self; }
-  /// Whether an instance's registration was first seen less than MaxAge ago.
-  /// Instances in the first listing count as old.
-  [[nodiscard]] bool isNew(const InstanceId &Id, Duration MaxAge,
-                           TimePoint Now) const;
   /// Number of instances, this one included even if it isn't listed.
   [[nodiscard]] std::size_t count() const;
   /// Whether an instance of another zone is listed.
@@ -75,21 +66,9 @@
   }
 
 private:
-  /// When a registration was first seen.
-  struct Registration {
-    Revision Stored;
-    TimePoint FirstSeenAt;
-  };
-  void updateRegistrations(TimePoint ReadSentAt);
-
   InstanceId Self;
   std::vector<RegisteredInstance> Instances;
-  /// The registrations of the listed instances.
-  std::map<InstanceId, Registration> Registrations;
-  bool HasListing = false;
   std::optional<TimePoint> ReadSentAt;
-  /// Send times of the reads that returned the current list, oldest first.
-  std::deque<TimePoint> ReadTimes;
   std::uint64_t Digest = 0;
 };
 
--- a/membership/RegistryDuties.h
+++ b/membership/RegistryDuties.h
@@ -5,6 +5,8 @@
 #include "membership/InstanceRegistry.h"
 
 #include <functional>
+#include <map>
+#include <vector>
 
 namespace turmericpitch {
 
--- a/routing/MemberRegistry.h
+++ b/routing/MemberRegistry.h
@@ -61,6 +61,11 @@
   explicit MemberRegistry(MemberRegistryOptions Options = {})
       : Options(Options) {}
 
+  /// The registry was restored from an older copy, in which entries may be
+  /// missing until their members write them again. Counts as an outage.
+  void onRestored(TimePoint Now) {
+    this->KeepMissingUntil = Now + this->Options.ReturnTimeout;
+  }
   /// Replaces the members by a complete listing that was requested at AskedAt.
   RegistryChange onListing(std::vector<RegisteredMember> Listing,
                            TimePoint AskedAt);
--- a/tests/platform/RevisionStore.h
+++ b/tests/platform/RevisionStore.h
@@ -22,9 +22,19 @@
   Status start();
   /// Writes a key as the operator or a member would.
   void put(const std::string &Key, const std::string &Value);
+  /// The value of a key, or "".
+  [[nodiscard]] std::string value(const std::string &Key) const {
+    auto Found = this->Items.find(Key);
+    return Found == this->Items.end() ? "" : Found->second.Value;
+  }
   /// While unavailable, replies to each request with status 503.
   void setUnavailable(bool Unavailable) { this->Unavailable = Unavailable; }
   [[nodiscard]] std::uint16_t port() const { return this->Server.port(); }
+  /// Keeps a copy of all keys, for restore().
+  void takeCopy() { this->Copy = {this->Items, this->Revision}; }
+  /// Goes back to the copy: later writes are gone, revisions are given out
+  /// again, and the era rises.
+  void restore();
   /// Compacts the history. Watches from earlier revisions fail with status 410.
   void compactHistory() { this->HistoryFrom = this->Revision; }
   /// Number of reads of single keys since the start.
@@ -38,6 +48,11 @@
     std::uint64_t Lease = 0;
   };
 
+  struct Contents {
+    std::map<std::string, Item> Items;
+    std::uint64_t Revision = 1;
+  };
+
   Awaitable<HttpReply> handle(HttpRequest Request);
   HttpReply answer(const HttpRequest &Request);
   [[nodiscard]] boost::json::object encodeItem(const std::string &Key,
@@ -52,6 +67,8 @@
   HttpServer Server;
   std::map<std::string, Item> Items;
   std::uint64_t Revision = 1;
+  std::uint64_t Era = 1;
+  Contents Copy;
   std::uint64_t Leases = 0;
   std::uint64_t Promotions = 0;
   std::uint64_t HistoryFrom = 0;
--- a/tests/platform/StoreCallsTest.cpp
+++ b/tests/platform/StoreCallsTest.cpp
@@ -61,6 +61,41 @@
   EXPECT_TRUE(Watch.value().Events[0].Deleted);
 }
 
+HttpReply replyOfEra(std::string Era, std::string Body) {
+  HttpReply Reply = reply(200, std::move(Body));
+  Reply.Fields = {{.Name = "store-era", .Value = std::move(Era)}};
+  return Reply;
+}
+
+TEST(StoreCalls, RevisionsCarryTheEraOfTheReply) {
+  constexpr const char *Body =
+      R"({"items":[{"key":"k","value":"dg==","revision":4}],"current_rev":9})";
+  auto Before = decodePage(replyOfEra("2", Body));
+  auto After = decodePage(replyOfEra("3", Body));
+  ASSERT_TRUE(Before && After);
+  EXPECT_LT(Before.value().StoreRevision, After.value().Entries[0].Modified);
+  EXPECT_EQ(eraOf(After.value().StoreRevision).Value, 3U);
+  EXPECT_EQ(eraOfReply(reply(200)).Value, 0U);
+  // The store itself gets back what it gave out.
+  Revision Position = After.value().Entries[0].Modified;
+  EXPECT_NE(encodeCommit({.Compares = {{.Key = "k", .Modified = Position}},
+                          .Writes = {}})
+                .Body.find("\"revision\":4"),
+            std::string::npos);
+  EXPECT_NE(encodeWatch("k", Position, std::chrono::milliseconds(5))
+                .Target.find("after=4&"),
+            std::string::npos);
+}
+
+/// The store may have given out the watch's revision again.
+TEST(StoreCalls, WatchAcrossARestoreHasLostItsHistory) {
+  HttpReply Events = replyOfEra("3", R"({"events":[],"current_rev":9})");
+  EXPECT_TRUE(
+      decodeWatch(Events, positionInHistory({2}, 8)).value().HistoryCompacted);
+  EXPECT_FALSE(
+      decodeWatch(Events, positionInHistory({3}, 8)).value().HistoryCompacted);
+}
+
 TEST(StoreCalls, PromotionContainsRequesterAndFencingToken) {
   HttpRequest Order = encodePromotion({.Service = {"ledger"},
                                        .Target = {"m2"},
