Let the first completed statement show whether a member is congested

Cause: the moving average of statement times began at zero, so at a member where the first statement took seven times its target the limit still rose by half a statement in slow start; 118 instances that start together then had 65 statements at a member with 4 slots.

Test: ConcurrencyLimit.FleetThatStartsStaysWithinTheMembersCapacity failed with 65 before, 6 after. 428 unit tests pass.

--- a/limits/ConcurrencyLimit.cpp
+++ b/limits/ConcurrencyLimit.cpp
@@ -40,8 +40,10 @@
   double TimeRatio =
       static_cast<double>(Took.count()) /
       static_cast<double>(std::max<Duration::rep>(1, TargetTime.count()));
-  this->MeanTimeRatio +=
-      (TimeRatio - this->MeanTimeRatio) * this->Options.SmoothingWeight;
+  // The first statement tells at once whether others wait at the member.
+  double Weight = this->Completed ? this->Options.SmoothingWeight : 1;
+  this->MeanTimeRatio += (TimeRatio - this->MeanTimeRatio) * Weight;
+  this->Completed = true;
   this->InSlowStart = this->InSlowStart && !this->congested();
   if (!this->congested()) {
     double Step =
--- a/limits/ConcurrencyLimit.h
+++ b/limits/ConcurrencyLimit.h
@@ -72,7 +72,8 @@
   double Limit;
   /// True until statements first wait at the member.
   bool InSlowStart = true;
-  /// Whether a statement has completed or was refused.
+  /// Whether a statement has completed, and whether one has or was refused.
+  bool Completed = false;
   bool Used = false;
   /// Moving average of the ratio of a statement's time to its target time.
   double MeanTimeRatio = 0;
