Grant leases once a record is known, and let few instances ask for grants

Each instance starts by waiting for its turn to write the first record of each service, 0.25 s for each rank, 29 s for the last of 118; meanwhile it granted nothing, so one service a round reached a majority.

Ruled out: lost datagrams (all 495 replies of 33 rounds arrived), another grantor set than the read showed (no grant was unused), congestion.

Change: the wait ends when the record is known. The reader and, with old records, the relays ask the grantors; of the others four at a time on average. Contact is checked with signs of life of two grantors.

--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -165,7 +165,10 @@
 void FailoverCoordinator::onGranted(const GrantedEpoch &Granted,
                                     const GrantRound &Round) {
   auto Evidence = this->Leases.evidence(Granted.Service);
-  if (!Evidence || !mayExtendLease(this->Options.Rules, *Evidence, Round))
+  bool Extends =
+      Evidence && mayExtendLease(this->Options.Rules, *Evidence, Round);
+  processMetrics().count("lease_grants_total", Extends ? "used" : "unused");
+  if (!Extends)
     return;
   this->Leases.onGranted(Granted.Service, Granted.Epoch, Round.sentAt());
   this->Dispatcher.onLeasesChanged();
@@ -210,11 +213,7 @@
     ++Turn;
     this->updateIsolation(this->Clock.now());
     TimePoint Now = this->Clock.now();
-    auto LeasesFrom = this->Leases.oldestEvidenceAt();
-    bool LeasesEnd =
-        LeasesFrom && Now - *LeasesFrom > this->Options.MaxLeaseAge;
-    // While the store is away, the other instances get the leases of relays.
-    if (this->recordsAreStale(Now) && (this->providesRecords() || LeasesEnd))
+    if (this->shouldRequestGrants(Now))
       this->Exchange.requestGrants(this->Grantors);
     // Other instances leave it to the active promoter to replace further lost
     // primaries.
@@ -225,6 +224,19 @@
   }
 }
 
+bool FailoverCoordinator::shouldRequestGrants(TimePoint Now) {
+  auto LeasesFrom = this->Leases.oldestEvidenceAt();
+  bool LeasesEnd = LeasesFrom && Now - *LeasesFrom > this->Options.MaxLeaseAge;
+  if (!LeasesEnd)
+    return false;
+  if (this->isReader() ||
+      (this->providesRecords() && this->recordsAreStale(Now)))
+    return true;
+  return this->recordsAreStale(Now) &&
+         this->Random.nextBelow(this->Instances.count()) <
+             this->Options.OtherGrantRequests;
+}
+
 bool FailoverCoordinator::isSilent(const InstanceId &Id) const {
   auto Since = this->Exchange.silentSince(Id);
   return Since && this->Clock.now() - *Since > this->Options.PeerSilenceTimeout;
@@ -308,10 +320,13 @@
   // The grantors spread over the availability zones, so they show a partition
   // as well as all instances do.
   if (this->Isolation.shouldQueryPeers(Seen, Now)) {
+    bool Large = this->Instances.count() > this->Options.InstancesPerRelay;
     if (this->Grantors.Current.empty())
       this->Exchange.queryAll();
     else
-      this->Exchange.requestGrants(this->Grantors);
+      this->Exchange.pingGrantors(this->Grantors,
+                                  Large ? this->Options.ContactQueries
+                                        : this->Grantors.Current.size());
   }
   if (this->Isolation.update(Seen, Now))
     writeDecision(
@@ -730,9 +745,18 @@
 }
 
 Awaitable<void> FailoverCoordinator::writeFirstRecord(ServiceId Id) {
-  co_await this->pause(this->Options.PollInterval +
-                       this->Options.InstallRankDelay *
-                           static_cast<Duration::rep>(this->readerRank()));
+  // Ends as soon as the record is known: until then this instance grants no
+  // lease on the service, and the last ranks of a large fleet wait for long.
+  TimePoint Due =
+      this->Clock.now() + this->Options.InstallRankDelay *
+                              static_cast<Duration::rep>(this->readerRank());
+  do
+    co_await this->pause(this->Options.PollInterval);
+  while (this->Clock.now() < Due && !this->Leases.record(Id));
+  if (this->Leases.record(Id)) {
+    this->ActiveFailovers.erase(Id);
+    co_return;
+  }
   std::vector<std::shared_ptr<MemberLinkPool>> Primaries;
   auto State = this->Dispatcher.services().find(Id);
   for (const auto &[Member, Pool] : State->second.Pools)
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -40,9 +40,16 @@
   /// If its records are older than this, an instance queries the store, and
   /// relays request grants. Records from a relay are up to 560 ms old.
   Duration MaxRecordAge = std::chrono::milliseconds(620);
-  /// If its leases are counted from longer ago than this while its records are
-  /// too old, an instance requests grants itself.
+  /// If its leases are counted from longer ago than this, the reader requests
+  /// grants. It reads the store every 250 ms.
   Duration MaxLeaseAge = std::chrono::milliseconds(450);
+  /// Number of instances that may request grants at a time beside the relays,
+  /// on average: those whose relay is silent. Each reply takes about 3 KiB of
+  /// the grantor's link.
+  std::size_t OtherGrantRequests = 4;
+  /// Number of grantors that an instance of a large fleet queries at a time
+  /// while it has no contact with other availability zones.
+  std::size_t ContactQueries = 2;
   /// Time within which an instance reads a changed grantor set, at random, so
   /// that not all read it at once.
   Duration GrantorReadSpread = std::chrono::milliseconds(1500);
@@ -217,6 +224,9 @@
   /// Applies a listing of the records if it is of a verified era.
   void onRecordListing(const StorePage &Listing, TimePoint ReadSentAt);
   [[nodiscard]] bool hasOutdatedGrantors() const;
+  /// Whether this instance requests grants now. Most instances get the leases
+  /// of relays, so that an outage doesn't congest the grantors' links.
+  [[nodiscard]] bool shouldRequestGrants(TimePoint Now);
   Awaitable<void> maintainGrantors();
   Awaitable<void> writeGrantors(GrantorSet Next);
   /// Verifies the records for the era that the store has entered.
--- a/drivers/LeaseExchange.cpp
+++ b/drivers/LeaseExchange.cpp
@@ -69,6 +69,20 @@
   }
 }
 
+void LeaseExchange::pingGrantors(const GrantorSet &Set, std::size_t Count) {
+  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  std::size_t Size = Set.Current.size();
+  for (std::size_t Pinged = 0; Pinged < std::min(Count, Size); ++Pinged) {
+    const Grantor &Each = Set.Current[this->NextPinged++ % Size];
+    if (Each == this->self())
+      continue;
+    processMetrics().count("peer_questions_total", "brief");
+    this->trackQuery(Each.Id, Sent);
+    this->send(Each.PeerEndpoint,
+               LeaseQuery{.Serial = Sent.Serial, .Brief = true});
+  }
+}
+
 void LeaseExchange::requestGrants(const GrantorSet &Set) {
   SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
   LeaseQuery Query{.Serial = Sent.Serial, .WantsGrants = true};
@@ -281,6 +295,8 @@
 }
 
 void LeaseExchange::onGrants(const Grantor &From, const LeaseReply &Reply) {
+  if (Reply.Serial == this->NewestGrants.serial())
+    processMetrics().count("lease_grants_total", "replies");
   for (const GrantedEpoch &Each : this->NewestGrants.onReply(From, Reply))
     this->Callbacks.OnGranted(Each, this->NewestGrants);
 }
--- a/drivers/LeaseExchange.h
+++ b/drivers/LeaseExchange.h
@@ -65,6 +65,8 @@
   void queryAll();
   /// Queries all other instances for a sign of life only.
   void pingAll();
+  /// Queries Count of the grantors in turn for a sign of life only.
+  void pingGrantors(const GrantorSet &Set, std::size_t Count);
   /// Requests grants of all grantors, this instance included if it is one, and
   /// starts a new round of grants.
   void requestGrants(const GrantorSet &Set);
@@ -132,6 +134,7 @@
   Hooks Callbacks;
   PeerTransport Transport;
   std::uint32_t NextSerial = 1;
+  std::size_t NextPinged = 0;
   /// A period during which a process of an instance has not answered queries.
   struct Silence {
     /// The registration of that process.
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -527,7 +527,15 @@
         .field("asked_one",
                processMetrics().counterValue("peer_questions_total", "one"))
         .field("asked_all",
-               processMetrics().counterValue("peer_questions_total", "all"));
+               processMetrics().counterValue("peer_questions_total", "all"))
+        .field("asked_grantors", processMetrics().counterValue(
+                                     "peer_questions_total", "grantors"))
+        .field("grant_replies",
+               processMetrics().counterValue("lease_grants_total", "replies"))
+        .field("grants_used",
+               processMetrics().counterValue("lease_grants_total", "used"))
+        .field("grants_unused",
+               processMetrics().counterValue("lease_grants_total", "unused"));
     for (const char *Call : Calls)
       Line.field(Call,
                  processMetrics().counterValue("store_calls_total", Call));
