--- a/tests/drivers/StatementDispatcherTest.cpp
+++ b/tests/drivers/StatementDispatcherTest.cpp
@@ -39,13 +39,13 @@
     this->Routes.replaceIfNewer(std::move(Table));
     RegistryChange Change;
     for (const SessionGroupMember &Each : this->Group.members())
-      Change.Added.push_back({.Id = {Each.Id},
-                              .Service = Service,
-                              .Where = Each.Where,
-                              .Zone = {"a"},
-                              .Slots = 4,
-                              .Role = Each.Primary ? MemberRole::Primary
-                                                   : MemberRole::Replica});
+      Change.Added.push_back(
+          {.Id = {Each.Id},
+           .Service = Service,
+           .Where = Each.Where,
+           .Zone = {"a"},
+           .Slots = 4,
+           .Role = Each.Primary ? MemberRole::Primary : MemberRole::Replica});
     this->Dispatcher.onRegistry(Change, this->Routes, 1);
   }
 
@@ -125,8 +125,8 @@
     this->LeaseLookups = Lookups;
     StatementReply Reply = this->run("WRITE job new");
     // A write is acknowledged only by a primary whose lease is still valid.
-    bool FromFormer = !Reply.Failure &&
-                      Reply.Signature.find("m1") != std::string::npos;
+    bool FromFormer =
+        !Reply.Failure && Reply.Signature.find("m1") != std::string::npos;
     EXPECT_TRUE(!FromFormer || this->LeaseLookups >= 0) << Lookups;
   }
 }
