--- a/drivers/LeaseExchange.h
+++ b/drivers/LeaseExchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "drivers/PeerTransport.h"
+#include "failover/ConsentRound.h"
 #include "failover/GrantRound.h"
 #include "failover/LeaseGrants.h"
 #include "failover/LeaseRound.h"
--- a/tests/failover/LeaseModel.h
+++ b/tests/failover/LeaseModel.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/RandomSource.h"
+#include "failover/ConsentRound.h"
 #include "failover/GrantRound.h"
 #include "failover/GrantorMaintenance.h"
 #include "failover/LeaseGrants.h"
--- a/tests/failover/LeaseRulesTest.cpp
+++ b/tests/failover/LeaseRulesTest.cpp
@@ -1,5 +1,6 @@
 // Each rule of the leases on its own: the case that it answers, with the
 // interleaving that would let a lease outlive its epoch without it.
+#include "failover/ConsentRound.h"
 #include "failover/LeaseGrants.h"
 #include "failover/PromotionRules.h"
 #include "failover/RecordVerification.h"
