--- a/drivers/StatementCall.h
+++ b/drivers/StatementCall.h
@@ -20,6 +20,9 @@
   SessionState State;
   /// User name as the client sent it at startup; used in the log only.
   std::string User;
+  /// The client account that the session belongs to; an empty name if the
+  /// configuration has no accounts, or on a public route.
+  ClientAccountId Account;
   /// The route of the current operation.
   RouteRule Route;
   /// The link that the open transaction is pinned to; null if there is none.
