Client accounts of tickets may carry an operation limit

Ruled out: two flat fields, of which one alone would say nothing. Change: optional mapping 'limit' with per_second (1 to 1,000,000) and burst (0 to 1,000,000, default 0), in reader and canonical JSON; accounts without one keep their JSON.

--- a/configuration/Objects.cpp
+++ b/configuration/Objects.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::size_t DigestLength = 64;
 constexpr NumberBounds WeightBounds{.Min = 1, .Max = 1000};
+constexpr NumberBounds RateBounds{.Min = 1, .Max = 1'000'000};
+constexpr NumberBounds BurstBounds{.Min = 0, .Max = 1'000'000};
 constexpr NumberBounds ConnectionBounds{.Min = 1, .Max = 10'000};
 constexpr NumberBounds SlotBounds{.Min = 1, .Max = 1000};
 
@@ -27,6 +29,18 @@
   return List;
 }
 
+std::optional<OperationLimit> readLimit(YamlReader &Account) {
+  if (!Account.has("limit"))
+    return std::nullopt;
+  YamlReader Reader = Account.mapping("limit");
+  OperationLimit Limit{
+      .PerSecond = static_cast<double>(Reader.number("per_second", RateBounds)),
+      .Burst = static_cast<double>(Reader.number("burst", BurstBounds, 0)),
+  };
+  Reader.finish();
+  return Limit;
+}
+
 DatabaseMember readMember(YamlReader &Reader) {
   DatabaseMember Member{
       .Id = UpstreamId{Reader.name("upstream")},
@@ -64,6 +78,7 @@
       .Services = idsFrom<ServiceId>(Reader.texts("services")),
       .Weight =
           static_cast<std::uint32_t>(Reader.number("weight", WeightBounds, 1)),
+      .Limit = readLimit(Reader),
   };
   if (Object.CredentialDigest.size() != DigestLength)
     Reader.problem("credential_digest", "not a SHA-256 digest",
@@ -117,6 +132,10 @@
   Json["credential_digest"] = Object.CredentialDigest;
   Json["services"] = arrayOf(Object.Services);
   Json["weight"] = Object.Weight;
+  if (Object.Limit)
+    Json["limit"] = boost::json::object{
+        {"per_second", static_cast<std::int64_t>(Object.Limit->PerSecond)},
+        {"burst", static_cast<std::int64_t>(Object.Limit->Burst)}};
   return boost::json::serialize(Json);
 }
 
--- a/configuration/Objects.h
+++ b/configuration/Objects.h
@@ -4,8 +4,10 @@
 
 #include "core/Endpoint.h"
 #include "core/Identifiers.h"
+#include "core/OperationLimit.h"
 #include "core/YamlReader.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,8 @@
   std::vector<ServiceId> Services;
   /// Relative share of the capacity under overload.
   std::uint32_t Weight = 1;
+  /// No limit if not set.
+  std::optional<OperationLimit> Limit = std::nullopt;
 
   bool operator==(const ClientAccount &) const = default;
 };
