--- a/core/Digest.cpp
+++ b/core/Digest.cpp
@@ -19,12 +19,19 @@
 
 } // namespace
 
+Sha256Bytes sha256(std::string_view Data) {
+  Sha256Bytes Digest{};
+  static_assert(Digest.size() == SHA256_DIGEST_LENGTH);
+  SHA256(bytes(Data), Data.size(),
+         reinterpret_cast<unsigned char *>(Digest.data()));
+  return Digest;
+}
+
 std::string sha256Hex(std::string_view Data) {
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> Digest{};
-  SHA256(bytes(Data), Data.size(), Digest.data());
   constexpr std::string_view Digits = "0123456789abcdef";
   std::string Text;
-  for (unsigned char Byte : Digest) {
+  for (char Each : sha256(Data)) {
+    auto Byte = static_cast<unsigned char>(Each);
     Text += Digits[Byte >> 4U];
     Text += Digits[Byte & 0xFU];
   }
