Decode accounts and public routes of the operator's configuration

Ruled out: refusing the whole configuration for one unreadable entry, as routes would then stay old; treating an empty list like an absent one, as a list of unreadable entries would open the interface. RouteController knows when its version was applied.

--- a/configuration/RouteTable.cpp
+++ b/configuration/RouteTable.cpp
@@ -16,10 +16,11 @@
   return "read_your_writes";
 }
 
-bool RouteController::replaceIfNewer(RouteTable Candidate) {
+bool RouteController::replaceIfNewer(RouteTable Candidate, TimePoint Now) {
   if (this->Table && Candidate.Version <= this->Table->Version)
     return false;
   this->Table = std::move(Candidate);
+  this->AppliedAt = Now;
   return true;
 }
 
@@ -27,6 +28,11 @@
   return this->Table ? this->Table->Version : 0;
 }
 
+const AccountDirectory &RouteController::accounts() const {
+  static const AccountDirectory None;
+  return this->Table ? this->Table->Accounts : None;
+}
+
 const RouteRule *RouteController::route(std::string_view Database) const {
   if (!this->Table)
     return nullptr;
--- a/configuration/RouteTable.h
+++ b/configuration/RouteTable.h
@@ -2,6 +2,7 @@
 // with which limits.
 #pragma once
 
+#include "configuration/AccountDirectory.h"
 #include "core/Identifiers.h"
 #include "core/Time.h"
 
@@ -41,6 +42,7 @@
   /// Maximum age of the data that a read returns. Used by BoundedStaleness and
   /// ReadYourWrites only.
   Duration MaximumAge{0};
+  RouteAccess Access = RouteAccess::Authenticated;
 
   bool operator==(const RouteRule &) const = default;
 };
@@ -61,6 +63,7 @@
   /// Keyed by database name.
   std::map<std::string, RouteRule, std::less<>> Routes;
   std::map<ServiceId, ServiceRule> Services;
+  AccountDirectory Accounts = {};
   /// A transaction that is idle for longer may be ended; no limit if not
   /// set.
   std::optional<Duration> TransactionIdleTimeout = std::nullopt;
@@ -74,9 +77,15 @@
 public:
   /// Replaces the table if the candidate has a higher version. Returns whether
   /// it did.
-  bool replaceIfNewer(RouteTable Candidate);
+  bool replaceIfNewer(RouteTable Candidate, TimePoint Now = {});
   [[nodiscard]] bool loaded() const { return this->Table.has_value(); }
   [[nodiscard]] std::uint64_t version() const;
+  /// When the version in force was applied here.
+  [[nodiscard]] TimePoint appliedAt() const { return this->AppliedAt; }
+  /// The accounts of the version in force. Before any version is loaded, every
+  /// caller is admitted: check loaded() first. Valid until the next
+  /// replaceIfNewer().
+  [[nodiscard]] const AccountDirectory &accounts() const;
   /// The route of a database name, or nullptr; valid until the next
   /// replaceIfNewer().
   [[nodiscard]] const RouteRule *route(std::string_view Database) const;
@@ -94,6 +103,7 @@
 
 private:
   std::optional<RouteTable> Table;
+  TimePoint AppliedAt;
 };
 
 } // namespace turmericpitch
--- a/drivers/Json.cpp
+++ b/drivers/Json.cpp
@@ -68,6 +68,18 @@
   return Default.value_or(0);
 }
 
+std::optional<double> JsonReader::decimal(std::string_view Key) {
+  const boost::json::value *Value = this->find(Key);
+  if (!Value)
+    return std::nullopt;
+  boost::json::error_code Failure;
+  auto Number = Value->to_number<double>(Failure);
+  if (!Failure && Number >= 0)
+    return Number;
+  this->problem(Key, "must be a non-negative number");
+  return std::nullopt;
+}
+
 bool JsonReader::flag(std::string_view Key, std::optional<bool> Default) {
   const boost::json::value *Value = this->find(Key);
   if (Value && Value->is_bool())
--- a/drivers/Json.h
+++ b/drivers/Json.h
@@ -31,6 +31,8 @@
                    std::optional<std::string> Default = std::nullopt);
   std::uint64_t number(std::string_view Key,
                        std::optional<std::uint64_t> Default = std::nullopt);
+  /// A non-negative number; std::nullopt if the key is absent.
+  std::optional<double> decimal(std::string_view Key);
   bool flag(std::string_view Key, std::optional<bool> Default = std::nullopt);
   std::vector<std::string> texts(std::string_view Key);
   /// A whole number of milliseconds, at most one year; std::nullopt if the key
