Sessions belong to the account of their credential, while it holds

Ruled out: UNAUTH for a statement of a live session, which is no promise on the users' page, so a client may not retry after a moved credential; closing an open transaction without an answer; taking another account over within a session, whose values and links belong to the first one. Change: - A startup without a valid credential gets UNAUTH and a close. The decoder keeps only the digest; log lines name the account, never the credential. - Each new version is checked against all sessions, and before each operation if it was not. Idle: closed. In a transaction: rolled back, the next statement gets ABORTED (a ROLLBACK succeeds), then a close. Running: answered first; a commit keeps its outcome. Queued lines are refused as not run. - Sessions ask an OperationGate once per operation; lines queue meanwhile. A refusal is BUSY with the limit and a time. What can't have run is refunded: StatementCall counts attempts that a member has not disproved. - Decision lines refuse_session, refuse_operation, end_session; the first two are minor, so that a flood doesn't displace replies. - 'account' replaces the field 'user' of the reply line.

--- a/core/DecisionLog.cpp
+++ b/core/DecisionLog.cpp
@@ -41,9 +41,14 @@
 }
 
 /// Kinds of lines with LogPriority::Minor.
-constexpr std::array<std::string_view, 5> MinorKinds{
-    "decision=retry", "decision=hedge", "decision=link_not_opened",
-    "decision=successor_candidate", "decision=end_idle_transaction"};
+constexpr std::array<std::string_view, 7> MinorKinds{
+    "decision=retry",
+    "decision=hedge",
+    "decision=link_not_opened",
+    "decision=successor_candidate",
+    "decision=end_idle_transaction",
+    "decision=refuse_session",
+    "decision=refuse_operation"};
 
 LogPriority priorityOf(std::string_view Text) {
   for (std::string_view Kind : MinorKinds)
--- a/drivers/CallerSession.cpp
+++ b/drivers/CallerSession.cpp
@@ -11,6 +11,27 @@
 /// sends more without waiting for replies is disconnected.
 constexpr std::size_t MaxQueuedBytes = 2 * MaxLineBytes;
 
+std::int64_t inMilliseconds(Duration Length) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
+}
+
+/// A line on a caller that was refused under the configuration in force.
+DecisionLine refusalLine(std::string_view Kind, const RouteController &Routes,
+                         std::string_view Cause) {
+  DecisionLine Line(Kind);
+  Line.field("cause", Cause)
+      .field("version", Routes.version())
+      .field("version_age_ms",
+             inMilliseconds(BootClock().now() - Routes.appliedAt()));
+  return Line;
+}
+
+std::string_view explain(LimitRefusal Refusal) {
+  return Refusal == LimitRefusal::LimitReached
+             ? "the account's operation limit is reached"
+             : "this instance has no share of the account's operation limit";
+}
+
 /// Why a session can't be opened; empty if it can. Before the routes are
 /// loaded, the failure asks the client to retry, as the database may have a
 /// route.
@@ -53,12 +74,12 @@
 }
 
 bool CallerSession::busy() const {
-  return this->CurrentCall || this->Context->State.inTransaction();
+  return this->waiting() || this->Context->State.inTransaction();
 }
 
 void CallerSession::onLine(std::string_view Line) {
   CallerLine Decoded = decodeCallerLine(Line);
-  if (!this->CurrentCall)
+  if (!this->waiting())
     return this->process(Decoded);
   if (std::holds_alternative<SessionTermination>(Decoded))
     return this->end();
@@ -93,9 +114,27 @@
     this->Connection->finish();
     return this->end();
   }
+  const RouteController &Routes = this->Owner.Routes;
+  const RouteRule &Route = *Routes.route(Startup.Database);
+  AccountDecision Caller =
+      Routes.accounts().decide(Route.Access, Startup.Credential);
+  if (Caller.Refusal) {
+    writeDecision(
+        refusalLine("refuse_session", Routes, toString(*Caller.Refusal))
+            .field("route", Route.Name));
+    this->Connection->send(encodeSessionRefused(
+        {.Code = ReplyError::Unauthenticated,
+         .UpstreamCode = {},
+         .Text = "no valid credential for this database"}));
+    this->Connection->finish();
+    return this->end();
+  }
   this->Opened = true;
   this->Database = Startup.Database;
-  this->Context->User = Startup.User;
+  this->Credential = Startup.Credential;
+  this->Access = Route.Access;
+  this->CheckedVersion = Routes.version();
+  this->Context->Account = Caller.Account;
   this->Connection->send(encodeSessionOpened());
 }
 
@@ -103,6 +142,8 @@
   if (!this->Opened)
     return this->onMalformed({"the session is not open"});
   this->IdleTimer.cancel();
+  if (this->checkCredential(Request.Id))
+    return this->refuseRevoked(Request);
   auto Local = this->Context->State.answerLocally(Request);
   if (!Local)
     return this->forward(Request);
@@ -117,32 +158,100 @@
     return this->reply(StatementReply{});
   }
   // A running transaction keeps the route that it was started on.
-  if (Session.State.transaction() != SessionTransaction::Running) {
-    const RouteRule *Route = this->Owner.Routes.route(this->Database);
-    if (!Route) {
-      Session.State.onTransactionFailed();
-      StatementReply Refusal;
-      Refusal.Failure = ReplyFailure{.Code = ReplyError::DatabaseUnknown,
-                                     .UpstreamCode = {},
-                                     .Text = "no route for this database"};
-      Refusal.Transaction = Session.State.transactionStatus();
-      return this->reply(Refusal);
-    }
-    Session.Route = *Route;
+  if (Session.State.transaction() == SessionTransaction::Running)
+    return this->submit(Request, BootClock().now());
+  const RouteRule *Route = this->Owner.Routes.route(this->Database);
+  if (!Route) {
+    Session.State.onTransactionFailed();
+    StatementReply Refusal;
+    Refusal.Failure = ReplyFailure{.Code = ReplyError::DatabaseUnknown,
+                                   .UpstreamCode = {},
+                                   .Text = "no route for this database"};
+    Refusal.Transaction = Session.State.transactionStatus();
+    return this->reply(Refusal);
   }
-  TimePoint Now = BootClock().now();
+  Session.Route = *Route;
+  this->admit(Request);
+}
+
+void CallerSession::admit(const Statement &Request) {
+  const OperationGate &Gate = this->Owner.Options.Gate;
+  TimePoint ArrivedAt = BootClock().now();
+  if (!Gate.Admit || this->Context->Account.Value.empty())
+    return this->submit(Request, ArrivedAt);
+  this->AdmissionPending = true;
+  Gate.Admit(this->Context->Account,
+             [Weak = this->weak_from_this(), Request, ArrivedAt,
+              Refund = Gate.Refund](const LimitDecision &Decision) {
+               auto Self = Weak.lock();
+               if (Self && !Self->Ended)
+                 return Self->onAdmission(Request, ArrivedAt, Decision);
+               if (Decision.Admitted && Refund)
+                 Refund(Decision.Grant);
+             });
+}
+
+void CallerSession::onAdmission(const Statement &Request, TimePoint ArrivedAt,
+                                const LimitDecision &Decision) {
+  const OperationGate &Gate = this->Owner.Options.Gate;
+  this->AdmissionPending = false;
+  if (this->checkCredential(Request.Id)) {
+    if (Decision.Admitted && Gate.Refund)
+      Gate.Refund(Decision.Grant);
+    return this->refuseRevoked(Request);
+  }
+  if (Decision.Admitted) {
+    this->Grant = Decision.Grant;
+    return this->submit(Request, ArrivedAt);
+  }
+  std::int64_t RetryAfter = inMilliseconds(Decision.RetryAfter);
+  writeDecision(refusalLine("refuse_operation", this->Owner.Routes,
+                            Decision.Refusal == LimitRefusal::LimitReached
+                                ? "limit_reached"
+                                : "no_share")
+                    .field("request", Request.Id)
+                    .field("account", this->Context->Account.Value)
+                    .field("route", this->Context->Route.Name)
+                    .field("retry_after_ms", RetryAfter));
+  this->reply(this->refusal(Request, ReplyError::Busy,
+                            std::string(explain(Decision.Refusal)) +
+                                "; not run, retry after " +
+                                std::to_string(RetryAfter) + " ms"));
+  this->afterReply();
+}
+
+StatementReply CallerSession::refusal(const Statement &Request, ReplyError Code,
+                                      std::string Text) {
+  SessionState &State = this->Context->State;
+  if (Request.Kind == StatementKind::Commit)
+    State.onTransactionEnded();
+  else
+    State.onTransactionFailed();
+  StatementReply Refusal;
+  Refusal.Failure =
+      ReplyFailure{.Code = Code, .UpstreamCode = {}, .Text = std::move(Text)};
+  Refusal.Transaction = State.transactionStatus();
+  return Refusal;
+}
+
+void CallerSession::submit(const Statement &Request, TimePoint ArrivedAt) {
+  const SessionContext &Session = *this->Context;
   auto Call = std::make_shared<StatementCall>(this->IdleTimer.get_executor());
   Call->Session = this->Context;
   Call->Request = Request;
-  Call->Terms = {.ArrivedAt = Now,
-                 .Goal = Now + Session.Route.LatencyGoal,
-                 .Deadline = Now + Session.Route.StatementTimeout,
+  Call->Terms = {.ArrivedAt = ArrivedAt,
+                 .Goal = ArrivedAt + Session.Route.LatencyGoal,
+                 .Deadline = ArrivedAt + Session.Route.StatementTimeout,
                  .Priority = Session.Route.Priority};
   Call->OnReply = [Weak = this->weak_from_this()](const StatementReply &Reply) {
     auto Self = Weak.lock();
     if (!Self)
       return;
+    auto Ended = std::move(Self->CurrentCall);
     Self->CurrentCall.reset();
+    if (Reply.Failure && Ended)
+      Self->refundUnlessRun(*Ended);
+    Self->Grant.reset();
     Self->reply(Reply);
     Self->afterReply();
   };
@@ -160,13 +269,82 @@
 }
 
 void CallerSession::afterReply() {
-  while (!this->CurrentCall && !this->QueuedLines.empty() && !this->Ended) {
+  while (!this->waiting() && !this->QueuedLines.empty() && !this->Ended) {
     CallerLine Next = std::move(this->QueuedLines.front());
     this->QueuedLines.pop_front();
     this->process(Next);
   }
   if (this->QueuedLines.empty())
     this->QueuedBytes = 0;
+  if (this->Revoked && !this->waiting() && !this->Ended)
+    this->revoke();
+}
+
+void CallerSession::refundUnlessRun(const StatementCall &Call) {
+  const OperationGate &Gate = this->Owner.Options.Gate;
+  if (this->Grant && Call.PossibleRuns == 0 && Gate.Refund)
+    Gate.Refund(*this->Grant);
+  this->Grant.reset();
+}
+
+void CallerSession::onConfigurationApplied() {
+  if (!this->Opened || this->Ended || this->Revoked)
+    return;
+  if (this->checkCredential("") && !this->waiting())
+    this->revoke();
+}
+
+bool CallerSession::checkCredential(std::string_view RequestId) {
+  const RouteController &Routes = this->Owner.Routes;
+  if (this->Revoked || this->CheckedVersion == Routes.version())
+    return this->Revoked;
+  this->CheckedVersion = Routes.version();
+  // The credential of a session whose route is gone is checked as before, as
+  // its transaction may still run.
+  if (const RouteRule *Route = Routes.route(this->Database))
+    this->Access = Route->Access;
+  auto Refusal = Routes.accounts().recheck(this->Access, this->Credential,
+                                           this->Context->Account);
+  if (!Refusal)
+    return false;
+  this->Revoked = true;
+  DecisionLine Line = refusalLine("end_session", Routes, toString(*Refusal));
+  if (!RequestId.empty())
+    Line.field("request", RequestId);
+  writeDecision(
+      Line.field("account", this->Context->Account.Value)
+          .field("in_transaction", this->Context->State.inTransaction() ? 1 : 0)
+          .field("running", this->waiting() ? 1 : 0));
+  return true;
+}
+
+void CallerSession::revoke() {
+  if (this->Context->State.inTransaction()) {
+    this->IdleTimer.cancel();
+    this->Context->State.onTransactionFailed();
+    return this->Owner.Dispatcher.rollBack(this->Context);
+  }
+  this->Connection->finish();
+  this->end();
+}
+
+void CallerSession::refuseRevoked(const Statement &Request) {
+  SessionState &State = this->Context->State;
+  bool RollsBack =
+      State.inTransaction() && Request.Kind == StatementKind::Rollback;
+  State.onTransactionEnded();
+  StatementReply Reply;
+  // Not the error of a refused startup, which would not promise that nothing
+  // is kept.
+  if (!RollsBack)
+    Reply.Failure = ReplyFailure{
+        .Code = ReplyError::Aborted,
+        .UpstreamCode = {},
+        .Text = "the session's credential is no longer valid; not run, "
+                "nothing of its transaction is kept"};
+  this->Connection->send(encodeReply(Reply));
+  this->Connection->finish();
+  this->end();
 }
 
 void CallerSession::startIdleTimer() {
@@ -179,7 +357,7 @@
   this->IdleTimer.async_wait([Weak = this->weak_from_this()](
                                  const boost::system::error_code &Failure) {
     auto Self = Weak.lock();
-    if (Failure || !Self || Self->CurrentCall)
+    if (Failure || !Self || Self->waiting())
       return;
     writeDecision(DecisionLine("end_idle_transaction")
                       .field("route", Self->Context->Route.Name));
@@ -198,7 +376,7 @@
 
 void CallerSession::endIdleTransactions() {
   this->Finishing = true;
-  if (this->CurrentCall)
+  if (this->waiting())
     return;
   this->Connection->finish();
   this->end();
@@ -212,6 +390,7 @@
   this->IdleTimer.cancel();
   if (this->CurrentCall) {
     this->Owner.Dispatcher.abandon(this->CurrentCall);
+    this->refundUnlessRun(*this->CurrentCall);
     this->CurrentCall.reset();
   }
   this->Context->State.onTransactionFailed();
--- a/drivers/SessionServer.cpp
+++ b/drivers/SessionServer.cpp
@@ -87,6 +87,12 @@
     Session->endIdleTransactions();
 }
 
+void SessionServer::onConfigurationApplied() {
+  // A session that ends is removed later, so the set doesn't change here.
+  for (const auto &Session : this->Sessions)
+    Session->onConfigurationApplied();
+}
+
 void SessionServer::stopAccepting() {
   ErrorCode Ignored;
   this->Acceptor.close(Ignored);
--- a/drivers/SessionServer.h
+++ b/drivers/SessionServer.h
@@ -4,6 +4,7 @@
 #include "configuration/RouteTable.h"
 #include "drivers/LineConnection.h"
 #include "drivers/StatementDispatcher.h"
+#include "limits/LimitDecision.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <set>
@@ -19,6 +20,8 @@
   int Backlog = 1024;
   /// Maximum number of concurrent sessions; further connections are closed.
   std::size_t MaximumSessions = 5000;
+  /// Admits the operations of sessions that belong to an account.
+  OperationGate Gate = {};
 };
 
 /// Not thread-safe: use only on the thread of its executor.
@@ -39,6 +42,9 @@
   /// Ends sessions without a running statement; their open transactions are
   /// rolled back. The other sessions end once they are idle.
   void endIdleTransactions();
+  /// Call when a new configuration is in force: ends the sessions whose
+  /// credential no longer holds.
+  void onConfigurationApplied();
   /// Stops accepting connections.
   void stopAccepting();
   [[nodiscard]] std::size_t sessions() const { return this->Sessions.size(); }
--- a/drivers/StatementCall.h
+++ b/drivers/StatementCall.h
@@ -18,8 +18,6 @@
 /// State of one client session that its connection and the dispatcher share.
 struct SessionContext {
   SessionState State;
-  /// User name as the client sent it at startup; used in the log only.
-  std::string User;
   /// The client account that the session belongs to; an empty name if the
   /// configuration has no accounts, or on a public route.
   ClientAccountId Account;
@@ -68,6 +66,9 @@
   /// Whether the client's statement itself, not only a setup step, was sent.
   bool StatementSent = false;
   TimePoint SentAt;
+  /// Number of times that the statement was sent to a member which did not
+  /// prove that it left it unexecuted.
+  std::uint32_t PossibleRuns = 0;
 
   /// Expires at the deadline.
   boost::asio::steady_timer Timer;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -424,6 +424,7 @@
         this->Names.nameOf(*Session.State.prepared(Call->Request.Name));
   countAtMember(*Call);
   Call->StatementSent = true;
+  ++Call->PossibleRuns;
   Call->SentAt = this->Clock.now();
   Call->Link->run(encodeForMember(Call->Request, PreparedName,
                                   Running ? std::nullopt : Call->MinPosition),
@@ -604,6 +605,8 @@
   SessionContext &Session = *Call->Session;
   bool Running = Session.State.transaction() == SessionTransaction::Running;
   bool NotRun = provesMemberDidNotRun(Failure.Code);
+  if (NotRun && Call->StatementSent)
+    --Call->PossibleRuns;
   if (Failure.Code == ReplyError::Lagging && Call->MinPosition)
     Call->Pool->onLagging(*Call->MinPosition, Now);
   if (Failure.Code == ReplyError::Busy)
@@ -793,7 +796,7 @@
     writeDecision(
         DecisionLine("reply")
             .field("request", Call->Request.Id)
-            .field("user", Session.User)
+            .field("account", Session.Account.Value)
             .field("route", Session.Route.Name)
             .field("service", Session.Route.Service.Value)
             .field("outcome", toString(Reply.Failure->Code))
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -256,14 +256,17 @@
     return;
   }
   std::size_t Count = Table.value().Routes.size();
+  std::size_t Accounts = Table.value().Accounts.accounts().size();
   std::uint64_t Version = Table.value().Version;
-  if (!this->Routes.replaceIfNewer(std::move(Table.value())))
+  if (!this->Routes.replaceIfNewer(std::move(Table.value()), BootClock().now()))
     return;
   writeDecision(DecisionLine("configuration_in_force")
                     .field("version", Version)
                     .field("routes", Count)
+                    .field("accounts", Accounts)
                     .field("revision", Entry.Modified.Value));
   this->Dispatcher.onRegistry({}, this->Routes, this->Instances.count());
+  this->Sessions.onConfigurationApplied();
 }
 
 KnownVersions SessionDaemon::Components::ownVersions() const {
@@ -519,6 +522,7 @@
         .field("links_idle", Links.Idle)
         .field("links_opened", Links.Opened)
         .field("configuration", this->Routes.version())
+        .field("accounts", this->Routes.accounts().accounts().size())
         .field("instances", this->Instances.count())
         .field("retries",
                processMetrics().counterValue("decisions_total", "retry"))
--- a/session/StatementReply.cpp
+++ b/session/StatementReply.cpp
@@ -28,6 +28,8 @@
     return "in_doubt";
   case ReplyError::DatabaseUnknown:
     return "database_unknown";
+  case ReplyError::Unauthenticated:
+    return "unauthenticated";
   case ReplyError::Malformed:
     return "malformed";
   case ReplyError::TooLarge:
--- a/session/StatementReply.h
+++ b/session/StatementReply.h
@@ -34,6 +34,8 @@
   InDoubt,
   /// No route exists for the database's name.
   DatabaseUnknown,
+  /// The caller presented no valid credential.
+  Unauthenticated,
   /// The request is malformed or not allowed in this state.
   Malformed,
   /// The request is larger than allowed.
--- a/tests/drivers/StatementDispatcherTest.cpp
+++ b/tests/drivers/StatementDispatcherTest.cpp
@@ -3,10 +3,10 @@
 #include "drivers/StatementDispatcher.h"
 #include "core/DecisionLog.h"
 #include "tests/platform/SessionGroup.h"
+#include "tests/support/OwnAddress.h"
 
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 namespace turmericpitch {
 namespace {
@@ -15,12 +15,6 @@
 
 const ServiceId Service{"ledger"};
 
-std::string ownAddress() {
-  auto Id = static_cast<unsigned>(getpid());
-  return "127." + std::to_string(1 + (Id >> 16U) % 254) + "." +
-         std::to_string((Id >> 8U) % 256) + "." + std::to_string(1 + Id % 254);
-}
-
 class StatementDispatcherTest : public testing::Test {
 protected:
   StatementDispatcherTest()
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -4,6 +4,7 @@
 
 #include "core/DecisionLog.h"
 #include "tests/platform/RevisionStore.h"
+#include "tests/support/OwnAddress.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/executor_work_guard.hpp>
@@ -14,7 +15,6 @@
 #include <future>
 #include <gtest/gtest.h>
 #include <thread>
-#include <unistd.h>
 
 namespace turmericpitch {
 namespace {
@@ -28,21 +28,16 @@
 constexpr std::uint16_t ReadyPort = 8785;
 constexpr std::uint16_t PeerPort = 7440;
 
-/// A loopback address that is unique to this process.
-std::string ownAddress() {
-  auto Id = static_cast<unsigned>(getpid());
-  return "127." + std::to_string(1 + (Id >> 16U) % 254) + "." +
-         std::to_string((Id >> 8U) % 256) + "." + std::to_string(1 + Id % 254);
-}
-
 /// A blocking connection of one caller.
 class Caller {
 public:
-  explicit Caller(const std::string &Database) : Socket(this->Loop) {
+  explicit Caller(const std::string &Database,
+                  const std::string &Credential = "tester")
+      : Socket(this->Loop) {
     asio::ip::tcp::endpoint Where(asio::ip::make_address(ownAddress()),
                                   SessionPort);
     this->Socket.connect(Where);
-    this->write("STARTUP " + Database + " tester\r\n");
+    this->write("STARTUP " + Database + " " + Credential + "\r\n");
     this->StartupReply = this->line();
   }
 
@@ -57,6 +52,9 @@
     return Lines;
   }
 
+  /// Whether the connection ends without a further line.
+  bool closed() { return this->line().empty(); }
+
   std::string StartupReply;
 
 private:
@@ -81,7 +79,8 @@
   std::string Unread;
 };
 
-std::string configuration(int Version) {
+/// Accounts: the value of the configuration's list of them; empty for none.
+std::string configuration(int Version, const std::string &Accounts = "") {
   return R"({"version":)" + std::to_string(Version) +
          R"(,"routes":[)"
          R"({"name":"r1","host":"bookings","kind":"primary","service":"ledger",)"
@@ -89,7 +88,8 @@
          R"({"name":"r2","host":"fittings","kind":"read_your_writes",)"
          R"("service":"ledger","timeout_ms":1000,"latency_goal_ms":400,)"
          R"("priority":2,"max_staleness_ms":2500}],)"
-         R"("services":[{"name":"ledger","max_conns":20,"sync_replicas":0}],)"
+         R"("services":[{"name":"ledger","max_conns":20,"sync_replicas":0}],)" +
+         (Accounts.empty() ? "" : R"("tenants":)" + Accounts + ",") +
          R"("limits":{"tx_idle_ms":3000}})";
 }
 
@@ -106,6 +106,17 @@
     this->Store.put("op/config", configuration(2));
     this->registerMembers();
     this->StandInThread = std::thread([this] { this->StandInLoop.run(); });
+    this->startDaemon();
+    this->waitUntilServing();
+  }
+
+  ~SessionDaemonTest() override {
+    this->killDaemon();
+    this->StandInLoop.stop();
+    this->StandInThread.join();
+  }
+
+  void startDaemon() {
     // A short validity suffices, as there is only one instance.
     SessionDaemonOptions Options;
     Options.Rules.RecordValidity = milliseconds(100);
@@ -114,15 +125,12 @@
     this->Daemon = std::make_unique<SessionDaemon>(this->settings(), Options);
     this->DaemonThread =
         std::thread([this] { this->RunResult = this->Daemon->run(); });
-    this->waitUntilServing();
   }
-
-  ~SessionDaemonTest() override {
+  void killDaemon() {
     this->Daemon->abort();
     this->DaemonThread.join();
     EXPECT_TRUE(this->RunResult);
-    this->StandInLoop.stop();
-    this->StandInThread.join();
+    this->Daemon.reset();
   }
 
   InstanceSettings settings() const {
@@ -409,5 +417,77 @@
     EXPECT_EQ(Caller("repairs!").StartupReply, "READY I -");
 }
 
+class SessionAccountsTest : public SessionDaemonTest {
+protected:
+  static constexpr const char *TwoKeys =
+      R"([{"name":"desk","api_keys":["key-1","key-2"]}])";
+  static constexpr const char *FirstWithdrawn =
+      R"([{"name":"desk","api_keys":["key-2"]}])";
+
+  void configure(const std::string &Value) {
+    this->runOnStandIns([&] {
+      this->Store.put("op/config", Value);
+      return 0;
+    });
+  }
+  /// Opens sessions with Credential until one is answered with Reply.
+  void waitForStartup(const std::string &Credential, const std::string &Reply) {
+    auto Deadline = std::chrono::steady_clock::now() + TestTimeout;
+    while (std::chrono::steady_clock::now() < Deadline) {
+      try {
+        if (Caller("bookings", Credential).StartupReply.starts_with(Reply))
+          return;
+      } catch (const boost::system::system_error &) {
+        // Not listening yet.
+      }
+      std::this_thread::yield();
+    }
+    ADD_FAILURE() << "no startup was answered with " << Reply;
+  }
+};
+
+TEST_F(SessionAccountsTest, KeyIsWithdrawnFromLiveSessions) {
+  this->configure(configuration(5, TwoKeys));
+  this->waitForStartup("stranger", "ERROR UNAUTH");
+  Caller Idle("bookings", "key-1");
+  Caller InTransaction("bookings", "key-1");
+  Caller Kept("bookings", "key-2");
+  ASSERT_EQ(Idle.StartupReply, "READY I -");
+  InTransaction.query("b", "BEGIN");
+  InTransaction.query("w", "WRITE job six");
+  this->configure(configuration(6, FirstWithdrawn));
+  EXPECT_TRUE(Idle.closed());
+  EXPECT_TRUE(
+      InTransaction.query("c", "COMMIT").front().starts_with("ERROR ABORTED"));
+  EXPECT_TRUE(InTransaction.closed());
+  EXPECT_EQ(Kept.query("r", "READ job").front(), "DATAROW ");
+  EXPECT_EQ(this->runOnStandIns([&] { return this->Group.commitCount("w"); }),
+            0U);
+}
+
+TEST_F(SessionAccountsTest, RestartedInstanceRefusesAWithdrawnKey) {
+  this->configure(configuration(5, TwoKeys));
+  this->waitForStartup("stranger", "ERROR UNAUTH");
+  EXPECT_EQ(Caller("bookings", "key-1").StartupReply, "READY I -");
+  this->killDaemon();
+  this->configure(configuration(6, FirstWithdrawn));
+  // While the store is away, the new process knows no key and serves nobody.
+  this->runOnStandIns([this] {
+    this->Store.setUnavailable(true);
+    return 0;
+  });
+  this->startDaemon();
+  this->waitForStartup("key-1", "ERROR BUSY");
+  EXPECT_TRUE(
+      Caller("bookings", "key-2").StartupReply.starts_with("ERROR BUSY"));
+  this->runOnStandIns([this] {
+    this->Store.setUnavailable(false);
+    return 0;
+  });
+  this->waitForStartup("key-2", "READY I -");
+  EXPECT_TRUE(
+      Caller("bookings", "key-1").StartupReply.starts_with("ERROR UNAUTH"));
+}
+
 } // namespace
 } // namespace turmericpitch
--- a/tests/platform/SessionGroup.cpp
+++ b/tests/platform/SessionGroup.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace turmericpitch {
 
@@ -123,6 +124,10 @@
   if (Word != "QUERY" || !From->Started)
     return From->Lines->finish();
   std::string Id = nextWord(Rest);
+  if (this->Held && Id != "-") {
+    this->Waiting.push_back({.From = From, .Line = std::string(Line)});
+    return;
+  }
   From->Lines->send(this->answer(*From, Id, Rest));
 }
 
@@ -227,6 +232,14 @@
       Each->State.Log = At.State.Log;
 }
 
+void SessionGroup::holdStatements(bool Held) {
+  this->Held = Held;
+  if (Held)
+    return;
+  for (const WaitingLine &Each : std::exchange(this->Waiting, {}))
+    this->onLine(Each.From, Each.Line);
+}
+
 bool SessionGroup::promote(const std::string &Id) {
   auto Found = this->Members.find(Id);
   if (Found == this->Members.end() || Found->second->State.Down)
--- a/tests/platform/SessionGroup.h
+++ b/tests/platform/SessionGroup.h
@@ -53,6 +53,12 @@
   void setReplicationPaused(const std::string &Id, bool ReplicationPaused);
 
   [[nodiscard]] const std::string &service() const { return this->Service; }
+  /// While held, statements of callers wait at the members unanswered.
+  void holdStatements(bool Held);
+  /// Number of statements that wait.
+  [[nodiscard]] std::size_t heldStatements() const {
+    return this->Waiting.size();
+  }
   [[nodiscard]] std::vector<SessionGroupMember> members() const;
   /// Number of committed writes with this statement id.
   [[nodiscard]] std::size_t commitCount(const std::string &StatementId) const;
@@ -74,6 +80,12 @@
   std::map<std::string, std::shared_ptr<Member>> Members;
   /// Statement ids of committed writes.
   std::multiset<std::string> Committed;
+  struct WaitingLine {
+    std::shared_ptr<Connection> From;
+    std::string Line;
+  };
+  bool Held = false;
+  std::vector<WaitingLine> Waiting;
 };
 
 } // namespace turmericpitch
--- a/tests/platform/SessionLinesTest.cpp
+++ b/tests/platform/SessionLinesTest.cpp
@@ -45,6 +45,27 @@
       decodeCallerLine("TERMINATE")));
 }
 
+TEST(SessionLines, StartupHoldsTheCredentialsDigestOnly) {
+  auto StartupOf = [](std::string_view Line) {
+    return std::get<SessionStartup>(decodeCallerLine(Line));
+  };
+  EXPECT_EQ(StartupOf("STARTUP mide722x2 amqh8b74njne6ukw95rv"),
+            (SessionStartup{.Database = "mide722x2",
+                            .Credential = PresentedCredential::from(
+                                "amqh8b74njne6ukw95rv")}));
+  for (std::string_view Line : {"STARTUP mide722x2", "STARTUP mide722x2 "})
+    EXPECT_EQ(StartupOf(Line).Credential.Form, CredentialForm::Missing);
+  EXPECT_EQ(StartupOf("STARTUP a tenant i-7f3a").Credential.Form,
+            CredentialForm::Malformed);
+}
+
+TEST(SessionLines, EncodesTheRefusalOfAnUnknownCredential) {
+  EXPECT_EQ(encodeSessionRefused({.Code = ReplyError::Unauthenticated,
+                                  .UpstreamCode = {},
+                                  .Text = "why"}),
+            "ERROR UNAUTH why\r\n");
+}
+
 TEST(SessionLines, StatementIsForwardedUnchanged) {
   Statement Asked = statement("QUERY 5c0e WRITE 1a4  two  blanks ");
   EXPECT_EQ(encodeForMember(Asked, std::nullopt, std::nullopt),
