Limits over all instances: owners, keepers and borrowers of credit

Change: AccountLimiter and its parts after docs/design/0204. Departures from the headers as agreed: ShareRight::onRead takes the time of receipt, as the other rights to an older table last until after the sending of a read; Span counts from the receipt of the echo, so that credit keeps its age but for one transit; OwnerTable tells the era in which it was written. Added: nextTickAt, requestSentAt. Ruled out: a separate count for an instance that reaches no keeper; it deposits with itself. Measured: compiles; no test yet.

--- a/limits/AccountLimiter.h
+++ b/limits/AccountLimiter.h
@@ -2,7 +2,10 @@
 #pragma once
 
 #include "core/OperationLimit.h"
+#include "limits/KeeperContact.h"
+#include "limits/LimitBorrower.h"
 #include "limits/LimitDecision.h"
+#include "limits/LimitKeeper.h"
 #include "limits/LimitMessages.h"
 
 #include <map>
@@ -14,8 +17,13 @@
   InstanceId Self;
   /// Unique for each start of the process.
   std::uint64_t Incarnation = 0;
-  // Further options: deposit interval, reply timeout, silence after which the
-  // next keeper is chosen, smallest burst.
+  /// Between deposits of the credit that this instance has created.
+  Duration DepositInterval = std::chrono::milliseconds(200);
+  /// Smallest burst of any limit, in operations: whole operations have to
+  /// gather before their credit expires.
+  double MinBurst = 5;
+  KeeperContactOptions Contact = {};
+  LimitBorrowerOptions Borrowing = {};
 };
 
 /// A message to another instance.
@@ -26,17 +34,6 @@
   bool operator==(const LimitSend &) const = default;
 };
 
-/// Identifies an operation that waits for credit.
-using LimitTicket = std::uint64_t;
-
-/// The decision on an operation that has waited.
-struct LimitOutcome {
-  LimitTicket Ticket = 0;
-  LimitDecision Decision;
-
-  bool operator==(const LimitOutcome &) const = default;
-};
-
 /// Creates, pools, borrows and spends the credit of limits: one instance's part
 /// as owner, keeper and borrower. docs/design/0204-account-limits.md. Pure; not
 /// thread-safe.
@@ -59,12 +56,56 @@
                                      LimitTicket Ticket, TimePoint Now);
   /// Returns the credit of an operation of which nothing has run.
   void refund(const OperationGrant &Grant, TimePoint Now);
-  /// Call every DepositInterval, and after admit() returned nothing.
+  /// Call every DepositInterval, at nextTickAt(), and after admit() returned
+  /// nothing.
   std::vector<LimitSend> onTick(TimePoint Now);
+  /// When the next tick is due. While operations wait, earlier than the next
+  /// deposit.
+  [[nodiscard]] TimePoint nextTickAt() const;
   std::vector<LimitSend> onMessage(const InstanceId &From,
                                    const LimitMessage &Message, TimePoint Now);
+  /// When the request that a reply answers was sent; nothing if the reply is
+  /// repeated or not to a request of this process. To be called before
+  /// onMessage().
+  [[nodiscard]] std::optional<TimePoint>
+  requestSentAt(const InstanceId &From, const LimitReply &Reply) const;
   /// The decisions since the last call.
   std::vector<LimitOutcome> takeOutcomes();
+
+private:
+  /// The keepers with which credit is deposited now, sorted; this instance
+  /// alone if none is reachable.
+  [[nodiscard]] std::vector<InstanceId> reachableKeepers(TimePoint Now) const;
+  [[nodiscard]] bool isAlone(const std::vector<InstanceId> &Keepers) const;
+  void create(TimePoint Now);
+  LimitRequest newRequest(const InstanceId &To, TimePoint Now);
+  void deposit(const std::vector<InstanceId> &Keepers,
+               std::map<InstanceId, LimitRequest> &Requests, TimePoint Now);
+  void ask(const std::vector<InstanceId> &Keepers, bool Ahead,
+           std::map<InstanceId, LimitRequest> &Requests,
+           std::vector<LimitSend> &Full, TimePoint Now);
+  void probe(const std::vector<InstanceId> &Keepers,
+             std::map<InstanceId, LimitRequest> &Requests, TimePoint Now);
+  /// Decides on waiting operations for which this instance is the keeper.
+  void serveWaiting(const std::vector<InstanceId> &Keepers, TimePoint Now);
+  std::optional<OperationGrant> takePooled(const ClientAccountId &Account,
+                                           Duration &RetryAfter, TimePoint Now);
+  [[nodiscard]] LimitDecision refusal(const std::vector<InstanceId> &Keepers,
+                                      Duration RetryAfter) const;
+
+  AccountLimiterOptions Options;
+  /// Pools the credit of this instance too while it reaches no keeper.
+  LimitKeeper Pool;
+  LimitBorrower Borrower;
+  std::vector<InstanceId> Keepers;
+  /// The keepers other than this instance.
+  std::map<InstanceId, KeeperContact> Contacts;
+  double Share = 0;
+  /// Credit that was created since SliceStart and is not yet deposited.
+  double ShareSeconds = 0;
+  TimePoint SliceStart;
+  TimePoint CreatedUntil;
+  TimePoint DepositedAt;
 };
 
 } // namespace turmericpitch
--- /dev/null
+++ b/limits/KeeperContact.h
@@ -0,0 +1,52 @@
+// The exchange with one keeper, as the other instances see it.
+#pragma once
+
+#include "limits/LimitMessages.h"
+
+#include <map>
+
+namespace turmericpitch {
+
+struct KeeperContactOptions {
+  /// A keeper that left two requests unanswered for this long is unreachable.
+  Duration SilenceTimeout = std::chrono::milliseconds(400);
+  /// Between requests to an unreachable keeper.
+  Duration ProbeInterval = std::chrono::seconds(1);
+};
+
+/// Counts the requests to one keeper and their replies. Pure; not thread-safe.
+class KeeperContact {
+public:
+  explicit KeeperContact(KeeperContactOptions Options) : Options(Options) {}
+
+  /// Whether credit may be deposited with the keeper.
+  [[nodiscard]] bool reachable(TimePoint Now) const;
+  [[nodiscard]] bool probeDue(TimePoint Now) const;
+  /// Returns the sequence of a request that is sent now.
+  std::uint64_t onSend(TimePoint Now);
+  /// When the request of this sequence was sent; nothing if it is not waiting
+  /// for a reply.
+  [[nodiscard]] std::optional<TimePoint> sentAt(std::uint64_t Sequence) const;
+  /// Returns when the request was sent; nothing if it was answered before or is
+  /// unknown.
+  std::optional<TimePoint> onReply(const LimitReply &Reply, TimePoint Now);
+  /// The keeper's newest stamp, and when it arrived here.
+  [[nodiscard]] const std::optional<KeeperStamp> &stamp() const {
+    return this->Stamp;
+  }
+  [[nodiscard]] TimePoint stampReceivedAt() const {
+    return this->StampReceivedAt;
+  }
+
+private:
+  KeeperContactOptions Options;
+  std::uint64_t LastSequence = 0;
+  TimePoint LastSentAt;
+  /// Requests without a reply, by sequence.
+  std::map<std::uint64_t, TimePoint> Outstanding;
+  std::uint64_t AnsweredSequence = 0;
+  std::optional<KeeperStamp> Stamp;
+  TimePoint StampReceivedAt;
+};
+
+} // namespace turmericpitch
--- a/limits/LimitMessages.h
+++ b/limits/LimitMessages.h
@@ -39,8 +39,10 @@
   std::uint64_t Sequence = 0;
   /// The keeper's newest stamp; a deposit without one isn't credited.
   std::optional<KeeperStamp> Echo = std::nullopt;
-  /// Credit in share-seconds, created in the Span before the request was sent.
+  /// Credit in share-seconds.
   double ShareSeconds = 0;
+  /// The credit was created no earlier than this long before the sender
+  /// received Echo; negative if it was created after that.
   Duration Span{0};
   /// The keepers with which the sender deposits now. The credit counts for the
   /// accounts for which the receiver ranks first among them.
@@ -91,7 +93,11 @@
 inline constexpr std::size_t MaxAccountsPerMessage = 16;
 inline constexpr std::size_t MaxKeepersPerMessage = 8;
 
-/// Names longer than 48 bytes are not sent. Thread-safe.
+/// Longer names of accounts and keepers are not sent.
+inline constexpr std::size_t MaxLimitNameBytes = 48;
+
+/// Encodes a message and the format version. Leaves out what exceeds the
+/// maximum numbers or the length of names. Thread-safe.
 std::string encodeLimitMessage(const LimitMessage &Message);
 /// Thread-safe. Errors: BadRequest if malformed, of another version or not
 /// finite.
--- a/limits/OwnerTable.h
+++ b/limits/OwnerTable.h
@@ -4,6 +4,7 @@
 #include "core/Error.h"
 #include "core/Identifiers.h"
 #include "core/KeyValue.h"
+#include "core/StoreEra.h"
 #include "core/Time.h"
 
 #include <cstdint>
@@ -24,6 +25,9 @@
   std::vector<InstanceId> Owners;
   /// The owners in the table before this one.
   std::vector<InstanceId> PreviousOwners;
+  /// The store's era in which this table was written. A table that is read in a
+  /// later era is that of an older copy.
+  StoreEra WrittenIn = {};
 
   bool operator==(const OwnerTable &) const = default;
 };
@@ -32,6 +36,7 @@
 /// Thread-safe.
 double shareAmong(const std::vector<InstanceId> &Owners, const InstanceId &Id);
 
+/// The value as stored. Thread-safe.
 std::string encodeOwnerTable(const OwnerTable &Table);
 /// Thread-safe. Errors: BadRequest if malformed.
 Result<OwnerTable> decodeOwnerTable(const KeyValueEntry &Entry);
--- a/limits/ShareRight.h
+++ b/limits/ShareRight.h
@@ -3,6 +3,7 @@
 
 #include "limits/OwnerTable.h"
 
+#include <map>
 #include <optional>
 
 namespace turmericpitch {
@@ -11,9 +12,14 @@
   /// How long a right lasts after the sending of the read that showed its
   /// table. Longer than the users' longest outages of the store.
   Duration Validity = std::chrono::seconds(60);
-  /// Covers clocks whose rates differ: a table is replaced, and a share grows,
-  /// only this much later than the end of the older rights.
-  Duration Margin = std::chrono::seconds(2);
+  /// Covers clocks whose rates differ by up to 2%: a table is replaced only
+  /// this much later than the end of the older rights.
+  Duration Margin = std::chrono::seconds(3);
+  /// The first table waits until the list of instances has been the same for
+  /// this long, as owners that come later wait for minutes.
+  Duration StableListTime = std::chrono::seconds(2);
+  /// An owner that restarts within this time keeps its share.
+  Duration ChangeDelay = std::chrono::seconds(30);
 };
 
 /// Tracks the owner table, and decides how large a share this instance may use
@@ -22,20 +28,25 @@
 /// thread-safe.
 class ShareRight {
 public:
-  ShareRight(InstanceId Self, ShareRightOptions Options);
+  ShareRight(InstanceId Self, ShareRightOptions Options)
+      : Self(std::move(Self)), Options(Options) {}
 
   /// The table and its store revision, as shown by this instance's own current
-  /// read sent at ReadSentAt. Table.Epoch is 0 if the store has none.
-  void onRead(const OwnerTable &Table, Revision Stored, TimePoint ReadSentAt);
+  /// read sent at ReadSentAt. If the store has none, Table.Epoch is 0 and
+  /// Stored the position of the store. A read of an older state is ignored.
+  void onRead(const OwnerTable &Table, Revision Stored, TimePoint ReadSentAt,
+              TimePoint Now);
   /// Another instance has read the same table with a read sent no earlier than
   /// ReadSentAt. Ignored for another epoch or revision.
   void onConfirmed(std::uint64_t Epoch, Revision Stored, TimePoint ReadSentAt);
   /// The share of all limits that this instance owns now, from 0 to 1.
   [[nodiscard]] double share(TimePoint Now) const;
   /// The table that should replace the present one, given the registered
-  /// instances; nothing if it need not or may not be replaced yet.
+  /// instances; nothing if it need not or may not be replaced yet. Call
+  /// regularly. Precondition of the write: the key is unchanged since
+  /// stored(), in the same era of the store.
   [[nodiscard]] std::optional<OwnerTable>
-  proposeChange(const std::vector<InstanceId> &Registered, TimePoint Now) const;
+  proposeChange(const std::vector<InstanceId> &Registered, TimePoint Now);
   [[nodiscard]] const OwnerTable &table() const { return this->Table; }
   [[nodiscard]] Revision stored() const { return this->Stored; }
   /// When the newest read of the present table was sent.
@@ -44,6 +55,13 @@
   }
 
 private:
+  [[nodiscard]] bool isOfOlderCopy() const;
+  /// Whether all rights by older tables have certainly expired.
+  [[nodiscard]] bool olderRightsExpired(TimePoint Now) const;
+  [[nodiscard]] bool mayCreateTable(TimePoint Now) const;
+  void trackMembership(const std::vector<InstanceId> &Sorted, TimePoint Now);
+  [[nodiscard]] bool hasLastingDifference(TimePoint Now) const;
+
   InstanceId Self;
   ShareRightOptions Options;
   OwnerTable Table;
@@ -51,6 +69,14 @@
   std::optional<TimePoint> ReadSentAt;
   /// When the present table was first known here.
   TimePoint FirstKnownAt;
+  /// The share that was in use when the present table became known.
+  double PriorShare = 0;
+  bool KnewTable = false;
+  std::vector<InstanceId> Registered;
+  TimePoint RegisteredSince;
+  /// Owners that aren't registered and instances that aren't owners, and since
+  /// when.
+  std::map<InstanceId, TimePoint> Differences;
 };
 
 } // namespace turmericpitch
