--- a/limits/AccountLimiter.cpp
+++ b/limits/AccountLimiter.cpp
@@ -109,7 +109,7 @@
     return LimitDecision{.Admitted = true,
                          .Grant = {.Account = Account, .ExpiresAt = Now}};
   if (Limit->PerSecond <= 0)
-    return LimitDecision{.RetryAfter = LimitKeeperOptions{}.MaxRetryAfter};
+    return LimitDecision{.RetryAfter = MaxLimitRetryAfter};
   if (auto Grant = this->Borrower.take(Account, Now))
     return LimitDecision{.Admitted = true, .Grant = std::move(*Grant)};
   std::vector<InstanceId> Reachable = this->reachableKeepers(Now);
--- a/limits/LimitKeeper.cpp
+++ b/limits/LimitKeeper.cpp
@@ -80,8 +80,8 @@
 Duration LimitKeeper::retryAfter(const Account &Of, double Missing) const {
   double Share = Of.InflowRate > 0 ? Of.InflowRate : 1;
   std::chrono::duration<double> Wait(Missing / (Share * Of.Limit.PerSecond));
-  if (Wait >= this->Options.MaxRetryAfter)
-    return this->Options.MaxRetryAfter;
+  if (Wait >= MaxLimitRetryAfter)
+    return MaxLimitRetryAfter;
   return std::max(MinRetryAfter, std::chrono::duration_cast<Duration>(Wait));
 }
 
--- a/limits/LimitKeeper.h
+++ b/limits/LimitKeeper.h
@@ -9,6 +9,9 @@
 
 namespace turmericpitch {
 
+/// No caller is asked to wait longer, as limits change.
+inline constexpr Duration MaxLimitRetryAfter = std::chrono::seconds(60);
+
 struct LimitKeeperOptions {
   InstanceId Self;
   /// Unique for each start of the process.
@@ -22,7 +25,6 @@
   Duration MaxEchoAge = std::chrono::seconds(10);
   /// Rates of clocks differ by at most this fraction.
   double ClockDrift = 0.02;
-  Duration MaxRetryAfter = std::chrono::seconds(60);
 };
 
 /// Pools the credit that owners deposit. Pure; not thread-safe.
