--- a/tools/DecoderFuzz.cpp
+++ b/tools/DecoderFuzz.cpp
@@ -6,6 +6,8 @@
 #include "drivers/MemberCodec.h"
 #include "drivers/PlatformCodec.h"
 #include "failover/LeaseMessages.h"
+#include "limits/LimitMessages.h"
+#include "limits/OwnerTable.h"
 #include "main/DaemonSettings.h"
 #include "main/StatusTable.h"
 #include "membership/InstanceRegistry.h"
@@ -277,6 +279,17 @@
   return findProblem([&] { return decodeLeaseMessage(Input); });
 }
 
+std::string fuzzLimitMessage(const std::string &Input) {
+  return findProblem([&] { return decodeLimitMessage(Input); });
+}
+
+std::string fuzzOwnerTable(const std::string &Input) {
+  return findProblem([&] {
+    return decodeOwnerTable(
+        {.Key = std::string(OwnerTableKey), .Value = Input});
+  });
+}
+
 std::string fuzzStoreReplies(const std::string &Input) {
   HttpReply Reply{.Status = 200, .Body = Input};
   auto LacksRemedy = [](const auto &Decoded) {
@@ -338,6 +351,16 @@
             encodeLeaseMessage(
                 LeaseReply{.Serial = 1, .Services = {ServiceReport{}}})},
            fuzzLeaseMessage},
+          {"limit_message",
+           {encodeLimitMessage(LimitRequest{
+                .Keepers = {{"k"}}, .Needs = {AccountNeed{.Account = {"a"}}}}),
+            encodeLimitMessage(
+                LimitReply{.News = OwnerTableNews{.Epoch = 1},
+                           .Grants = {AccountGrant{.Account = {"a"}}}})},
+           fuzzLimitMessage},
+          {"limit_owners",
+           {R"({"epoch":1,"owners":["a","b"],"previous":["a"],"era":0})"},
+           fuzzOwnerTable},
           {"store_replies", {SampleStorePage}, fuzzStoreReplies}};
 }
 
