Limit exchange: datagrams, owner table in the store, keepers

Cause: the core of account limits decides without input and output; it needs a driver that carries its messages, follows the owner table and selects keepers.

Ruled out: the transport of the lease exchange, which belongs to the failover coordinator; a keeper by duty rank, which orders all instances each time.

Measured: not run yet; the daemon doesn't use it yet.

--- /dev/null
+++ b/drivers/LimitExchange.h
@@ -0,0 +1,123 @@
+// Exchanges the credit of account limits with other instances and follows the
+// owner table in the store.
+#pragma once
+
+#include "drivers/PeerTransport.h"
+#include "drivers/StoreClient.h"
+#include "limits/AccountLimiter.h"
+#include "limits/ShareRight.h"
+#include "limits/StoreBackoff.h"
+#include "membership/InstanceRegistry.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+
+namespace turmericpitch {
+
+struct LimitExchangeOptions {
+  InstanceId Self;
+  /// Receives datagrams of other instances. All instances use the same port.
+  Endpoint Listen;
+  /// Unique for each start of the process.
+  std::uint64_t Incarnation = 0;
+  ShareRightOptions Right = {};
+  /// How often credit is deposited.
+  Duration DepositInterval = std::chrono::milliseconds(200);
+  /// The same while operations wait for a keeper's reply, so that they move to
+  /// another keeper in time.
+  Duration WaitingInterval = std::chrono::milliseconds(25);
+  /// How often a keeper reads the owner table; the others learn its age from
+  /// the keepers' replies.
+  Duration KeeperReadInterval = std::chrono::seconds(10);
+  /// How often any instance reads it while the store holds none.
+  Duration MissingTableReadInterval = std::chrono::milliseconds(1000);
+  /// Age of the newest read from which any instance reads the table itself.
+  Duration MaxReadAge = std::chrono::seconds(25);
+  /// The first table is written this long after the start, so that it names
+  /// the instances that start together.
+  Duration FirstTableDelay = std::chrono::milliseconds(2000);
+};
+
+/// Admits the operations of accounts with limits. Sends nothing while no
+/// account has a limit. Not thread-safe: use only on the thread of its
+/// executor.
+class LimitExchange {
+public:
+  struct Hooks {
+    /// Whether this instance writes the owner table.
+    std::function<bool()> WritesTable;
+  };
+
+  /// Precondition: Store and Instances outlive this object.
+  LimitExchange(Executor Exec, LimitExchangeOptions Options, StoreClient &Store,
+                const InstanceRegistry &Instances, Hooks Callbacks);
+
+  /// Errors: Unavailable if the address can't be bound.
+  Status start();
+  /// Deposits credit and follows the owner table until the process ends.
+  Awaitable<void> run();
+  /// Sets the limits in force.
+  void setLimits(std::map<ClientAccountId, OperationLimit> Limits);
+  /// Call when the list of instances has changed.
+  void onInstancesChanged();
+  /// Decides on one operation of an account. OnDecision runs once, possibly
+  /// before this returns.
+  void admit(const ClientAccountId &Account, OperationGate::Handler OnDecision);
+  /// Returns the credit of an operation of which nothing has run.
+  void refund(const OperationGrant &Grant);
+  /// The gate that asks this exchange. Valid as long as it lives.
+  OperationGate gate();
+  /// This instance's present share of all limits.
+  [[nodiscard]] double share() const;
+  [[nodiscard]] const OwnerTable &owners() const { return this->Right.table(); }
+
+private:
+  /// A request whose reply may confirm the owner table.
+  struct SentRequest {
+    std::uint64_t Sequence = 0;
+    TimePoint SentAt;
+  };
+  /// Requests to one keeper whose replies are still expected.
+  static constexpr std::size_t MaxPendingRequests = 8;
+
+  void scheduleTick(Duration Delay);
+  void tick();
+  void send(const std::vector<LimitSend> &Messages);
+  void onArrival(const PeerArrival &Arrival);
+  [[nodiscard]] std::optional<OwnerTableNews> news(TimePoint Now) const;
+  void onNews(const InstanceId &From, const LimitReply &Reply);
+  void deliverOutcomes();
+  void decide(LimitDecision Decision, const OperationGate::Handler &OnDecision);
+  [[nodiscard]] std::optional<Endpoint> addressOf(const InstanceId &Peer) const;
+  [[nodiscard]] bool isTableReadDue(TimePoint Now) const;
+  Awaitable<void> readTable();
+  Awaitable<void> writeTable(OwnerTable Next);
+  Awaitable<void> followTable();
+  Awaitable<void> pause(Duration Length);
+
+  Executor Exec;
+  LimitExchangeOptions Options;
+  StoreClient &Store;
+  const InstanceRegistry &Instances;
+  Hooks Callbacks;
+  PeerTransport Transport;
+  AccountLimiter Limiter;
+  ShareRight Right;
+  bool HasLimits = false;
+  bool IsKeeper = false;
+  /// When the next tick is due; nothing if none is scheduled.
+  std::optional<TimePoint> NextTickAt;
+  /// Another instance knows a newer table.
+  bool NewerTableKnown = false;
+  TimePoint StartedAt;
+  std::optional<TimePoint> TableReadAt;
+  StoreBackoff ReadBackoff;
+  LimitTicket NextTicket = 1;
+  std::map<LimitTicket, OperationGate::Handler> Waiting;
+  std::map<InstanceId, std::deque<SentRequest>> PendingRequests;
+  boost::asio::steady_timer TickTimer;
+  RandomSource Random;
+  BootClock Clock;
+};
+
+} // namespace turmericpitch
--- a/membership/PeerFrame.h
+++ b/membership/PeerFrame.h
@@ -17,6 +17,7 @@
   Configuration = 2,
   ConnectionShares = 3,
   Failover = 4,
+  AccountLimits = 5,
 };
 
 /// A key that authenticates frames between instances.
