--- a/drivers/LimitExchange.cpp
+++ b/drivers/LimitExchange.cpp
@@ -117,8 +117,7 @@
   this->Limiter.setShare(this->Right.share(Now), Now);
   this->send(this->Limiter.onTick(Now));
   this->deliverOutcomes();
-  this->scheduleTick(this->Waiting.empty() ? this->Options.DepositInterval
-                                           : this->Options.WaitingInterval);
+  this->scheduleTick(std::max(Duration{0}, this->Limiter.nextTickAt() - Now));
 }
 
 void LimitExchange::deliverOutcomes() {
@@ -141,20 +140,10 @@
 }
 
 void LimitExchange::send(const std::vector<LimitSend> &Messages) {
-  TimePoint Now = this->Clock.now();
-  for (const LimitSend &Each : Messages) {
-    auto To = this->addressOf(Each.To);
-    if (!To)
-      continue;
-    if (const auto *Request = std::get_if<LimitRequest>(&Each.Message)) {
-      auto &Pending = this->PendingRequests[Each.To];
-      Pending.push_back({.Sequence = Request->Sequence, .SentAt = Now});
-      if (Pending.size() > MaxPendingRequests)
-        Pending.pop_front();
-    }
-    this->Transport.send(*To, PeerTopic::AccountLimits,
-                         encodeLimitMessage(Each.Message));
-  }
+  for (const LimitSend &Each : Messages)
+    if (auto To = this->addressOf(Each.To))
+      this->Transport.send(*To, PeerTopic::AccountLimits,
+                           encodeLimitMessage(Each.Message));
 }
 
 void LimitExchange::onArrival(const PeerArrival &Arrival) {
@@ -196,20 +185,15 @@
 }
 
 void LimitExchange::onNews(const InstanceId &From, const LimitReply &Reply) {
-  if (!Reply.News || Reply.RequestIncarnation != this->Options.Incarnation)
+  auto SentAt = this->Limiter.requestSentAt(From, Reply);
+  if (!Reply.News || !SentAt)
     return;
-  if (Reply.News->Stored > this->Right.stored())
+  if (Reply.News->Epoch > 0 && Reply.News->Stored > this->Right.stored())
     this->NewerTableKnown = true;
-  auto &Pending = this->PendingRequests[From];
-  auto Sent = std::find_if(Pending.begin(), Pending.end(),
-                           [&](const SentRequest &Each) {
-                             return Each.Sequence == Reply.RequestSequence;
-                           });
   // The reply was sent after the request, so the read was sent no earlier than
   // its age before the request.
-  if (Sent != Pending.end())
-    this->Right.onConfirmed(Reply.News->Epoch, Reply.News->Stored,
-                            Sent->SentAt - Reply.News->ReadAge);
+  this->Right.onConfirmed(Reply.News->Epoch, Reply.News->Stored,
+                          *SentAt - Reply.News->ReadAge);
 }
 
 bool LimitExchange::isTableReadDue(TimePoint Now) const {
@@ -234,7 +218,7 @@
   }
   this->ReadBackoff.onAnswered();
   OwnerTable Table;
-  Revision Stored;
+  Revision Stored = Read.value().StoreRevision;
   if (Read.value().Entry) {
     const KeyValueEntry &Entry = *Read.value().Entry;
     auto Decoded = toOutcome([&] { return decodeOwnerTable(Entry); });
@@ -251,7 +235,7 @@
   this->TableReadAt = ReadSentAt;
   this->NewerTableKnown = false;
   bool Changed = Table != this->Right.table();
-  this->Right.onRead(Table, Stored, ReadSentAt);
+  this->Right.onRead(Table, Stored, ReadSentAt, this->Clock.now());
   if (Changed)
     writeDecision(
         DecisionLine("limit_owners_known")
@@ -300,7 +284,9 @@
   while (true) {
     if (this->HasLimits) {
       co_await this->followTable();
-      this->scheduleTick(Duration{0});
+      // Starts the ticks once there are limits.
+      if (!this->NextTickAt)
+        this->scheduleTick(Duration{0});
     }
     co_await this->pause(TablePollInterval);
   }
--- a/drivers/LimitExchange.h
+++ b/drivers/LimitExchange.h
@@ -10,7 +10,6 @@
 #include "membership/InstanceRegistry.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 
 namespace turmericpitch {
 
@@ -21,11 +20,6 @@
   /// Unique for each start of the process.
   std::uint64_t Incarnation = 0;
   ShareRightOptions Right = {};
-  /// How often credit is deposited.
-  Duration DepositInterval = std::chrono::milliseconds(200);
-  /// The same while operations wait for a keeper's reply, so that they move to
-  /// another keeper in time.
-  Duration WaitingInterval = std::chrono::milliseconds(25);
   /// How often a keeper reads the owner table; the others learn its age from
   /// the keepers' replies.
   Duration KeeperReadInterval = std::chrono::seconds(10);
@@ -72,14 +66,6 @@
   [[nodiscard]] const OwnerTable &owners() const { return this->Right.table(); }
 
 private:
-  /// A request whose reply may confirm the owner table.
-  struct SentRequest {
-    std::uint64_t Sequence = 0;
-    TimePoint SentAt;
-  };
-  /// Requests to one keeper whose replies are still expected.
-  static constexpr std::size_t MaxPendingRequests = 8;
-
   void scheduleTick(Duration Delay);
   void tick();
   void send(const std::vector<LimitSend> &Messages);
@@ -114,7 +100,6 @@
   StoreBackoff ReadBackoff;
   LimitTicket NextTicket = 1;
   std::map<LimitTicket, OperationGate::Handler> Waiting;
-  std::map<InstanceId, std::deque<SentRequest>> PendingRequests;
   boost::asio::steady_timer TickTimer;
   RandomSource Random;
   BootClock Clock;
--- a/membership/LimitKeepers.h
+++ b/membership/LimitKeepers.h
@@ -10,7 +10,7 @@
 
 /// Number of instances of a zone that one keeper serves: it handles two
 /// datagrams of each several times a second.
-inline constexpr std::size_t InstancesPerKeeper = 32;
+inline constexpr std::size_t InstancesPerKeeper = 64;
 
 /// The keepers among the registered instances: at least one in each zone, so
 /// that a zone that is cut off pools what it has. The loss of an instance moves
