Links to members belong to one client account

Cause: a link was opened under a constant caller name and reused by any session, so members ran statements of one account as another caller's.

Change: MemberLink is opened for one account, named to the member at its startup, and run() takes the statement's account: on a link of another account it sends nothing and closes. Pools hand out, open and count links by account. At the allowance the idle link unused for longest is closed for the one that is needed; MaxInFlight counts idle links of other accounts, as one can be replaced. Status queries and demotions use any idle link; a link opened for one names no account, as a member may be told an account only for its callers.

Ruled out: a link per account and session value, and changing the account of an open link: members learn the caller at startup only.

--- a/drivers/MemberLink.cpp
+++ b/drivers/MemberLink.cpp
@@ -1,5 +1,7 @@
 #include "drivers/MemberLink.h"
 
+#include "core/DecisionLog.h"
+
 #include <boost/asio/post.hpp>
 
 namespace turmericpitch {
@@ -26,8 +28,9 @@
 }
 
 MemberLink::MemberLink(const asio::any_io_executor &Exec,
-                       RegisteredMember Member)
-    : Member(std::move(Member)), Socket(Exec), OpenTimer(Exec) {}
+                       RegisteredMember Member, ClientAccountId Account)
+    : Member(std::move(Member)), Account(std::move(Account)), Socket(Exec),
+      OpenTimer(Exec) {}
 
 MemberLink::~MemberLink() {
   if (this->Connection)
@@ -68,8 +71,8 @@
               if (auto Link = Weak.lock())
                 Link->onEnd();
             });
-        Self->Connection->send(
-            encodeMemberStartup(Self->Member.Service, Self->Member.Id));
+        Self->Connection->send(encodeMemberStartup(
+            Self->Member.Service, Self->Account, Self->Member.Id));
       });
 }
 
@@ -118,7 +121,19 @@
   this->deliverReply(std::move(Reply));
 }
 
-void MemberLink::run(std::string Bytes, ReplyHandler OnReply) {
+void MemberLink::run(const ClientAccountId &Account, std::string Bytes,
+                     ReplyHandler OnReply) {
+  if (Account == this->Account)
+    return this->runOwn(std::move(Bytes), std::move(OnReply));
+  writeDecision(DecisionLine("link_of_other_account")
+                    .field("member", this->Member.Id.Value)
+                    .field("account", Account.Value)
+                    .field("link_account", this->Account.Value));
+  this->PendingReply = std::move(OnReply);
+  this->close();
+}
+
+void MemberLink::runOwn(std::string Bytes, ReplyHandler OnReply) {
   this->PendingReply = std::move(OnReply);
   this->Connection->send(std::move(Bytes));
 }
--- a/drivers/MemberLink.h
+++ b/drivers/MemberLink.h
@@ -28,8 +28,9 @@
 /// The result's stable name in the decision log. Thread-safe.
 std::string_view toString(LinkOpening Result);
 
-/// A connection to a member that runs one statement at a time. Not thread-safe:
-/// use only on the thread of its executor.
+/// A connection to a member, opened for one client account, that runs one
+/// statement at a time. Not thread-safe: use only on the thread of its
+/// executor.
 class MemberLink : public std::enable_shared_from_this<MemberLink> {
 public:
   using OpenHandler = std::function<void(LinkOpening)>;
@@ -37,7 +38,10 @@
   /// arrived.
   using ReplyHandler = std::function<void(Outcome<StatementReply>)>;
 
-  MemberLink(const boost::asio::any_io_executor &Exec, RegisteredMember Member);
+  /// Account: the only one whose statements it carries; an empty name for
+  /// sessions without an account.
+  MemberLink(const boost::asio::any_io_executor &Exec, RegisteredMember Member,
+             ClientAccountId Account);
   ~MemberLink();
   MemberLink(const MemberLink &) = delete;
   MemberLink &operator=(const MemberLink &) = delete;
@@ -45,8 +49,13 @@
   /// Connects and opens the session. Call once. OnOpened runs once,
   /// asynchronously.
   void open(Duration Timeout, OpenHandler OnOpened);
-  /// Sends one statement. Precondition: idle().
-  void run(std::string Bytes, ReplyHandler OnReply);
+  /// Sends one statement of Account's session. If the link was opened for
+  /// another account, it sends nothing and closes. Precondition: idle().
+  void run(const ClientAccountId &Account, std::string Bytes,
+           ReplyHandler OnReply);
+  /// Sends a query of this instance that belongs to no account, such as a
+  /// status query. Precondition: idle().
+  void runOwn(std::string Bytes, ReplyHandler OnReply);
   /// Closes the link; the member rolls back an open transaction. A running
   /// statement ends asynchronously with OutcomeUnknown.
   void close();
@@ -58,6 +67,7 @@
   /// Whether the session is open.
   [[nodiscard]] bool usable() const;
   [[nodiscard]] const RegisteredMember &member() const { return this->Member; }
+  [[nodiscard]] const ClientAccountId &account() const { return this->Account; }
   /// Session values and prepared statements set at the member on this link.
   ConnectionState SetupState;
   /// Whether the link is in the pool, not in use by a statement or transaction.
@@ -81,6 +91,7 @@
   void finishOpening(LinkOpening Result);
 
   RegisteredMember Member;
+  ClientAccountId Account;
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer OpenTimer;
   std::shared_ptr<LineConnection> Connection;
--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -61,6 +61,7 @@
 }
 
 MemberCandidate MemberLinkPool::candidate(const ZoneId &OwnZone,
+                                          const ClientAccountId &Account,
                                           TimePoint Now) const {
   std::size_t Allowed = this->Allowance.allowed(Now);
   std::size_t AvailableLinks =
@@ -68,34 +69,51 @@
       (Allowed > this->OpenCount ? Allowed - this->OpenCount : 0);
   return {.Id = this->Member.Id,
           .SameZone = this->Member.Zone == OwnZone,
-          .Excluded = this->Member.Draining || Now < this->BackoffUntil,
+          .Excluded = this->excluded(Now),
           .InFlight = this->InFlight,
           .MaxInFlight = std::min(this->Concurrency.allowed(Now),
                                   this->InFlight + AvailableLinks),
           .MaxInFlightUrgent = std::min(this->Concurrency.allowedUrgent(Now),
                                         this->InFlight + AvailableLinks),
           .Share = this->Concurrency.limit(),
-          .HasIdleConnection = !this->IdleLinks.empty(),
+          .HasIdleConnection = std::any_of(
+              this->IdleLinks.begin(), this->IdleLinks.end(),
+              [&](const auto &Link) { return Link->account() == Account; }),
           .TypicalServiceTime = this->ServiceTime,
           .Reached = this->Reached,
           .LaggingUntil = this->LaggingUntil,
           .MissingPosition = this->MissingPosition};
 }
 
-std::shared_ptr<MemberLink>
-MemberLinkPool::takeIdle(const std::map<std::string, std::string> &Values) {
+void MemberLinkPool::eraseEndedIdle() {
   std::erase_if(this->IdleLinks, [this](const auto &Link) {
     if (Link->idle())
       return false;
     this->onLinkClosed();
     return true;
   });
+}
+
+std::shared_ptr<MemberLink> MemberLinkPool::takeIdleAt(std::size_t Index) {
+  auto Link = this->IdleLinks[Index];
+  this->IdleLinks.erase(this->IdleLinks.begin() +
+                        static_cast<std::ptrdiff_t>(Index));
+  Link->Pooled = false;
+  return Link;
+}
+
+std::shared_ptr<MemberLink>
+MemberLinkPool::takeIdle(const ClientAccountId &Account,
+                         const std::map<std::string, std::string> &Values) {
+  this->eraseEndedIdle();
   PreparedStatementNames Unused;
   std::size_t BestIndex = this->IdleLinks.size();
   std::size_t FewestSteps = SIZE_MAX;
   // Prefers the most recently used link, so that the others reach their idle
   // timeout.
   for (std::size_t Back = this->IdleLinks.size(); Back > 0; --Back) {
+    if (this->IdleLinks[Back - 1]->account() != Account)
+      continue;
     std::size_t Steps = this->IdleLinks[Back - 1]
                             ->SetupState.setupSteps(Values, nullptr, Unused)
                             .size();
@@ -106,16 +124,24 @@
   }
   if (BestIndex == this->IdleLinks.size())
     return nullptr;
-  auto Link = this->IdleLinks[BestIndex];
-  this->IdleLinks.erase(this->IdleLinks.begin() +
-                        static_cast<std::ptrdiff_t>(BestIndex));
-  Link->Pooled = false;
-  return Link;
+  return this->takeIdleAt(BestIndex);
+}
+
+void MemberLinkPool::evictForOpening() {
+  this->eraseEndedIdle();
+  if (this->IdleLinks.empty() ||
+      this->OpenCount < this->Allowance.allowed(this->Clock.now()))
+    return;
+  this->takeIdleAt(0)->close();
+  this->onLinkClosed();
+  ++this->EvictedCount;
 }
 
 std::shared_ptr<MemberLink>
-MemberLinkPool::openLink(MemberLink::OpenHandler OnOpened) {
-  auto Link = std::make_shared<MemberLink>(this->Exec, this->Member);
+MemberLinkPool::openLink(const ClientAccountId &Account,
+                         MemberLink::OpenHandler OnOpened) {
+  this->evictForOpening();
+  auto Link = std::make_shared<MemberLink>(this->Exec, this->Member, Account);
   std::erase_if(this->AllLinks,
                 [](const auto &Each) { return Each.expired(); });
   this->AllLinks.push_back(Link);
@@ -210,8 +236,8 @@
       if (!Failure)
         Link->close();
     });
-    Link->run(Bytes, [Self, Link, OnReport, SentAt,
-                      Timer](const Outcome<StatementReply> &Reply) {
+    Link->runOwn(Bytes, [Self, Link, OnReport, SentAt,
+                         Timer](const Outcome<StatementReply> &Reply) {
       --Self->QueriesInFlight;
       Self->StatusQueryRunning = false;
       Timer->cancel();
@@ -232,17 +258,21 @@
       OnReport(Report, SentAt);
     });
   };
-  if (auto Link = this->takeIdle({}))
-    return Send(Link);
+  this->eraseEndedIdle();
+  if (!this->IdleLinks.empty())
+    return Send(this->takeIdleAt(this->IdleLinks.size() - 1));
   auto OpeningLink = std::make_shared<std::shared_ptr<MemberLink>>();
-  *OpeningLink = this->openLink([Self = this->shared_from_this(), Send,
+  // Named to no account: a member may be told an account only for a caller of
+  // that account.
+  *OpeningLink = this->openLink(ClientAccountId{},
+                                [Self = this->shared_from_this(), Send,
                                  OpeningLink, OnReport](LinkOpening Result) {
-    auto Link = std::move(*OpeningLink);
-    if (Result == LinkOpening::Opened)
-      return Send(Link);
-    Self->StatusQueryRunning = false;
-    OnReport(std::nullopt, TimePoint{});
-  });
+                                  auto Link = std::move(*OpeningLink);
+                                  if (Result == LinkOpening::Opened)
+                                    return Send(Link);
+                                  Self->StatusQueryRunning = false;
+                                  OnReport(std::nullopt, TimePoint{});
+                                });
 }
 
 void MemberLinkPool::onStatementEnded(const std::optional<RunTime> &Run) {
--- a/drivers/MemberLinkPool.h
+++ b/drivers/MemberLinkPool.h
@@ -57,16 +57,28 @@
   void onEntryChanged(const RegisteredMember &Now);
   void setAllowance(ConnectionAllowanceOptions Allowance);
 
-  /// The member's current state as input to placement.
+  /// Whether the member takes no new statements: it is draining or paused after
+  /// a failure.
+  [[nodiscard]] bool excluded(TimePoint Now) const {
+    return this->Member.Draining || Now < this->BackoffUntil;
+  }
+  /// The member's current state as input to placement of a statement of
+  /// Account. Idle links of other accounts count as available, as one is closed
+  /// when a link has to be opened.
   [[nodiscard]] MemberCandidate candidate(const ZoneId &OwnZone,
+                                          const ClientAccountId &Account,
                                           TimePoint Now) const;
-  /// Takes the idle link that needs the fewest setup steps for the session's
-  /// values; nullptr if none is idle. The link is in use until release().
+  /// Takes the idle link of Account that needs the fewest setup steps for the
+  /// session's values; nullptr if none is idle. The link is in use until
+  /// release().
   std::shared_ptr<MemberLink>
-  takeIdle(const std::map<std::string, std::string> &Values);
-  /// Opens a link. OnOpened runs asynchronously. If it succeeds, the link is
-  /// in use until release().
-  std::shared_ptr<MemberLink> openLink(MemberLink::OpenHandler OnOpened);
+  takeIdle(const ClientAccountId &Account,
+           const std::map<std::string, std::string> &Values);
+  /// Opens a link for Account. If the allowance is used up, closes the idle
+  /// link that was unused for longest first. OnOpened runs asynchronously. If
+  /// it succeeds, the link is in use until release().
+  std::shared_ptr<MemberLink> openLink(const ClientAccountId &Account,
+                                       MemberLink::OpenHandler OnOpened);
   /// Returns a link to the pool. Closes it if it can't be reused: it is not
   /// idle, has a transaction open, leads to an earlier process of the member,
   /// or the member is draining.
@@ -112,6 +124,10 @@
   [[nodiscard]] std::uint64_t openedLinkCount() const {
     return this->OpenedCount;
   }
+  /// Idle links closed so that one could be opened for another account.
+  [[nodiscard]] std::uint64_t evictedLinkCount() const {
+    return this->EvictedCount;
+  }
   /// Number of open links, including idle ones and those being opened.
   [[nodiscard]] std::size_t openLinkCount() const { return this->OpenCount; }
   [[nodiscard]] std::size_t idleLinkCount() const {
@@ -149,6 +165,11 @@
   void onOpeningEnded(LinkOpening Result);
   void onRequestSent();
   void dropIdle();
+  void eraseEndedIdle();
+  std::shared_ptr<MemberLink> takeIdleAt(std::size_t Index);
+  /// Closes the idle link that was unused for longest if the allowance is used
+  /// up.
+  void evictForOpening();
   void onLinkClosed();
 
   boost::asio::any_io_executor Exec;
@@ -161,6 +182,7 @@
   MemberOccupancy Occupancy;
   TimePoint ConnectionsReportedAt;
   ConcurrencyLimit Concurrency;
+  /// In the order of their release.
   std::vector<std::shared_ptr<MemberLink>> IdleLinks;
   /// All links that may still be open, for dropAll().
   std::vector<std::weak_ptr<MemberLink>> AllLinks;
@@ -169,6 +191,7 @@
   std::size_t OpeningCount = 0;
   std::size_t InFlight = 0;
   std::uint64_t OpenedCount = 0;
+  std::uint64_t EvictedCount = 0;
   Duration ServiceTime;
   std::optional<TermPosition> Reached;
   Duration LagBackoff{0};
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -88,6 +88,7 @@
       Sum.Open += Pool->openLinkCount();
       Sum.Idle += Pool->idleLinkCount();
       Sum.Opened += Pool->openedLinkCount();
+      Sum.Evicted += Pool->evictedLinkCount();
     }
   return Sum;
 }
@@ -100,7 +101,7 @@
   TimePoint Now = this->Clock.now();
   bool AnyCandidate = false;
   for (const auto &[Id, Pool] : State->second.Pools) {
-    if (Id == Primary || Pool->candidate(this->Options.Zone, Now).Excluded)
+    if (Id == Primary || Pool->excluded(Now))
       continue;
     if (!Pool->lagsRepeatedly(Now))
       return false;
@@ -227,7 +228,8 @@
   Duration ServiceTime{0};
   double Capacity = 0;
   for (const auto &[Id, Pool] : State.Pools) {
-    MemberCandidate Each = Pool->candidate(this->Options.Zone, Now);
+    MemberCandidate Each =
+        Pool->candidate(this->Options.Zone, ClientAccountId{}, Now);
     if (Each.Excluded)
       continue;
     Capacity += Each.Share;
@@ -261,7 +263,8 @@
   std::vector<MemberCandidate> Candidates;
   std::vector<std::shared_ptr<MemberLinkPool>> Pools;
   for (const auto &[Id, Pool] : State.Pools) {
-    MemberCandidate Each = Pool->candidate(this->Options.Zone, Now);
+    MemberCandidate Each =
+        Pool->candidate(this->Options.Zone, Call->Session->Account, Now);
     Each.UsablePrimary = Lease && Lease->Primary == Id;
     Each.Primary =
         Each.UsablePrimary ||
@@ -308,23 +311,25 @@
   if (++Call->Attempts == 1)
     this->Services[Call->Session->Route.Service].HedgeBudget.onFirstAttempt();
   countAtMember(*Call);
-  Call->Link = Pool->takeIdle(Call->Session->State.values());
+  Call->Link =
+      Pool->takeIdle(Call->Session->Account, Call->Session->State.values());
   if (Call->Link)
     return this->startOnLink(Call);
-  Call->Link = Pool->openLink([this, Call](LinkOpening Result) {
-    if (Result == LinkOpening::Opened) {
-      if (Call->Finished)
-        return this->releaseLink(Call);
-      return this->startOnLink(Call);
-    }
-    Call->Link.reset();
-    endAtMember(*Call, std::nullopt);
-    if (Call->Finished)
-      return;
-    bool AtLimit = Result == LinkOpening::RefusedAtLimit ||
-                   Result == LinkOpening::EndedEarly;
-    this->retry(Call, !AtLimit, toString(Result));
-  });
+  Call->Link =
+      Pool->openLink(Call->Session->Account, [this, Call](LinkOpening Result) {
+        if (Result == LinkOpening::Opened) {
+          if (Call->Finished)
+            return this->releaseLink(Call);
+          return this->startOnLink(Call);
+        }
+        Call->Link.reset();
+        endAtMember(*Call, std::nullopt);
+        if (Call->Finished)
+          return;
+        bool AtLimit = Result == LinkOpening::RefusedAtLimit ||
+                       Result == LinkOpening::EndedEarly;
+        this->retry(Call, !AtLimit, toString(Result));
+      });
 }
 
 void StatementDispatcher::startOnLink(const SharedCall &Call) {
@@ -354,7 +359,7 @@
 
 void StatementDispatcher::sendStep(const SharedCall &Call,
                                    const SessionSetupStep &Step) {
-  Call->Link->run(encodeSetupStep(Step),
+  Call->Link->run(Call->Session->Account, encodeSetupStep(Step),
                   [this, Call, Step](Outcome<StatementReply> Reply) {
                     if (!Reply || Reply.value().Failure)
                       return this->onLinkLost(Call);
@@ -372,6 +377,7 @@
     return this->retry(Call, false, "right_ran_out");
   }
   Call->Link->run(
+      Call->Session->Account,
       encodeBegin(Call->Session->State.isReadOnly(), Call->MinPosition),
       [this, Call](Outcome<StatementReply> Reply) {
         if (!Reply)
@@ -387,7 +393,7 @@
           auto Link = Call->Link;
           auto Pool = Call->Pool;
           endAtMember(*Call, std::nullopt);
-          Link->run(encodeRollback(),
+          Link->run(Call->Session->Account, encodeRollback(),
                     [this, Link, Pool](const Outcome<StatementReply> &) {
                       Pool->release(Link, this->Clock.now());
                     });
@@ -425,7 +431,8 @@
   countAtMember(*Call);
   Call->StatementSent = true;
   Call->SentAt = this->Clock.now();
-  Call->Link->run(encodeForMember(Call->Request, PreparedName,
+  Call->Link->run(Session.Account,
+                  encodeForMember(Call->Request, PreparedName,
                                   Running ? std::nullopt : Call->MinPosition),
                   [this, Call, Link = Call->Link, Pool = Call->Pool,
                    Epoch = Call->Epoch](Outcome<StatementReply> Reply) {
@@ -725,7 +732,7 @@
     return;
   if (!Link->idle() || Link->transactionStatus() == TransactionStatus::None)
     return Pool->release(Link, this->Clock.now());
-  Link->run(encodeRollback(),
+  Link->run(Session->Account, encodeRollback(),
             [this, Link, Pool](const Outcome<StatementReply> &) {
               Pool->release(Link, this->Clock.now());
             });
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -140,12 +140,13 @@
   [[nodiscard]] const std::map<ServiceId, ServiceState> &services() const {
     return this->Services;
   }
-  /// Links currently open, idle links among them, and links opened since the
-  /// start.
+  /// Links currently open, idle links among them, and links opened and evicted
+  /// since the start.
   struct LinkCounts {
     std::size_t Open = 0;
     std::size_t Idle = 0;
     std::uint64_t Opened = 0;
+    std::uint64_t Evicted = 0;
   };
   [[nodiscard]] LinkCounts links() const;
   /// Whether all available replicas of the service lag repeatedly, so that
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -518,6 +518,7 @@
         .field("links", Links.Open)
         .field("links_idle", Links.Idle)
         .field("links_opened", Links.Opened)
+        .field("links_evicted", Links.Evicted)
         .field("configuration", this->Routes.version())
         .field("instances", this->Instances.count())
         .field("retries",
--- a/tests/platform/SessionGroup.cpp
+++ b/tests/platform/SessionGroup.cpp
@@ -34,13 +34,18 @@
   SessionGroupMember State;
   asio::ip::tcp::acceptor Acceptor;
   std::vector<std::shared_ptr<Connection>> Open;
+  std::size_t ConnectionLimit = SIZE_MAX;
+  std::vector<std::string> Callers;
 };
 
 struct SessionGroup::Connection {
   /// The member that accepted this connection.
   Member *At = nullptr;
   std::shared_ptr<LineConnection> Lines;
+  /// Who opened the connection, as stated at its startup.
+  std::string Caller;
   bool Started = false;
+  bool Ended = false;
   bool InTransaction = false;
   bool Failed = false;
   bool OnlyReads = false;
@@ -100,7 +105,10 @@
           if (auto Open = Weak.lock())
             this->onLine(Open, Line);
         },
-        [](const std::string &) {});
+        [Weak](const std::string &) {
+          if (auto Open = Weak.lock())
+            Open->Ended = true;
+        });
     this->accept(At);
   });
 }
@@ -111,12 +119,19 @@
   std::string Word = nextWord(Rest);
   if (Word == "STARTUP") {
     std::string Name = nextWord(Rest);
-    nextWord(Rest);
+    From->Caller = nextWord(Rest);
     if (Name != this->Service ||
         (!Rest.empty() && Rest != From->At->State.Id)) {
       From->Lines->send("ERROR WRONGNODE -\r\n");
       return From->Lines->finish();
     }
+    auto &Open = From->At->Open;
+    std::erase_if(Open, [](const auto &Each) { return Each->Ended; });
+    if (Open.size() > From->At->ConnectionLimit) {
+      From->Lines->send("ERROR TOOMANYCON -\r\n");
+      return From->Lines->finish();
+    }
+    From->At->Callers.push_back(From->Caller);
     From->Started = true;
     return From->Lines->send("READY I 1.0\r\n");
   }
@@ -130,6 +145,8 @@
                                  std::string Text) {
   const SessionGroupMember &State = From.At->State;
   std::string Body;
+  this->Statements.push_back(
+      {.Member = State.Id, .Caller = From.Caller, .Id = Id, .Text = Text});
   if (Text.starts_with("AFTERLSN ")) {
     nextWord(Text);
     if (isBehind(State, nextWord(Text)))
@@ -258,6 +275,15 @@
   this->Members.at(Id)->State.ReplicationPaused = ReplicationPaused;
 }
 
+void SessionGroup::setConnectionLimit(const std::string &Id,
+                                      std::size_t Limit) {
+  this->Members.at(Id)->ConnectionLimit = Limit;
+}
+
+std::vector<std::string> SessionGroup::callers(const std::string &Id) const {
+  return this->Members.at(Id)->Callers;
+}
+
 std::vector<SessionGroupMember> SessionGroup::members() const {
   std::vector<SessionGroupMember> All;
   for (const auto &[Id, Each] : this->Members)
--- a/tests/platform/SessionGroup.h
+++ b/tests/platform/SessionGroup.h
@@ -54,6 +54,20 @@
 
   [[nodiscard]] const std::string &service() const { return this->Service; }
   [[nodiscard]] std::vector<SessionGroupMember> members() const;
+  /// Sets the number of connections that a member accepts.
+  void setConnectionLimit(const std::string &Id, std::size_t Limit);
+  /// A statement that a member received, with the caller of its connection.
+  struct Received {
+    std::string Member;
+    std::string Caller;
+    std::string Id;
+    std::string Text;
+  };
+  [[nodiscard]] const std::vector<Received> &received() const {
+    return this->Statements;
+  }
+  /// Callers of all sessions opened at a member, in order.
+  [[nodiscard]] std::vector<std::string> callers(const std::string &Id) const;
   /// Number of committed writes with this statement id.
   [[nodiscard]] std::size_t commitCount(const std::string &StatementId) const;
 
@@ -72,6 +86,7 @@
   boost::asio::any_io_executor Exec;
   std::string Service;
   std::map<std::string, std::shared_ptr<Member>> Members;
+  std::vector<Received> Statements;
   /// Statement ids of committed writes.
   std::multiset<std::string> Committed;
 };
--- a/tests/platform/SessionLinesTest.cpp
+++ b/tests/platform/SessionLinesTest.cpp
@@ -56,6 +56,15 @@
             "QUERY 1 AFTERLSN 3.1207 EXECUTE p7 1a4 data\r\n");
 }
 
+TEST(SessionLines, StartupNamesTheAccountToTheMember) {
+  ServiceId Service{"ledger"};
+  UpstreamId Member{"i-7f3a91c2"};
+  EXPECT_EQ(encodeMemberStartup(Service, ClientAccountId{"sabarmati"}, Member),
+            "STARTUP ledger sabarmati i-7f3a91c2\r\n");
+  EXPECT_EQ(encodeMemberStartup(Service, ClientAccountId{}, Member),
+            "STARTUP ledger turmericpitch i-7f3a91c2\r\n");
+}
+
 TEST(SessionLines, AssemblesAReplyFromItsLines) {
   MemberReplyReader Reader;
   auto Feed = [&](std::string_view Line) {
