Links of small shares: a preferred replica, held links by share

Cause: with half a link an instance and member, held links were drawn at random for each member, so an instance often held one at the replica that it did not read from; idle links without a hold stayed 300 ms at members that refused others; a refusal beside an open link ended the hold of that link.

Change: each instance prefers one replica per service, in its zone or by hashing, and holds the share of all instances that prefer it; a placement that would open a link elsewhere costs as much as a second opening. An instance holds as many links as its share has room for instead of one at most. Idle links close after 50 ms while the member is crowded, and only a refusal without any open link counts as crowding. Counters and a page for operators.

Ruled out: holding by the time between uses at an equal share: without knowing others' use it holds the same fraction as the random draw.

--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -1,6 +1,7 @@
 #include "drivers/MemberLinkPool.h"
 
 #include "core/DecisionLog.h"
+#include "core/Metrics.h"
 
 #include <algorithm>
 
@@ -11,6 +12,10 @@
 /// Divisor of the moving average: each new observation contributes 1/8.
 constexpr int ObservationDivisor = 8;
 
+void countLink(std::string_view Event) {
+  processMetrics().count("member_links_total", Event);
+}
+
 Duration doubled(Duration Backoff, Duration Initial, Duration Max) {
   return Backoff == Duration{0} ? Initial : std::min(Max, 2 * Backoff);
 }
@@ -76,6 +81,8 @@
           .MaxInFlightUrgent = std::min(this->Concurrency.allowedUrgent(Now),
                                         this->InFlight + AvailableLinks),
           .Share = this->Concurrency.limit(),
+          .Preferred = this->Occupancy.RelativeUse > 0 ||
+                       !this->Retention.hasSmallShare(this->Occupancy),
           .HasIdleConnection = std::any_of(
               this->IdleLinks.begin(), this->IdleLinks.end(),
               [&](const auto &Link) { return Link->account() == Account; }),
@@ -124,6 +131,7 @@
   }
   if (BestIndex == this->IdleLinks.size())
     return nullptr;
+  countLink("reused");
   return this->takeIdleAt(BestIndex);
 }
 
@@ -135,6 +143,7 @@
   this->takeIdleAt(0)->close();
   this->onLinkClosed();
   ++this->EvictedCount;
+  countLink("evicted_for_account");
 }
 
 std::shared_ptr<MemberLink>
@@ -148,6 +157,7 @@
   ++this->OpenCount;
   ++this->OpeningCount;
   ++this->OpenedCount;
+  countLink("opened");
   this->onRequestSent();
   Link->open(this->Options.OpenTimeout,
              [Self = this->shared_from_this(),
@@ -174,10 +184,13 @@
                  (Result == LinkOpening::EndedEarly && EstablishedLinks > 0);
   if (!AtLimit)
     return this->onUnanswered(Now);
+  countLink("refused_at_limit");
   // A member that rejects connections beyond its limit is reachable.
   this->onAnswered(Now);
   this->Allowance.onRefused(EstablishedLinks, Now);
-  this->Occupancy.RefusedAt = Now;
+  // Refused beside an open link, this instance has its share.
+  if (EstablishedLinks == 0)
+    this->Occupancy.RefusedAt = Now;
 }
 
 void MemberLinkPool::release(const std::shared_ptr<MemberLink> &Link,
@@ -342,15 +355,13 @@
 void MemberLinkPool::closeExtraIdle(TimePoint Now) {
   MemberOccupancy Seen = this->occupancy(Now);
   std::size_t MinOpen = this->Retention.minOpen(Seen);
-  std::shared_ptr<MemberLink> MostRecent;
-  if (!this->IdleLinks.empty())
-    MostRecent = this->IdleLinks.back();
+  std::size_t Rank = this->IdleLinks.size();
   std::erase_if(this->IdleLinks, [&](const auto &Link) {
-    Duration Timeout =
-        this->Retention.idleTimeout(Seen, Link == MostRecent, Now);
+    Duration Timeout = this->Retention.idleTimeout(Seen, --Rank, Now);
     bool Extra = this->OpenCount > MinOpen && Now - Link->IdleSince > Timeout;
     if (!Extra && Link->idle())
       return false;
+    countLink(Extra ? "closed_idle" : "closed_by_member");
     Link->close();
     this->onLinkClosed();
     return true;
--- a/drivers/MemberLinkPool.h
+++ b/drivers/MemberLinkPool.h
@@ -56,6 +56,11 @@
   /// process is closed when it is released.
   void onEntryChanged(const RegisteredMember &Now);
   void setAllowance(ConnectionAllowanceOptions Allowance);
+  /// Sets this instance's use of the member relative to the average over all
+  /// instances; see MemberOccupancy.
+  void setRelativeUse(double RelativeUse) {
+    this->Occupancy.RelativeUse = RelativeUse;
+  }
 
   /// Whether the member takes no new statements: it is draining or paused after
   /// a failure.
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "drivers/StatementDispatcher.h"
 
 #include "core/DecisionLog.h"
+#include "routing/HomeReplica.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -156,9 +157,26 @@
     State.StrictestMaximumAge = Routes.strictestMaximumAge(Service);
     for (auto &[Id, Pool] : State.Pools)
       Pool->setAllowance(AllowanceOf(Service));
+    this->preferReplica(State);
   }
 }
 
+void StatementDispatcher::preferReplica(ServiceState &State) {
+  std::vector<RegisteredMember> Members;
+  for (const auto &[Id, Pool] : State.Pools)
+    Members.push_back(Pool->member());
+  auto Home = homeReplica(this->Options.Self, this->Options.Zone, Members);
+  auto Replicas = std::count_if(
+      Members.begin(), Members.end(), [](const RegisteredMember &Each) {
+        return Each.Role != MemberRole::Primary && !Each.Draining;
+      });
+  for (auto &[Id, Pool] : State.Pools)
+    if (Pool->member().Role == MemberRole::Primary)
+      Pool->setRelativeUse(1);
+    else
+      Pool->setRelativeUse(Home == Id ? static_cast<double>(Replicas) : 0);
+}
+
 void StatementDispatcher::submit(const SharedCall &Call) {
   SessionContext &Session = *Call->Session;
   const SessionState &State = Session.State;
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -163,6 +163,8 @@
     TimePoint ExpiresAt;
   };
 
+  /// Chooses the replica for which the service's links are kept.
+  void preferReplica(ServiceState &State);
   void enqueue(const SharedCall &Call);
   void serve(ServiceState &State);
   void shedUnservable(ServiceState &State);
--- a/limits/LinkRetention.cpp
+++ b/limits/LinkRetention.cpp
@@ -1,6 +1,7 @@
 #include "limits/LinkRetention.h"
 
 #include <algorithm>
+#include <cmath>
 #include <xxhash.h>
 
 namespace turmericpitch {
@@ -19,9 +20,13 @@
                           std::max<std::size_t>(1, Seen.Instances);
 }
 
-bool LinkRetention::holdsOne(const MemberOccupancy &Seen) const {
-  double Held = this->Options.MaxHeldFraction * static_cast<double>(Seen.Limit);
-  return Seen.Position * static_cast<double>(Seen.Instances) < Held;
+std::size_t LinkRetention::heldLinks(const MemberOccupancy &Seen) const {
+  double Share = this->Options.MaxHeldFraction *
+                 static_cast<double>(Seen.Limit) * Seen.RelativeUse /
+                 static_cast<double>(std::max<std::size_t>(1, Seen.Instances));
+  double Whole = std::floor(Share);
+  return static_cast<std::size_t>(Whole) +
+         (Seen.Position < Share - Whole ? 1 : 0);
 }
 
 bool LinkRetention::isCrowded(const MemberOccupancy &Seen,
@@ -40,12 +45,13 @@
 }
 
 Duration LinkRetention::idleTimeout(const MemberOccupancy &Seen,
-                                    bool MostRecent, TimePoint Now) const {
+                                    std::size_t Rank, TimePoint Now) const {
   if (!this->hasSmallShare(Seen))
     return this->Options.ExtraIdleTimeout;
-  bool Hold = MostRecent && this->holdsOne(Seen) && !this->isCrowded(Seen, Now);
-  return Hold ? this->Options.HeldIdleTimeout
-              : this->Options.SmallShareIdleTimeout;
+  if (this->isCrowded(Seen, Now))
+    return this->Options.CrowdedIdleTimeout;
+  return Rank < this->heldLinks(Seen) ? this->Options.HeldIdleTimeout
+                                      : this->Options.SmallShareIdleTimeout;
 }
 
 } // namespace turmericpitch
--- a/limits/LinkRetention.h
+++ b/limits/LinkRetention.h
@@ -21,6 +21,9 @@
   Duration ExtraIdleTimeout = std::chrono::milliseconds(1000);
   /// Idle timeout of connections that are not held if the share is small.
   Duration SmallShareIdleTimeout = std::chrono::milliseconds(300);
+  /// The same while the member is crowded. An idle connection then keeps out
+  /// another instance's statement.
+  Duration CrowdedIdleTimeout = std::chrono::milliseconds(50);
   /// Idle timeout of a held connection. Members close connections that are idle
   /// for a minute.
   Duration HeldIdleTimeout = std::chrono::seconds(30);
@@ -44,6 +47,10 @@
   /// Connections that the member accepts from all instances together.
   std::size_t Limit = 1;
   std::size_t Instances = 1;
+  /// This instance's use of the member relative to the average over all
+  /// instances: above one at a replica that only some of them prefer for reads,
+  /// zero at a replica that it doesn't prefer.
+  double RelativeUse = 1;
   /// This instance's position among those that use the member, from 0 to 1; see
   /// retentionPosition().
   double Position = 0;
@@ -63,9 +70,9 @@
 /// Keeps connections of fleets in which each instance sends a member only one
 /// or two statements per second. A new connection occupies one of the member's
 /// slots for about as long as a short statement, so closing it between two
-/// statements costs the member a third of its capacity. If the limit is too
-/// small for a connection of each instance, only those with the lowest
-/// positions hold one. Immutable; thread-safe.
+/// statements costs the member a third of its capacity. An instance holds as
+/// many as its share of the limit has room for; of a fractional share, only
+/// instances with the lowest positions hold one more. Immutable; thread-safe.
 class LinkRetention {
 public:
   explicit LinkRetention(LinkRetentionOptions Options = {})
@@ -73,14 +80,17 @@
 
   /// Number of connections that are kept open regardless of use.
   [[nodiscard]] std::size_t minOpen(const MemberOccupancy &Seen) const;
-  /// Idle timeout of a connection. MostRecent: whether it is the most recently
-  /// used one among the idle connections.
+  /// Idle timeout of a connection. Rank: number of idle connections that were
+  /// used more recently.
   [[nodiscard]] Duration idleTimeout(const MemberOccupancy &Seen,
-                                     bool MostRecent, TimePoint Now) const;
+                                     std::size_t Rank, TimePoint Now) const;
+  /// Whether this instance's even share of the member's limit is too small to
+  /// keep MinOpenLinks regardless of use.
+  [[nodiscard]] bool hasSmallShare(const MemberOccupancy &Seen) const;
 
 private:
-  [[nodiscard]] bool hasSmallShare(const MemberOccupancy &Seen) const;
-  [[nodiscard]] bool holdsOne(const MemberOccupancy &Seen) const;
+  /// Number of idle connections that this instance may hold.
+  [[nodiscard]] std::size_t heldLinks(const MemberOccupancy &Seen) const;
   [[nodiscard]] bool isCrowded(const MemberOccupancy &Seen,
                                TimePoint Now) const;
 
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -519,6 +519,10 @@
         .field("links_idle", Links.Idle)
         .field("links_opened", Links.Opened)
         .field("links_evicted", Links.Evicted)
+        .field("links_reused",
+               processMetrics().counterValue("member_links_total", "reused"))
+        .field("links_refused", processMetrics().counterValue(
+                                    "member_links_total", "refused_at_limit"))
         .field("configuration", this->Routes.version())
         .field("instances", this->Instances.count())
         .field("retries",
--- a/routing/Placement.cpp
+++ b/routing/Placement.cpp
@@ -31,6 +31,8 @@
   bool ReadAtPrimary = Each.UsablePrimary && !Requirements.Primary;
   if (!Each.HasIdleConnection || ReadAtPrimary)
     Time += static_cast<double>(Options.ConnectPenalty.count());
+  if (!Each.HasIdleConnection && !Each.Preferred)
+    Time += static_cast<double>(Options.NotPreferredPenalty.count());
   if (ReadAtPrimary)
     Time *= Options.PrimaryReadCostFactor;
   return Time;
--- a/routing/Placement.h
+++ b/routing/Placement.h
@@ -32,6 +32,9 @@
   /// Average number of statements in flight while statements wait for the
   /// member; below one if statements are paced.
   double Share = 1;
+  /// Whether this instance keeps connections there. Others are used if the
+  /// preferred ones are slower.
+  bool Preferred = true;
   /// Whether a statement can start without opening a connection first.
   bool HasIdleConnection = true;
   /// Observed typical time of a statement at the member.
@@ -65,6 +68,10 @@
   /// Cost of opening a connection: it occupies one of the member's slots for
   /// about 12 ms, beside two round trips.
   Duration ConnectPenalty = std::chrono::milliseconds(15);
+  /// Cost added to opening a connection to a replica that isn't preferred,
+  /// where the connection is closed soon after. As large as ConnectPenalty, as
+  /// the next statement opens one again.
+  Duration NotPreferredPenalty = std::chrono::milliseconds(15);
   /// Factor on the expected time of a read at the primary, because writes can
   /// run nowhere else. Reads go to a replica even if only the primary has an
   /// idle connection.
--- a/tests/limits/LinkRetentionTest.cpp
+++ b/tests/limits/LinkRetentionTest.cpp
@@ -70,7 +70,7 @@
       Seen.Reported = Reported;
       bool Maintained = (Now - From) % MaintenanceInterval == Duration{0};
       if (Maintained && Own.Open &&
-          Now - Own.BusyUntil > Retention.idleTimeout(Seen, true, Now))
+          Now - Own.BusyUntil > Retention.idleTimeout(Seen, 0, Now))
         Own.Open = false;
       Open += Own.Open ? 1 : 0;
     }
@@ -107,11 +107,11 @@
   LinkRetention Retention;
   TimePoint Now(Start);
   MemberOccupancy Seen{.Limit = Limit, .Instances = 118};
-  EXPECT_GT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(10));
+  EXPECT_GT(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(10));
   Seen.RefusedAt = Now - milliseconds(500);
-  EXPECT_LT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(1));
+  EXPECT_LT(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(1));
   Seen.RefusedAt = Now - std::chrono::seconds(4);
-  EXPECT_GT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(10));
+  EXPECT_GT(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(10));
 }
 
 /// After its start an instance can't tell whether members still hold the
@@ -121,11 +121,53 @@
   TimePoint Now(Start);
   MemberOccupancy Seen{
       .Limit = Limit, .Instances = 118, .StartedAt = Now - milliseconds(500)};
-  EXPECT_LT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(1));
+  EXPECT_LT(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(1));
   Seen.Reported = Limit;
-  EXPECT_LT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(1));
+  EXPECT_LT(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(1));
   Seen.Reported = Limit / 2;
-  EXPECT_GT(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(10));
+  EXPECT_GT(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(10));
+}
+
+/// 80 connections before 34 instances: the share is above one, and a replica
+/// that half of the instances prefer gives each of these twice the share.
+TEST(LinkRetention, HoldsAsManyAsItsShareHasRoomFor) {
+  LinkRetention Retention;
+  TimePoint Now(Start);
+  auto HeldOf = [&](double RelativeUse, double Position) {
+    MemberOccupancy Seen{.Limit = 80,
+                         .Instances = 34,
+                         .RelativeUse = RelativeUse,
+                         .Position = Position};
+    std::size_t Rank = 0;
+    while (Retention.idleTimeout(Seen, Rank, Now) > std::chrono::seconds(10))
+      ++Rank;
+    return Rank;
+  };
+  EXPECT_EQ(HeldOf(1, 0.6), 2U);
+  EXPECT_EQ(HeldOf(1, 0.7), 1U);
+  EXPECT_EQ(HeldOf(2, 0.6), 3U);
+  EXPECT_EQ(HeldOf(0, 0.0), 0U);
+}
+
+/// 46 connections before 91 instances, of which each prefers one of two
+/// replicas.
+TEST(LinkRetention, PreferredReplicaIsHeldByMostOfItsInstances) {
+  LinkRetention Retention;
+  constexpr std::size_t Instances = 91;
+  std::size_t Preferring = 0;
+  std::size_t Held = 0;
+  for (std::size_t Index = 0; Index < Instances; ++Index) {
+    MemberOccupancy Seen = occupancy(Index, Instances);
+    Seen.Limit = 46;
+    Seen.RelativeUse = Index % 2 == 0 ? 2 : 0;
+    Preferring += Index % 2 == 0 ? 1 : 0;
+    Held += Retention.idleTimeout(Seen, 0, TimePoint(Start)) >
+                    std::chrono::seconds(10)
+                ? 1
+                : 0;
+  }
+  EXPECT_GT(Held * 10, Preferring * 6);
+  EXPECT_LT(Held, 46U);
 }
 
 TEST(LinkRetention, LargeShareKeepsSomeConnectionsOpen) {
@@ -133,7 +175,7 @@
   TimePoint Now(Start);
   MemberOccupancy Seen{.Limit = 22, .Instances = 5};
   EXPECT_EQ(Retention.minOpen(Seen), 2U);
-  EXPECT_EQ(Retention.idleTimeout(Seen, true, Now), std::chrono::seconds(1));
+  EXPECT_EQ(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(1));
   Seen.Instances = 37;
   EXPECT_EQ(Retention.minOpen(Seen), 0U);
 }
--- a/tests/routing/PlacementTest.cpp
+++ b/tests/routing/PlacementTest.cpp
@@ -52,6 +52,25 @@
             1U);
 }
 
+/// The instance keeps its links at one replica, so that the next statement
+/// finds one there.
+TEST(Placement, NewConnectionsGoToThePreferredReplica) {
+  std::vector<MemberCandidate> Candidates{replica("a"), replica("b")};
+  PlacementRequirements Read{.Primary = false, .MinPosition = Ten};
+  for (auto &Each : Candidates)
+    Each.HasIdleConnection = false;
+  Candidates[0].Preferred = false;
+  Candidates[0].TypicalServiceTime = milliseconds(10);
+  EXPECT_EQ(place(Candidates, Read).Index, 1U);
+  // An idle connection is used wherever it is.
+  Candidates[0].HasIdleConnection = true;
+  EXPECT_EQ(place(Candidates, Read).Index, 0U);
+  // A preferred replica that is much slower isn't waited for.
+  Candidates[0].HasIdleConnection = false;
+  Candidates[1].TypicalServiceTime = milliseconds(80);
+  EXPECT_EQ(place(Candidates, Read).Index, 0U);
+}
+
 TEST(Placement, WithoutRequiredPositionOnlyThePrimaryServesReads) {
   std::vector<MemberCandidate> Candidates{replica("a"), primary()};
   EXPECT_EQ(place(Candidates, {.Primary = false}).Index, 1U);
