--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -1,6 +1,7 @@
 #include "drivers/MemberLinkPool.h"
 
 #include "core/DecisionLog.h"
+#include "core/Metrics.h"
 
 #include <algorithm>
 
@@ -11,6 +12,10 @@
 /// Divisor of the moving average: each new observation contributes 1/8.
 constexpr int ObservationDivisor = 8;
 
+void countLink(std::string_view Event) {
+  processMetrics().count("member_links_total", Event);
+}
+
 Duration doubled(Duration Backoff, Duration Initial, Duration Max) {
   return Backoff == Duration{0} ? Initial : std::min(Max, 2 * Backoff);
 }
@@ -61,6 +66,7 @@
 }
 
 MemberCandidate MemberLinkPool::candidate(const ZoneId &OwnZone,
+                                          const ClientAccountId &Account,
                                           TimePoint Now) const {
   std::size_t Allowed = this->Allowance.allowed(Now);
   std::size_t AvailableLinks =
@@ -68,34 +74,53 @@
       (Allowed > this->OpenCount ? Allowed - this->OpenCount : 0);
   return {.Id = this->Member.Id,
           .SameZone = this->Member.Zone == OwnZone,
-          .Excluded = this->Member.Draining || Now < this->BackoffUntil,
+          .Excluded = this->excluded(Now),
           .InFlight = this->InFlight,
           .MaxInFlight = std::min(this->Concurrency.allowed(Now),
                                   this->InFlight + AvailableLinks),
           .MaxInFlightUrgent = std::min(this->Concurrency.allowedUrgent(Now),
                                         this->InFlight + AvailableLinks),
           .Share = this->Concurrency.limit(),
-          .HasIdleConnection = !this->IdleLinks.empty(),
+          .Preferred = this->Occupancy.RelativeUse > 0 ||
+                       !this->Retention.hasSmallShare(this->Occupancy),
+          .HasIdleConnection = std::any_of(
+              this->IdleLinks.begin(), this->IdleLinks.end(),
+              [&](const auto &Link) { return Link->account() == Account; }),
           .TypicalServiceTime = this->ServiceTime,
           .Reached = this->Reached,
           .LaggingUntil = this->LaggingUntil,
           .MissingPosition = this->MissingPosition};
 }
 
-std::shared_ptr<MemberLink>
-MemberLinkPool::takeIdle(const std::map<std::string, std::string> &Values) {
+void MemberLinkPool::eraseEndedIdle() {
   std::erase_if(this->IdleLinks, [this](const auto &Link) {
     if (Link->idle())
       return false;
     this->onLinkClosed();
     return true;
   });
+}
+
+std::shared_ptr<MemberLink> MemberLinkPool::takeIdleAt(std::size_t Index) {
+  auto Link = this->IdleLinks[Index];
+  this->IdleLinks.erase(this->IdleLinks.begin() +
+                        static_cast<std::ptrdiff_t>(Index));
+  Link->Pooled = false;
+  return Link;
+}
+
+std::shared_ptr<MemberLink>
+MemberLinkPool::takeIdle(const ClientAccountId &Account,
+                         const std::map<std::string, std::string> &Values) {
+  this->eraseEndedIdle();
   PreparedStatementNames Unused;
   std::size_t BestIndex = this->IdleLinks.size();
   std::size_t FewestSteps = SIZE_MAX;
   // Prefers the most recently used link, so that the others reach their idle
   // timeout.
   for (std::size_t Back = this->IdleLinks.size(); Back > 0; --Back) {
+    if (this->IdleLinks[Back - 1]->account() != Account)
+      continue;
     std::size_t Steps = this->IdleLinks[Back - 1]
                             ->SetupState.setupSteps(Values, nullptr, Unused)
                             .size();
@@ -106,22 +131,33 @@
   }
   if (BestIndex == this->IdleLinks.size())
     return nullptr;
-  auto Link = this->IdleLinks[BestIndex];
-  this->IdleLinks.erase(this->IdleLinks.begin() +
-                        static_cast<std::ptrdiff_t>(BestIndex));
-  Link->Pooled = false;
-  return Link;
+  countLink("reused");
+  return this->takeIdleAt(BestIndex);
+}
+
+void MemberLinkPool::evictForOpening() {
+  this->eraseEndedIdle();
+  if (this->IdleLinks.empty() ||
+      this->OpenCount < this->Allowance.allowed(this->Clock.now()))
+    return;
+  this->takeIdleAt(0)->close();
+  this->onLinkClosed();
+  ++this->EvictedCount;
+  countLink("evicted_for_account");
 }
 
 std::shared_ptr<MemberLink>
-MemberLinkPool::openLink(MemberLink::OpenHandler OnOpened) {
-  auto Link = std::make_shared<MemberLink>(this->Exec, this->Member);
+MemberLinkPool::openLink(const ClientAccountId &Account,
+                         MemberLink::OpenHandler OnOpened) {
+  this->evictForOpening();
+  auto Link = std::make_shared<MemberLink>(this->Exec, this->Member, Account);
   std::erase_if(this->AllLinks,
                 [](const auto &Each) { return Each.expired(); });
   this->AllLinks.push_back(Link);
   ++this->OpenCount;
   ++this->OpeningCount;
   ++this->OpenedCount;
+  countLink("opened");
   this->onRequestSent();
   Link->open(this->Options.OpenTimeout,
              [Self = this->shared_from_this(),
@@ -148,10 +184,13 @@
                  (Result == LinkOpening::EndedEarly && EstablishedLinks > 0);
   if (!AtLimit)
     return this->onUnanswered(Now);
+  countLink("refused_at_limit");
   // A member that rejects connections beyond its limit is reachable.
   this->onAnswered(Now);
   this->Allowance.onRefused(EstablishedLinks, Now);
-  this->Occupancy.RefusedAt = Now;
+  // Refused beside an open link, this instance has its share.
+  if (EstablishedLinks == 0)
+    this->Occupancy.RefusedAt = Now;
 }
 
 void MemberLinkPool::release(const std::shared_ptr<MemberLink> &Link,
@@ -210,8 +249,8 @@
       if (!Failure)
         Link->close();
     });
-    Link->run(Bytes, [Self, Link, OnReport, SentAt,
-                      Timer](const Outcome<StatementReply> &Reply) {
+    Link->runOwn(Bytes, [Self, Link, OnReport, SentAt,
+                         Timer](const Outcome<StatementReply> &Reply) {
       --Self->QueriesInFlight;
       Self->StatusQueryRunning = false;
       Timer->cancel();
@@ -232,17 +271,21 @@
       OnReport(Report, SentAt);
     });
   };
-  if (auto Link = this->takeIdle({}))
-    return Send(Link);
+  this->eraseEndedIdle();
+  if (!this->IdleLinks.empty())
+    return Send(this->takeIdleAt(this->IdleLinks.size() - 1));
   auto OpeningLink = std::make_shared<std::shared_ptr<MemberLink>>();
-  *OpeningLink = this->openLink([Self = this->shared_from_this(), Send,
+  // Named to no account: a member may be told an account only for a caller of
+  // that account.
+  *OpeningLink = this->openLink(ClientAccountId{},
+                                [Self = this->shared_from_this(), Send,
                                  OpeningLink, OnReport](LinkOpening Result) {
-    auto Link = std::move(*OpeningLink);
-    if (Result == LinkOpening::Opened)
-      return Send(Link);
-    Self->StatusQueryRunning = false;
-    OnReport(std::nullopt, TimePoint{});
-  });
+                                  auto Link = std::move(*OpeningLink);
+                                  if (Result == LinkOpening::Opened)
+                                    return Send(Link);
+                                  Self->StatusQueryRunning = false;
+                                  OnReport(std::nullopt, TimePoint{});
+                                });
 }
 
 void MemberLinkPool::onStatementEnded(const std::optional<RunTime> &Run) {
@@ -312,15 +355,13 @@
 void MemberLinkPool::closeExtraIdle(TimePoint Now) {
   MemberOccupancy Seen = this->occupancy(Now);
   std::size_t MinOpen = this->Retention.minOpen(Seen);
-  std::shared_ptr<MemberLink> MostRecent;
-  if (!this->IdleLinks.empty())
-    MostRecent = this->IdleLinks.back();
+  std::size_t Rank = this->IdleLinks.size();
   std::erase_if(this->IdleLinks, [&](const auto &Link) {
-    Duration Timeout =
-        this->Retention.idleTimeout(Seen, Link == MostRecent, Now);
+    Duration Timeout = this->Retention.idleTimeout(Seen, --Rank, Now);
     bool Extra = this->OpenCount > MinOpen && Now - Link->IdleSince > Timeout;
     if (!Extra && Link->idle())
       return false;
+    countLink(Extra ? "closed_idle" : "closed_by_member");
     Link->close();
     this->onLinkClosed();
     return true;
