The session daemon limits the operations of client accounts

Cause: the limiter and its exchange existed, but no daemon used them. Datagrams on limits take the second of the ports between instances, so that a flood of them can't fill the queue of the lease exchange.

Ruled out: the exchange's own random source as incarnation; two starts must differ whatever the seed.

--- a/drivers/CallerSession.cpp
+++ b/drivers/CallerSession.cpp
@@ -206,9 +206,7 @@
   }
   std::int64_t RetryAfter = inMilliseconds(Decision.RetryAfter);
   writeDecision(refusalLine("refuse_operation", this->Owner.Routes,
-                            Decision.Refusal == LimitRefusal::LimitReached
-                                ? "limit_reached"
-                                : "no_share")
+                            toString(Decision.Refusal))
                     .field("request", Request.Id)
                     .field("account", this->Context->Account.Value)
                     .field("route", this->Context->Route.Name)
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -4,6 +4,7 @@
 #include "core/Metrics.h"
 #include "drivers/FailoverCoordinator.h"
 #include "drivers/HttpServer.h"
+#include "drivers/LimitExchange.h"
 #include "drivers/LogPipe.h"
 #include "drivers/SessionServer.h"
 #include "drivers/StoreClient.h"
@@ -65,9 +66,28 @@
 /// second and needs two failed checks.
 constexpr Duration BalancerNotice = std::chrono::milliseconds(2300);
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(100);
+/// Datagrams on account limits use the second of the ports between instances.
+constexpr std::uint16_t LimitPortOffset = 1;
 /// The drain ends this long before the platform would kill the process.
 constexpr Duration StopMargin = std::chrono::milliseconds(500);
 
+/// Distinguishes the starts of this process.
+std::uint64_t randomIncarnation() {
+  std::random_device Source;
+  constexpr unsigned WordBits = 32;
+  return (static_cast<std::uint64_t>(Source()) << WordBits) | Source();
+}
+
+/// The limits of the accounts that have one.
+std::map<ClientAccountId, OperationLimit>
+limitsOf(const AccountDirectory &Directory) {
+  std::map<ClientAccountId, OperationLimit> Limits;
+  for (const AccountRule &Each : Directory.accounts())
+    if (Each.Limit)
+      Limits.emplace(Each.Id, *Each.Limit);
+  return Limits;
+}
+
 } // namespace
 
 struct SessionDaemon::Components {
@@ -98,8 +118,17 @@
                  [this](const KnownVersions &Other, TimePoint QuerySentAt) {
                    this->onOtherVersions(Other, QuerySentAt);
                  }}),
-        Sessions(this->Loop.get_executor(), {.Listen = this->Settings.Sessions},
-                 this->Routes, this->Dispatcher),
+        Limits(this->Loop.get_executor(),
+               {.Self = this->Settings.Self,
+                .Listen = this->limitAddress(),
+                .Incarnation = randomIncarnation(),
+                .Right = Options.LimitShares},
+               this->Store, this->Instances,
+               {.WritesTable = [this] { return this->Failover.isReader(); }}),
+        Sessions(
+            this->Loop.get_executor(),
+            {.Listen = this->Settings.Sessions, .Gate = this->Limits.gate()},
+            this->Routes, this->Dispatcher),
         Readiness(this->Loop.get_executor(),
                   {.Listen = this->Settings.Readiness},
                   [this] {
@@ -113,6 +142,11 @@
     return {.Address = this->Settings.Address,
             .Port = this->Settings.FirstPeerPort};
   }
+  [[nodiscard]] Endpoint limitAddress() const {
+    return {.Address = this->Settings.Address,
+            .Port = static_cast<std::uint16_t>(this->Settings.FirstPeerPort +
+                                               LimitPortOffset)};
+  }
   HttpReply handleHttpRequest(const HttpRequest &Request);
   void awaitSignal();
   Awaitable<void> pause(Duration Length);
@@ -162,6 +196,7 @@
   StatementDispatcher Dispatcher;
   InstanceRegistry Instances;
   FailoverCoordinator Failover;
+  LimitExchange Limits;
   SessionServer Sessions;
   HttpServer Readiness;
   asio::signal_set Signals;
@@ -266,6 +301,7 @@
                     .field("accounts", Accounts)
                     .field("revision", Entry.Modified.Value));
   this->Dispatcher.onRegistry({}, this->Routes, this->Instances.count());
+  this->Limits.setLimits(limitsOf(this->Routes.accounts()));
   this->Sessions.onConfigurationApplied();
 }
 
@@ -478,6 +514,7 @@
   writeDecision(DecisionLine("instances_known")
                     .field("count", this->Instances.count())
                     .field("reader", this->Failover.isReader() ? 1 : 0));
+  this->Limits.onInstancesChanged();
   this->Dispatcher.onRegistry({}, this->Routes, this->Instances.count());
 }
 
@@ -529,6 +566,13 @@
         .field("configuration", this->Routes.version())
         .field("accounts", this->Routes.accounts().accounts().size())
         .field("instances", this->Instances.count())
+        .field("limit_owners", this->Limits.owners().Owners.size())
+        .field("admitted", processMetrics().counterValue(
+                               "limit_decisions_total", "admitted"))
+        .field("limit_reached", processMetrics().counterValue(
+                                    "limit_decisions_total", "limit_reached"))
+        .field("no_share", processMetrics().counterValue(
+                               "limit_decisions_total", "no_share"))
         .field("retries",
                processMetrics().counterValue("decisions_total", "retry"))
         .field("hedges",
@@ -605,11 +649,14 @@
     Started = P.Readiness.start();
   if (Started)
     Started = P.Failover.start();
+  if (Started)
+    Started = P.Limits.start();
   if (!Started)
     return Started;
   P.awaitSignal();
   P.spawn(P.followConfiguration());
   P.spawn(P.followMembers());
+  P.spawn(P.Limits.run());
   P.spawn(P.keepRegistered());
   P.spawn(P.followInstances());
   P.spawn(P.maintain());
--- a/main/SessionDaemon.h
+++ b/main/SessionDaemon.h
@@ -4,6 +4,7 @@
 #include "core/BoundedLog.h"
 #include "failover/GrantorMaintenance.h"
 #include "failover/PromotionRules.h"
+#include "limits/ShareRight.h"
 #include "platform/InstanceSettings.h"
 
 #include <memory>
@@ -13,6 +14,7 @@
 struct SessionDaemonOptions {
   PromotionRulesOptions Rules = {};
   GrantorMaintenanceOptions Grantors = {};
+  ShareRightOptions LimitShares = {};
   /// Buffered log lines, which the daemon writes to standard output. Null if
   /// log lines are written directly.
   BoundedLog *Log = nullptr;
