An instance reports ready once a keeper of limits has answered

Cause: after a start others list an instance up to 3.5 s later, and keepers drop requests of instances that they don't list, so it refused nearly all operations of accounts with limits while it took callers (found by review). Without an answer it reports ready 6 s after the start, for a fleet whose keepers are gone.

Ruled out: answering unlisted senders, as frames aren't authenticated.

--- a/drivers/LimitExchange.cpp
+++ b/drivers/LimitExchange.cpp
@@ -92,6 +92,11 @@
   this->Limiter.refund(Grant, this->Clock.now());
 }
 
+bool LimitExchange::ready() const {
+  return !this->HasLimits || this->Limiter.hasContact() ||
+         this->Clock.now() - this->StartedAt >= this->Options.ContactTimeout;
+}
+
 double LimitExchange::share() const {
   return this->Right.share(this->Clock.now());
 }
--- a/drivers/LimitExchange.h
+++ b/drivers/LimitExchange.h
@@ -27,6 +27,9 @@
   Duration MissingTableReadInterval = std::chrono::milliseconds(1000);
   /// Age of the newest read from which any instance reads the table itself.
   Duration MaxReadAge = std::chrono::seconds(25);
+  /// How long after the start an instance that no keeper answers keeps callers
+  /// away. Longer than the others take to list it.
+  Duration ContactTimeout = std::chrono::seconds(6);
   /// The first table is written this long after the start, so that it names
   /// the instances that start together.
   Duration FirstTableDelay = std::chrono::milliseconds(2000);
@@ -61,6 +64,9 @@
   void refund(const OperationGrant &Grant);
   /// The gate that asks this exchange. Valid as long as it lives.
   OperationGate gate();
+  /// Whether operations of accounts with limits can be admitted: a keeper has
+  /// answered, or none did for Options.ContactTimeout.
+  [[nodiscard]] bool ready() const;
   /// This instance's present share of all limits.
   [[nodiscard]] double share() const;
   [[nodiscard]] const OwnerTable &owners() const { return this->Right.table(); }
--- a/limits/AccountLimiter.cpp
+++ b/limits/AccountLimiter.cpp
@@ -264,6 +264,14 @@
   return Contact->second.sentAt(Reply.RequestSequence);
 }
 
+bool AccountLimiter::hasContact() const {
+  auto Answered = [](const auto &Entry) {
+    return Entry.second.stamp().has_value();
+  };
+  return this->Contacts.empty() ||
+         std::any_of(this->Contacts.begin(), this->Contacts.end(), Answered);
+}
+
 std::vector<LimitOutcome> AccountLimiter::takeOutcomes() {
   return this->Borrower.takeOutcomes();
 }
--- a/limits/AccountLimiter.h
+++ b/limits/AccountLimiter.h
@@ -69,6 +69,9 @@
   /// onMessage().
   [[nodiscard]] std::optional<TimePoint>
   requestSentAt(const InstanceId &From, const LimitReply &Reply) const;
+  /// Whether another keeper has answered since the start, or there is none, so
+  /// that this instance takes part in the fleet's limits.
+  [[nodiscard]] bool hasContact() const;
   /// The decisions since the last call.
   std::vector<LimitOutcome> takeOutcomes();
 
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -228,7 +228,7 @@
     return Reply;
   }
   bool Ready = !this->Stopping && this->Routes.loaded() &&
-               this->Registry.loaded() &&
+               this->Registry.loaded() && this->Limits.ready() &&
                !this->Failover.isolation().isolated();
   if (!Ready)
     Reply.Status = ServiceUnavailable;
--- a/tests/limits/AccountLimiterTest.cpp
+++ b/tests/limits/AccountLimiterTest.cpp
@@ -60,6 +60,15 @@
       [](const LimitOutcome &Each) { return Each.Decision.Admitted; });
 }
 
+TEST_F(AccountLimiterTest, ContactBeginsWithTheFirstAnswer) {
+  EXPECT_TRUE(this->Lender.hasContact());
+  EXPECT_FALSE(this->User.hasContact());
+  auto Requests = this->User.onTick(at(200));
+  EXPECT_FALSE(this->User.hasContact());
+  this->exchange(Requests, 200);
+  EXPECT_TRUE(this->User.hasContact());
+}
+
 TEST_F(AccountLimiterTest, AccountsWithoutALimitAreAdmitted) {
   auto Decision = this->User.admit({"other"}, 1, at(0));
   ASSERT_TRUE(Decision);
