Held links give way only at a full member; further ones stay while it has room

Change: held links give way at 97% of the limit instead of 90%; others stay while the member reports at most 85%, which is asked once after a link was opened and then every 2 s while statements use the member. Replicas may be held to 85%, as few transactions occupy them. A status query for a sample waits a quarter of its interval longer if it would have to open a link and a sample of another instance may arrive.

Ruled out: longer idle timeouts everywhere; members are full as it is.

--- a/drivers/MemberLink.h
+++ b/drivers/MemberLink.h
@@ -72,6 +72,8 @@
   ConnectionState SetupState;
   /// Whether the link is in the pool, not in use by a statement or transaction.
   bool Pooled = false;
+  /// Whether the link was taken from the pool before.
+  bool Reused = false;
   /// When the link was last released to the pool.
   TimePoint IdleSince;
   /// The transaction status from the member's last reply.
--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -106,6 +106,7 @@
   this->IdleLinks.erase(this->IdleLinks.begin() +
                         static_cast<std::ptrdiff_t>(Index));
   Link->Pooled = false;
+  Link->Reused = true;
   return Link;
 }
 
@@ -209,6 +210,18 @@
   }
   Link->IdleSince = Now;
   this->IdleLinks.push_back(Link);
+  // Whether a new link may stay depends on the member's room.
+  if (!Link->Reused)
+    this->renewReport(Now);
+}
+
+void MemberLinkPool::renewReport(TimePoint Now) {
+  if (this->IdleLinks.empty() || this->StatusQueryRunning ||
+      !this->Retention.hasSmallShare(this->Occupancy) ||
+      Now - this->ConnectionsReportedAt < this->Options.ReportRenewalAge ||
+      Now - this->LastStatementAt > this->Options.ReportUse)
+    return;
+  this->queryStatus([](const std::optional<MemberReport> &, TimePoint) {});
 }
 
 void MemberLinkPool::onLinkClosed() {
@@ -222,6 +235,7 @@
 
 void MemberLinkPool::onStatementSent() {
   ++this->InFlight;
+  this->LastStatementAt = this->Clock.now();
   this->onRequestSent();
 }
 
@@ -366,6 +380,9 @@
     this->onLinkClosed();
     return true;
   });
+  if (this->Retention.hasRoom(Seen) &&
+      this->IdleLinks.size() > this->Retention.heldLinks(Seen))
+    this->renewReport(Now);
 }
 
 } // namespace turmericpitch
--- a/drivers/MemberLinkPool.h
+++ b/drivers/MemberLinkPool.h
@@ -33,7 +33,11 @@
   Duration LagMemory = std::chrono::milliseconds(1500);
   LinkRetentionOptions Retention = {};
   /// How long a member's reported number of connections is used.
-  Duration ConnectionReportValidity = std::chrono::milliseconds(1500);
+  Duration ConnectionReportValidity = std::chrono::milliseconds(3000);
+  /// From this age a report is renewed to keep links for which the member had
+  /// room, if a statement was sent within ReportUse.
+  Duration ReportRenewalAge = std::chrono::milliseconds(2000);
+  Duration ReportUse = std::chrono::seconds(10);
   /// Typical service time assumed until the first one was observed.
   Duration InitialServiceTime = std::chrono::milliseconds(25);
 };
@@ -60,6 +64,7 @@
   /// instances; see MemberOccupancy.
   void setRelativeUse(double RelativeUse) {
     this->Occupancy.RelativeUse = RelativeUse;
+    this->Occupancy.Replica = this->Member.Role != MemberRole::Primary;
   }
 
   /// Whether the member takes no new statements: it is draining or paused after
@@ -165,6 +170,9 @@
   }
 
 private:
+  /// Queries the member's number of connections on an idle link, if this
+  /// instance's share is small and the newest report is old.
+  void renewReport(TimePoint Now);
   void sendQuery(const std::string &Bytes, ReportHandler OnReport);
   [[nodiscard]] MemberOccupancy occupancy(TimePoint Now) const;
   void onOpeningEnded(LinkOpening Result);
@@ -186,6 +194,7 @@
   /// of Allowance.
   MemberOccupancy Occupancy;
   TimePoint ConnectionsReportedAt;
+  TimePoint LastStatementAt;
   ConcurrencyLimit Concurrency;
   /// In the order of their release.
   std::vector<std::shared_ptr<MemberLink>> IdleLinks;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -887,6 +887,11 @@
   auto Found = State.Pools.find(Lease->Primary);
   if (Found == State.Pools.end() || Now < Found->second->backoffUntil())
     return;
+  // A sample of another instance may still arrive; it costs no new link.
+  bool MayArrive = !SamplesForOthers && Newest &&
+                   Now - Newest->AskedAt < Interval + Interval / 4;
+  if (MayArrive && Found->second->idleLinkCount() == 0)
+    return;
   State.SampleRequestedAt = Now;
   Found->second->queryStatus([this, Epoch = Lease->Epoch, Service = State.Id](
                                  const std::optional<MemberReport> &Report,
--- a/limits/LinkRetention.cpp
+++ b/limits/LinkRetention.cpp
@@ -21,25 +21,32 @@
 }
 
 std::size_t LinkRetention::heldLinks(const MemberOccupancy &Seen) const {
-  double Share = this->Options.MaxHeldFraction *
-                 static_cast<double>(Seen.Limit) * Seen.RelativeUse /
+  double Fraction = Seen.Replica ? this->Options.MaxHeldFractionAtReplica
+                                 : this->Options.MaxHeldFraction;
+  double Share = Fraction * static_cast<double>(Seen.Limit) * Seen.RelativeUse /
                  static_cast<double>(std::max<std::size_t>(1, Seen.Instances));
   double Whole = std::floor(Share);
   return static_cast<std::size_t>(Whole) +
          (Seen.Position < Share - Whole ? 1 : 0);
 }
 
-bool LinkRetention::isCrowded(const MemberOccupancy &Seen,
+bool LinkRetention::isCrowded(const MemberOccupancy &Seen, double Fraction,
                               TimePoint Now) const {
   if (Seen.RefusedAt &&
       Now - *Seen.RefusedAt < this->Options.CrowdedAfterRefusal)
     return true;
   if (Seen.Reported)
     return static_cast<double>(*Seen.Reported) >
-           this->Options.CrowdedFraction * static_cast<double>(Seen.Limit);
+           Fraction * static_cast<double>(Seen.Limit);
   return Now - Seen.StartedAt < this->Options.StartPeriod;
 }
 
+bool LinkRetention::hasRoom(const MemberOccupancy &Seen) const {
+  return Seen.Reported &&
+         static_cast<double>(*Seen.Reported) <=
+             this->Options.RoomFraction * static_cast<double>(Seen.Limit);
+}
+
 std::size_t LinkRetention::minOpen(const MemberOccupancy &Seen) const {
   return this->hasSmallShare(Seen) ? 0 : this->Options.MinOpenLinks;
 }
@@ -48,10 +55,16 @@
                                     std::size_t Rank, TimePoint Now) const {
   if (!this->hasSmallShare(Seen))
     return this->Options.ExtraIdleTimeout;
-  if (this->isCrowded(Seen, Now))
+  bool Held = Rank < this->heldLinks(Seen);
+  if (this->isCrowded(Seen,
+                      Held ? this->Options.FullFraction
+                           : this->Options.CrowdedFraction,
+                      Now))
     return this->Options.CrowdedIdleTimeout;
-  return Rank < this->heldLinks(Seen) ? this->Options.HeldIdleTimeout
-                                      : this->Options.SmallShareIdleTimeout;
+  if (Held)
+    return this->Options.HeldIdleTimeout;
+  return this->hasRoom(Seen) ? this->Options.RoomIdleTimeout
+                             : this->Options.SmallShareIdleTimeout;
 }
 
 } // namespace turmericpitch
--- a/limits/LinkRetention.h
+++ b/limits/LinkRetention.h
@@ -21,6 +21,11 @@
   Duration ExtraIdleTimeout = std::chrono::milliseconds(1000);
   /// Idle timeout of connections that are not held if the share is small.
   Duration SmallShareIdleTimeout = std::chrono::milliseconds(300);
+  /// The same while the member reports that at most RoomFraction of its limit
+  /// is used. It then has room for connections beyond the held ones, and for
+  /// peaks.
+  Duration RoomIdleTimeout = std::chrono::seconds(10);
+  double RoomFraction = 0.85;
   /// The same while the member is crowded. An idle connection then keeps out
   /// another instance's statement.
   Duration CrowdedIdleTimeout = std::chrono::milliseconds(50);
@@ -30,9 +35,13 @@
   /// Fraction of the member's limit that held connections of all instances may
   /// occupy. The rest is for peaks and for instances that have restarted.
   double MaxHeldFraction = 0.7;
+  /// The same at a replica, where few transactions occupy connections.
+  double MaxHeldFractionAtReplica = 0.85;
   /// Above this fraction of its limit a member counts as crowded, and idle
   /// connections to it are not held.
   double CrowdedFraction = 0.9;
+  /// The same for held connections, which give way only at a full member.
+  double FullFraction = 0.97;
   /// A member also counts as crowded for this long after it has refused a
   /// connection at its limit. Members drop dead connections after 3 s.
   Duration CrowdedAfterRefusal = std::chrono::milliseconds(3000);
@@ -51,6 +60,7 @@
   /// instances: above one at a replica that only some of them prefer for reads,
   /// zero at a replica that it doesn't prefer.
   double RelativeUse = 1;
+  bool Replica = false;
   /// This instance's position among those that use the member, from 0 to 1; see
   /// retentionPosition().
   double Position = 0;
@@ -87,11 +97,15 @@
   /// Whether this instance's even share of the member's limit is too small to
   /// keep MinOpenLinks regardless of use.
   [[nodiscard]] bool hasSmallShare(const MemberOccupancy &Seen) const;
-
-private:
   /// Number of idle connections that this instance may hold.
   [[nodiscard]] std::size_t heldLinks(const MemberOccupancy &Seen) const;
-  [[nodiscard]] bool isCrowded(const MemberOccupancy &Seen,
+  /// Whether the member reports room for connections that aren't held.
+  [[nodiscard]] bool hasRoom(const MemberOccupancy &Seen) const;
+
+private:
+  /// Whether more than Fraction of the member's limit is in use, as far as this
+  /// instance knows.
+  [[nodiscard]] bool isCrowded(const MemberOccupancy &Seen, double Fraction,
                                TimePoint Now) const;
 
   LinkRetentionOptions Options;
--- a/tests/limits/LinkRetentionTest.cpp
+++ b/tests/limits/LinkRetentionTest.cpp
@@ -103,6 +103,19 @@
   EXPECT_LT(Result.MostOpen, Limit / 3);
 }
 
+/// Held links stay at a member that has room only for a few more; otherwise
+/// their instances open them again for the next statement.
+TEST(LinkRetention, OnlyFurtherLinksGiveWayBeforeTheMemberIsFull) {
+  LinkRetention Retention;
+  TimePoint Now(Start);
+  MemberOccupancy Seen{.Limit = 46, .Instances = 91, .Reported = 43};
+  ASSERT_EQ(Retention.heldLinks(Seen), 1U);
+  EXPECT_GT(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(10));
+  EXPECT_LT(Retention.idleTimeout(Seen, 1, Now), milliseconds(100));
+  Seen.Reported = 46;
+  EXPECT_LT(Retention.idleTimeout(Seen, 0, Now), milliseconds(100));
+}
+
 TEST(LinkRetention, ReleasesConnectionsAfterARefusalAtTheLimit) {
   LinkRetention Retention;
   TimePoint Now(Start);
@@ -137,6 +150,7 @@
     MemberOccupancy Seen{.Limit = 80,
                          .Instances = 34,
                          .RelativeUse = RelativeUse,
+                         .Replica = RelativeUse != 1,
                          .Position = Position};
     std::size_t Rank = 0;
     while (Retention.idleTimeout(Seen, Rank, Now) > std::chrono::seconds(10))
@@ -145,7 +159,7 @@
   };
   EXPECT_EQ(HeldOf(1, 0.6), 2U);
   EXPECT_EQ(HeldOf(1, 0.7), 1U);
-  EXPECT_EQ(HeldOf(2, 0.6), 3U);
+  EXPECT_EQ(HeldOf(2, 0.6), 4U);
   EXPECT_EQ(HeldOf(0, 0.0), 0U);
 }
 
@@ -160,16 +174,31 @@
     MemberOccupancy Seen = occupancy(Index, Instances);
     Seen.Limit = 46;
     Seen.RelativeUse = Index % 2 == 0 ? 2 : 0;
+    Seen.Replica = true;
     Preferring += Index % 2 == 0 ? 1 : 0;
     Held += Retention.idleTimeout(Seen, 0, TimePoint(Start)) >
                     std::chrono::seconds(10)
                 ? 1
                 : 0;
   }
-  EXPECT_GT(Held * 10, Preferring * 6);
+  EXPECT_GT(Held * 10, Preferring * 7);
   EXPECT_LT(Held, 46U);
 }
 
+/// Links beyond the held ones stay only while the member reports room, with a
+/// margin for peaks.
+TEST(LinkRetention, KeepsFurtherLinksWhileTheMemberHasRoom) {
+  LinkRetention Retention;
+  TimePoint Now(Start);
+  MemberOccupancy Seen{.Limit = 46, .Instances = 91, .Position = 0.9};
+  ASSERT_EQ(Retention.heldLinks(Seen), 0U);
+  EXPECT_LT(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(1));
+  Seen.Reported = 30;
+  EXPECT_GT(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(1));
+  Seen.Reported = 40;
+  EXPECT_LT(Retention.idleTimeout(Seen, 0, Now), std::chrono::seconds(1));
+}
+
 TEST(LinkRetention, LargeShareKeepsSomeConnectionsOpen) {
   LinkRetention Retention;
   TimePoint Now(Start);
