Fewer store calls at the start of a fleet

Until the instances know each other, each takes itself for the reader and reads the empty records four times a second; each change of the member list makes all instances list it currently; an absent configuration is polled. Ruled out: renewals and listings of instances (146 and 182 calls); the relays' tells (a listing each is needed once a change is reported). Change: an instance that found no records waits for the first one (FirstRecordWait), and its reader renews as soon as there is one; a reported change of members is first looked for in a listing that may be stale; an absent configuration is watched. New metric store_listings_total, shown in the summary.

--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "core/DecisionLog.h"
 #include "core/Metrics.h"
+#include "failover/FirstRecordWait.h"
 
 #include <algorithm>
 
@@ -426,6 +427,12 @@
   while (true) {
     TimePoint Began = this->Clock.now();
     bool AnyRecord = this->Leases.oldestReadSentAt().has_value();
+    if (awaitsFirstRecord(
+            {.AnyRecord = AnyRecord, .FoundNoneAt = this->FoundNoRecordsAt},
+            this->Options.FirstRecordInterval, Began)) {
+      co_await this->pause(this->Options.PollInterval);
+      continue;
+    }
     bool Stale = this->recordsAreStale(Began);
     if (!this->isReader() && !Stale) {
       bool Outdated = this->hasOutdatedGrantors();
@@ -503,6 +510,8 @@
   if (Era < eraOf(this->Grantors.Stored))
     return;
   bool Known = !Records.empty() || this->Grantors.Stored != Revision{};
+  if (!Known)
+    this->FoundNoRecordsAt = ReadSentAt;
   if (Known && Set.VerifiedEra != Era) {
     if (this->UnverifiedEra != Era) {
       this->UnverifiedSince = this->Clock.now();
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -60,7 +60,7 @@
   Duration GrantorRetryInterval = std::chrono::milliseconds(60);
   /// How much later each rank verifies the records of a restored store.
   Duration VerificationRankDelay = std::chrono::milliseconds(1000);
-  /// How often an instance that isn't the reader looks for the first records.
+  /// How often an instance looks for the first records.
   Duration FirstRecordInterval = std::chrono::milliseconds(4000);
   /// How long a reader is excluded that responds but provides only stale
   /// records: the store may reject only this reader.
@@ -291,6 +291,9 @@
   /// When this instance's newest read of verified records was sent; nothing
   /// before the first.
   std::optional<TimePoint> ReadAt;
+  /// When this instance sent its newest read that found neither a record nor
+  /// grantors; empty if no read did.
+  std::optional<TimePoint> FoundNoRecordsAt;
   /// When the store last replied; nothing before the first reply.
   std::optional<TimePoint> StoreAnsweredAt;
   IsolationDetector Isolation;
--- a/drivers/StoreClient.cpp
+++ b/drivers/StoreClient.cpp
@@ -1,9 +1,25 @@
 #include "drivers/StoreClient.h"
 
 #include "core/Metrics.h"
+#include "failover/PrimaryRecord.h"
+#include "membership/InstanceRegistry.h"
+#include "platform/StoredObjects.h"
 
 namespace turmericpitch {
 
+namespace {
+
+/// What is stored below a prefix, as a metrics label.
+std::string_view listedObjects(std::string_view Prefix) {
+  if (Prefix == MembersPrefix)
+    return "members";
+  if (Prefix == InstancesPrefix)
+    return "instances";
+  return Prefix == PrimaryRecordPrefix ? "records" : "other";
+}
+
+} // namespace
+
 StoreClient::StoreClient(const Executor &Exec, StoreClientOptions Options)
     : Options(Options), Store(Exec, {.Service = Options.Store}),
       Promotions(Exec, {.Service = Options.Promotions}) {}
@@ -39,6 +55,7 @@
   StorePage All;
   std::string After;
   while (true) {
+    processMetrics().count("store_listings_total", listedObjects(Prefix));
     processMetrics().count(
         "store_calls_total",
         Consistency == ReadConsistency::Current ? "listing" : "old_listing");
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -122,7 +122,9 @@
   /// early if no instance could reach the store and one of them now can.
   Awaitable<void> pauseAfterFailure(StoreBackoff &Backoff);
   Awaitable<void> followConfiguration();
-  Awaitable<void> readConfiguration();
+  /// Reads the configuration. Returns false if the store was not read.
+  Awaitable<bool> readConfiguration();
+  Awaitable<void> readNewerConfiguration();
   /// Applies a stored configuration if it is newer than the one in force.
   void applyConfiguration(const KeyValueEntry &Entry);
   [[nodiscard]] KnownVersions ownVersions() const;
@@ -133,7 +135,8 @@
   void onOtherVersions(const KnownVersions &Other, TimePoint QuerySentAt);
   /// Lists the members. Returns false if the list could not be read.
   Awaitable<bool> listMembers(ReadConsistency Consistency);
-  Awaitable<void> listCurrentMembers();
+  /// Lists the members until a change at this revision of the store is known.
+  Awaitable<void> listMembersChangedAt(Revision Change);
   Awaitable<void> followMembers();
   Awaitable<void> keepRegistered();
   Awaitable<std::optional<LeaseId>> registerSelf();
@@ -224,7 +227,7 @@
   }
 }
 
-Awaitable<void> SessionDaemon::Components::readConfiguration() {
+Awaitable<bool> SessionDaemon::Components::readConfiguration() {
   this->ReadingConfiguration = true;
   auto Read = co_await this->Store.readKey(std::string(ConfigurationKey));
   this->ReadingConfiguration = false;
@@ -234,18 +237,23 @@
     this->NextConfigurationReadAt =
         BootClock().now() +
         this->ConfigurationReadBackoff.onFailed(this->Random);
-  if (!Read || !Read.value().Entry) {
+  if (!Read || !Read.value().Entry)
     writeWarning("event=configuration_read_failed reason=\"" +
                  (Read ? std::string("no such key") : Read.error().Message) +
                  "\"");
-    co_return;
-  }
-  const KeyValueEntry &Entry = *Read.value().Entry;
+  if (!Read)
+    co_return false;
   // The store's revision, because the history may no longer reach back to the
   // entry's own revision.
   this->ConfigurationRevision =
       std::max(this->ConfigurationRevision, Read.value().StoreRevision);
-  this->applyConfiguration(Entry);
+  if (Read.value().Entry)
+    this->applyConfiguration(*Read.value().Entry);
+  co_return true;
+}
+
+Awaitable<void> SessionDaemon::Components::readNewerConfiguration() {
+  co_await this->readConfiguration();
 }
 
 void SessionDaemon::Components::applyConfiguration(const KeyValueEntry &Entry) {
@@ -282,10 +290,10 @@
   TimePoint Now = BootClock().now();
   if (Other.Configuration > this->Routes.version() &&
       !this->ReadingConfiguration && Now >= this->NextConfigurationReadAt)
-    this->spawn(this->readConfiguration());
+    this->spawn(this->readNewerConfiguration());
   if (Other.Members > this->MembersStoreRevision.Value &&
       !this->ListingMembers && Now >= this->NextMemberListingAt)
-    this->spawn(this->listCurrentMembers());
+    this->spawn(this->listMembersChangedAt(Revision{Other.Members}));
   if (Other.Instances == 0 || !this->Instances.readSentAt())
     return;
   TimePoint OtherReadSentAt = QuerySentAt - Other.InstancesAge;
@@ -299,12 +307,11 @@
 Awaitable<void> SessionDaemon::Components::followConfiguration() {
   StoreBackoff Backoff;
   while (true) {
-    co_await this->readConfiguration();
-    if (!this->Routes.loaded()) {
+    // An absent configuration is watched, too: it comes into force as soon as
+    // it is written.
+    bool Following = co_await this->readConfiguration();
+    if (!Following)
       co_await this->pauseAfterFailure(Backoff);
-      continue;
-    }
-    bool Following = true;
     while (Following) {
       auto Watched = co_await this->Store.watch(
           std::string(ConfigurationKey), this->ConfigurationRevision,
@@ -371,8 +378,14 @@
   co_return true;
 }
 
-Awaitable<void> SessionDaemon::Components::listCurrentMembers() {
-  co_await this->listMembers(ReadConsistency::Current);
+Awaitable<void>
+SessionDaemon::Components::listMembersChangedAt(Revision Change) {
+  // All instances list at once when a change is reported. A listing that may be
+  // stale costs a tenth and mostly shows the change, because another instance
+  // has read it before.
+  bool Read = co_await this->listMembers(ReadConsistency::MayBeStale);
+  if (Read && this->MembersStoreRevision < Change)
+    co_await this->listMembers(ReadConsistency::Current);
 }
 
 Awaitable<void> SessionDaemon::Components::followMembers() {
@@ -539,6 +552,9 @@
     for (const char *Call : Calls)
       Line.field(Call,
                  processMetrics().counterValue("store_calls_total", Call));
+    for (std::string Listed : {"members", "instances", "records"})
+      Line.field("listed_" + Listed,
+                 processMetrics().counterValue("store_listings_total", Listed));
     writeDecision(Line);
   }
 }
