Keep a hedged read's first attempt until it is answered

Cause: a hedge gave the first member's attempt up. A client that left got no decision line, and its hedged or running read had no time limit for its link.

Ruled out: hedging only if a member with room is known. It would leave the queue's order, so hedged reads would starve while others wait.

Change: - OutstandingAttempts holds the attempts that run beside the current one. The copy looks for another member in the queue; if there is none, the statement waits for its outstanding attempts and searches again after the hedge delay. - A refusal as not run needs proof from every attempt: if a read's link ended, a member failed it or its reply came without a lease, the refusal is "in doubt; may have run", and a member's own failure is passed on. - At the deadline with an attempt out: timed out, never busy. - A statement whose client leaves writes "abandon" with what it waits for; a transaction's refusal says "nothing is kept", not "not run". - The links of replaced or abandoned reads are closed at the deadline.

--- a/drivers/StatementCall.h
+++ b/drivers/StatementCall.h
@@ -3,6 +3,7 @@
 
 #include "configuration/RouteTable.h"
 #include "drivers/MemberLink.h"
+#include "drivers/OutstandingAttempts.h"
 #include "limits/WaitQueue.h"
 #include "session/SessionState.h"
 
@@ -55,6 +56,17 @@
   /// counted up to MaxBusyDoublings.
   std::uint32_t BusyRefusals = 0;
 
+  /// Hedged attempts that run beside the current one.
+  OutstandingAttempts Outstanding;
+  /// Whether an attempt ended without proof that its member did not run it.
+  bool MayHaveRun = false;
+  /// A failure that a member returned while another attempt was still running.
+  std::optional<StatementReply> FailedReply;
+  /// Whether it is in the queue of its service.
+  bool Queued = false;
+  /// Whether its reply is held back until the primary's lease is renewed.
+  bool ReplyHeld = false;
+
   /// State of the current attempt.
   std::shared_ptr<MemberLink> Link;
   std::shared_ptr<MemberLinkPool> Pool;
@@ -69,6 +81,10 @@
   /// Number of times that the statement was sent to a member which did not
   /// prove that it left it unexecuted.
   std::uint32_t PossibleRuns = 0;
+  /// Whether the current attempt waits for its member's reply.
+  [[nodiscard]] bool awaitsReply() const {
+    return this->StatementSent && this->CountedAtMember;
+  }
 
   /// Expires at the deadline.
   boost::asio::steady_timer Timer;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "drivers/StatementDispatcher.h"
 
 #include "core/DecisionLog.h"
+#include "drivers/StatementLog.h"
 #include "routing/HomeReplica.h"
 
 #include <algorithm>
@@ -20,13 +21,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
 }
 
-std::string positionText(const std::optional<TermPosition> &Position) {
-  if (!Position)
-    return "none";
-  return std::to_string(Position->WrittenIn.Value) + "." +
-         std::to_string(Position->Position.Value);
-}
-
 /// The position that a replica's log must have reached to serve the statement;
 /// empty if no sample is known that would meet the requirement.
 std::optional<TermPosition> requiredReplicaPosition(const ServiceState &State,
@@ -67,6 +61,50 @@
   Call.Pool->onStatementEnded(Run);
 }
 
+/// The call's current attempt.
+StatementAttempt currentAttempt(const StatementCall &Call) {
+  return {.Link = Call.Link,
+          .Pool = Call.Pool,
+          .Epoch = Call.Epoch,
+          .MinPosition = Call.MinPosition,
+          .SentAt = Call.SentAt};
+}
+
+/// Makes the attempt, whose statement was sent, the current one.
+void resumeAttempt(StatementCall &Call, const StatementAttempt &Attempt) {
+  Call.Link = Attempt.Link;
+  Call.Pool = Attempt.Pool;
+  Call.Epoch = Attempt.Epoch;
+  Call.MinPosition = Attempt.MinPosition;
+  Call.SentAt = Attempt.SentAt;
+  Call.CountedAtMember = true;
+  Call.StatementSent = true;
+}
+
+/// Whether the call waits for members' replies after it has ended. The link of
+/// a transaction is closed with the transaction.
+bool hasUnanswered(const StatementCall &Call) {
+  bool Pinned =
+      Call.Session->PinnedLink && Call.Session->PinnedLink == Call.Link;
+  return !Call.Outstanding.empty() || (Call.awaitsReply() && !Pinned);
+}
+
+/// The text of a refusal with what the client may rely on.
+std::string refusalText(ReplyError Code, std::string_view Reason,
+                        Duration RetryAfter) {
+  std::string Text(Reason);
+  if (provesMemberDidNotRun(Code))
+    Text += "; not run";
+  else if (provesNotCommitted(Code))
+    Text += "; nothing is kept";
+  else
+    Text += "; may have run";
+  if (RetryAfter > Duration{0})
+    Text +=
+        ", retry after " + std::to_string(inMilliseconds(RetryAfter)) + " ms";
+  return Text;
+}
+
 } // namespace
 
 StatementDispatcher::StatementDispatcher(asio::any_io_executor Exec,
@@ -210,10 +248,16 @@
       this->ServiceTimes[classOf(Call->Session->Route)].value();
   if (State.Queue.empty() && this->tryPlace(State, Call))
     return;
-  State.Queue.push(Call, Call->Terms);
+  this->pushToQueue(State, Call);
   this->serve(State);
 }
 
+void StatementDispatcher::pushToQueue(ServiceState &State,
+                                      const SharedCall &Call) {
+  Call->Queued = true;
+  State.Queue.push(Call, Call->Terms);
+}
+
 void StatementDispatcher::scheduleWake() {
   if (this->WakeScheduled)
     return;
@@ -233,7 +277,12 @@
     return;
   State.Serving = true;
   State.Queue.serve(this->Clock.now(), [&](const SharedCall &Call) {
-    return Call->Finished || this->tryPlace(State, Call);
+    // Placing may fail at once and queue the statement again.
+    Call->Queued = false;
+    if (Call->Finished || this->tryPlace(State, Call))
+      return true;
+    Call->Queued = true;
+    return false;
   });
   this->shedUnservable(State);
   State.Serving = false;
@@ -258,10 +307,15 @@
     return;
   Duration Step(static_cast<Duration::rep>(
       static_cast<double>(ServiceTime.count()) / Capacity));
-  for (const SharedCall &Call : State.Queue.shed(Now, Step, ServiceTime))
-    this->refuse(Call, ReplyError::Busy,
-                 "too many statements wait for a member",
-                 Step * static_cast<Duration::rep>(State.Queue.size() + 1));
+  for (const SharedCall &Call : State.Queue.shed(Now, Step, ServiceTime)) {
+    Call->Queued = false;
+    if (!Call->Outstanding.empty())
+      this->awaitOutstanding(Call);
+    else
+      this->refuse(Call, ReplyError::Busy,
+                   "too many statements wait for a member",
+                   Step * static_cast<Duration::rep>(State.Queue.size() + 1));
+  }
 }
 
 bool StatementDispatcher::tryPlace(ServiceState &State,
@@ -287,9 +341,10 @@
     Each.Primary =
         Each.UsablePrimary ||
         (Pool->member().Role == MemberRole::Primary && FormerPrimary != Id);
-    Each.Excluded =
-        Each.Excluded || std::find(Call->Excluded.begin(), Call->Excluded.end(),
-                                   Id) != Call->Excluded.end();
+    Each.Excluded = Each.Excluded ||
+                    (!Call->NeedsPrimary && Call->Outstanding.at(Id)) ||
+                    std::find(Call->Excluded.begin(), Call->Excluded.end(),
+                              Id) != Call->Excluded.end();
     Candidates.push_back(std::move(Each));
     Pools.push_back(Pool);
   }
@@ -307,6 +362,10 @@
         Lease ? std::nullopt : this->RecoveryTimeOf(State.Id), Now);
     if (OutageWait.Wait)
       return false;
+    if (!Call->Outstanding.empty()) {
+      this->awaitOutstanding(Call);
+      return true;
+    }
     this->refuse(Call, ReplyError::Busy,
                  Call->NeedsPrimary
                      ? "no primary available"
@@ -453,11 +512,11 @@
   Call->Link->run(Session.Account,
                   encodeForMember(Call->Request, PreparedName,
                                   Running ? std::nullopt : Call->MinPosition),
-                  [this, Call, Link = Call->Link, Pool = Call->Pool,
-                   Epoch = Call->Epoch](Outcome<StatementReply> Reply) {
-                    if (Call->Link != Link)
-                      return this->onLateReply(Call, Link, Pool, Epoch,
-                                               std::move(Reply));
+                  [this, Call, Attempt = currentAttempt(*Call)](
+                      Outcome<StatementReply> Reply) {
+                    if (Call->Link != Attempt.Link)
+                      return this->onOutstandingReply(Call, Attempt,
+                                                      std::move(Reply));
                     this->onReply(Call, std::move(Reply));
                   });
   if (!Session.State.inTransaction() && !Call->LastingEffect)
@@ -465,14 +524,15 @@
 }
 
 void StatementDispatcher::startHedgeTimer(const SharedCall &Call) {
+  if (Call->Attempts >= this->Options.MaxAttempts)
+    return;
   Duration Delay =
       std::max(this->Options.MinHedgeDelay,
                this->Options.HedgeFactor * Call->Pool->typicalServiceTime());
   Call->HedgeTimer.expires_after(Delay);
   Call->HedgeTimer.async_wait([this, Call, Link = Call->Link](
                                   const boost::system::error_code &Failure) {
-    if (!Failure && !Call->Finished && Call->StatementSent &&
-        Call->Link == Link)
+    if (!Failure && !Call->Finished && !Call->Queued && Call->Link == Link)
       this->hedge(Call);
   });
 }
@@ -481,62 +541,103 @@
   ServiceState &State = this->Services[Call->Session->Route.Service];
   // While statements queue, a second copy would only add to the queueing time.
   bool Loaded = !State.Queue.empty() || Call->Pool->congested();
-  if ((Loaded && Call->Pool->answeredSince(Call->SentAt)) ||
-      !State.HedgeBudget.spend())
-    return;
-  writeDecision(
-      DecisionLine("hedge")
-          .field("request", Call->Request.Id)
-          .field("member", Call->Pool->member().Id.Value)
-          .field("silent", Call->Pool->answeredSince(Call->SentAt) ? 0 : 1)
-          .field("typical_ms",
-                 inMilliseconds(Call->Pool->typicalServiceTime())));
-  // The link stays reserved for the first copy until its reply arrives or the
-  // deadline passes.
-  auto LinkTimer = std::make_shared<asio::steady_timer>(
-      this->Exec, Call->Terms.Deadline - this->Clock.now());
-  LinkTimer->async_wait(
-      [Link = Call->Link, LinkTimer](const boost::system::error_code &) {
-        if (!Link->idle())
-          Link->close();
-      });
+  bool Answers = Call->Pool->answeredSince(Call->SentAt);
+  if (Loaded && Answers)
+    return this->startHedgeTimer(Call);
+  // Without a current attempt this only looks for a member again.
+  if (!Call->Link)
+    return this->retry(Call, false, "unanswered");
+  if (!State.HedgeBudget.spend())
+    return this->startHedgeTimer(Call);
+  writeDecision(DecisionLine("hedge")
+                    .field("request", Call->Request.Id)
+                    .field("member", Call->Pool->member().Id.Value)
+                    .field("silent", Answers ? 0 : 1)
+                    .field("typical_ms",
+                           inMilliseconds(Call->Pool->typicalServiceTime())));
+  Call->Outstanding.add(currentAttempt(*Call));
   Call->CountedAtMember = false;
-  Call->Link.reset();
-  this->retry(Call, true, "unanswered");
+  this->retry(Call, false, "unanswered");
 }
 
-void StatementDispatcher::onLateReply(
-    const SharedCall &Call, const std::shared_ptr<MemberLink> &Link,
-    const std::shared_ptr<MemberLinkPool> &Pool, std::uint64_t Epoch,
-    Outcome<StatementReply> Reply) {
+void StatementDispatcher::awaitOutstanding(const SharedCall &Call) {
+  this->startHedgeTimer(Call);
+}
+
+void StatementDispatcher::onOutstandingReply(const SharedCall &Call,
+                                             const StatementAttempt &Attempt,
+                                             Outcome<StatementReply> Reply) {
   TimePoint Now = this->Clock.now();
-  Pool->onStatementEnded(std::nullopt);
-  Pool->release(Link, Now);
-  if (!Reply)
+  Call->Outstanding.remove(Attempt.Link);
+  bool OnlyAttempt = !Call->Queued && !Call->Link && Call->Outstanding.empty();
+  if (!Call->Finished && OnlyAttempt) {
+    resumeAttempt(*Call, Attempt);
+    return this->onReply(Call, std::move(Reply));
+  }
+  Attempt.Pool->onStatementEnded(std::nullopt);
+  Attempt.Pool->release(Attempt.Link, Now);
+  asio::post(this->Exec, [this, Service = Call->Session->Route.Service] {
+    this->serve(this->Services[Service]);
+  });
+  if (Reply)
+    this->recordReply(Call, Attempt, Reply.value());
+  if (Call->Finished)
+    return;
+  if (!Reply) {
+    Call->MayHaveRun = true;
+    if (!Call->NeedsPrimary)
+      Call->Excluded.push_back(Attempt.Pool->member().Id);
     return;
-  Pool->onAnswered(Now);
-  if (!Call->Finished && !Reply.value().Failure &&
-      this->ranUnderLease(Call->Session->Route.Service, Epoch))
-    this->deliver(Call, std::move(Reply.value()));
+  }
+  if (const auto &Failure = Reply.value().Failure) {
+    this->recordFailure(Call, Attempt, Failure->Code);
+    if (provesMemberDidNotRun(Failure->Code)) {
+      --Call->PossibleRuns;
+      // As in onFailure(), a refusal for lack of capacity is no attempt.
+      if (Failure->Code == ReplyError::Busy)
+        --Call->Attempts;
+      return;
+    }
+    Call->MayHaveRun = true;
+    Call->FailedReply = std::move(Reply.value());
+    return;
+  }
+  if (this->ranUnderLease(Call->Session->Route.Service, Attempt.Epoch))
+    return this->deliver(Call, std::move(Reply.value()));
+  Call->MayHaveRun = true;
 }
 
 void StatementDispatcher::recordReply(const SharedCall &Call,
+                                      const StatementAttempt &Attempt,
                                       const StatementReply &Reply) {
   TimePoint Now = this->Clock.now();
-  Call->Pool->onAnswered(Now);
+  Attempt.Pool->onAnswered(Now);
   if (!Reply.Position)
     return;
-  Call->Pool->onPositionReported(*Reply.Position);
-  if (Call->MinPosition && !Reply.Failure)
-    Call->Pool->onCaughtUp();
+  Attempt.Pool->onPositionReported(*Reply.Position);
+  if (Attempt.MinPosition && !Reply.Failure)
+    Attempt.Pool->onCaughtUp();
   const ServiceId &Service = Call->Session->Route.Service;
-  if (Call->Epoch == 0)
+  if (Attempt.Epoch == 0)
     return;
   // If the lease of this epoch is valid now, it was also valid when the
   // statement was sent.
-  if (this->holdsLease(Service, Call->Epoch))
+  if (this->holdsLease(Service, Attempt.Epoch))
     this->Services[Service].Freshness.onPrimaryAnswer(
-        Call->Epoch, *Reply.Position, Call->SentAt);
+        Attempt.Epoch, *Reply.Position, Attempt.SentAt);
+}
+
+void StatementDispatcher::recordFailure(const SharedCall &Call,
+                                        const StatementAttempt &Attempt,
+                                        ReplyError Code) {
+  TimePoint Now = this->Clock.now();
+  if (Code == ReplyError::Lagging && Attempt.MinPosition)
+    Attempt.Pool->onLagging(*Attempt.MinPosition, Now);
+  if (Code == ReplyError::Busy)
+    Attempt.Pool->onBusy(Now);
+  if (Code == ReplyError::ReadOnly && Attempt.Epoch != 0)
+    this->Services[Call->Session->Route.Service].NotPrimaryUntil =
+        Now + this->Options.NotPrimaryBackoff;
 }
 
 void StatementDispatcher::onReply(const SharedCall &Call,
@@ -553,7 +654,7 @@
   endAtMember(*Call, Run);
   if (!Answered)
     return this->onLinkLost(Call);
-  this->recordReply(Call, Reply.value());
+  this->recordReply(Call, currentAttempt(*Call), Reply.value());
   if (Call->Finished) {
     if (Call->Session->PinnedLink != Call->Link)
       this->releaseLink(Call);
@@ -566,6 +667,7 @@
   SessionContext &Session = *Call->Session;
   if (!Session.State.inTransaction() && !Call->LastingEffect &&
       !this->ranUnderLease(Session.Route.Service, Call->Epoch)) {
+    Call->MayHaveRun = true;
     this->releaseLink(Call);
     return this->retry(Call, false, "right_ran_out");
   }
@@ -593,6 +695,7 @@
                     .field("service", Service.Value)
                     .field("reign", Call->Epoch)
                     .field("reason", "lease of the primary expired"));
+  Call->ReplyHeld = true;
   this->HeldReplies.push_back(
       {.Call = Call,
        .Reply = std::move(Reply),
@@ -632,13 +735,7 @@
   bool NotRun = provesMemberDidNotRun(Failure.Code);
   if (NotRun && Call->StatementSent)
     --Call->PossibleRuns;
-  if (Failure.Code == ReplyError::Lagging && Call->MinPosition)
-    Call->Pool->onLagging(*Call->MinPosition, Now);
-  if (Failure.Code == ReplyError::Busy)
-    Call->Pool->onBusy(Now);
-  if (Failure.Code == ReplyError::ReadOnly && Call->Epoch != 0)
-    this->Services[Session.Route.Service].NotPrimaryUntil =
-        Now + this->Options.NotPrimaryBackoff;
+  this->recordFailure(Call, currentAttempt(*Call), Failure.Code);
   if (!Running) {
     this->releaseLink(Call);
     // A refusal for lack of capacity doesn't count as an attempt: the deadline
@@ -647,7 +744,13 @@
       --Call->Attempts;
     if (NotRun)
       return this->retry(Call, false, toString(Failure.Code));
-    return this->deliver(Call, std::move(Reply));
+    if (Call->Outstanding.empty())
+      return this->deliver(Call, std::move(Reply));
+    Call->MayHaveRun = true;
+    // The member has answered, so the deadline must not count it as silent.
+    Call->StatementSent = false;
+    Call->FailedReply = std::move(Reply);
+    return this->awaitOutstanding(Call);
   }
   bool Open = Reply.Transaction == TransactionStatus::Open;
   // The transaction keeps its link and retries with exponential back-off.
@@ -697,6 +800,7 @@
         "the connection to the member closed before its reply arrived",
         Duration{0});
   }
+  Call->MayHaveRun = Call->MayHaveRun || StatementSent;
   if (!Running)
     return this->retry(Call, true, "link_ended");
   this->endTransaction(Call, Call->Request.Kind != StatementKind::Commit);
@@ -718,11 +822,14 @@
                     .field("member", Call->Pool->member().Id.Value)
                     .field("cause", Cause)
                     .field("attempts", Call->Attempts));
-  if (Call->Attempts >= this->Options.MaxAttempts)
+  bool LastAttempt = Call->Attempts >= this->Options.MaxAttempts;
+  if (LastAttempt && !Call->Outstanding.empty())
+    return;
+  if (LastAttempt)
     return this->refuse(Call, ReplyError::Busy, "all attempts failed",
                         this->Options.RetryAfter);
   ServiceState &State = this->Services[Call->Session->Route.Service];
-  State.Queue.push(Call, Call->Terms);
+  this->pushToQueue(State, Call);
   this->scheduleWake();
   this->serve(State);
 }
@@ -760,17 +867,32 @@
 }
 
 void StatementDispatcher::abandon(const SharedCall &Call) {
+  if (Call->Finished)
+    return;
+  logAbandoned(*Call, this->Clock.now());
   Call->Finished = true;
-  Call->Timer.cancel();
+  if (!hasUnanswered(*Call))
+    Call->Timer.cancel();
   Call->HedgeTimer.cancel();
 }
 
+void StatementDispatcher::closeUnanswered(const SharedCall &Call) {
+  Call->Outstanding.close(this->Clock.now());
+  if (Call->Link && Call->awaitsReply())
+    Call->Link->close();
+}
+
 void StatementDispatcher::onDeadline(const SharedCall &Call) {
   if (Call->Finished)
-    return;
+    return this->closeUnanswered(Call);
   bool Queued = !Call->Link;
   bool Running =
       Call->Session->State.transaction() == SessionTransaction::Running;
+  bool Tried = Call->MayHaveRun || !Call->Outstanding.empty();
+  Call->Outstanding.close(this->Clock.now());
+  if (Tried && !Call->StatementSent && !Running)
+    return this->refuse(Call, ReplyError::TimedOut,
+                        "no member replied before the deadline", Duration{0});
   if (Call->StatementSent || Running) {
     Call->Pool->onUnanswered(this->Clock.now());
     bool InDoubt = Call->StatementSent && Call->LastingEffect;
@@ -794,13 +916,14 @@
 
 void StatementDispatcher::refuse(const SharedCall &Call, ReplyError Code,
                                  std::string_view Reason, Duration RetryAfter) {
+  if (Call->FailedReply)
+    return this->deliver(Call, std::move(*Call->FailedReply));
+  if (Call->MayHaveRun && provesMemberDidNotRun(Code))
+    Code = ReplyError::InDoubt;
   StatementReply Reply;
-  std::string Text(Reason);
-  if (provesNotCommitted(Code))
-    Text += "; not run, retry after " +
-            std::to_string(inMilliseconds(RetryAfter)) + " ms";
-  Reply.Failure =
-      ReplyFailure{.Code = Code, .UpstreamCode = {}, .Text = std::move(Text)};
+  Reply.Failure = ReplyFailure{.Code = Code,
+                               .UpstreamCode = {},
+                               .Text = refusalText(Code, Reason, RetryAfter)};
   if (Call->Request.Kind == StatementKind::Commit)
     Call->Session->State.onTransactionEnded();
   else
@@ -813,27 +936,12 @@
   if (Call->Finished)
     return;
   Call->Finished = true;
-  Call->Timer.cancel();
+  if (!hasUnanswered(*Call))
+    Call->Timer.cancel();
   Call->HedgeTimer.cancel();
   Reply.Transaction = Call->Session->State.transactionStatus();
-  if (Reply.Failure) {
-    const SessionContext &Session = *Call->Session;
-    writeDecision(
-        DecisionLine("reply")
-            .field("request", Call->Request.Id)
-            .field("account", Session.Account.Value)
-            .field("route", Session.Route.Name)
-            .field("service", Session.Route.Service.Value)
-            .field("outcome", toString(Reply.Failure->Code))
-            .field("reason", Reply.Failure->Text)
-            .field("member",
-                   Call->Pool ? Call->Pool->member().Id.Value : "none")
-            .field("reign", Call->Epoch)
-            .field("at_least", positionText(Call->MinPosition))
-            .field("attempts", Call->Attempts)
-            .field("took_ms",
-                   inMilliseconds(this->Clock.now() - Call->Terms.ArrivedAt)));
-  }
+  if (Reply.Failure)
+    logFailedReply(*Call, *Reply.Failure, this->Clock.now());
   Call->OnReply(std::move(Reply));
 }
 
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -166,6 +166,7 @@
   /// Chooses the replica for which the service's links are kept.
   void preferReplica(ServiceState &State);
   void enqueue(const SharedCall &Call);
+  void pushToQueue(ServiceState &State, const SharedCall &Call);
   void serve(ServiceState &State);
   void shedUnservable(ServiceState &State);
   bool tryPlace(ServiceState &State, const SharedCall &Call);
@@ -180,10 +181,13 @@
   void onReply(const SharedCall &Call, Outcome<StatementReply> Reply);
   void startHedgeTimer(const SharedCall &Call);
   void hedge(const SharedCall &Call);
-  void onLateReply(const SharedCall &Call,
-                   const std::shared_ptr<MemberLink> &Link,
-                   const std::shared_ptr<MemberLinkPool> &Pool,
-                   std::uint64_t Epoch, Outcome<StatementReply> Reply);
+  /// Handles the reply of an attempt that is not the current one.
+  void onOutstandingReply(const SharedCall &Call,
+                          const StatementAttempt &Attempt,
+                          Outcome<StatementReply> Reply);
+  /// Ends the search for another member while outstanding attempts run; it
+  /// starts again after the hedge delay.
+  void awaitOutstanding(const SharedCall &Call);
   void onFailure(const SharedCall &Call, const ReplyFailure &Failure,
                  StatementReply Reply);
   void onLinkLost(const SharedCall &Call);
@@ -207,7 +211,12 @@
   /// Whether another primary is known to have replaced the one of the call's
   /// transaction, or its lease is ending.
   [[nodiscard]] bool isBeingReplaced(const SharedCall &Call) const;
-  void recordReply(const SharedCall &Call, const StatementReply &Reply);
+  void recordReply(const SharedCall &Call, const StatementAttempt &Attempt,
+                   const StatementReply &Reply);
+  /// Records a member's failure in the state of the member and its service.
+  void recordFailure(const SharedCall &Call, const StatementAttempt &Attempt,
+                     ReplyError Code);
+  void closeUnanswered(const SharedCall &Call);
   void requestSample(ServiceState &State, bool SamplesForOthers, TimePoint Now);
   /// The age from which a sample of the service is replaced.
   [[nodiscard]] Duration sampleInterval(const ServiceState &State,
--- a/tests/platform/SessionGroup.cpp
+++ b/tests/platform/SessionGroup.cpp
@@ -17,6 +17,17 @@
   return Word;
 }
 
+/// Whether a statement's text is a read or a write, with or without a required
+/// position.
+bool isReadOrWrite(std::string Text) {
+  std::string Word = nextWord(Text);
+  if (Word == "AFTERLSN") {
+    nextWord(Text);
+    Word = nextWord(Text);
+  }
+  return Word == "READ" || Word == "WRITE" || Word == "EXECUTE";
+}
+
 bool isBehind(const SessionGroupMember &At, const std::string &Position) {
   std::istringstream Text(Position);
   std::uint64_t Term = 0;
@@ -37,6 +48,8 @@
   std::vector<std::shared_ptr<Connection>> Open;
   std::size_t ConnectionLimit = SIZE_MAX;
   std::vector<std::string> Callers;
+  /// Replies kept back, with their connections.
+  std::vector<std::pair<std::shared_ptr<Connection>, std::string>> Held;
 };
 
 struct SessionGroup::Connection {
@@ -143,7 +156,21 @@
     this->Waiting.push_back({.From = From, .Line = std::string(Line)});
     return;
   }
-  From->Lines->send(this->answer(*From, Id, Rest));
+  this->answerOrHold(From, Id, Rest);
+}
+
+void SessionGroup::answerOrHold(const std::shared_ptr<Connection> &From,
+                                const std::string &Id,
+                                const std::string &Text) {
+  std::string Reply = this->answer(*From, Id, Text);
+  if (!isReadOrWrite(Text))
+    return From->Lines->send(Reply);
+  Member &At = *From->At;
+  ++At.State.Statements;
+  if (At.State.RepliesHeld)
+    At.Held.emplace_back(From, Reply);
+  else
+    From->Lines->send(Reply);
 }
 
 std::string SessionGroup::answer(Connection &From, const std::string &Id,
@@ -157,6 +184,8 @@
     if (isBehind(State, nextWord(Text)))
       Body = "ERROR LAGGING -\r\n";
   }
+  if (!State.Refusal.empty() && isReadOrWrite(Text))
+    Body = "ERROR " + State.Refusal + " -\r\n";
   if (Body.empty())
     Body = this->run(From, Id, Text);
   if (Body.starts_with("ERROR") && From.InTransaction)
@@ -281,6 +310,7 @@
   for (const auto &Open : At.Open)
     Open->Lines->close();
   At.Open.clear();
+  At.Held.clear();
 }
 
 void SessionGroup::setReplicationPaused(const std::string &Id,
@@ -297,6 +327,35 @@
   return this->Members.at(Id)->Callers;
 }
 
+void SessionGroup::setRepliesHeld(const std::string &Id, bool RepliesHeld) {
+  Member &At = *this->Members.at(Id);
+  At.State.RepliesHeld = RepliesHeld;
+  if (RepliesHeld)
+    return;
+  for (const auto &[To, Reply] : At.Held)
+    To->Lines->send(Reply);
+  At.Held.clear();
+}
+
+void SessionGroup::dropHeldReplies(const std::string &Id) {
+  Member &At = *this->Members.at(Id);
+  for (const auto &[To, Reply] : At.Held)
+    To->Lines->close();
+  At.Held.clear();
+}
+
+void SessionGroup::setRefusal(const std::string &Id, const std::string &Code) {
+  this->Members.at(Id)->State.Refusal = Code;
+}
+
+std::size_t SessionGroup::statementCount(const std::string &Id) const {
+  return this->Members.at(Id)->State.Statements;
+}
+
+std::size_t SessionGroup::heldCount(const std::string &Id) const {
+  return this->Members.at(Id)->Held.size();
+}
+
 std::vector<SessionGroupMember> SessionGroup::members() const {
   std::vector<SessionGroupMember> All;
   for (const auto &[Id, Each] : this->Members)
--- a/tests/platform/SessionGroup.h
+++ b/tests/platform/SessionGroup.h
@@ -23,6 +23,12 @@
   bool ReplicationPaused = false;
   /// Whether the member is stopped and accepts no connections.
   bool Down = false;
+  /// Whether replies to reads and writes are kept back.
+  bool RepliesHeld = false;
+  /// The error code that answers reads and writes; empty if they run.
+  std::string Refusal;
+  /// Number of reads and writes received.
+  std::size_t Statements = 0;
   /// The newest term known to the member.
   std::uint64_t Term = 1;
   /// A log entry: the term in which it was written, the item and its data.
@@ -51,6 +57,18 @@
   bool promote(const std::string &Id);
   void stop(const std::string &Id);
   void setReplicationPaused(const std::string &Id, bool ReplicationPaused);
+  /// While set, the member runs reads and writes but keeps their replies back.
+  /// Clearing it sends the replies that were kept back.
+  void setRepliesHeld(const std::string &Id, bool RepliesHeld);
+  /// Closes the connections that wait for a reply that is kept back.
+  void dropHeldReplies(const std::string &Id);
+  /// While not empty, the member answers reads and writes with this error code
+  /// instead of running them.
+  void setRefusal(const std::string &Id, const std::string &Code);
+  /// Number of reads and writes that have reached the member.
+  [[nodiscard]] std::size_t statementCount(const std::string &Id) const;
+  /// Number of replies that the member keeps back.
+  [[nodiscard]] std::size_t heldCount(const std::string &Id) const;
 
   [[nodiscard]] const std::string &service() const { return this->Service; }
   /// While held, statements of callers wait at the members unanswered.
@@ -83,6 +101,8 @@
 
   void accept(const std::shared_ptr<Member> &At);
   void onLine(const std::shared_ptr<Connection> &From, std::string_view Line);
+  void answerOrHold(const std::shared_ptr<Connection> &From,
+                    const std::string &Id, const std::string &Text);
   std::string answer(Connection &From, const std::string &Id, std::string Text);
   std::string run(Connection &From, const std::string &Id,
                   const std::string &Text);
