Don't hedge a statement whose link is being set up

Cause: the hedge timer of a refused attempt could fire while a later attempt set the same link up. The hedge took the link away and the setup step's reply dereferenced it.

Change: the timer hedges only a sent statement or one that awaits outstanding attempts, and a retry cancels it.

--- a/drivers/StatementCall.h
+++ b/drivers/StatementCall.h
@@ -29,6 +29,9 @@
   std::shared_ptr<MemberLinkPool> PinnedPool;
   /// The epoch of the primary that runs the transaction; 0 at a replica.
   std::uint64_t PinnedEpoch = 0;
+  /// The id of the statement that the running transaction began with; used in
+  /// the log only.
+  std::string TransactionId;
 };
 
 /// A statement with its deadline, its current attempt and its reply handler.
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -481,6 +481,7 @@
         Session.PinnedLink = Call->Link;
         Session.PinnedPool = Call->Pool;
         Session.PinnedEpoch = Call->Epoch;
+        Session.TransactionId = Call->Request.Id;
         // From here on the transaction holds the link. Each statement counts
         // as in flight only while it runs.
         this->sendStatement(Call);
@@ -532,7 +533,10 @@
   Call->HedgeTimer.expires_after(Delay);
   Call->HedgeTimer.async_wait([this, Call, Link = Call->Link](
                                   const boost::system::error_code &Failure) {
-    if (!Failure && !Call->Finished && !Call->Queued && Call->Link == Link)
+    // A later attempt may be setting the same link up.
+    bool Waits = Call->Link ? Call->StatementSent : !Call->Outstanding.empty();
+    if (!Failure && !Call->Finished && !Call->Queued && Waits &&
+        Call->Link == Link)
       this->hedge(Call);
   });
 }
@@ -817,6 +821,7 @@
     Call->Excluded.push_back(Call->Pool->member().Id);
   Call->Link.reset();
   Call->StatementSent = false;
+  Call->HedgeTimer.cancel();
   writeDecision(DecisionLine("retry")
                     .field("request", Call->Request.Id)
                     .field("member", Call->Pool->member().Id.Value)
--- a/drivers/StatementLog.cpp
+++ b/drivers/StatementLog.cpp
@@ -22,6 +22,8 @@
       .field("account", Session.Account.Value)
       .field("route", Session.Route.Name)
       .field("service", Session.Route.Service.Value);
+  if (Session.State.transaction() == SessionTransaction::Running)
+    Line.field("transaction", Session.TransactionId);
   return Line;
 }
 
