--- a/tests/drivers/StatementHedgeTest.cpp
+++ b/tests/drivers/StatementHedgeTest.cpp
@@ -14,13 +14,17 @@
 
 const ServiceId Service{"ledger"};
 
+/// Longer than the pause after a refusal for lack of capacity, so that the next
+/// attempt begins before the timer of the refused one expires.
+constexpr Duration HedgeDelay = milliseconds(60);
+
 std::string ownAddress() {
   auto Id = static_cast<unsigned>(getpid());
   return "127." + std::to_string(1 + (Id >> 16U) % 254) + "." +
          std::to_string((Id >> 8U) % 256) + "." + std::to_string(1 + Id % 254);
 }
 
-/// A primary m1 and the replicas m2 and m3. A read is hedged as soon as it was
+/// A primary m1 and the replicas m2 and m3. A read is hedged soon after it was
 /// sent, and goes to m1 first: the replicas hold no position that is recent
 /// enough until one was sampled.
 class StatementHedgeTest : public testing::Test {
@@ -32,7 +36,7 @@
             {.Self = {"front-1"},
              .Zone = {"a"},
              .HedgeFactor = 0,
-             .MinHedgeDelay = Duration{0}},
+             .MinHedgeDelay = HedgeDelay},
             [this](const ServiceId &) { return this->Lease; },
             [](const ServiceId &) { return std::optional<Duration>(); }) {
     sendLogTo("");
@@ -217,6 +221,31 @@
   EXPECT_EQ(Ended.Failure->Code, ReplyError::TimedOut) << Ended.Failure->Text;
 }
 
+/// Seen in the load test "shd-bern-grown trouble-1": the hedge timer of a
+/// refused attempt took the link away from a later attempt that set it up.
+TEST_F(StatementHedgeTest, LaterAttemptMaySetTheSameLinkUp) {
+  RegistryChange Gone;
+  for (const auto &[Id, Pool] : this->Dispatcher.services().at(Service).Pools)
+    if (Id.Value != "m1")
+      Gone.Removed.push_back(Pool->member());
+  this->Dispatcher.onRegistry(Gone, this->Routes, 1);
+  this->Group.setRefusal("m1", "BUSY");
+  std::size_t Before = this->received();
+  this->Call = this->start("READ job");
+  this->runUntil([&] { return this->received() > Before; });
+  // The next attempt on the link has a setup step, and no reply to it arrives
+  // while the hedge timer expires.
+  this->Call->Session->State.answerLocally(
+      std::get<Statement>(decodeCallerLine("QUERY s2 SET name value")));
+  this->Group.setSetupHeld("m1", true);
+  this->runUntil([&] { return this->Group.heldCount("m1") > 0; });
+  this->Loop.run_for(2 * HedgeDelay);
+  this->Group.setSetupHeld("m1", false);
+  this->Group.setRefusal("m1", "");
+  this->Group.setRepliesHeld("m1", false);
+  EXPECT_FALSE(this->finish().Failure) << this->Reply->Failure->Text;
+}
+
 TEST_F(StatementHedgeTest, AbandonedReadFreesItsLinks) {
   std::string First = this->startHeldRead();
   this->Dispatcher.abandon(this->Call);
--- a/tests/platform/SessionGroup.cpp
+++ b/tests/platform/SessionGroup.cpp
@@ -163,11 +163,10 @@
                                 const std::string &Id,
                                 const std::string &Text) {
   std::string Reply = this->answer(*From, Id, Text);
-  if (!isReadOrWrite(Text))
-    return From->Lines->send(Reply);
   Member &At = *From->At;
-  ++At.State.Statements;
-  if (At.State.RepliesHeld)
+  bool Statement = isReadOrWrite(Text);
+  At.State.Statements += Statement ? 1 : 0;
+  if (Statement ? At.State.RepliesHeld : At.State.SetupHeld)
     At.Held.emplace_back(From, Reply);
   else
     From->Lines->send(Reply);
@@ -337,6 +336,10 @@
   At.Held.clear();
 }
 
+void SessionGroup::setSetupHeld(const std::string &Id, bool SetupHeld) {
+  this->Members.at(Id)->State.SetupHeld = SetupHeld;
+}
+
 void SessionGroup::dropHeldReplies(const std::string &Id) {
   Member &At = *this->Members.at(Id);
   for (const auto &[To, Reply] : At.Held)
--- a/tests/platform/SessionGroup.h
+++ b/tests/platform/SessionGroup.h
@@ -25,6 +25,8 @@
   bool Down = false;
   /// Whether replies to reads and writes are kept back.
   bool RepliesHeld = false;
+  /// The same for replies to setup steps.
+  bool SetupHeld = false;
   /// The error code that answers reads and writes; empty if they run.
   std::string Refusal;
   /// Number of reads and writes received.
@@ -60,6 +62,8 @@
   /// While set, the member runs reads and writes but keeps their replies back.
   /// Clearing it sends the replies that were kept back.
   void setRepliesHeld(const std::string &Id, bool RepliesHeld);
+  /// While set, the member keeps its replies to setup steps back as well.
+  void setSetupHeld(const std::string &Id, bool SetupHeld);
   /// Closes the connections that wait for a reply that is kept back.
   void dropHeldReplies(const std::string &Id);
   /// While not empty, the member answers reads and writes with this error code
