Queued lines that are decided at once need no deeper stack

Cause: after an admission that had waited, each queued statement that the gate decided at once called afterReply() from within its own loop, one level deeper for each line; a client that pipelines enough lines ended the process.

Ruled out: a bound on the number of queued lines, as their bytes are bounded and one line may be short; posting each line to the executor.

Change: afterReply() returns if its loop already runs, which goes on.

Measured: CallerSessionTest.ManyQueuedLinesNeedNoDeeperStack (40,001 lines) died of a segmentation fault before; CallerSessionTest passes with it.

--- a/drivers/CallerSession.cpp
+++ b/drivers/CallerSession.cpp
@@ -267,11 +267,17 @@
 }
 
 void CallerSession::afterReply() {
+  // Called from its own loop for an operation that was decided or answered at
+  // once. The loop goes on, instead of one more on the stack for each line.
+  if (this->ProcessingQueue)
+    return;
+  this->ProcessingQueue = true;
   while (!this->waiting() && !this->QueuedLines.empty() && !this->Ended) {
     CallerLine Next = std::move(this->QueuedLines.front());
     this->QueuedLines.pop_front();
     this->process(Next);
   }
+  this->ProcessingQueue = false;
   if (this->QueuedLines.empty())
     this->QueuedBytes = 0;
   if (this->Revoked && !this->waiting() && !this->Ended)
--- a/drivers/CallerSession.h
+++ b/drivers/CallerSession.h
@@ -69,6 +69,7 @@
   [[nodiscard]] StatementReply refusal(const Statement &Request,
                                        ReplyError Code, std::string Text);
   void reply(const StatementReply &Reply);
+  /// Processes the queued lines until one has to wait for an answer.
   void afterReply();
   void startIdleTimer();
   void end();
@@ -89,6 +90,8 @@
   /// Lines received while a statement was running.
   std::deque<CallerLine> QueuedLines;
   std::size_t QueuedBytes = 0;
+  /// afterReply() is running.
+  bool ProcessingQueue = false;
   boost::asio::steady_timer IdleTimer;
   bool Opened = false;
   bool Revoked = false;
--- a/tests/drivers/CallerSessionTest.cpp
+++ b/tests/drivers/CallerSessionTest.cpp
@@ -39,6 +39,15 @@
   void send(const std::string &Line) {
     asio::write(this->Socket, asio::buffer(Line + "\r\n"));
   }
+  /// Like send(), for more than the socket may take while the loop rests.
+  void sendMuch(const std::string &Lines) {
+    bool Sent = false;
+    asio::async_write(
+        this->Socket, asio::buffer(Lines),
+        [&](const boost::system::error_code &, std::size_t) { Sent = true; });
+    while (!Sent)
+      this->Loop.run_one();
+  }
   /// Sends a statement and returns the first and the last line of its reply.
   std::string query(const std::string &Text) {
     this->send("QUERY s" + std::to_string(++this->Statements) + " " + Text);
@@ -494,6 +503,26 @@
   EXPECT_EQ(Caller.reply(), "COMPLETE - / READY I");
 }
 
+TEST_F(CallerSessionTest, ManyQueuedLinesNeedNoDeeperStack) {
+  constexpr std::size_t Queued = 40'000;
+  TestCaller Caller(this->Loop);
+  Caller.startUp("bookings secret-1");
+  this->HoldDecisions = true;
+  std::string Lines;
+  for (std::size_t Index = 0; Index <= Queued; ++Index)
+    Lines += "QUERY a WRITE h 1\r\n";
+  Caller.sendMuch(Lines);
+  this->runUntil([&] { return this->Pending.size() == 1; });
+  // All that was sent is readable at once on loopback.
+  while (this->Loop.poll() > 0) {
+  }
+  this->HoldDecisions = false;
+  this->Decision = {.Admitted = false, .RetryAfter = milliseconds(70)};
+  this->decidePending(this->Decision);
+  EXPECT_EQ(this->Asked.size(), Queued + 1);
+  EXPECT_TRUE(Caller.reply().starts_with("ERROR BUSY"));
+}
+
 TEST_F(CallerSessionTest, NothingRunsIfTheCallerLeavesWhileADecisionIsPending) {
   {
     TestCaller Caller(this->Loop);
