An instance that has no limits yet takes no credit and refuses nobody

Cause: an instance that had just started answered deposits, which it dropped, and told borrowers of accounts that it didn't know that their limit was reached.

Ruled out: no reply for any unknown account; the other accounts of the request and its deposit need one.

Change: without limits, messages aren't answered, so owners choose another keeper; a need of an unknown account gets no entry in the reply, and the borrower asks again until its longest wait ends.

Measured: LimitKeeperTest.ANeedOfAnUnknownAccountIsNotAnswered and LimitExchangeMessages.AnswersNobodyBeforeItsLimitsAreLoaded failed before and pass now.

--- a/drivers/LimitExchange.cpp
+++ b/drivers/LimitExchange.cpp
@@ -164,6 +164,10 @@
                  "\"");
     return;
   }
+  // Owners then deposit with another keeper, instead of here where the credit
+  // would be lost.
+  if (!this->HasLimits)
+    return;
   TimePoint Now = this->Clock.now();
   if (const auto *Reply = std::get_if<LimitReply>(&Decoded.value()))
     this->onNews(From, *Reply);
--- a/limits/LimitKeeper.cpp
+++ b/limits/LimitKeeper.cpp
@@ -150,8 +150,11 @@
       .RequestIncarnation = Request.Incarnation,
       .RequestSequence = Request.Sequence,
       .Stamp = {.Incarnation = this->Options.Incarnation, .Time = Now}};
+  // An account unknown here has not reached its limit: this instance may be
+  // behind in versions. The sender asks again and gives up by itself.
   for (const AccountNeed &Need : Request.Needs)
-    Reply.Grants.push_back(this->grant(Need.Account, Need.Operations, Now));
+    if (this->Accounts.contains(Need.Account))
+      Reply.Grants.push_back(this->grant(Need.Account, Need.Operations, Now));
   return Reply;
 }
 
--- /dev/null
+++ b/tests/drivers/LimitExchangeMessagesTest.cpp
@@ -0,0 +1,145 @@
+// The exchange of credit over datagrams, with another instance played by the
+// test, on one thread.
+#include "drivers/LimitExchange.h"
+
+#include "core/DecisionLog.h"
+#include "tests/support/OwnAddress.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::uint16_t PeerPort = 7441;
+/// Nothing listens there.
+constexpr std::uint16_t ClosedPort = 7442;
+const InstanceId Self{"self"};
+const InstanceId Other{"other"};
+const ClientAccountId Account{"desk"};
+
+std::string otherAddress() {
+  std::string Own = ownAddress();
+  return Own.substr(0, Own.rfind('.')) + ".255";
+}
+
+class LimitExchangeMessages : public testing::Test {
+protected:
+  LimitExchangeMessages()
+      : Store(this->Loop.get_executor(),
+              {.Store = {.Address = ownAddress(), .Port = ClosedPort},
+               .Promotions = {}}),
+        Instances(Self),
+        Exchange(this->Loop.get_executor(),
+                 {.Self = Self,
+                  .Listen = {.Address = ownAddress(), .Port = PeerPort},
+                  .Incarnation = 5},
+                 this->Store, this->Instances,
+                 {.WritesTable = [] { return false; }}),
+        Peer(this->Loop.get_executor(),
+             {.Address = otherAddress(), .Port = PeerPort}, Other,
+             {{.Id = "frame", .Secret = "turmericpitch"}}) {
+    sendLogTo(this->LogPath);
+    this->Instances.onListing(
+        {{.Id = Other,
+          .PeerEndpoint = {.Address = otherAddress(), .Port = PeerPort},
+          .Zone = {"a"}}},
+        BootClock().now());
+    this->Peer.onTopic(PeerTopic::AccountLimits, [this](const PeerArrival &In) {
+      auto Message =
+          toOutcome([&] { return decodeLimitMessage(In.Frame.Payload); });
+      if (!Message)
+        return;
+      if (auto *Reply = std::get_if<LimitReply>(&Message.value()))
+        this->Replies.push_back(*Reply);
+      else
+        this->onRequest(std::get<LimitRequest>(Message.value()));
+    });
+    EXPECT_TRUE(this->Exchange.start());
+    EXPECT_TRUE(this->Peer.start());
+  }
+  ~LimitExchangeMessages() override {
+    sendLogTo("");
+    std::remove(this->LogPath.c_str());
+  }
+
+  void onRequest(const LimitRequest &Request) {
+    this->Asked += Request.Needs.size();
+    LimitReply Reply{.RequestIncarnation = Request.Incarnation,
+                     .RequestSequence = Request.Sequence,
+                     .Stamp = {.Incarnation = 1, .Time = BootClock().now()}};
+    for (const AccountNeed &Each : Request.Needs)
+      if (this->Grants)
+        Reply.Grants.push_back({.Account = Each.Account,
+                                .Operations = 1,
+                                .Validity = std::chrono::seconds(5)});
+    ++this->Answered;
+    this->sendToExchange(encodeLimitMessage(Reply));
+  }
+  void sendToExchange(std::string Payload) {
+    this->Peer.send({.Address = ownAddress(), .Port = PeerPort},
+                    PeerTopic::AccountLimits, std::move(Payload));
+  }
+  void requestOf(std::uint64_t Sequence) {
+    this->sendToExchange(encodeLimitMessage(
+        LimitRequest{.Incarnation = 9, .Sequence = Sequence}));
+  }
+  void loadLimits() {
+    this->Exchange.setLimits({{Account, {.PerSecond = 1, .Burst = 5}}});
+  }
+  void admit() {
+    this->Exchange.admit(Account, [this](const LimitDecision &Decision) {
+      this->Decisions.push_back(Decision);
+    });
+  }
+  template <typename Callable> void runUntil(Callable Condition) {
+    while (!Condition())
+      this->Loop.run_one();
+  }
+  /// Runs what is due now, without waiting for any timer.
+  void runDue() {
+    constexpr int Rounds = 10;
+    for (int Round = 0; Round < Rounds; ++Round)
+      this->Loop.poll();
+  }
+  std::size_t linesLogged(const std::string &Part) const {
+    std::ifstream File(this->LogPath);
+    std::size_t Count = 0;
+    for (std::string Line; std::getline(File, Line);)
+      Count += Line.find(Part) != std::string::npos ? 1 : 0;
+    return Count;
+  }
+
+  std::string LogPath =
+      testing::TempDir() + "limit-exchange-" + std::to_string(getpid()) + "-" +
+      testing::UnitTest::GetInstance()->current_test_info()->name() + ".log";
+  asio::io_context Loop;
+  StoreClient Store;
+  InstanceRegistry Instances;
+  LimitExchange Exchange;
+  PeerTransport Peer;
+  std::vector<LimitReply> Replies;
+  std::vector<LimitDecision> Decisions;
+  bool Grants = true;
+  std::size_t Asked = 0;
+  std::size_t Answered = 0;
+};
+
+/// Else owners would deposit with an instance that drops the credit.
+TEST_F(LimitExchangeMessages, AnswersNobodyBeforeItsLimitsAreLoaded) {
+  this->requestOf(1);
+  this->runDue();
+  this->loadLimits();
+  this->requestOf(2);
+  this->runUntil([&] { return !this->Replies.empty(); });
+  EXPECT_EQ(this->Replies.front().RequestSequence, 2U);
+}
+
+} // namespace
+} // namespace turmericpitch
--- a/tests/limits/LimitKeeperTest.cpp
+++ b/tests/limits/LimitKeeperTest.cpp
@@ -98,6 +98,17 @@
   EXPECT_GT(Grant.RetryAfter, milliseconds(0));
 }
 
+/// Else the borrower would take it for a reached limit.
+TEST_F(LimitKeeperTest, ANeedOfAnUnknownAccountIsNotAnswered) {
+  LimitRequest Request = depositSentAt(1000);
+  Request.Needs = {{.Account = {"unknown"}, .Operations = 1},
+                   {.Account = Account, .Operations = 1}};
+  auto Reply = this->Keeper.onRequest(Owner, Request, at(1001));
+  ASSERT_TRUE(Reply);
+  ASSERT_EQ(Reply->Grants.size(), 1u);
+  EXPECT_EQ(Reply->Grants.front().Account, Account);
+}
+
 TEST_F(LimitKeeperTest, RetryAfterIsBounded) {
   this->Keeper.setLimits({{Account, {.PerSecond = 1e-6, .Burst = 1}}});
   EXPECT_EQ(this->Keeper.grant(Account, 1, at(0)).RetryAfter,
