A refund that serves a waiting operation is delivered at once

Cause: the outcome waited for the next tick, up to 60 ms later.

Ruled out: delivering it inside refund(), which runs in the dispatcher's loops.

Change: refund() schedules a tick for now if operations wait.

Measured: LimitExchangeMessages.ARefundThatServesAWaitingOperationIsDeliveredAtOnce failed before and passes now. It runs only what is due, so a machine that stalls for 60 ms in it could let the old code pass, but not fail the new.

--- a/drivers/LimitExchange.cpp
+++ b/drivers/LimitExchange.cpp
@@ -90,6 +90,10 @@
 
 void LimitExchange::refund(const OperationGrant &Grant) {
   this->Limiter.refund(Grant, this->Clock.now());
+  // A waiting operation may have got the credit. Its outcome isn't delivered
+  // here, as refunds run inside the dispatcher's loops.
+  if (!this->Waiting.empty())
+    this->scheduleTick(Duration{0});
 }
 
 double LimitExchange::share() const {
--- a/tests/drivers/LimitExchangeMessagesTest.cpp
+++ b/tests/drivers/LimitExchangeMessagesTest.cpp
@@ -141,5 +141,30 @@
   EXPECT_EQ(this->Replies.front().RequestSequence, 2U);
 }
 
+TEST_F(LimitExchangeMessages,
+       ARefundThatServesAWaitingOperationIsDeliveredAtOnce) {
+  this->Exchange.onInstancesChanged();
+  this->loadLimits();
+  // Starts the ticks, which reach the keeper.
+  asio::co_spawn(this->Loop, this->Exchange.run(), asio::detached);
+  this->runUntil([&] { return this->Answered > 0; });
+  this->runDue();
+  this->admit();
+  this->runUntil([&] { return !this->Decisions.empty(); });
+  ASSERT_TRUE(this->Decisions.front().Admitted);
+  this->Grants = false;
+  this->Asked = 0;
+  this->admit();
+  this->runUntil([&] { return this->Asked > 0; });
+  this->runDue();
+  ASSERT_EQ(this->Decisions.size(), 1U);
+  this->Exchange.refund(this->Decisions.front().Grant);
+  // Refunds are called inside the dispatcher's loops.
+  EXPECT_EQ(this->Decisions.size(), 1U);
+  this->runDue();
+  ASSERT_EQ(this->Decisions.size(), 2U);
+  EXPECT_TRUE(this->Decisions.back().Admitted);
+}
+
 } // namespace
 } // namespace turmericpitch
