Grants and refunds of an earlier limit last no longer than the new one's

Cause: a grant on its way, or an operation returned, kept the expiry of the limit before, which may be longer than the present one allows.

Ruled out: versions in the messages; instances apply versions at different times anyway.

Change: the expiry is at most the present limit's credit age from now; a grant names the limit that it was counted by, and a refund after a change is dropped.

Measured: AccountLimiterTest.AGrantOfAnEarlierLimitLastsNoLongerThanTheNewOne and ARefundAfterAChangeOfTheLimitIsDropped failed before and pass now.

--- a/limits/AccountLimiter.cpp
+++ b/limits/AccountLimiter.cpp
@@ -22,8 +22,8 @@
             .Incarnation = this->Options.Incarnation,
             .MinBurst = this->Options.MinBurst,
             .UsePeriod = this->Options.Borrowing.UsePeriod}),
-      Borrower(this->Options.Borrowing), SliceStart(Now), CreatedUntil(Now),
-      DepositedAt(Now) {}
+      Borrower(this->Options.Borrowing, this->Options.MinBurst),
+      SliceStart(Now), CreatedUntil(Now), DepositedAt(Now) {}
 
 void AccountLimiter::setLimits(
     std::map<ClientAccountId, OperationLimit> Limits) {
@@ -90,7 +90,9 @@
   if (Grant.Operations < 1)
     return std::nullopt;
   this->Borrower.noteUse(Account);
-  return OperationGrant{.Account = Account, .ExpiresAt = Now + Grant.Validity};
+  return OperationGrant{.Account = Account,
+                        .ExpiresAt = Now + Grant.Validity,
+                        .Limit = *this->Borrower.limitOf(Account)};
 }
 
 LimitDecision AccountLimiter::refusal(const std::vector<InstanceId> &Keepers,
--- a/limits/LimitBorrower.cpp
+++ b/limits/LimitBorrower.cpp
@@ -1,5 +1,7 @@
 #include "limits/LimitBorrower.h"
 
+#include "limits/LimitAge.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -52,7 +54,8 @@
   if (!ExpiresAt)
     return std::nullopt;
   Of.Used += 1;
-  return OperationGrant{.Account = Id, .ExpiresAt = *ExpiresAt};
+  return OperationGrant{
+      .Account = Id, .ExpiresAt = *ExpiresAt, .Limit = Of.Limit};
 }
 
 bool LimitBorrower::hasWaiting(const ClientAccountId &Account) const {
@@ -76,12 +79,21 @@
 
 void LimitBorrower::putBack(const OperationGrant &Grant, TimePoint Now) {
   auto Found = this->Accounts.find(Grant.Account);
-  if (Found == this->Accounts.end() || Grant.ExpiresAt <= Now)
+  if (Found == this->Accounts.end() || Grant.ExpiresAt <= Now ||
+      Grant.Limit != Found->second.Limit)
     return;
-  Found->second.Stock.add(1, Grant.ExpiresAt, Now);
+  this->addToStock(Found->second, 1, Grant.ExpiresAt, Now);
   this->serveWaiting(Grant.Account, Now);
 }
 
+void LimitBorrower::addToStock(Account &Of, double Operations,
+                               TimePoint ExpiresAt, TimePoint Now) {
+  if (Of.Limit.PerSecond <= 0)
+    return;
+  TimePoint Latest = Now + creditAge(Of.Limit, this->MinBurst);
+  Of.Stock.add(Operations, std::min(ExpiresAt, Latest), Now);
+}
+
 void LimitBorrower::updateUse(Duration Period) {
   double Seconds = std::chrono::duration<double>(Period).count();
   if (Seconds <= 0)
@@ -142,7 +154,7 @@
   if (IsNewest)
     Of.UnderWay.reset();
   if (SentAt + Grant.Validity > Now)
-    Of.Stock.add(Grant.Operations, SentAt + Grant.Validity, Now);
+    this->addToStock(Of, Grant.Operations, SentAt + Grant.Validity, Now);
   this->serveWaiting(Grant.Account, Now);
   if (!IsNewest || Grant.RetryAfter <= Duration(0))
     return;
@@ -157,8 +169,10 @@
     if (!ExpiresAt)
       return;
     Of.Used += 1;
-    this->decideFirst(Id, {.Admitted = true,
-                           .Grant = {.Account = Id, .ExpiresAt = *ExpiresAt}});
+    this->decideFirst(
+        Id,
+        {.Admitted = true,
+         .Grant = {.Account = Id, .ExpiresAt = *ExpiresAt, .Limit = Of.Limit}});
   }
 }
 
--- a/limits/LimitBorrower.h
+++ b/limits/LimitBorrower.h
@@ -42,7 +42,9 @@
 /// Pure; not thread-safe.
 class LimitBorrower {
 public:
-  explicit LimitBorrower(LimitBorrowerOptions Options) : Options(Options) {}
+  /// MinBurst is the smallest burst of any limit, in operations.
+  LimitBorrower(LimitBorrowerOptions Options, double MinBurst)
+      : Options(Options), MinBurst(MinBurst) {}
 
   void setLimits(const std::map<ClientAccountId, OperationLimit> &Limits);
   /// The account's limit, or null.
@@ -60,7 +62,8 @@
   void wait(const ClientAccountId &Account, LimitTicket Ticket, TimePoint Now);
   /// Counts an operation that was admitted from elsewhere.
   void noteUse(const ClientAccountId &Account);
-  /// Adds an operation that has not run. Ignored if the account has no limit.
+  /// Adds an operation that has not run. Ignored if the account has no limit or
+  /// another one than when it was admitted.
   void putBack(const OperationGrant &Grant, TimePoint Now);
 
   /// Updates the estimated use from what was admitted in the period that ends.
@@ -71,7 +74,8 @@
   /// A keeper was asked for the account's need with this request.
   void onAsked(const ClientAccountId &Account, const InstanceId &Keeper,
                std::uint64_t Sequence, TimePoint Now);
-  /// A keeper's reply to the request that was sent at SentAt.
+  /// A keeper's reply to the request that was sent at SentAt. Usable no longer
+  /// than credit of the present limit, whichever the keeper counts by.
   void onGrant(const InstanceId &Keeper, std::uint64_t Sequence,
                const AccountGrant &Grant, TimePoint SentAt, TimePoint Now);
   /// Decides on the waiting operations that have waited too long.
@@ -109,10 +113,13 @@
   };
 
   [[nodiscard]] double needOf(const Account &Of, TimePoint Now) const;
+  void addToStock(Account &Of, double Operations, TimePoint ExpiresAt,
+                  TimePoint Now);
   void refuseAll(const ClientAccountId &Id, Duration RetryAfter);
   void serveWaiting(const ClientAccountId &Id, TimePoint Now);
 
   LimitBorrowerOptions Options;
+  double MinBurst;
   std::map<ClientAccountId, Account> Accounts;
   /// Accounts with waiting operations.
   std::set<ClientAccountId> Waiting;
--- a/limits/LimitDecision.h
+++ b/limits/LimitDecision.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/Identifiers.h"
+#include "core/OperationLimit.h"
 #include "core/Time.h"
 
 #include <functional>
@@ -26,6 +27,8 @@
   ClientAccountId Account;
   /// Until when the credit may be used again after a refund.
   TimePoint ExpiresAt;
+  /// The limit that it was counted by. A refund after a change is of no use.
+  OperationLimit Limit = {};
 
   bool operator==(const OperationGrant &) const = default;
 };
--- a/tests/limits/AccountLimiterTest.cpp
+++ b/tests/limits/AccountLimiterTest.cpp
@@ -210,6 +210,32 @@
   EXPECT_FALSE(Late && Late->Admitted);
 }
 
+/// The keeper counts by the limit before, of which credit lasts a second.
+TEST_F(AccountLimiterTest, AGrantOfAnEarlierLimitLastsNoLongerThanTheNewOne) {
+  this->tick(0, 1000);
+  for (LimitTicket Ticket = 1; Ticket <= 3; ++Ticket)
+    EXPECT_FALSE(this->User.admit(Account, Ticket, at(1010)));
+  auto Replies = this->repliesTo(this->User.onTick(at(1010)), 1010);
+  ASSERT_EQ(Replies.size(), 1u);
+  this->User.setLimits({{Account, {.PerSecond = 50, .Burst = 5}}});
+  std::ignore = this->User.onMessage(Keeper, Replies.front().Message, at(1011));
+  auto Outcomes = this->User.takeOutcomes();
+  ASSERT_EQ(admittedAmong(Outcomes), 3u);
+  EXPECT_LE(Outcomes.front().Decision.Grant.ExpiresAt, at(1111));
+}
+
+TEST_F(AccountLimiterTest, ARefundAfterAChangeOfTheLimitIsDropped) {
+  this->tick(0, 1000);
+  EXPECT_FALSE(this->User.admit(Account, 1, at(1010)));
+  this->exchange(this->User.onTick(at(1010)), 1010);
+  auto Outcomes = this->User.takeOutcomes();
+  ASSERT_EQ(admittedAmong(Outcomes), 1u);
+  this->User.setLimits({{Account, {.PerSecond = 5, .Burst = 10}}});
+  this->User.refund(Outcomes.front().Decision.Grant, at(1020));
+  auto Again = this->User.admit(Account, 2, at(1030));
+  EXPECT_FALSE(Again && Again->Admitted);
+}
+
 TEST_F(AccountLimiterTest, WaitingOperationsFollowAChangeOfTheLimit) {
   this->tick(0, 1000);
   EXPECT_FALSE(this->User.admit(Account, 1, at(1010)));
