The largest limit message fits a frame; one bound for account names

Cause: 16 accounts and 8 keepers with long names exceed MaximumPeerPayload, and the transport dropped such a message with its deposit. The test compared with another size. Names of 49 to 128 bytes were read but never sent, so such an account had its instance's own share alone.

Ruled out: fewer keepers in a message, which the credit depends on; splitting a deposit over messages.

Change: 8 accounts in a message, names of up to 64 bytes; accounts with longer names are skipped when the configuration is read, with the usual log line.

Measured: LimitMessages.TheLargestFitOneDatagram, now against MaximumPeerPayload, and StoredAccounts.SkipsNamesThatCanNotBeSent failed before and pass now.

--- a/limits/LimitMessages.h
+++ b/limits/LimitMessages.h
@@ -88,13 +88,14 @@
 
 using LimitMessage = std::variant<LimitRequest, LimitReply>;
 
-/// Maximum number of accounts and of keepers in one message, so that it fits
-/// one datagram.
-inline constexpr std::size_t MaxAccountsPerMessage = 16;
+/// Maximum number of accounts and of keepers in one message, so that the
+/// largest fits MaximumPeerPayload.
+inline constexpr std::size_t MaxAccountsPerMessage = 8;
 inline constexpr std::size_t MaxKeepersPerMessage = 8;
 
-/// Longer names of accounts and keepers are not sent.
-inline constexpr std::size_t MaxLimitNameBytes = 48;
+/// Longer names of accounts and keepers are not sent; accounts with such names
+/// are not read from the configuration either.
+inline constexpr std::size_t MaxLimitNameBytes = 64;
 
 /// Encodes a message and the format version. Leaves out what exceeds the
 /// maximum numbers or the length of names. Thread-safe.
--- a/tests/limits/LimitMessagesTest.cpp
+++ b/tests/limits/LimitMessagesTest.cpp
@@ -1,5 +1,7 @@
 #include "limits/LimitMessages.h"
 
+#include "membership/PeerFrame.h"
+
 #include <gtest/gtest.h>
 #include <limits>
 
@@ -76,12 +78,10 @@
   Request.Needs.assign(MaxAccountsPerMessage, {.Account = {Longest}});
   LimitReply Reply = sampleReply();
   Reply.Grants.assign(MaxAccountsPerMessage, {.Account = {Longest}});
-  // What an Ethernet frame holds beside the headers of IPv6 and UDP.
-  constexpr std::size_t MaxDatagram = 1452;
   for (const LimitMessage &Each :
        {LimitMessage(Request), LimitMessage(Reply)}) {
     std::string Bytes = encodeLimitMessage(Each);
-    EXPECT_LE(Bytes.size(), MaxDatagram);
+    EXPECT_LE(Bytes.size(), MaximumPeerPayload);
     ASSERT_TRUE(decode(Bytes));
     EXPECT_EQ(decode(Bytes).value(), Each);
   }
--- a/tests/platform/StoredAccountsTest.cpp
+++ b/tests/platform/StoredAccountsTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/StoredObjects.h"
 
 #include "core/DecisionLog.h"
+#include "limits/LimitMessages.h"
 
 #include <cstdio>
 #include <fstream>
@@ -55,6 +56,17 @@
   EXPECT_TRUE(decode(R"(,"tenants":[])").Accounts.required());
 }
 
+/// A longer name couldn't be sent with its account's limit.
+TEST(StoredAccounts, SkipsNamesThatCanNotBeSent) {
+  std::string Longest(MaxLimitNameBytes, 'n');
+  RouteTable Table = decode(R"(,"tenants":[{"name":")" + Longest +
+                            R"(","api_keys":["fine"]},{"name":")" + Longest +
+                            R"(n","api_keys":["secret-1"]}])");
+  EXPECT_EQ(decide(Table, "fine").Account.Value, Longest);
+  EXPECT_EQ(decide(Table, "secret-1").Refusal,
+            AccountRefusal::CredentialUnknown);
+}
+
 TEST(StoredAccounts, SkipsOnlyUnreadableEntriesAndLogsNoCredential) {
   std::string Path = testing::TempDir() + "stored-accounts-" +
                      std::to_string(getpid()) + ".log";
