--- a/limits/ShareRight.cpp
+++ b/limits/ShareRight.cpp
@@ -6,9 +6,11 @@
 
 void ShareRight::onRead(const OwnerTable &Table, Revision Stored,
                         TimePoint ReadSentAt, TimePoint Now) {
-  if (this->ReadSentAt && Stored < this->Stored)
+  // The table was deleted: an own read is never of an older state of one era.
+  bool Deleted = Table.Epoch == 0 && eraOf(Stored) == eraOf(this->Stored);
+  if (this->ReadSentAt && Stored < this->Stored && !Deleted)
     return;
-  // The position of a store without a table grows with each write.
+  // The position of a store without a table need not be the same.
   bool Same = this->ReadSentAt && Table.Epoch == this->Table.Epoch &&
               (Stored == this->Stored ||
                (Table.Epoch == 0 && eraOf(Stored) == eraOf(this->Stored)));
--- a/limits/ShareRight.h
+++ b/limits/ShareRight.h
@@ -33,7 +33,9 @@
 
   /// The table and its store revision, as shown by this instance's own current
   /// read sent at ReadSentAt. If the store has none, Table.Epoch is 0 and
-  /// Stored the position of the store. A read of an older state is ignored.
+  /// Stored a position of the store's era. A read of an older state is ignored.
+  /// Precondition: reads are passed in the order in which they were sent, each
+  /// sent after the one before was answered.
   void onRead(const OwnerTable &Table, Revision Stored, TimePoint ReadSentAt,
               TimePoint Now);
   /// Another instance has read the same table with a read sent no earlier than
--- a/tests/limits/ShareRightTest.cpp
+++ b/tests/limits/ShareRightTest.cpp
@@ -80,6 +80,28 @@
   EXPECT_EQ(Right.table().Epoch, 2u);
 }
 
+/// Within one era, only a deletion by hand takes the table away.
+TEST(ShareRight, ADeletedTableEndsTheRightAndIsReplacedOnceAllHaveExpired) {
+  for (std::uint64_t Era : {0, 1}) {
+    ShareRight Other(B, Options);
+    ShareRight Right(A, Options);
+    OwnerTable Table = tableOf(3, {A, B}, {A, B});
+    Table.WrittenIn = {Era};
+    for (ShareRight *Each : {&Other, &Right})
+      Each->onRead(Table, positionInHistory({Era}, 9), at(0), at(0));
+    Right.onRead({}, positionInHistory({Era}, 0), at(1), at(1));
+    EXPECT_EQ(Right.table().Epoch, 0U);
+    EXPECT_EQ(Right.share(at(1)), 0);
+    EXPECT_EQ(Right.stored(), positionInHistory({Era}, 0));
+    for (TimePoint Now = at(1); Other.share(Now) > 0; Now += seconds(1))
+      EXPECT_FALSE(Right.proposeChange({A, B}, Now));
+    auto Next = Right.proposeChange({A, B}, at(1) + RightLength);
+    ASSERT_TRUE(Next);
+    EXPECT_EQ(Next->Epoch, 1U);
+    EXPECT_EQ(Next->WrittenIn, StoreEra{Era});
+  }
+}
+
 TEST(ShareRight, TheFirstTableWaitsForAStableList) {
   ShareRight Right(A, Options);
   EXPECT_FALSE(Right.proposeChange({A, B}, at(0)));
--- a/tests/platform/StoreCallsTest.cpp
+++ b/tests/platform/StoreCallsTest.cpp
@@ -41,6 +41,16 @@
             CommitReply::CommitStatus::LeaseNotFound);
 }
 
+/// Else a condition on the key's absence would be taken for one of an earlier
+/// era.
+TEST(StoreCalls, AnAbsentKeyIsReadInTheEraOfTheStore) {
+  HttpReply Absent = reply(404);
+  Absent.Fields = {{.Name = "Store-Era", .Value = "3"}};
+  StoreItem Item = decodeKeyRead(Absent).value();
+  EXPECT_FALSE(Item.Entry);
+  EXPECT_EQ(Item.StoreRevision, positionInHistory({3}, 0));
+}
+
 TEST(StoreCalls, DecodesPagesKeysAndWatches) {
   auto Page = decodePage(reply(
       200, R"({"items":[{"key":"k","value":"dg==","revision":4,"created":4,)"
