Dropped limit messages write at most one log line a second

Cause: each malformed or foreign datagram wrote a warning, at any rate that a sender chose.

Ruled out: a bound for each source, as sources can be invented.

Change: the metric counts all; a line tells the number since the last one.

--- a/drivers/LimitExchange.cpp
+++ b/drivers/LimitExchange.cpp
@@ -16,6 +16,8 @@
 /// The platform's settings contain no secret, so frames are checked for damage
 /// and version but not authenticated.
 const PeerKey FrameKey{.Id = "frame", .Secret = "turmericpitch"};
+/// Anyone can send datagrams, at any rate.
+constexpr Duration DropLogInterval = std::chrono::seconds(1);
 constexpr Duration TablePollInterval = std::chrono::milliseconds(500);
 /// A refused caller is told to return up to this fraction later than there is
 /// credit, so that callers refused together don't return together.
@@ -150,6 +152,20 @@
                            encodeLimitMessage(Each.Message));
 }
 
+void LimitExchange::onDropped(const PeerArrival &Arrival,
+                              std::string_view Cause, std::string_view Reason) {
+  processMetrics().count("limit_messages_dropped_total", Cause);
+  ++this->DropsSinceLogged;
+  TimePoint Now = this->Clock.now();
+  if (this->DropLoggedAt && Now - *this->DropLoggedAt < DropLogInterval)
+    return;
+  writeWarning("event=limit_message_dropped from=" + Arrival.Source.Address +
+               " count=" + std::to_string(this->DropsSinceLogged) +
+               " reason=\"" + std::string(Reason) + "\"");
+  this->DropLoggedAt = Now;
+  this->DropsSinceLogged = 0;
+}
+
 void LimitExchange::onArrival(const PeerArrival &Arrival) {
   const InstanceId &From = Arrival.Frame.From;
   auto Decoded =
@@ -158,16 +174,11 @@
   // repeats its request.
   auto Known = this->addressOf(From);
   bool FromFleet = Known && Known->Address == Arrival.Source.Address;
-  if (!Decoded || !FromFleet) {
-    processMetrics().count("limit_messages_dropped_total",
-                           Decoded ? "unknown_sender" : "malformed");
-    writeWarning("event=limit_message_dropped from=" + Arrival.Source.Address +
-                 " reason=\"" +
-                 (Decoded ? std::string("not a registered instance")
-                          : Decoded.error().Message) +
-                 "\"");
-    return;
-  }
+  if (!Decoded)
+    return this->onDropped(Arrival, "malformed", Decoded.error().Message);
+  if (!FromFleet)
+    return this->onDropped(Arrival, "unknown_sender",
+                           "not a registered instance");
   // Owners then deposit with another keeper, instead of here where the credit
   // would be lost.
   if (!this->HasLimits)
--- a/drivers/LimitExchange.h
+++ b/drivers/LimitExchange.h
@@ -70,6 +70,9 @@
   void tick();
   void send(const std::vector<LimitSend> &Messages);
   void onArrival(const PeerArrival &Arrival);
+  /// Counts a message that is not handled, and logs at most one line a second.
+  void onDropped(const PeerArrival &Arrival, std::string_view Cause,
+                 std::string_view Reason);
   [[nodiscard]] std::optional<OwnerTableNews> news(TimePoint Now) const;
   void onNews(const InstanceId &From, const LimitReply &Reply);
   void deliverOutcomes();
@@ -101,6 +104,8 @@
   LimitTicket NextTicket = 1;
   std::map<LimitTicket, OperationGate::Handler> Waiting;
   boost::asio::steady_timer TickTimer;
+  std::optional<TimePoint> DropLoggedAt;
+  std::uint64_t DropsSinceLogged = 0;
   RandomSource Random;
   BootClock Clock;
 };
--- a/tests/drivers/LimitExchangeMessagesTest.cpp
+++ b/tests/drivers/LimitExchangeMessagesTest.cpp
@@ -141,6 +141,18 @@
   EXPECT_EQ(this->Replies.front().RequestSequence, 2U);
 }
 
+TEST_F(LimitExchangeMessages, AFloodOfMalformedMessagesIsLoggedOnce) {
+  constexpr int Malformed = 100;
+  this->loadLimits();
+  for (int Count = 0; Count < Malformed; ++Count)
+    this->sendToExchange("malformed");
+  this->requestOf(1);
+  this->runUntil([&] { return !this->Replies.empty(); });
+  std::size_t Lines = this->linesLogged("event=limit_message_dropped");
+  EXPECT_GE(Lines, 1U);
+  EXPECT_LE(Lines, 3U);
+}
+
 TEST_F(LimitExchangeMessages,
        ARefundThatServesAWaitingOperationIsDeliveredAtOnce) {
   this->Exchange.onInstancesChanged();
