Former keepers are forgotten after 30 s

Cause: the contacts of an instance grew with each keeper that ever was.

Ruled out: sequences from the clock; the largest forgotten one suffices, and needs no time in setKeepers().

Change: a contact that has been no keeper for 30 s is erased; new contacts start above the sequence of any that was.

Measured: AccountLimiterTest.AFormerKeeperIsForgottenButNotItsSequence failed before and passes now.

--- a/limits/AccountLimiter.cpp
+++ b/limits/AccountLimiter.cpp
@@ -41,10 +41,30 @@
   if (Keepers.size() > MaxKeepersPerMessage)
     Keepers.resize(MaxKeepersPerMessage);
   this->Keepers = std::move(Keepers);
-  // Contacts with former keepers stay: their sequences must not start again.
   for (const InstanceId &Each : this->Keepers)
     if (Each != this->Options.Self)
-      this->Contacts.try_emplace(Each, this->Options.Contact);
+      this->Contacts.try_emplace(Each, this->Options.Contact,
+                                 this->ForgottenSequence);
+}
+
+void AccountLimiter::forgetFormerKeepers(TimePoint Now) {
+  for (auto Each = this->Contacts.begin(); Each != this->Contacts.end();) {
+    const InstanceId &Id = Each->first;
+    if (std::binary_search(this->Keepers.begin(), this->Keepers.end(), Id)) {
+      this->FormerSince.erase(Id);
+      ++Each;
+      continue;
+    }
+    TimePoint Since = this->FormerSince.try_emplace(Id, Now).first->second;
+    if (Now - Since < this->Options.ContactRetention) {
+      ++Each;
+      continue;
+    }
+    this->ForgottenSequence =
+        std::max(this->ForgottenSequence, Each->second.lastSequence());
+    this->FormerSince.erase(Id);
+    Each = this->Contacts.erase(Each);
+  }
 }
 
 void AccountLimiter::create(TimePoint Now) {
@@ -218,6 +238,7 @@
       SinceDeposit >= std::chrono::duration_cast<Duration>(
                           EarlyDeposit * this->Options.DepositInterval);
   if (DepositDue) {
+    this->forgetFormerKeepers(Now);
     this->Borrower.updateUse(SinceDeposit);
     this->deposit(Reachable, Requests, Now);
   }
--- a/limits/AccountLimiter.h
+++ b/limits/AccountLimiter.h
@@ -22,6 +22,8 @@
   /// Smallest burst of any limit, in operations: whole operations have to
   /// gather before their credit expires.
   double MinBurst = 5;
+  /// A former keeper is forgotten after this long.
+  Duration ContactRetention = std::chrono::seconds(30);
   KeeperContactOptions Contact = {};
   LimitBorrowerOptions Borrowing = {};
 };
@@ -78,6 +80,7 @@
   [[nodiscard]] std::vector<InstanceId> reachableKeepers(TimePoint Now) const;
   [[nodiscard]] bool isAlone(const std::vector<InstanceId> &Keepers) const;
   void create(TimePoint Now);
+  void forgetFormerKeepers(TimePoint Now);
   LimitRequest newRequest(const InstanceId &To, TimePoint Now);
   void deposit(const std::vector<InstanceId> &Keepers,
                std::map<InstanceId, LimitRequest> &Requests, TimePoint Now);
@@ -98,8 +101,13 @@
   LimitKeeper Pool;
   LimitBorrower Borrower;
   std::vector<InstanceId> Keepers;
-  /// The keepers other than this instance.
+  /// The keepers other than this instance, and former ones for a while.
   std::map<InstanceId, KeeperContact> Contacts;
+  /// Since when a contact has been no keeper.
+  std::map<InstanceId, TimePoint> FormerSince;
+  /// No forgotten contact has used a later sequence: a keeper drops requests
+  /// whose sequence it has seen.
+  std::uint64_t ForgottenSequence = 0;
   double Share = 0;
   /// Credit that was created since SliceStart and is not yet deposited.
   double ShareSeconds = 0;
--- a/limits/KeeperContact.cpp
+++ b/limits/KeeperContact.cpp
@@ -20,8 +20,8 @@
 }
 
 bool KeeperContact::probeDue(TimePoint Now) const {
-  return this->LastSequence == 0 ||
-         Now - this->LastSentAt >= this->Options.ProbeInterval;
+  return !this->LastSentAt ||
+         Now - *this->LastSentAt >= this->Options.ProbeInterval;
 }
 
 std::uint64_t KeeperContact::onSend(TimePoint Now) {
--- a/limits/KeeperContact.h
+++ b/limits/KeeperContact.h
@@ -17,13 +17,19 @@
 /// Counts the requests to one keeper and their replies. Pure; not thread-safe.
 class KeeperContact {
 public:
-  explicit KeeperContact(KeeperContactOptions Options) : Options(Options) {}
+  /// Its sequences start after PriorSequence.
+  KeeperContact(KeeperContactOptions Options, std::uint64_t PriorSequence)
+      : Options(Options), LastSequence(PriorSequence) {}
 
   /// Whether credit may be deposited with the keeper.
   [[nodiscard]] bool reachable(TimePoint Now) const;
   [[nodiscard]] bool probeDue(TimePoint Now) const;
   /// Returns the sequence of a request that is sent now.
   std::uint64_t onSend(TimePoint Now);
+  /// That of the newest request.
+  [[nodiscard]] std::uint64_t lastSequence() const {
+    return this->LastSequence;
+  }
   /// When the request of this sequence was sent; nothing if it is not waiting
   /// for a reply.
   [[nodiscard]] std::optional<TimePoint> sentAt(std::uint64_t Sequence) const;
@@ -40,8 +46,8 @@
 
 private:
   KeeperContactOptions Options;
-  std::uint64_t LastSequence = 0;
-  TimePoint LastSentAt;
+  std::uint64_t LastSequence;
+  std::optional<TimePoint> LastSentAt;
   /// Requests without a reply, by sequence.
   std::map<std::uint64_t, TimePoint> Outstanding;
   std::uint64_t AnsweredSequence = 0;
--- a/tests/limits/AccountLimiterTest.cpp
+++ b/tests/limits/AccountLimiterTest.cpp
@@ -279,6 +279,25 @@
   EXPECT_FALSE(Decision->Admitted);
 }
 
+TEST_F(AccountLimiterTest, AFormerKeeperIsForgottenButNotItsSequence) {
+  this->tick(0, 1000);
+  auto Last = this->User.onTick(at(1200));
+  ASSERT_EQ(Last.size(), 1u);
+  auto LastSequence = std::get<LimitRequest>(Last.front().Message).Sequence;
+  LimitReply Reply{.RequestIncarnation = 2, .RequestSequence = LastSequence};
+  this->User.setKeepers({});
+  std::ignore = this->User.onTick(at(1400));
+  std::ignore = this->User.onTick(at(30'000));
+  EXPECT_TRUE(this->User.requestSentAt(Keeper, Reply));
+  std::ignore = this->User.onTick(at(31'400));
+  EXPECT_FALSE(this->User.requestSentAt(Keeper, Reply));
+  this->User.setKeepers({Keeper});
+  auto Next = this->User.onTick(at(31'600));
+  ASSERT_EQ(Next.size(), 1u);
+  EXPECT_GT(std::get<LimitRequest>(Next.front().Message).Sequence,
+            LastSequence);
+}
+
 TEST_F(AccountLimiterTest, AKeeperWithoutReplyIsProbedWithoutCredit) {
   this->User.setShare(0.5, at(0));
   auto First = this->User.onTick(at(0));
