Too many keepers are cut to one in each zone first

Cause: the limiter kept the first 8 by name, which could leave a zone without.

Ruled out: more keepers in a message, whose size is bounded.

Change: selectLimitKeepers() takes the first of each zone, then the second, up to 8.

Measured: LimitKeepers.TooManyAreCutToOneInEachZoneFirst failed before and passes now.

--- a/drivers/LimitExchange.cpp
+++ b/drivers/LimitExchange.cpp
@@ -18,6 +18,8 @@
 const PeerKey FrameKey{.Id = "frame", .Secret = "turmericpitch"};
 /// Anyone can send datagrams, at any rate.
 constexpr Duration DropLogInterval = std::chrono::seconds(1);
+/// Else the keepers that are left out could be all those of a zone.
+static_assert(MaxLimitKeepers <= MaxKeepersPerMessage);
 constexpr Duration TablePollInterval = std::chrono::milliseconds(500);
 /// A refused caller is told to return up to this fraction later than there is
 /// credit, so that callers refused together don't return together.
--- a/limits/AccountLimiter.cpp
+++ b/limits/AccountLimiter.cpp
@@ -38,6 +38,7 @@
   std::erase_if(Keepers, [](const InstanceId &Each) {
     return Each.Value.size() > MaxLimitNameBytes;
   });
+  // The list of the fleet is no longer than this; see MaxLimitKeepers.
   if (Keepers.size() > MaxKeepersPerMessage)
     Keepers.resize(MaxKeepersPerMessage);
   this->Keepers = std::move(Keepers);
--- a/membership/LimitKeepers.cpp
+++ b/membership/LimitKeepers.cpp
@@ -11,7 +11,7 @@
   std::map<ZoneId, std::vector<InstanceId>> ByZone;
   for (const RegisteredInstance &Each : Instances)
     ByZone[Each.Zone].push_back(Each.Id);
-  std::vector<InstanceId> Keepers;
+  std::size_t Largest = 0;
   for (auto &[Zone, Members] : ByZone) {
     std::sort(Members.begin(), Members.end(),
               [](const InstanceId &Left, const InstanceId &Right) {
@@ -23,9 +23,14 @@
               });
     std::size_t Count =
         (Members.size() + InstancesPerKeeper - 1) / InstancesPerKeeper;
-    Keepers.insert(Keepers.end(), Members.begin(),
-                   Members.begin() + static_cast<std::ptrdiff_t>(Count));
+    Members.resize(Count);
+    Largest = std::max(Largest, Count);
   }
+  std::vector<InstanceId> Keepers;
+  for (std::size_t Rank = 0; Rank < Largest; ++Rank)
+    for (const auto &[Zone, Members] : ByZone)
+      if (Rank < Members.size() && Keepers.size() < MaxLimitKeepers)
+        Keepers.push_back(Members[Rank]);
   return Keepers;
 }
 
--- a/tests/membership/LimitKeepersTest.cpp
+++ b/tests/membership/LimitKeepersTest.cpp
@@ -38,6 +38,16 @@
   EXPECT_EQ(selectLimitKeepers(fleet(1, InstancesPerKeeper + 1)).size(), 2U);
 }
 
+TEST(LimitKeepers, TooManyAreCutToOneInEachZoneFirst) {
+  std::vector<RegisteredInstance> All = fleet(3, 3 * InstancesPerKeeper + 1);
+  std::vector<InstanceId> Keepers = selectLimitKeepers(All);
+  EXPECT_EQ(Keepers.size(), MaxLimitKeepers);
+  std::set<std::string> Zones;
+  for (const InstanceId &Each : Keepers)
+    Zones.insert(Each.Value.substr(0, Each.Value.find('-')));
+  EXPECT_EQ(Zones.size(), 3U);
+}
+
 TEST(LimitKeepers, TheOrderOfTheListDoesNotMatter) {
   std::vector<RegisteredInstance> All = fleet(4, 75);
   std::vector<InstanceId> Keepers = selectLimitKeepers(All);
