--- a/limits/AccountLimiter.cpp
+++ b/limits/AccountLimiter.cpp
@@ -22,8 +22,8 @@
             .Incarnation = this->Options.Incarnation,
             .MinBurst = this->Options.MinBurst,
             .UsePeriod = this->Options.Borrowing.UsePeriod}),
-      Borrower(this->Options.Borrowing), SliceStart(Now), CreatedUntil(Now),
-      DepositedAt(Now) {}
+      Borrower(this->Options.Borrowing, this->Options.MinBurst),
+      SliceStart(Now), CreatedUntil(Now), DepositedAt(Now) {}
 
 void AccountLimiter::setLimits(
     std::map<ClientAccountId, OperationLimit> Limits) {
@@ -38,13 +38,34 @@
   std::erase_if(Keepers, [](const InstanceId &Each) {
     return Each.Value.size() > MaxLimitNameBytes;
   });
+  // The list of the fleet is no longer than this; see MaxLimitKeepers.
   if (Keepers.size() > MaxKeepersPerMessage)
     Keepers.resize(MaxKeepersPerMessage);
   this->Keepers = std::move(Keepers);
-  // Contacts with former keepers stay: their sequences must not start again.
   for (const InstanceId &Each : this->Keepers)
     if (Each != this->Options.Self)
-      this->Contacts.try_emplace(Each, this->Options.Contact);
+      this->Contacts.try_emplace(Each, this->Options.Contact,
+                                 this->ForgottenSequence);
+}
+
+void AccountLimiter::forgetFormerKeepers(TimePoint Now) {
+  for (auto Each = this->Contacts.begin(); Each != this->Contacts.end();) {
+    const InstanceId &Id = Each->first;
+    if (std::binary_search(this->Keepers.begin(), this->Keepers.end(), Id)) {
+      this->FormerSince.erase(Id);
+      ++Each;
+      continue;
+    }
+    TimePoint Since = this->FormerSince.try_emplace(Id, Now).first->second;
+    if (Now - Since < this->Options.ContactRetention) {
+      ++Each;
+      continue;
+    }
+    this->ForgottenSequence =
+        std::max(this->ForgottenSequence, Each->second.lastSequence());
+    this->FormerSince.erase(Id);
+    Each = this->Contacts.erase(Each);
+  }
 }
 
 void AccountLimiter::create(TimePoint Now) {
@@ -90,7 +111,9 @@
   if (Grant.Operations < 1)
     return std::nullopt;
   this->Borrower.noteUse(Account);
-  return OperationGrant{.Account = Account, .ExpiresAt = Now + Grant.Validity};
+  return OperationGrant{.Account = Account,
+                        .ExpiresAt = Now + Grant.Validity,
+                        .Limit = *this->Borrower.limitOf(Account)};
 }
 
 LimitDecision AccountLimiter::refusal(const std::vector<InstanceId> &Keepers,
@@ -216,6 +239,7 @@
       SinceDeposit >= std::chrono::duration_cast<Duration>(
                           EarlyDeposit * this->Options.DepositInterval);
   if (DepositDue) {
+    this->forgetFormerKeepers(Now);
     this->Borrower.updateUse(SinceDeposit);
     this->deposit(Reachable, Requests, Now);
   }
