--- a/tests/platform/LimitExchangeTest.cpp
+++ b/tests/platform/LimitExchangeTest.cpp
@@ -138,7 +138,8 @@
     EXPECT_DOUBLE_EQ(Each->Exchange.share(), 0.5);
 }
 
-// How much of the limit can be used is tested in virtual time by LimitFleetTest.
+// How much of the limit can be used is tested in virtual time by
+// LimitFleetTest.
 TEST_F(LimitExchangeTest, AnInstanceStaysWithinTheLimit) {
   TimePoint Start = BootClock().now();
   this->setLimit({.PerSecond = 50, .Burst = 50});
