Test of limit messages uses addresses of its own

Its second address was the same in all tests of the file, which ctest runs as processes side by side, so one took the other's datagrams.

Change: an address unique to the process, and a deadline on each wait.

--- a/tests/drivers/LimitExchangeMessagesTest.cpp
+++ b/tests/drivers/LimitExchangeMessagesTest.cpp
@@ -24,9 +24,20 @@
 const InstanceId Other{"other"};
 const ClientAccountId Account{"desk"};
 
+/// Fails a test that would otherwise hang.
+constexpr auto TestTimeout = std::chrono::seconds(60);
+
+/// A second loopback address that is unique to this process: other tests run at
+/// the same time.
 std::string otherAddress() {
   std::string Own = ownAddress();
-  return Own.substr(0, Own.rfind('.')) + ".255";
+  std::size_t Second = Own.find('.') + 1;
+  std::size_t Third = Own.find('.', Second);
+  // ownAddress() uses the lower half of this range.
+  constexpr int UpperHalf = 128;
+  int Octet = std::stoi(Own.substr(Second, Third - Second));
+  return Own.substr(0, Second) + std::to_string(Octet + UpperHalf) +
+         Own.substr(Third);
 }
 
 class LimitExchangeMessages : public testing::Test {
@@ -99,8 +110,11 @@
     });
   }
   template <typename Callable> void runUntil(Callable Condition) {
-    while (!Condition())
-      this->Loop.run_one();
+    auto Deadline = std::chrono::steady_clock::now() + TestTimeout;
+    while (!Condition()) {
+      ASSERT_LT(std::chrono::steady_clock::now(), Deadline);
+      this->Loop.run_one_for(std::chrono::seconds(1));
+    }
   }
   /// Runs what is due now, without waiting for any timer.
   void runDue() {
