The owner table is read as soon as limits are known

Ruled out: keeping callers away for longer, as the balancer uses all instances of a zone when fewer than half are ready.

Change: the first limits wake the exchange; each admission uses the present share. No test shows the wait without depending on time.

--- a/drivers/LimitExchange.cpp
+++ b/drivers/LimitExchange.cpp
@@ -5,6 +5,7 @@
 #include "membership/LimitKeepers.h"
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace turmericpitch {
@@ -38,7 +39,7 @@
       Limiter({.Self = Options.Self, .Incarnation = Options.Incarnation},
               BootClock().now()),
       Right(Options.Self, Options.Right), StartedAt(BootClock().now()),
-      TickTimer(Exec), Random(Options.Incarnation) {}
+      TickTimer(Exec), TableTimer(Exec), Random(Options.Incarnation) {}
 
 Status LimitExchange::start() {
   this->Transport.onTopic(
@@ -59,8 +60,11 @@
 
 void LimitExchange::setLimits(
     std::map<ClientAccountId, OperationLimit> Limits) {
-  this->HasLimits = !Limits.empty();
+  bool HadLimits = std::exchange(this->HasLimits, !Limits.empty());
   this->Limiter.setLimits(std::move(Limits));
+  // After a start, callers come as soon as the configuration is known.
+  if (this->HasLimits && !HadLimits)
+    this->TableTimer.cancel();
   this->deliverOutcomes();
 }
 
@@ -74,7 +78,9 @@
 void LimitExchange::admit(const ClientAccountId &Account,
                           OperationGate::Handler OnDecision) {
   LimitTicket Ticket = this->NextTicket++;
-  auto Decision = this->Limiter.admit(Account, Ticket, this->Clock.now());
+  TimePoint Now = this->Clock.now();
+  this->Limiter.setShare(this->Right.share(Now), Now);
+  auto Decision = this->Limiter.admit(Account, Ticket, Now);
   if (Decision)
     return this->decide(std::move(*Decision), OnDecision);
   this->Waiting.emplace(Ticket, std::move(OnDecision));
@@ -314,7 +320,10 @@
       if (!this->NextTickAt)
         this->scheduleTick(Duration{0});
     }
-    co_await this->pause(TablePollInterval);
+    this->TableTimer.expires_after(TablePollInterval);
+    boost::system::error_code Cancelled;
+    co_await this->TableTimer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Cancelled));
   }
 }
 
--- a/drivers/LimitExchange.h
+++ b/drivers/LimitExchange.h
@@ -110,6 +110,7 @@
   LimitTicket NextTicket = 1;
   std::map<LimitTicket, OperationGate::Handler> Waiting;
   boost::asio::steady_timer TickTimer;
+  boost::asio::steady_timer TableTimer;
   std::optional<TimePoint> DropLoggedAt;
   std::uint64_t DropsSinceLogged = 0;
   RandomSource Random;
