--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -133,15 +133,8 @@
   const PrimaryRecord *Record = this->Leases.record(Id);
   if (!Record)
     return PrimaryReachability::Unknown;
-  PrimaryObservation Seen = this->observation(*Record);
-  if (!Seen.Registered)
-    return PrimaryReachability::Silent;
-  if (!Seen.SilentSince)
-    return PrimaryReachability::Responding;
-  Duration Silence = this->Clock.now() - *Seen.SilentSince;
-  return Silence >= this->Options.Monitor.SilenceTimeout / 2
-             ? PrimaryReachability::Silent
-             : PrimaryReachability::Responding;
+  return PrimaryMonitor(this->Options.Monitor)
+      .reachability(this->observation(*Record), this->Clock.now());
 }
 
 std::optional<Duration>
--- a/failover/PrimaryMonitor.cpp
+++ b/failover/PrimaryMonitor.cpp
@@ -47,6 +47,18 @@
                                           : this->Options.SilenceTimeout);
 }
 
+PrimaryReachability
+PrimaryMonitor::reachability(const PrimaryObservation &Observed,
+                             TimePoint Now) const {
+  if (!Observed.Registered)
+    return PrimaryReachability::Silent;
+  if (!Observed.SilentSince)
+    return PrimaryReachability::Responding;
+  return Now - *Observed.SilentSince >= this->Options.SilenceTimeout / 2
+             ? PrimaryReachability::Silent
+             : PrimaryReachability::Responding;
+}
+
 FailoverReason PrimaryMonitor::evaluate(const PrimaryObservation &Observed,
                                         std::size_t Rank, TimePoint Now) {
   if (!this->LastEvaluation ||
--- a/failover/PrimaryMonitor.h
+++ b/failover/PrimaryMonitor.h
@@ -5,6 +5,7 @@
 #include "core/Identifiers.h"
 #include "core/LogPosition.h"
 #include "core/Time.h"
+#include "failover/LeaseMessages.h"
 
 #include <optional>
 #include <span>
@@ -89,6 +90,10 @@
   /// rank.
   [[nodiscard]] bool suspectsFailure(const PrimaryObservation &Observed,
                                      TimePoint Now) const;
+  /// What this instance reports to a promoter that asks whether the primary
+  /// responds.
+  [[nodiscard]] PrimaryReachability
+  reachability(const PrimaryObservation &Observed, TimePoint Now) const;
 
 private:
   PrimaryMonitorOptions Options;
