A read that one member fails runs at another

Statements with an effect run once as before. Placement divides a member's expected time by the fraction of its statements that succeed.

--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -87,6 +87,7 @@
               this->IdleLinks.begin(), this->IdleLinks.end(),
               [&](const auto &Link) { return Link->account() == Account; }),
           .TypicalServiceTime = this->ServiceTime,
+          .FailureRate = this->FailureRate,
           .Reached = this->Reached,
           .LaggingUntil = this->LaggingUntil,
           .MissingPosition = this->MissingPosition};
@@ -311,6 +312,11 @@
                                 this->Clock.now());
 }
 
+void MemberLinkPool::onRunEnded(bool Failed) {
+  this->FailureRate +=
+      ((Failed ? 1 : 0) - this->FailureRate) / ObservationDivisor;
+}
+
 void MemberLinkPool::onPositionReported(const TermPosition &Position) {
   if (!this->Reached || *this->Reached < Position)
     this->Reached = Position;
--- a/drivers/MemberLinkPool.h
+++ b/drivers/MemberLinkPool.h
@@ -104,6 +104,8 @@
   /// Call when a sent statement has ended. Run is set if the member executed
   /// it.
   void onStatementEnded(const std::optional<RunTime> &Run);
+  /// Call when the member has run a statement. Failed: it reported a failure.
+  void onRunEnded(bool Failed);
   /// Whether the member has answered any request after Time.
   [[nodiscard]] bool answeredSince(TimePoint Time) const {
     return this->LastAnswerAt > Time;
@@ -207,6 +209,8 @@
   std::uint64_t OpenedCount = 0;
   std::uint64_t EvictedCount = 0;
   Duration ServiceTime;
+  /// Moving average of the fraction of statements that failed.
+  double FailureRate = 0;
   std::optional<TermPosition> Reached;
   Duration LagBackoff{0};
   TimePoint LaggingUntil;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -382,7 +382,8 @@
     OutageWaitDecision OutageWait = decideOutageWait(
         this->Options.OutageWait, Call->Terms.ArrivedAt, Call->Terms.Deadline,
         Lease ? std::nullopt : this->RecoveryTimeOf(State.Id), Now);
-    if (OutageWait.Wait)
+    // A failure that a member has reported is known now.
+    if (OutageWait.Wait && !Call->FailedReply)
       return StartAttempt::NoMember;
     if (!Call->Outstanding.empty()) {
       this->awaitOutstanding(Call);
@@ -407,8 +408,11 @@
     const std::optional<PrimaryLease> &Lease) {
   Call->Pool = Pool;
   Call->Epoch = Lease ? Lease->Epoch : 0;
-  if (++Call->Attempts == 1)
-    this->Services[Call->Session->Route.Service].HedgeBudget.onFirstAttempt();
+  if (++Call->Attempts == 1) {
+    ServiceState &State = this->Services[Call->Session->Route.Service];
+    State.HedgeBudget.onFirstAttempt();
+    State.FailedReadBudget.onFirstAttempt();
+  }
   countAtMember(*Call);
   Call->Link =
       Pool->takeIdle(Call->Session->Account, Call->Session->State.values());
@@ -661,6 +665,8 @@
     Attempt.Pool->onLagging(*Attempt.MinPosition, Now);
   if (Code == ReplyError::Busy)
     Attempt.Pool->onBusy(Now);
+  if (Code == ReplyError::Failed)
+    Attempt.Pool->onRunEnded(true);
   if (Code == ReplyError::ReadOnly && Attempt.Epoch != 0)
     this->Services[Call->Session->Route.Service].NotPrimaryUntil =
         Now + this->Options.NotPrimaryBackoff;
@@ -675,6 +681,7 @@
     const RouteRule &Route = Call->Session->Route;
     Run = {.Elapsed = Now - Call->SentAt,
            .TargetTime = Route.LatencyGoal / this->Options.GoalShare};
+    Call->Pool->onRunEnded(false);
     this->ServiceTimes[classOf(Route)].observe(Run->Elapsed, Now);
   }
   endAtMember(*Call, Run);
@@ -770,6 +777,16 @@
       --Call->Attempts;
     if (NotRun)
       return this->retry(Call, false, toString(Failure.Code));
+    FailedAttempt Seen{
+        .Error = Failure.Code,
+        .Repeatable = !Session.State.inTransaction() && !Call->LastingEffect,
+        .AttemptsLeft = Call->Attempts < this->Options.MaxAttempts};
+    if (Call->Outstanding.empty() &&
+        shouldRunElsewhere(
+            Seen, this->Services[Session.Route.Service].FailedReadBudget)) {
+      Call->FailedReply = std::move(Reply);
+      return this->retry(Call, true, "failed");
+    }
     if (Call->Outstanding.empty())
       return this->deliver(Call, std::move(Reply));
     Call->MayHaveRun = true;
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -7,8 +7,8 @@
 #include "failover/PrimaryLease.h"
 #include "limits/OutageWaitPolicy.h"
 #include "limits/QueueMonitor.h"
-#include "limits/RetryBudget.h"
 #include "limits/ServiceTimeEstimate.h"
+#include "routing/FailedReadPolicy.h"
 #include "routing/FreshnessTracker.h"
 #include "routing/MemberRegistry.h"
 
@@ -77,6 +77,8 @@
   /// End of the back-off after the primary replied that it is not primary.
   TimePoint NotPrimaryUntil;
   RetryBudget HedgeBudget;
+  /// For reads that failed at a member.
+  RetryBudget FailedReadBudget;
   /// The largest priority number among the service's routes. Routes with a
   /// smaller number are more urgent.
   std::uint32_t LowestPriority = 0;
--- a/routing/Placement.cpp
+++ b/routing/Placement.cpp
@@ -35,7 +35,8 @@
     Time += static_cast<double>(Options.NotPreferredPenalty.count());
   if (ReadAtPrimary)
     Time *= Options.PrimaryReadCostFactor;
-  return Time;
+  // The mean number of attempts until one succeeds.
+  return Time / std::max(Options.MinSuccessRate, 1 - Each.FailureRate);
 }
 
 } // namespace
--- a/routing/Placement.h
+++ b/routing/Placement.h
@@ -39,6 +39,8 @@
   bool HasIdleConnection = true;
   /// Observed typical time of a statement at the member.
   Duration TypicalServiceTime{0};
+  /// Fraction of the statements that failed at the member recently.
+  double FailureRate = 0;
   /// The highest position that its log is known to reach.
   std::optional<TermPosition> Reached = std::nullopt;
   /// Its log recently did not reach MissingPosition. Until this time it is only
@@ -76,6 +78,10 @@
   /// run nowhere else. Reads go to a replica even if only the primary has an
   /// idle connection.
   double PrimaryReadCostFactor = 1.6;
+  /// Lower bound of the assumed fraction of statements that succeed at a
+  /// member, so that a member at which all failed is still tried when the
+  /// others are loaded.
+  double MinSuccessRate = 0.1;
 };
 
 enum class PlacementStatus {
--- a/tests/drivers/StatementHedgeTest.cpp
+++ b/tests/drivers/StatementHedgeTest.cpp
@@ -1,4 +1,5 @@
-// Hedged reads: a second member is asked while the first one holds the read.
+// Reads at a second member: hedged while the first one holds the read, or
+// repeated after it has failed.
 #include "core/DecisionLog.h"
 #include "drivers/StatementDispatcher.h"
 #include "tests/platform/SessionGroup.h"
@@ -102,11 +103,15 @@
     return *this->Reply;
   }
 
-  StatementReply run(const std::string &Text) {
+  const StatementReply &finishAfter(const std::string &Text) {
     this->start(Text);
     return this->finish();
   }
 
+  StatementReply run(const std::string &Text) {
+    return this->finishAfter(Text);
+  }
+
   /// Starts a read whose first member holds it, and returns that member.
   std::string startHeldRead(Duration Timeout = std::chrono::seconds(30)) {
     for (const char *Id : {"m1", "m2", "m3"})
@@ -246,6 +251,35 @@
   EXPECT_FALSE(this->finish().Failure) << this->Reply->Failure->Text;
 }
 
+/// Seen in the load test "horas-lima-grown trouble-1": one member failed some
+/// of its reads, and clients whose retries reached it again were not served.
+TEST_F(StatementHedgeTest, ReadThatOneMemberFailsRunsAtAnother) {
+  std::string First = this->startHeldRead();
+  for (const char *Id : {"m1", "m2", "m3"})
+    this->Group.setRepliesHeld(Id, false);
+  ASSERT_FALSE(this->finish().Failure);
+  this->Group.setRefusal(First, "FAILED");
+  EXPECT_FALSE(this->run("READ job").Failure) << this->Reply->Failure->Text;
+  EXPECT_NE(this->Reply->Signature, "signed-by-" + First);
+}
+
+TEST_F(StatementHedgeTest, ReadThatAllMembersFailEndsWithTheirFailure) {
+  for (const char *Id : {"m1", "m2", "m3"})
+    this->Group.setRefusal(Id, "FAILED");
+  const StatementReply &Ended = this->finishAfter("READ job");
+  ASSERT_TRUE(Ended.Failure);
+  EXPECT_EQ(Ended.Failure->Code, ReplyError::Failed) << Ended.Failure->Text;
+}
+
+TEST_F(StatementHedgeTest, WriteThatFailedIsNotRepeated) {
+  this->Group.setRefusal("m1", "FAILED");
+  std::size_t Before = this->received();
+  const StatementReply &Ended = this->finishAfter("WRITE job new");
+  ASSERT_TRUE(Ended.Failure);
+  EXPECT_EQ(Ended.Failure->Code, ReplyError::Failed) << Ended.Failure->Text;
+  EXPECT_EQ(this->received(), Before + 1);
+}
+
 TEST_F(StatementHedgeTest, AbandonedReadFreesItsLinks) {
   std::string First = this->startHeldRead();
   this->Dispatcher.abandon(this->Call);
--- a/tests/routing/PlacementTest.cpp
+++ b/tests/routing/PlacementTest.cpp
@@ -52,6 +52,21 @@
             1U);
 }
 
+/// Replays the load test "horas-lima-grown trouble-1" from 7.6 s: one replica
+/// fails half of its statements, at once, while its health check succeeds.
+TEST(Placement, ReadsAvoidAReplicaThatFailsThem) {
+  std::vector<MemberCandidate> Candidates{replica("a"), replica("b")};
+  Candidates[0].TypicalServiceTime = milliseconds(15);
+  PlacementRequirements Read{.Primary = false, .MinPosition = Ten};
+  EXPECT_EQ(place(Candidates, Read).Index, 0U);
+  Candidates[0].FailureRate = 0.5;
+  EXPECT_EQ(place(Candidates, Read).Index, 1U);
+  // It still serves what the other one has no room for.
+  Candidates[0].FailureRate = 1;
+  Candidates[1].InFlight = Candidates[1].MaxInFlight;
+  EXPECT_EQ(place(Candidates, Read).Index, 0U);
+}
+
 /// The instance keeps its links at one replica, so that the next statement
 /// finds one there.
 TEST(Placement, NewConnectionsGoToThePreferredReplica) {
