Move the decision to hedge and the capacity estimate out of the dispatcher

Callers that are refused at the same time are told to return one after the other instead of together.

--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "core/DecisionLog.h"
 #include "drivers/StatementLog.h"
+#include "routing/CapacityEstimate.h"
 #include "routing/HomeReplica.h"
 
 #include <algorithm>
@@ -305,38 +306,34 @@
 
 void StatementDispatcher::shedUnservable(ServiceState &State) {
   TimePoint Now = this->Clock.now();
-  Duration ServiceTime{0};
-  double Capacity = 0;
-  for (const auto &[Id, Pool] : State.Pools) {
-    MemberCandidate Each =
-        Pool->candidate(this->Options.Zone, ClientAccountId{}, Now);
-    if (Each.Excluded)
-      continue;
-    Capacity += Each.Share;
-    ServiceTime = std::max(ServiceTime, Each.TypicalServiceTime);
-  }
+  std::vector<MemberCandidate> Candidates;
+  for (const auto &[Id, Pool] : State.Pools)
+    Candidates.push_back(
+        Pool->candidate(this->Options.Zone, ClientAccountId{}, Now));
+  auto Capacity = estimateCapacity(Candidates);
   // Without a usable member, the outage wait policy decides per statement.
-  if (Capacity == 0)
+  if (!Capacity)
     return;
-  Duration Step(static_cast<Duration::rep>(
-      static_cast<double>(ServiceTime.count()) / Capacity));
   // The shares overestimate the capacity while replicas refuse reads.
-  Step = std::max(Step, State.Monitor.startInterval(Now).value_or(Step));
+  Duration Interval = std::max(
+      Capacity->StartInterval,
+      State.Monitor.startInterval(Now).value_or(Capacity->StartInterval));
   QueueOutlook Outlook{
-      .Step = Step,
-      .Reserve = ServiceTime,
+      .Step = Interval,
+      .Reserve = Capacity->ServiceTime,
       .Stands = State.Monitor.stands(State.Queue.meanServiceTime(), Now)};
   std::vector<SharedCall> Refused = State.Queue.shed(Now, Outlook);
   if (Outlook.Stands && !Refused.empty())
     State.Monitor.onRefused(Now);
-  for (const SharedCall &Call : Refused) {
+  for (std::size_t Index = 0; Index < Refused.size(); ++Index) {
+    const SharedCall &Call = Refused[Index];
     Call->Queued = false;
     if (!Call->Outstanding.empty())
       this->awaitOutstanding(Call);
     else
       this->refuse(Call, ReplyError::Busy,
                    "too many statements wait for a member",
-                   Step * static_cast<Duration::rep>(State.Queue.size() + 1));
+                   Outlook.retryAfter(State.Queue.size(), Index));
   }
 }
 
@@ -553,10 +550,8 @@
 void StatementDispatcher::startHedgeTimer(const SharedCall &Call) {
   if (Call->Attempts >= this->Options.MaxAttempts)
     return;
-  Duration Delay =
-      std::max(this->Options.MinHedgeDelay,
-               this->Options.HedgeFactor * Call->Pool->typicalServiceTime());
-  Call->HedgeTimer.expires_after(Delay);
+  Call->HedgeTimer.expires_after(
+      hedgeDelay(this->Options.Hedge, Call->Pool->typicalServiceTime()));
   Call->HedgeTimer.async_wait([this, Call, Link = Call->Link](
                                   const boost::system::error_code &Failure) {
     // A later attempt may be setting the same link up.
@@ -569,20 +564,18 @@
 
 void StatementDispatcher::hedge(const SharedCall &Call) {
   ServiceState &State = this->Services[Call->Session->Route.Service];
-  // While statements queue, a second copy would only add to the queueing time.
-  bool Loaded = !State.Queue.empty() || Call->Pool->congested();
-  bool Answers = Call->Pool->answeredSince(Call->SentAt);
-  if (Loaded && Answers)
+  HedgeContext Seen{.AttemptRuns = Call->Link != nullptr,
+                    .Loaded = !State.Queue.empty() || Call->Pool->congested(),
+                    .MemberAnswers = Call->Pool->answeredSince(Call->SentAt)};
+  HedgeDecision Decision = decideHedge(Seen, State.HedgeBudget);
+  if (Decision == HedgeDecision::Wait)
     return this->startHedgeTimer(Call);
-  // Without a current attempt this only looks for a member again.
-  if (!Call->Link)
+  if (Decision == HedgeDecision::FindMember)
     return this->retry(Call, false, "unanswered");
-  if (!State.HedgeBudget.spend())
-    return this->startHedgeTimer(Call);
   writeDecision(DecisionLine("hedge")
                     .field("request", Call->Request.Id)
                     .field("member", Call->Pool->member().Id.Value)
-                    .field("silent", Answers ? 0 : 1)
+                    .field("silent", Seen.MemberAnswers ? 0 : 1)
                     .field("typical_ms",
                            inMilliseconds(Call->Pool->typicalServiceTime())));
   Call->Outstanding.add(currentAttempt(*Call));
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -10,6 +10,7 @@
 #include "limits/ServiceTimeEstimate.h"
 #include "routing/FailedReadPolicy.h"
 #include "routing/FreshnessTracker.h"
+#include "routing/HedgePolicy.h"
 #include "routing/MemberRegistry.h"
 
 #include <map>
@@ -26,11 +27,7 @@
   /// lease to be renewed after it has expired.
   Duration ConfirmationTimeout = std::chrono::milliseconds(1500);
   OutageWaitOptions OutageWait = {};
-  /// A read is also sent to another member (hedged) if it has had no reply
-  /// for HedgeFactor times the member's typical service time, and for at least
-  /// MinHedgeDelay.
-  int HedgeFactor = 4;
-  Duration MinHedgeDelay = std::chrono::milliseconds(120);
+  HedgePolicyOptions Hedge = {};
   /// Divisor: the time at the member should not exceed the latency goal
   /// divided by this. The rest is left for queueing, network time and further
   /// statements of the operation. With a fifth, most statements met their goal
--- a/limits/WaitQueue.h
+++ b/limits/WaitQueue.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -52,6 +53,14 @@
   /// at its next attempt, and members stay busy all the same.
   int StandingGoalShare = 5;
 
+  /// When the caller of a refused statement should return: once the waiting
+  /// statements and those refused before it could have started, so that callers
+  /// return one after the other, the first one first.
+  [[nodiscard]] Duration retryAfter(std::size_t Waiting,
+                                    std::size_t RefusedBefore) const {
+    return this->Step * static_cast<Duration::rep>(Waiting + RefusedBefore + 1);
+  }
+
   bool operator==(const QueueOutlook &) const = default;
 };
 
--- a/tests/drivers/StatementHedgeTest.cpp
+++ b/tests/drivers/StatementHedgeTest.cpp
@@ -36,8 +36,7 @@
             this->Loop.get_executor(),
             {.Self = {"front-1"},
              .Zone = {"a"},
-             .HedgeFactor = 0,
-             .MinHedgeDelay = HedgeDelay},
+             .Hedge = {.Factor = 0, .MinDelay = HedgeDelay}},
             [this](const ServiceId &) { return this->Lease; },
             [](const ServiceId &) { return std::optional<Duration>(); }) {
     sendLogTo("");
--- a/tests/limits/StandingQueueTest.cpp
+++ b/tests/limits/StandingQueueTest.cpp
@@ -223,6 +223,12 @@
   EXPECT_EQ(StandingLoad(0.4, true, Slowness).refused(), 0U);
 }
 
+TEST(QueueOutlook, RefusedCallersReturnOneAfterTheOther) {
+  QueueOutlook Outlook{.Step = milliseconds(20)};
+  EXPECT_EQ(Outlook.retryAfter(4, 0), milliseconds(100));
+  EXPECT_EQ(Outlook.retryAfter(4, 3), milliseconds(160));
+}
+
 TEST(QueueMonitor, IntervalIsThatBetweenStartsWhileStatementsWait) {
   auto At = [](int Milliseconds) { return Start + milliseconds(Milliseconds); };
   QueueMonitor Monitor;
