Every instance tells the recovery time; a lasting outage refuses on arrival

Cause: only a failover whose record was closed had an expected end, which stayed at 40 ms while the promotion was overdue.

Change: FailoverTimeline tells the time left in each phase, from the first unanswered request on, and nothing while the store is away. OutageMonitor knows when an outage began: statements wait only at its beginning if its end isn't known, and callers are told to return after as long as it has lasted.

--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -140,20 +140,22 @@
 std::optional<Duration>
 FailoverCoordinator::expectedRecovery(const ServiceId &Id) const {
   const PrimaryRecord *Record = this->Leases.record(Id);
-  if (!Record || Record->Phase == PrimaryPhase::Open)
+  if (!Record)
     return std::nullopt;
+  TimePoint Now = this->Clock.now();
   auto Known = this->UnfinishedRecords.find(Id);
-  Duration Since{0};
-  if (Known != this->UnfinishedRecords.end() &&
-      Known->second.Stored == Record->Stored)
-    Since = this->Clock.now() - Known->second.SeenAt;
-  Duration Whole = this->Options.TypicalPromotionTime;
-  if (Record->Phase == PrimaryPhase::Closing)
-    Whole += this->Options.Rules.Leases.maxUse();
-  // No estimate is possible once the typical time is far exceeded.
-  if (Since > 2 * Whole)
-    return std::nullopt;
-  return std::max(this->Options.PollInterval, Whole - Since);
+  bool PhaseKnown = Known != this->UnfinishedRecords.end() &&
+                    Known->second.Stored == Record->Stored;
+  return turmericpitch::expectedRecovery(
+      {.Detection = this->Options.Monitor.SilenceTimeout,
+       .Consultation = this->Options.ConsultTimeout,
+       .ClosingWait = this->Options.Rules.Leases.maxUse(),
+       .Promotion = this->Options.TypicalPromotionTime},
+      {.Phase = Record->Phase,
+       .PhaseSeenAt = PhaseKnown ? Known->second.SeenAt : Now,
+       .SilentSince = this->observation(*Record).SilentSince,
+       .StoreAvailable = !this->recordsAreStale(Now)},
+      Now);
 }
 
 void FailoverCoordinator::onGranted(const GrantedEpoch &Granted,
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -5,6 +5,7 @@
 #include "drivers/LeaseExchange.h"
 #include "drivers/StatementDispatcher.h"
 #include "drivers/StoreClient.h"
+#include "failover/FailoverTimeline.h"
 #include "failover/GrantorMaintenance.h"
 #include "failover/PrimaryMonitor.h"
 #include "failover/PromotionRules.h"
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -373,12 +373,14 @@
       .Urgent = Call->Terms.Priority < State.LowestPriority};
   Placement Chosen =
       placeStatement(Candidates, Requirements, this->Options.Placement, Now);
+  auto OutageSince = State.Outage.onPlacement(
+      Call->NeedsPrimary, Chosen.Status != PlacementStatus::NoMember, Now);
   if (Chosen.Status == PlacementStatus::Wait)
     return StartAttempt::MembersBusy;
-  if (Chosen.Status == PlacementStatus::NoMember) {
+  if (OutageSince) {
     OutageWaitDecision OutageWait = decideOutageWait(
-        this->Options.OutageWait, Call->Terms.ArrivedAt, Call->Terms.Deadline,
-        Lease ? std::nullopt : this->RecoveryTimeOf(State.Id), Now);
+        this->Options.OutageWait, *OutageSince, Call->Terms.Deadline,
+        this->RecoveryTimeOf(State.Id), Now);
     // A failure that a member has reported is known now.
     if (OutageWait.Wait && !Call->FailedReply)
       return StartAttempt::NoMember;
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -68,6 +68,7 @@
   std::map<UpstreamId, std::shared_ptr<MemberLinkPool>> Pools;
   WaitQueue<SharedCall> Queue;
   QueueMonitor Monitor;
+  OutageMonitor Outage;
   FreshnessTracker Freshness;
   /// When the primary's status was last queried for a sample.
   TimePoint SampleRequestedAt;
--- a/limits/OutageWaitPolicy.cpp
+++ b/limits/OutageWaitPolicy.cpp
@@ -4,14 +4,28 @@
 
 namespace turmericpitch {
 
+std::optional<TimePoint>
+OutageMonitor::onPlacement(bool NeedsPrimary, bool AnyMember, TimePoint Now) {
+  std::optional<TimePoint> &Since =
+      NeedsPrimary ? this->NoPrimarySince : this->NoReaderSince;
+  if (AnyMember)
+    Since.reset();
+  else if (!Since)
+    Since = Now;
+  return Since;
+}
+
 OutageWaitDecision decideOutageWait(const OutageWaitOptions &Options,
-                                    TimePoint ArrivedAt, TimePoint Deadline,
+                                    TimePoint BeganAt, TimePoint Deadline,
                                     std::optional<Duration> ExpectedIn,
                                     TimePoint Now) {
   if (!ExpectedIn) {
-    if (Now - ArrivedAt < Options.MaxWaitIfUnknown)
+    Duration Lasted = Now - BeganAt;
+    if (Lasted < Options.MaxWaitIfUnknown)
       return {.Wait = true};
-    return {.Wait = false, .RetryAfter = Options.RetryAfter};
+    return {.Wait = false,
+            .RetryAfter = std::clamp(Lasted, Options.MinRetryAfter,
+                                     Options.MaxRetryAfterIfUnknown)};
   }
   if (Now + *ExpectedIn + Options.Reserve <= Deadline)
     return {.Wait = true};
--- a/limits/OutageWaitPolicy.h
+++ b/limits/OutageWaitPolicy.h
@@ -8,16 +8,16 @@
 namespace turmericpitch {
 
 struct OutageWaitOptions {
-  /// How long a statement waits if it is not known when a member will be
-  /// available: enough for a few connection attempts.
+  /// How long statements wait from the beginning of an outage whose end isn't
+  /// known: enough for a few connection attempts.
   Duration MaxWaitIfUnknown = std::chrono::milliseconds(150);
   /// Time reserved for running the statement.
   Duration Reserve = std::chrono::milliseconds(60);
-  /// Retry time sent to a refused caller if no better estimate is known: about
-  /// the duration of a complete failover.
-  Duration RetryAfter = std::chrono::milliseconds(2000);
-  /// Lower bound of the retry time.
+  /// Bounds of the retry time sent to a refused caller while the end of the
+  /// outage isn't known. The upper one is about the duration of a complete
+  /// failover.
   Duration MinRetryAfter = std::chrono::milliseconds(50);
+  Duration MaxRetryAfterIfUnknown = std::chrono::milliseconds(2000);
 };
 
 /// Whether a statement that no member can run at present waits or is refused.
@@ -30,13 +30,29 @@
   bool operator==(const OutageWaitDecision &) const = default;
 };
 
+/// When the outages of a service began: for statements that need its primary,
+/// and for those that a replica may run. Not thread-safe.
+class OutageMonitor {
+public:
+  /// Records whether a member was found that can run a statement, whatever the
+  /// load. Returns when the outage began that the statement is in; empty if a
+  /// member was found.
+  std::optional<TimePoint> onPlacement(bool NeedsPrimary, bool AnyMember,
+                                       TimePoint Now);
+
+private:
+  std::optional<TimePoint> NoPrimarySince;
+  std::optional<TimePoint> NoReaderSince;
+};
+
+/// Answers the loss of a primary, and of a zone while the store is away.
 /// Decides to wait if a member is expected early enough to run the statement
-/// before its deadline, and to refuse at once if none is. ExpectedIn is the
-/// time until a member is expected; empty if unknown, in which case the
-/// statement waits for at most Options.MaxWaitIfUnknown after its arrival.
-/// Pure; thread-safe.
+/// before its deadline, and to refuse at once if it isn't. ExpectedIn: the time
+/// until a member is expected. If that isn't known, statements wait only at the
+/// beginning of an outage; callers are then told to return after about as long
+/// as it has lasted. BeganAt: the beginning of the outage. Pure; thread-safe.
 OutageWaitDecision decideOutageWait(const OutageWaitOptions &Options,
-                                    TimePoint ArrivedAt, TimePoint Deadline,
+                                    TimePoint BeganAt, TimePoint Deadline,
                                     std::optional<Duration> ExpectedIn,
                                     TimePoint Now);
 
