A check for a lost primary grants leases; ages follow the routes in force

Instances that reach the primary lose their leases when enough of the others don't reach it. The model of leases already blocks grants only from the closing write on. FailoverActivities tells the two steps apart.

Two values named the users' workloads: the backlog from which a replica serves no reads, and for how long samples of a primary's position are kept. Both are now the ages of data that the routes accept. Samples are thinned by age, so that a route of 30 s and one of 1.5 s are both served.

The log says when a queue stands, with its own reason for refusals.

--- a/configuration/RouteTable.cpp
+++ b/configuration/RouteTable.cpp
@@ -57,16 +57,20 @@
   return Lowest;
 }
 
-std::optional<Duration>
-RouteController::strictestMaximumAge(const ServiceId &Id) const {
-  std::optional<Duration> Strictest;
+std::optional<AcceptedAges>
+RouteController::acceptedAges(const ServiceId &Id) const {
+  std::optional<AcceptedAges> Ages;
   if (!this->Table)
-    return Strictest;
-  for (const auto &[Database, Route] : this->Table->Routes)
-    if (Route.Service == Id && Route.Level != Consistency::Strong)
-      Strictest =
-          std::min(Strictest.value_or(Route.MaximumAge), Route.MaximumAge);
-  return Strictest;
+    return Ages;
+  for (const auto &[Database, Route] : this->Table->Routes) {
+    if (Route.Service != Id || Route.Level == Consistency::Strong)
+      continue;
+    AcceptedAges Known = Ages.value_or(AcceptedAges{
+        .Strictest = Route.MaximumAge, .Loosest = Route.MaximumAge});
+    Ages = {.Strictest = std::min(Known.Strictest, Route.MaximumAge),
+            .Loosest = std::max(Known.Loosest, Route.MaximumAge)};
+  }
+  return Ages;
 }
 
 } // namespace turmericpitch
--- a/configuration/RouteTable.h
+++ b/configuration/RouteTable.h
@@ -71,6 +71,15 @@
   bool operator==(const RouteTable &) const = default;
 };
 
+/// The smallest and the largest age of data that the routes of a service
+/// accept. Immutable value.
+struct AcceptedAges {
+  Duration Strictest{0};
+  Duration Loosest{0};
+
+  bool operator==(const AcceptedAges &) const = default;
+};
+
 /// Holds the newest route table and rejects older ones. Does no I/O; not
 /// thread-safe.
 class RouteController {
@@ -93,10 +102,10 @@
   /// The lowest priority (the greatest number) among the routes of a service; 0
   /// if it has none.
   [[nodiscard]] std::uint32_t lowestPriority(const ServiceId &Id) const;
-  /// The strictest limit on the age of data among the routes of a service;
-  /// empty if none has one.
-  [[nodiscard]] std::optional<Duration>
-  strictestMaximumAge(const ServiceId &Id) const;
+  /// The limits on the age of data among the routes of a service; empty if none
+  /// has one.
+  [[nodiscard]] std::optional<AcceptedAges>
+  acceptedAges(const ServiceId &Id) const;
   [[nodiscard]] const std::optional<RouteTable> &table() const {
     return this->Table;
   }
--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -109,7 +109,7 @@
 bool FailoverCoordinator::mayGrant(const ServiceId &Id) const {
   // A process that has not read the store itself may not know what an earlier
   // process of the same instance has ordered.
-  return this->ReadAt && !this->ActiveFailovers.contains(Id);
+  return this->ReadAt && this->Activities.mayGrant(Id);
 }
 
 PrimaryObservation
@@ -666,7 +666,7 @@
     TimePoint Now = this->Clock.now();
     for (const auto &[Id, State] : this->Dispatcher.services()) {
       this->trackUnfinished(Id, Now);
-      if (!State.Pools.empty() && !this->ActiveFailovers.contains(Id))
+      if (!State.Pools.empty() && !this->Activities.isActive(Id))
         this->checkService(Id, Now);
     }
   }
@@ -685,7 +685,7 @@
 void FailoverCoordinator::checkService(const ServiceId &Id, TimePoint Now) {
   const PrimaryRecord *Record = this->Leases.record(Id);
   if (!Record) {
-    this->ActiveFailovers.insert(Id);
+    this->Activities.begin(Id, FailoverStep::Changing);
     return this->spawn(this->writeFirstRecord(Id));
   }
   if (Record->Phase != PrimaryPhase::Open)
@@ -706,7 +706,7 @@
     return this->checkBacklog(*Record, Now);
   if (Now < this->NextFailoverAt[Id] || !this->mayStartFailover(Now))
     return;
-  this->ActiveFailovers.insert(Id);
+  this->Activities.begin(Id, FailoverStep::Checking);
   this->spawn(this->replace(*Record, Reason));
 }
 
@@ -744,7 +744,7 @@
   if (Now - this->UnfinishedRecords.at(Record.Service).SeenAt < Limit ||
       !this->mayStartFailover(Now))
     return;
-  this->ActiveFailovers.insert(Record.Service);
+  this->Activities.begin(Record.Service, FailoverStep::Checking);
   this->spawn(this->replace(Record, FailoverReason::Lost));
 }
 
@@ -758,7 +758,7 @@
     co_await this->pause(this->Options.PollInterval);
   while (this->Clock.now() < Due && !this->Leases.record(Id));
   if (this->Leases.record(Id)) {
-    this->ActiveFailovers.erase(Id);
+    this->Activities.end(Id);
     co_return;
   }
   std::vector<std::shared_ptr<MemberLinkPool>> Primaries;
@@ -776,7 +776,7 @@
     }
     co_await this->readRecords();
   }
-  this->ActiveFailovers.erase(Id);
+  this->Activities.end(Id);
 }
 
 Awaitable<std::optional<MemberReport>>
@@ -918,7 +918,7 @@
       this->stepDownFormerPrimary(F);
     co_await this->write(Next, F.Record.Stored);
   }
-  this->ActiveFailovers.erase(From.Service);
+  this->Activities.end(From.Service);
 }
 
 Awaitable<bool> FailoverCoordinator::isStillNeeded(PrimaryRecord From,
@@ -951,6 +951,7 @@
     Next.Phase = PrimaryPhase::Closing;
     Next.ClosedFrom = F.Record.Stored;
   }
+  this->Activities.begin(Next.Service, FailoverStep::Changing);
   auto Stored = co_await this->write(Next, F.Record.Stored);
   if (!Stored)
     co_return false;
@@ -1089,7 +1090,7 @@
       Now < this->NextFailoverAt[Record.Service] ||
       !this->mayStartFailover(Now))
     return;
-  this->ActiveFailovers.insert(Record.Service);
+  this->Activities.begin(Record.Service, FailoverStep::Checking);
   this->spawn(this->handOverIfBacklogged(Record));
 }
 
@@ -1116,9 +1117,11 @@
             .field("catch_up_ms", Each.Report.ApplyDelay / milliseconds(1))
             .field("busy", Each.Report.StatementCount));
   }
-  if (this->BacklogMonitors.at(Record.Service).shouldHandOver(Reports))
+  const auto &Ages = this->Dispatcher.services().at(Record.Service).Ages;
+  if (Ages && this->BacklogMonitors.at(Record.Service)
+                  .shouldHandOver(Reports, Ages->Loosest))
     co_return co_await this->replace(Record, FailoverReason::Backlog);
-  this->ActiveFailovers.erase(Record.Service);
+  this->Activities.end(Record.Service);
 }
 
 void FailoverCoordinator::stepDownFormerPrimary(const Failover &F) {
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -5,6 +5,7 @@
 #include "drivers/LeaseExchange.h"
 #include "drivers/StatementDispatcher.h"
 #include "drivers/StoreClient.h"
+#include "failover/FailoverActivities.h"
 #include "failover/FailoverTimeline.h"
 #include "failover/GrantorMaintenance.h"
 #include "failover/PrimaryMonitor.h"
@@ -148,7 +149,7 @@
   /// Starts no further failover, and notifies the other instances.
   void stop();
   /// Whether no failover is in progress.
-  [[nodiscard]] bool isIdle() const { return this->ActiveFailovers.empty(); }
+  [[nodiscard]] bool isIdle() const { return this->Activities.empty(); }
   [[nodiscard]] std::optional<PrimaryLease> lease(const ServiceId &Id) const {
     return this->Leases.lease(Id);
   }
@@ -308,7 +309,7 @@
   std::map<ServiceId, SeenClosing> SeenClosings;
   /// Services for which a failover, a check that may start one, or the write
   /// of the first record is in progress.
-  std::set<ServiceId> ActiveFailovers;
+  FailoverActivities Activities;
   Revision PromoterRevision;
   /// The newest step that this process made.
   Revision OwnStep;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -193,7 +193,9 @@
     this->Services[Member.Service].Pools.erase(Member.Id);
   for (auto &[Service, State] : this->Services) {
     State.LowestPriority = Routes.lowestPriority(Service);
-    State.StrictestMaximumAge = Routes.strictestMaximumAge(Service);
+    State.Ages = Routes.acceptedAges(Service);
+    if (State.Ages)
+      State.Freshness.setLoosestAge(State.Ages->Loosest);
     for (auto &[Id, Pool] : State.Pools)
       Pool->setAllowance(AllowanceOf(Service));
     this->preferReplica(State);
@@ -305,6 +307,8 @@
 }
 
 void StatementDispatcher::shedUnservable(ServiceState &State) {
+  if (State.Queue.empty())
+    return;
   TimePoint Now = this->Clock.now();
   std::vector<MemberCandidate> Candidates;
   for (const auto &[Id, Pool] : State.Pools)
@@ -322,6 +326,13 @@
       .Step = Interval,
       .Reserve = Capacity->ServiceTime,
       .Stands = State.Monitor.stands(State.Queue.meanServiceTime(), Now)};
+  if (Outlook.Stands != State.QueueStands)
+    writeDecision(DecisionLine("queue_stands")
+                      .field("service", State.Id.Value)
+                      .field("stands", Outlook.Stands ? 1 : 0)
+                      .field("waiting", State.Queue.size())
+                      .field("interval_ms", inMilliseconds(Interval)));
+  State.QueueStands = Outlook.Stands;
   std::vector<SharedCall> Refused = State.Queue.shed(Now, Outlook);
   if (Outlook.Stands && !Refused.empty())
     State.Monitor.onRefused(Now);
@@ -332,7 +343,9 @@
       this->awaitOutstanding(Call);
     else
       this->refuse(Call, ReplyError::Busy,
-                   "too many statements wait for a member",
+                   Outlook.Stands
+                       ? "more statements arrive than the members can run"
+                       : "too many statements wait for a member",
                    Outlook.retryAfter(State.Queue.size(), Index));
   }
 }
@@ -1018,8 +1031,8 @@
     return this->Options.SampleInterval;
   Duration Interval = this->Options.ReceivedSampleInterval;
   // Leaves a third of the accepted age for the query and the replica's lag.
-  if (State.StrictestMaximumAge)
-    Interval = std::min(Interval, *State.StrictestMaximumAge * 2 / 3);
+  if (State.Ages)
+    Interval = std::min(Interval, State.Ages->Strictest * 2 / 3);
   return std::max(Interval, this->Options.SampleInterval);
 }
 
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -68,6 +68,8 @@
   std::map<UpstreamId, std::shared_ptr<MemberLinkPool>> Pools;
   WaitQueue<SharedCall> Queue;
   QueueMonitor Monitor;
+  /// Whether the queue stood when it was last looked at.
+  bool QueueStands = false;
   OutageMonitor Outage;
   FreshnessTracker Freshness;
   /// When the primary's status was last queried for a sample.
@@ -80,8 +82,8 @@
   /// The largest priority number among the service's routes. Routes with a
   /// smaller number are more urgent.
   std::uint32_t LowestPriority = 0;
-  /// The strictest limit on the age of data among the service's routes.
-  std::optional<Duration> StrictestMaximumAge;
+  /// The limits on the age of data among the service's routes.
+  std::optional<AcceptedAges> Ages;
   /// Whether the queue is being served; prevents recursion.
   bool Serving = false;
 };
--- a/failover/ReplicaBacklogMonitor.cpp
+++ b/failover/ReplicaBacklogMonitor.cpp
@@ -21,7 +21,7 @@
 }
 
 bool ReplicaBacklogMonitor::shouldHandOver(
-    std::span<const MemberBacklog> Reports) const {
+    std::span<const MemberBacklog> Reports, Duration LoosestAge) const {
   const MemberBacklog *Primary = nullptr;
   for (const MemberBacklog &Each : Reports)
     if (Each.Primary)
@@ -34,7 +34,7 @@
   for (const MemberBacklog &Each : Reports) {
     if (Each.Primary)
       continue;
-    if (Each.ApplyDelay < this->Options.MaxServingBacklog)
+    if (Each.ApplyDelay < LoosestAge)
       return false;
     bool WithinReceiveLag =
         Each.Received.WrittenIn == Primary->Received.WrittenIn &&
--- a/failover/ReplicaBacklogMonitor.h
+++ b/failover/ReplicaBacklogMonitor.h
@@ -12,9 +12,6 @@
 namespace turmericpitch {
 
 struct ReplicaBacklogMonitorOptions {
-  /// Apply delay at which a replica serves hardly any read: the users'
-  /// routes accept data that is at most 1.5 or 2.5 s old.
-  Duration MaxServingBacklog = std::chrono::milliseconds(2500);
   /// Apply delay at which a hand-over becomes worthwhile, although it leaves
   /// the service without a primary for one to two seconds.
   Duration MinHandOverBacklog = std::chrono::milliseconds(5000);
@@ -63,9 +60,10 @@
   /// because it lacks entries. Rank: how many instances act before this one.
   bool needsReports(bool ReadsUnavailable, std::size_t Rank, TimePoint Now);
   /// Whether the primary should hand over. Reports: one for each member that
-  /// replied.
-  [[nodiscard]] bool
-  shouldHandOver(std::span<const MemberBacklog> Reports) const;
+  /// replied. LoosestAge: the largest age of data that a route accepts; a
+  /// replica with a longer apply delay serves no reads.
+  [[nodiscard]] bool shouldHandOver(std::span<const MemberBacklog> Reports,
+                                    Duration LoosestAge) const;
 
 private:
   ReplicaBacklogMonitorOptions Options;
--- a/include/turmericpitch/turmericpitch.h
+++ b/include/turmericpitch/turmericpitch.h
@@ -17,6 +17,7 @@
 #include "core/RandomSource.h"
 #include "core/Sharded.h"
 #include "core/Time.h"
+#include "failover/FailoverActivities.h"
 #include "failover/FailoverTimeline.h"
 #include "failover/LeaseRound.h"
 #include "failover/PrimaryFailureDetector.h"
--- a/routing/FreshnessTracker.cpp
+++ b/routing/FreshnessTracker.cpp
@@ -4,6 +4,31 @@
 
 namespace turmericpitch {
 
+void FreshnessTracker::thin() {
+  TimePoint NeededFrom = this->Samples.back().AskedAt - this->LoosestAge;
+  if (this->Samples[1].AskedAt <= NeededFrom) {
+    this->Samples.pop_front();
+    return;
+  }
+  // The sample goes whose neighbours are closest in relation to its age.
+  std::size_t Redundant = 1;
+  double SmallestGap = 0;
+  TimePoint Newest = this->Samples.back().AskedAt;
+  for (std::size_t Index = 1; Index + 1 < this->Samples.size(); ++Index) {
+    Duration Gap =
+        this->Samples[Index + 1].AskedAt - this->Samples[Index - 1].AskedAt;
+    Duration Age = Newest - this->Samples[Index].AskedAt;
+    double Relative =
+        static_cast<double>(Gap.count()) / static_cast<double>(Age.count());
+    if (Index > 1 && Relative >= SmallestGap)
+      continue;
+    Redundant = Index;
+    SmallestGap = Relative;
+  }
+  this->Samples.erase(this->Samples.begin() +
+                      static_cast<std::ptrdiff_t>(Redundant));
+}
+
 void FreshnessTracker::onPrimaryAnswer(std::uint64_t Epoch,
                                        const TermPosition &Reached,
                                        TimePoint AskedAt) {
@@ -31,7 +56,7 @@
   }
   this->Samples.push_back({.AskedAt = AskedAt, .Reached = Reached});
   if (this->Samples.size() > this->Options.MaxSamples)
-    this->Samples.pop_front();
+    this->thin();
 }
 
 std::optional<TermPosition>
--- a/routing/FreshnessTracker.h
+++ b/routing/FreshnessTracker.h
@@ -12,8 +12,7 @@
 struct FreshnessOptions {
   /// A sample taken sooner than this after the previous one is dropped.
   Duration MinSampleInterval = std::chrono::milliseconds(40);
-  /// Number of samples kept. At the interval above they cover 5 s, twice the
-  /// longest staleness bound in the users' workload specifications.
+  /// Number of samples kept.
   std::size_t MaxSamples = 128;
   /// Subtracted from the accepted age, because timers may fire late.
   Duration TimerMargin = std::chrono::milliseconds(20);
@@ -35,6 +34,9 @@
 public:
   explicit FreshnessTracker(FreshnessOptions Options = {}) : Options(Options) {}
 
+  /// Sets the largest age of data that a route accepts. Samples are kept for as
+  /// long; the older they are, the further apart.
+  void setLoosestAge(Duration Age) { this->LoosestAge = Age; }
   /// The primary of Epoch reported Reached. Precondition: it was proven to be
   /// the primary at AskedAt. Samples of an earlier epoch are kept, except those
   /// whose positions the new primary does not hold. Reports of an earlier epoch
@@ -55,7 +57,11 @@
   [[nodiscard]] std::uint64_t epoch() const { return this->Epoch; }
 
 private:
+  /// Removes samples once there are too many.
+  void thin();
+
   FreshnessOptions Options;
+  Duration LoosestAge{0};
   std::uint64_t Epoch = 0;
   std::optional<TermPosition> FirstOfEpoch;
   std::deque<PrimarySample> Samples;
--- a/tests/failover/ReplicaBacklogMonitorTest.cpp
+++ b/tests/failover/ReplicaBacklogMonitorTest.cpp
@@ -7,6 +7,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr Duration LoosestAge = milliseconds(2500);
+
 TimePoint at(int Milliseconds) { return TimePoint(milliseconds(Milliseconds)); }
 
 TermPosition position(std::uint64_t Index) {
@@ -34,43 +36,50 @@
 }
 
 TEST(ReplicaBacklogMonitor, OverloadedPrimaryHandsOverIfAllReplicasAreStale) {
-  EXPECT_TRUE(ReplicaBacklogMonitor().shouldHandOver(overloadedService()));
+  EXPECT_TRUE(
+      ReplicaBacklogMonitor().shouldHandOver(overloadedService(), LoosestAge));
 }
 
 TEST(ReplicaBacklogMonitor, NoHandOverIfOneReplicaServesReads) {
   auto Reports = overloadedService();
   Reports[2].ApplyDelay = milliseconds(400);
-  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports));
+  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports, LoosestAge));
+}
+
+/// A route that accepts older data is served by replicas that others can't use.
+TEST(ReplicaBacklogMonitor, NoHandOverWhileARouteAcceptsTheBacklog) {
+  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(
+      overloadedService(), std::chrono::seconds(30)));
 }
 
 TEST(ReplicaBacklogMonitor, NoHandOverForAShortBacklog) {
   auto Reports = overloadedService();
   Reports[1].ApplyDelay = milliseconds(4000);
   Reports[2].ApplyDelay = milliseconds(4900);
-  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports));
+  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports, LoosestAge));
 }
 
 TEST(ReplicaBacklogMonitor, NoHandOverWithoutOverload) {
   auto Reports = overloadedService();
   Reports[0].StatementCount = 6;
-  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports));
+  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports, LoosestAge));
   Reports[0].StatementCount = 7;
-  EXPECT_TRUE(ReplicaBacklogMonitor().shouldHandOver(Reports));
+  EXPECT_TRUE(ReplicaBacklogMonitor().shouldHandOver(Reports, LoosestAge));
 }
 
 // Promoting a replica that lacks entries would lose acknowledged commits.
 TEST(ReplicaBacklogMonitor, NoHandOverToAReplicaThatLacksEntries) {
   auto Reports = overloadedService();
   Reports[0].Received = position(400);
-  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports));
+  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports, LoosestAge));
   Reports[1].Received = {.WrittenIn = {0}, .Position = {400}};
-  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports));
+  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports, LoosestAge));
 }
 
 TEST(ReplicaBacklogMonitor, NoHandOverWithoutAReportOfThePrimary) {
   auto Reports = overloadedService();
   Reports.erase(Reports.begin());
-  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports));
+  EXPECT_FALSE(ReplicaBacklogMonitor().shouldHandOver(Reports, LoosestAge));
 }
 
 TEST(ReplicaBacklogMonitor, QueriesAfterReadsWereUnavailableForTheDelay) {
--- a/tests/routing/FreshnessTrackerTest.cpp
+++ b/tests/routing/FreshnessTrackerTest.cpp
@@ -22,6 +22,29 @@
   EXPECT_EQ(Tracker.positionFor(milliseconds(1500), at(2480)), position(1, 10));
 }
 
+/// A database whose replicas are half a minute behind serves a route that
+/// accepts data of that age, beside one that accepts 1.5 s. Samples of the last
+/// 5 s would demand newer data.
+TEST(FreshnessTracker, SamplesCoverTheLoosestAcceptedAge) {
+  FreshnessTracker Tracker;
+  constexpr int LoosestMs = 30'000;
+  constexpr int StrictestMs = 1500;
+  Tracker.setLoosestAge(milliseconds(LoosestMs));
+  // The position is the time in milliseconds.
+  int Now = 1000;
+  for (; Now < 90'000; Now += 10)
+    Tracker.onPrimaryAnswer(1, position(1, static_cast<std::uint64_t>(Now)),
+                            at(Now));
+  auto AgeOf = [&](int AcceptedMs) {
+    auto Needed = Tracker.positionFor(milliseconds(AcceptedMs), at(Now));
+    return Needed ? Now - static_cast<int>(Needed->Position.Value) : 0;
+  };
+  EXPECT_LE(AgeOf(LoosestMs), LoosestMs);
+  EXPECT_GT(AgeOf(LoosestMs), LoosestMs * 9 / 10);
+  EXPECT_LE(AgeOf(StrictestMs), StrictestMs);
+  EXPECT_GT(AgeOf(StrictestMs), StrictestMs * 9 / 10);
+}
+
 TEST(FreshnessTracker, ReturnsNothingIfAllSamplesAreTooOld) {
   FreshnessTracker Tracker;
   EXPECT_FALSE(Tracker.positionFor(milliseconds(1500), at(0)));
