An outage nobody saw end is over; the schedule of samples is a decision apart

OutageMonitor kept the beginning of an outage until the next statement of its kind found a member, so at a seldom used service a new outage counted as an old one and its first callers were refused at once; and a statement that had excluded members by itself counted as one in an outage.

Change: an outage that no statement met for a second has ended, and only statements that may use every member tell of one. When a primary is asked for a sample moves from the dispatcher into SampleSchedule, behaviour unchanged.

--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -386,28 +386,11 @@
       .Urgent = Call->Terms.Priority < State.LowestPriority};
   Placement Chosen =
       placeStatement(Candidates, Requirements, this->Options.Placement, Now);
-  auto OutageSince = State.Outage.onPlacement(
-      Call->NeedsPrimary, Chosen.Status != PlacementStatus::NoMember, Now);
+  if (Chosen.Status == PlacementStatus::NoMember)
+    return this->waitOrRefuse(State, Call);
+  State.Outage.onPlacement(Call->NeedsPrimary, true, Now);
   if (Chosen.Status == PlacementStatus::Wait)
     return StartAttempt::MembersBusy;
-  if (OutageSince) {
-    OutageWaitDecision OutageWait = decideOutageWait(
-        this->Options.OutageWait, *OutageSince, Call->Terms.Deadline,
-        this->RecoveryTimeOf(State.Id), Now);
-    // A failure that a member has reported is known now.
-    if (OutageWait.Wait && !Call->FailedReply)
-      return StartAttempt::NoMember;
-    if (!Call->Outstanding.empty()) {
-      this->awaitOutstanding(Call);
-      return StartAttempt::Done;
-    }
-    this->refuse(Call, ReplyError::Busy,
-                 Call->NeedsPrimary
-                     ? "no primary available"
-                     : "no member with recent enough data available",
-                 OutageWait.RetryAfter);
-    return StartAttempt::Done;
-  }
   bool AtPrimary = Candidates[Chosen.Index].UsablePrimary;
   Call->MinPosition = AtPrimary ? std::nullopt : Requirements.MinPosition;
   this->startAtMember(Call, Pools[Chosen.Index],
@@ -415,6 +398,30 @@
   return StartAttempt::Done;
 }
 
+StartAttempt StatementDispatcher::waitOrRefuse(ServiceState &State,
+                                               const SharedCall &Call) {
+  TimePoint Now = this->Clock.now();
+  std::optional<TimePoint> BeganAt;
+  // Members that only this statement doesn't use are no outage.
+  if (Call->Excluded.empty() && Call->Outstanding.empty())
+    BeganAt = State.Outage.onPlacement(Call->NeedsPrimary, false, Now);
+  OutageWaitDecision Decision = decideOutageWait(
+      this->Options.OutageWait, BeganAt.value_or(Call->Terms.ArrivedAt),
+      Call->Terms.Deadline, this->RecoveryTimeOf(State.Id), Now);
+  // A failure that a member has reported is known now.
+  if (Decision.Wait && !Call->FailedReply)
+    return StartAttempt::NoMember;
+  if (!Call->Outstanding.empty())
+    this->awaitOutstanding(Call);
+  else
+    this->refuse(Call, ReplyError::Busy,
+                 Call->NeedsPrimary
+                     ? "no primary available"
+                     : "no member with recent enough data available",
+                 Decision.RetryAfter);
+  return StartAttempt::Done;
+}
+
 void StatementDispatcher::startAtMember(
     const SharedCall &Call, const std::shared_ptr<MemberLinkPool> &Pool,
     const std::optional<PrimaryLease> &Lease) {
@@ -1025,35 +1032,24 @@
   this->onLeasesChanged();
 }
 
-Duration StatementDispatcher::sampleInterval(const ServiceState &State,
-                                             bool SamplesForOthers) const {
-  if (SamplesForOthers)
-    return this->Options.SampleInterval;
-  Duration Interval = this->Options.ReceivedSampleInterval;
-  // Leaves a third of the accepted age for the query and the replica's lag.
-  if (State.Ages)
-    Interval = std::min(Interval, State.Ages->Strictest * 2 / 3);
-  return std::max(Interval, this->Options.SampleInterval);
-}
-
 void StatementDispatcher::requestSample(ServiceState &State,
                                         bool SamplesForOthers, TimePoint Now) {
-  Duration Interval = this->sampleInterval(State, SamplesForOthers);
   auto Lease = this->LeaseOf(State.Id);
-  auto Newest = State.Freshness.newest();
-  bool Recent = Newest &&
-                State.Freshness.epoch() == (Lease ? Lease->Epoch : 0) &&
-                Now - Newest->AskedAt < Interval;
-  if (!Lease || Lease->ExpiresAt <= Now || Recent ||
-      Now - State.SampleRequestedAt < this->Options.SampleInterval)
+  if (!Lease || Lease->ExpiresAt <= Now)
     return;
   auto Found = State.Pools.find(Lease->Primary);
   if (Found == State.Pools.end() || Now < Found->second->backoffUntil())
     return;
-  // A sample of another instance may still arrive; it costs no new link.
-  bool MayArrive = !SamplesForOthers && Newest &&
-                   Now - Newest->AskedAt < Interval + Interval / 4;
-  if (MayArrive && Found->second->idleLinkCount() == 0)
+  SampleKnowledge Known{.NewestIsCurrent =
+                            State.Freshness.epoch() == Lease->Epoch,
+                        .RequestedAt = State.SampleRequestedAt,
+                        .SampledForOthers = SamplesForOthers,
+                        .HasIdleLink = Found->second->idleLinkCount() > 0};
+  if (auto Newest = State.Freshness.newest())
+    Known.NewestAskedAt = Newest->AskedAt;
+  if (State.Ages)
+    Known.StrictestAge = State.Ages->Strictest;
+  if (!needsSample(this->Options.Samples, Known, Now))
     return;
   State.SampleRequestedAt = Now;
   Found->second->queryStatus([this, Epoch = Lease->Epoch, Service = State.Id](
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -12,6 +12,7 @@
 #include "routing/FreshnessTracker.h"
 #include "routing/HedgePolicy.h"
 #include "routing/MemberRegistry.h"
+#include "routing/SampleSchedule.h"
 
 #include <map>
 
@@ -43,13 +44,7 @@
   /// How long a primary is not used after it replied that it is no longer the
   /// primary. The record of its successor arrives within about a second.
   Duration NotPrimaryBackoff = std::chrono::milliseconds(50);
-  /// If the newest sample of the primary's log position is older than this,
-  /// its status is queried, so that replicas can continue to serve reads with
-  /// bounded staleness.
-  Duration SampleInterval = std::chrono::milliseconds(500);
-  /// The same for an instance that receives the samples of others, unless the
-  /// age that a route accepts is shorter. A relayed sample is up to 850 ms old.
-  Duration ReceivedSampleInterval = std::chrono::milliseconds(1000);
+  SampleScheduleOptions Samples = {};
 };
 
 /// Routes that share a service time estimate: an instance sees too few
@@ -174,6 +169,8 @@
   void serve(ServiceState &State);
   void shedUnservable(ServiceState &State);
   StartAttempt tryPlace(ServiceState &State, const SharedCall &Call);
+  /// Decides on a statement that no member can run.
+  StartAttempt waitOrRefuse(ServiceState &State, const SharedCall &Call);
   void startAtMember(const SharedCall &Call,
                      const std::shared_ptr<MemberLinkPool> &Pool,
                      const std::optional<PrimaryLease> &Lease);
@@ -222,9 +219,6 @@
                      ReplyError Code);
   void closeUnanswered(const SharedCall &Call);
   void requestSample(ServiceState &State, bool SamplesForOthers, TimePoint Now);
-  /// The age from which a sample of the service is replaced.
-  [[nodiscard]] Duration sampleInterval(const ServiceState &State,
-                                        bool SamplesForOthers) const;
   void scheduleWake();
 
   boost::asio::any_io_executor Exec;
--- a/include/turmericpitch/turmericpitch.h
+++ b/include/turmericpitch/turmericpitch.h
@@ -45,6 +45,7 @@
 #include "routing/MemberRegistry.h"
 #include "routing/Placement.h"
 #include "routing/Router.h"
+#include "routing/SampleSchedule.h"
 #include "routing/StatementFlow.h"
 #include "routing/UpstreamView.h"
 #include "session/ConnectionState.h"
--- a/limits/OutageWaitPolicy.cpp
+++ b/limits/OutageWaitPolicy.cpp
@@ -6,13 +6,16 @@
 
 std::optional<TimePoint>
 OutageMonitor::onPlacement(bool NeedsPrimary, bool AnyMember, TimePoint Now) {
-  std::optional<TimePoint> &Since =
-      NeedsPrimary ? this->NoPrimarySince : this->NoReaderSince;
-  if (AnyMember)
-    Since.reset();
-  else if (!Since)
-    Since = Now;
-  return Since;
+  std::optional<Outage> &Seen =
+      NeedsPrimary ? this->OfPrimary : this->OfReaders;
+  if (AnyMember) {
+    Seen.reset();
+    return std::nullopt;
+  }
+  if (!Seen || Now - Seen->SeenAt > MaxGap)
+    Seen = Outage{.BeganAt = Now, .SeenAt = Now};
+  Seen->SeenAt = Now;
+  return Seen->BeganAt;
 }
 
 OutageWaitDecision decideOutageWait(const OutageWaitOptions &Options,
--- a/limits/OutageWaitPolicy.h
+++ b/limits/OutageWaitPolicy.h
@@ -36,13 +36,20 @@
 public:
   /// Records whether a member was found that can run a statement, whatever the
   /// load. Returns when the outage began that the statement is in; empty if a
-  /// member was found.
+  /// member was found. An outage that no statement met for MaxGap has ended.
   std::optional<TimePoint> onPlacement(bool NeedsPrimary, bool AnyMember,
                                        TimePoint Now);
 
 private:
-  std::optional<TimePoint> NoPrimarySince;
-  std::optional<TimePoint> NoReaderSince;
+  static constexpr Duration MaxGap = std::chrono::seconds(1);
+
+  struct Outage {
+    TimePoint BeganAt;
+    TimePoint SeenAt;
+  };
+
+  std::optional<Outage> OfPrimary;
+  std::optional<Outage> OfReaders;
 };
 
 /// Answers the loss of a primary, and of a zone while the store is away.
--- a/tests/limits/OutageWaitPolicyTest.cpp
+++ b/tests/limits/OutageWaitPolicyTest.cpp
@@ -52,6 +52,14 @@
   }
 }
 
+/// A service that is seldom used: nobody saw the end of the last outage.
+TEST(OutageWaitPolicy, AnOutageOfLongAgoIsNotTheCurrentOne) {
+  OutageMonitor Outage;
+  Outage.onPlacement(true, false, Arrived);
+  TimePoint Later = Arrived + std::chrono::seconds(60);
+  EXPECT_EQ(Outage.onPlacement(true, false, Later), Later);
+}
+
 TEST(OutageWaitPolicy, AFoundMemberEndsTheOutageOfItsKindOfStatement) {
   OutageMonitor Outage;
   Outage.onPlacement(true, false, Arrived);
