Links of accounts in steady use are given up last

Cause: a link serves one account, and an instance has places for two links at a member but 85 accounts. Ruled out: a frequency per member alone, as an instance sends a member two statements a second, too few to know an account by. Change: limits/AccountUse counts the accounts' statements at the instance with decay, limits/LinkEviction ranks idle links by it; eviction and idle timeouts go by that rank.

--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -2,6 +2,7 @@
 
 #include "core/DecisionLog.h"
 #include "core/Metrics.h"
+#include "limits/LinkEviction.h"
 
 #include <algorithm>
 
@@ -25,9 +26,10 @@
 MemberLinkPool::MemberLinkPool(boost::asio::any_io_executor Exec,
                                const InstanceId &Self, RegisteredMember Member,
                                ConnectionAllowanceOptions Allowance,
+                               std::shared_ptr<const AccountUse> Use,
                                MemberLinkPoolOptions Options)
-    : Exec(std::move(Exec)), Member(std::move(Member)), Options(Options),
-      Allowance(Allowance),
+    : Exec(std::move(Exec)), Member(std::move(Member)), Use(std::move(Use)),
+      Options(Options), Allowance(Allowance),
       Retention(Options.Retention), Occupancy{.Limit = Allowance.MemberLimit,
                                               .Instances = Allowance.Instances,
                                               .Position = retentionPosition(
@@ -137,12 +139,20 @@
   return this->takeIdleAt(BestIndex);
 }
 
+std::vector<std::size_t> MemberLinkPool::rankedIdleLinks(TimePoint Now) const {
+  std::vector<double> AccountWeights;
+  AccountWeights.reserve(this->IdleLinks.size());
+  for (const auto &Link : this->IdleLinks)
+    AccountWeights.push_back(this->Use->weight(Link->account(), Now));
+  return rankIdleConnections(AccountWeights);
+}
+
 void MemberLinkPool::evictForOpening() {
   this->eraseEndedIdle();
-  if (this->IdleLinks.empty() ||
-      this->OpenCount < this->Allowance.allowed(this->Clock.now()))
+  TimePoint Now = this->Clock.now();
+  if (this->IdleLinks.empty() || this->OpenCount < this->Allowance.allowed(Now))
     return;
-  this->takeIdleAt(0)->close();
+  this->takeIdleAt(this->rankedIdleLinks(Now).back())->close();
   this->onLinkClosed();
   ++this->EvictedCount;
   countLink("evicted_for_account");
@@ -375,9 +385,13 @@
 void MemberLinkPool::closeExtraIdle(TimePoint Now) {
   MemberOccupancy Seen = this->occupancy(Now);
   std::size_t MinOpen = this->Retention.minOpen(Seen);
-  std::size_t Rank = this->IdleLinks.size();
+  std::vector<std::size_t> Ranked = this->rankedIdleLinks(Now);
+  std::vector<std::size_t> RankOf(Ranked.size());
+  for (std::size_t Rank = 0; Rank < Ranked.size(); ++Rank)
+    RankOf[Ranked[Rank]] = Rank;
+  std::size_t Index = 0;
   std::erase_if(this->IdleLinks, [&](const auto &Link) {
-    Duration Timeout = this->Retention.idleTimeout(Seen, --Rank, Now);
+    Duration Timeout = this->Retention.idleTimeout(Seen, RankOf[Index++], Now);
     bool Extra = this->OpenCount > MinOpen && Now - Link->IdleSince > Timeout;
     if (!Extra && Link->idle())
       return false;
--- a/drivers/MemberLinkPool.h
+++ b/drivers/MemberLinkPool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "drivers/MemberLink.h"
+#include "limits/AccountUse.h"
 #include "limits/ConcurrencyLimit.h"
 #include "limits/ConnectionAllowance.h"
 #include "limits/LinkRetention.h"
@@ -47,9 +48,10 @@
 /// only on the thread of its executor.
 class MemberLinkPool : public std::enable_shared_from_this<MemberLinkPool> {
 public:
-  /// Self: this instance.
+  /// Self: this instance. Use: that of the accounts here, shared by all pools.
   MemberLinkPool(boost::asio::any_io_executor Exec, const InstanceId &Self,
                  RegisteredMember Member, ConnectionAllowanceOptions Allowance,
+                 std::shared_ptr<const AccountUse> Use,
                  MemberLinkPoolOptions Options = {});
   ~MemberLinkPool();
   MemberLinkPool(const MemberLinkPool &) = delete;
@@ -85,8 +87,9 @@
   takeIdle(const ClientAccountId &Account,
            const std::map<std::string, std::string> &Values);
   /// Opens a link for Account. If the allowance is used up, closes the idle
-  /// link that was unused for longest first. OnOpened runs asynchronously. If
-  /// it succeeds, the link is in use until release().
+  /// link that is least worth keeping first; see rankIdleConnections().
+  /// OnOpened runs asynchronously. If it succeeds, the link is in use until
+  /// release().
   std::shared_ptr<MemberLink> openLink(const ClientAccountId &Account,
                                        MemberLink::OpenHandler OnOpened);
   /// Returns a link to the pool. Closes it if it can't be reused: it is not
@@ -182,13 +185,16 @@
   void dropIdle();
   void eraseEndedIdle();
   std::shared_ptr<MemberLink> takeIdleAt(std::size_t Index);
-  /// Closes the idle link that was unused for longest if the allowance is used
+  /// Closes the idle link that is least worth keeping if the allowance is used
   /// up.
   void evictForOpening();
+  /// The indices of the idle links, the one to keep longest first.
+  [[nodiscard]] std::vector<std::size_t> rankedIdleLinks(TimePoint Now) const;
   void onLinkClosed();
 
   boost::asio::any_io_executor Exec;
   RegisteredMember Member;
+  std::shared_ptr<const AccountUse> Use;
   MemberLinkPoolOptions Options;
   ConnectionAllowance Allowance;
   LinkRetention Retention;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -185,7 +185,7 @@
       return Found->second->onEntryChanged(Member);
     State.Pools.emplace(Member.Id, std::make_shared<MemberLinkPool>(
                                        this->Exec, this->Options.Self, Member,
-                                       AllowanceOf(Member.Service)));
+                                       AllowanceOf(Member.Service), this->Use));
   };
   std::for_each(Change.Added.begin(), Change.Added.end(), Update);
   std::for_each(Change.Changed.begin(), Change.Changed.end(), Update);
@@ -428,6 +428,7 @@
   Call->Pool = Pool;
   Call->Epoch = Lease ? Lease->Epoch : 0;
   if (++Call->Attempts == 1) {
+    this->Use->note(Call->Session->Account, this->Clock.now());
     ServiceState &State = this->Services[Call->Session->Route.Service];
     State.HedgeBudget.onFirstAttempt();
     State.FailedReadBudget.onFirstAttempt();
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -227,6 +227,8 @@
   RecoveryTimeLookup RecoveryTimeOf;
   std::map<ServiceId, ServiceState> Services;
   std::map<StatementClass, ServiceTimeEstimate> ServiceTimes;
+  /// Of all services together.
+  std::shared_ptr<AccountUse> Use = std::make_shared<AccountUse>();
   std::vector<HeldReply> HeldReplies;
   PreparedStatementNames Names;
   boost::asio::steady_timer WakeTimer;
--- a/limits/LinkRetention.h
+++ b/limits/LinkRetention.h
@@ -90,8 +90,8 @@
 
   /// Number of connections that are kept open regardless of use.
   [[nodiscard]] std::size_t minOpen(const MemberOccupancy &Seen) const;
-  /// Idle timeout of a connection. Rank: number of idle connections that were
-  /// used more recently.
+  /// Idle timeout of a connection. Rank: number of idle connections that are
+  /// more worth keeping; see rankIdleConnections().
   [[nodiscard]] Duration idleTimeout(const MemberOccupancy &Seen,
                                      std::size_t Rank, TimePoint Now) const;
   /// Whether this instance's even share of the member's limit is too small to
--- a/tests/drivers/MemberLinkPoolTest.cpp
+++ b/tests/drivers/MemberLinkPoolTest.cpp
@@ -36,7 +36,8 @@
                          .Slots = 4,
                          .Role = MemberRole::Primary},
         // Allows two links.
-        ConnectionAllowanceOptions{.MemberLimit = 2, .Instances = 2});
+        ConnectionAllowanceOptions{.MemberLimit = 2, .Instances = 2},
+        this->Use);
   }
 
   ~MemberLinkPoolTest() override { this->Pool->dropAll(); }
@@ -72,6 +73,7 @@
   }
 
   boost::asio::io_context Loop;
+  std::shared_ptr<AccountUse> Use = std::make_shared<AccountUse>();
   SessionGroup Group;
   std::shared_ptr<MemberLinkPool> Pool;
 };
@@ -116,6 +118,21 @@
   EXPECT_EQ(this->candidate(Naroda).MaxInFlightUrgent, 2U);
 }
 
+/// The link of an account in steady use stays, though it was used before that
+/// of another one.
+TEST_F(MemberLinkPoolTest, LinkOfTheLeastUsedAccountMakesRoom) {
+  for (int Count = 0; Count < 10; ++Count)
+    this->Use->note(Sabarmati, BootClock().now());
+  this->Use->note(Naroda, BootClock().now());
+  auto Steady = this->open(Sabarmati);
+  auto Rare = this->open(Naroda);
+  this->release(Steady);
+  this->release(Rare);
+  auto Needed = this->open({"passing"});
+  EXPECT_FALSE(Rare->usable());
+  EXPECT_EQ(this->Pool->takeIdle(Sabarmati, {}), Steady);
+}
+
 TEST_F(MemberLinkPoolTest, NothingIsClosedWhileTheAllowanceHasRoom) {
   this->release(this->open(Sabarmati));
   this->release(this->open(Naroda));
