Only keepers look for the first owner table at the store

Change: the decision when to read the table moves out of the driver to limits/OwnerTableReads. The others hear of the first table from the keepers' replies and read by themselves only after 5 s. No message changes.

--- a/drivers/LimitExchange.cpp
+++ b/drivers/LimitExchange.cpp
@@ -229,14 +229,13 @@
 }
 
 bool LimitExchange::isTableReadDue(TimePoint Now) const {
-  if (!this->TableReadAt || !this->Right.readSentAt() || this->NewerTableKnown)
-    return true;
-  // Until the first table is written, nobody can tell of it.
-  if (this->Right.table().Epoch == 0)
-    return Now - *this->TableReadAt >= this->Options.MissingTableReadInterval;
-  if (this->IsKeeper)
-    return Now - *this->TableReadAt >= this->Options.KeeperReadInterval;
-  return Now - *this->Right.readSentAt() >= this->Options.MaxReadAge;
+  return isOwnerTableReadDue(this->Options.Reads,
+                             {.ReadAt = this->TableReadAt,
+                              .ConfirmedAt = this->Right.readSentAt(),
+                              .Exists = this->Right.table().Epoch > 0,
+                              .NewerKnown = this->NewerTableKnown,
+                              .IsKeeper = this->IsKeeper},
+                             Now);
 }
 
 Awaitable<void> LimitExchange::readTable() {
--- a/drivers/LimitExchange.h
+++ b/drivers/LimitExchange.h
@@ -5,6 +5,7 @@
 #include "drivers/PeerTransport.h"
 #include "drivers/StoreClient.h"
 #include "limits/AccountLimiter.h"
+#include "limits/OwnerTableReads.h"
 #include "limits/ShareRight.h"
 #include "limits/StoreBackoff.h"
 #include "membership/InstanceRegistry.h"
@@ -20,13 +21,7 @@
   /// Unique for each start of the process.
   std::uint64_t Incarnation = 0;
   ShareRightOptions Right = {};
-  /// How often a keeper reads the owner table; the others learn its age from
-  /// the keepers' replies.
-  Duration KeeperReadInterval = std::chrono::seconds(10);
-  /// How often any instance reads it while the store holds none.
-  Duration MissingTableReadInterval = std::chrono::milliseconds(1000);
-  /// Age of the newest read from which any instance reads the table itself.
-  Duration MaxReadAge = std::chrono::seconds(25);
+  OwnerTableReadOptions Reads = {};
   /// How long after the start an instance that no keeper answers keeps callers
   /// away. Longer than the others take to list it.
   Duration ContactTimeout = std::chrono::seconds(6);
--- a/tests/platform/LimitExchangeTest.cpp
+++ b/tests/platform/LimitExchangeTest.cpp
@@ -47,8 +47,8 @@
                     .Right = {.Validity = milliseconds(2500),
                               .Margin = milliseconds(10),
                               .StableListTime = Duration{0}},
-                    .KeeperReadInterval = milliseconds(50),
-                    .MaxReadAge = milliseconds(500),
+                    .Reads = {.KeeperInterval = milliseconds(50),
+                              .MaxAge = milliseconds(500)},
                     .FirstTableDelay = Duration{0}},
                    Store, Registry,
                    {.WritesTable = [this] { return this->Writes; }}) {}
