Crowded members: an account that sends most of the statements keeps its link

Ruled out: openings by rank (the hold by share is as before outside crowded members). Change: the link stays for the idle timeout if its account has half or more of this instance's statements at the member; AccountUse tells the share in place of a rate. With 85 accounts no account has half, as before.

--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -239,8 +239,7 @@
   auto Rank = static_cast<std::size_t>(
       std::find(Ranked.begin(), Ranked.end(), Index) - Ranked.begin());
   if (this->Retention.keepsIdle(this->occupancy(Now), Rank,
-                                this->UseHere.perSecond(Link->account(), Now),
-                                Now))
+                                this->UseHere.share(Link->account(), Now), Now))
     return;
   this->IdleLinks.erase(Found);
   Link->close();
--- a/limits/AccountUse.cpp
+++ b/limits/AccountUse.cpp
@@ -1,6 +1,5 @@
 #include "limits/AccountUse.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace turmericpitch {
@@ -12,10 +11,9 @@
 }
 
 void AccountUse::note(const ClientAccountId &Account, TimePoint Now) {
-  if (!this->StartedAt)
-    this->StartedAt = Now;
   Entry &Of = this->Accounts[Account];
   Of = {.Weight = this->decayed(Of, Now) + 1, .At = Now};
+  this->Total = {.Weight = this->decayed(this->Total, Now) + 1, .At = Now};
   if (this->Accounts.size() > this->Options.MaxAccounts)
     this->forgetUnused(Now);
 }
@@ -25,16 +23,9 @@
   return Found == this->Accounts.end() ? 0 : this->decayed(Found->second, Now);
 }
 
-double AccountUse::perSecond(const ClientAccountId &Account,
-                             TimePoint Now) const {
-  if (!this->StartedAt)
-    return 0;
-  std::chrono::duration<double> Known(
-      std::max(Now - *this->StartedAt, this->Options.MinPeriod));
-  std::chrono::duration<double> TimeConstant(this->Options.TimeConstant);
-  // The weight of one statement a second since the start.
-  double Period = TimeConstant.count() * (1 - std::exp(-Known / TimeConstant));
-  return this->weight(Account, Now) / Period;
+double AccountUse::share(const ClientAccountId &Account, TimePoint Now) const {
+  double All = this->decayed(this->Total, Now);
+  return All > 0 ? this->weight(Account, Now) / All : 0;
 }
 
 void AccountUse::forgetUnused(TimePoint Now) {
--- a/limits/AccountUse.h
+++ b/limits/AccountUse.h
@@ -6,7 +6,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 
 namespace turmericpitch {
 
@@ -16,9 +15,6 @@
   Duration TimeConstant = std::chrono::seconds(10);
   /// Accounts with the least use are forgotten beyond this number.
   std::size_t MaxAccounts = 4096;
-  /// Rates are told as if the first statement had come this long ago at least,
-  /// as a single one tells no rate.
-  Duration MinPeriod = std::chrono::milliseconds(200);
 };
 
 /// Counts the statements of each account, of which older ones count less. Pure;
@@ -32,9 +28,10 @@
   /// The account's decayed number of statements; 0 if it is unknown.
   [[nodiscard]] double weight(const ClientAccountId &Account,
                               TimePoint Now) const;
-  /// The account's statements per second.
-  [[nodiscard]] double perSecond(const ClientAccountId &Account,
-                                 TimePoint Now) const;
+  /// The account's fraction of the statements of all accounts, which is about
+  /// the probability that the next one is of this account; 0 if it is unknown.
+  [[nodiscard]] double share(const ClientAccountId &Account,
+                             TimePoint Now) const;
   [[nodiscard]] std::size_t size() const { return this->Accounts.size(); }
 
 private:
@@ -49,8 +46,8 @@
 
   AccountUseOptions Options;
   std::map<ClientAccountId, Entry> Accounts;
-  /// When the first statement came.
-  std::optional<TimePoint> StartedAt;
+  /// Of all accounts together.
+  Entry Total;
 };
 
 } // namespace turmericpitch
--- a/limits/LinkRetention.cpp
+++ b/limits/LinkRetention.cpp
@@ -60,11 +60,9 @@
 }
 
 bool LinkRetention::keepsIdle(const MemberOccupancy &Seen, std::size_t Rank,
-                              double AccountRate, TimePoint Now) const {
-  if (!this->hasSmallShare(Seen) || !this->isCrowdedAt(Seen, Rank, Now))
-    return true;
-  std::chrono::duration<double> Timeout(this->Options.CrowdedIdleTimeout);
-  return AccountRate * Timeout.count() >= 1;
+                              double AccountShare, TimePoint Now) const {
+  return !this->hasSmallShare(Seen) || !this->isCrowdedAt(Seen, Rank, Now) ||
+         AccountShare >= this->Options.MinShareToKeepCrowded;
 }
 
 Duration LinkRetention::idleTimeout(const MemberOccupancy &Seen,
--- a/limits/LinkRetention.h
+++ b/limits/LinkRetention.h
@@ -29,6 +29,10 @@
   /// The same while the member is crowded. An idle connection then keeps out
   /// another instance's statement.
   Duration CrowdedIdleTimeout = std::chrono::milliseconds(50);
+  /// From this fraction of an instance's statements at a crowded member on, an
+  /// account keeps its idle connection for that long: the next statement is
+  /// likelier to need it than another one.
+  double MinShareToKeepCrowded = 0.5;
   /// Idle timeout of a held connection. Members close connections that are idle
   /// for a minute.
   Duration HeldIdleTimeout = std::chrono::seconds(30);
@@ -95,12 +99,12 @@
   [[nodiscard]] Duration idleTimeout(const MemberOccupancy &Seen,
                                      std::size_t Rank, TimePoint Now) const;
   /// Whether a connection is kept that becomes idle now. At a crowded member it
-  /// is closed at once, unless its account's next statement is expected within
-  /// the idle timeout: until then it keeps out statements of all others.
-  /// AccountRate: statements per second of its account at the member from this
-  /// instance.
+  /// is closed at once, unless this instance's next statement there is likely
+  /// to be of the same account: until then it keeps out statements of others.
+  /// AccountShare: its account's fraction of this instance's statements at the
+  /// member.
   [[nodiscard]] bool keepsIdle(const MemberOccupancy &Seen, std::size_t Rank,
-                               double AccountRate, TimePoint Now) const;
+                               double AccountShare, TimePoint Now) const;
   /// Whether this instance's even share of the member's limit is too small to
   /// keep MinOpenLinks regardless of use.
   [[nodiscard]] bool hasSmallShare(const MemberOccupancy &Seen) const;
