A link whose status query fails at once is not searched among idle links

Cause: release() may send a status query on the link that it has just made idle. If that fails before it returns, the link is closed and no longer among the idle ones, and closeUnlessKept() would erase past their end. Change: a guard. No test brings the failure about yet: the stand-in member answers each query.

--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -234,6 +234,9 @@
 void MemberLinkPool::closeUnlessKept(const std::shared_ptr<MemberLink> &Link,
                                      TimePoint Now) {
   auto Found = std::find(this->IdleLinks.begin(), this->IdleLinks.end(), Link);
+  // The status query that release() sent on it has failed at once.
+  if (Found == this->IdleLinks.end())
+    return;
   auto Index = static_cast<std::size_t>(Found - this->IdleLinks.begin());
   std::vector<std::size_t> Ranked = this->rankedIdleLinks(Now);
   auto Rank = static_cast<std::size_t>(
