--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -76,8 +76,9 @@
           },
       .Versions = [this] { return this->ownVersions(); },
       .OnVersions =
-          [this](const KnownVersions &Other, TimePoint QuerySentAt) {
-            this->onOtherVersions(Other, QuerySentAt);
+          [this](const InstanceId &From, const KnownVersions &Other,
+                 TimePoint QuerySentAt) {
+            this->onOtherVersions(From, Other, QuerySentAt);
           },
       .OnChanged = [this] { this->Dispatcher.onLeasesChanged(); },
       .OnGranted =
@@ -94,7 +95,8 @@
   return Own;
 }
 
-void FailoverCoordinator::onOtherVersions(const KnownVersions &Other,
+void FailoverCoordinator::onOtherVersions(const InstanceId &From,
+                                          const KnownVersions &Other,
                                           TimePoint QuerySentAt) {
   if (Other.PromoterStep > this->PromoterRevision.Value) {
     this->PromoterRevision = {Other.PromoterStep};
@@ -103,7 +105,7 @@
     // returns its name.
     this->Promoter.clear();
   }
-  this->Versions.OnOther(Other, QuerySentAt);
+  this->Versions.OnOther(From, Other, QuerySentAt);
 }
 
 bool FailoverCoordinator::mayGrant(const ServiceId &Id) const {
@@ -202,11 +204,28 @@
       ReadDuty, [this](const InstanceId &Id) { return this->cannotRead(Id); });
 }
 
+void FailoverCoordinator::trackReader() {
+  std::optional<InstanceId> Reader;
+  for (const InstanceId &Id : this->Duties.holders(ReadDuty, this->relays()))
+    if (Id == this->Options.Self || !this->cannotRead(Id)) {
+      Reader = Id;
+      break;
+    }
+  if (Reader == this->LoggedReader)
+    return;
+  this->LoggedReader = Reader;
+  writeDecision(DecisionLine("reader_known")
+                    .field("reader", Reader ? Reader->Value : "none")
+                    .field("own", Reader == this->Options.Self ? 1 : 0)
+                    .field("relay", this->providesRecords() ? 1 : 0));
+}
+
 Awaitable<void> FailoverCoordinator::queryPeers() {
   std::size_t Turn = 0;
   while (true) {
     co_await this->pause(this->Options.QueryInterval);
     ++Turn;
+    this->trackReader();
     this->updateIsolation(this->Clock.now());
     TimePoint Now = this->Clock.now();
     if (this->shouldRequestGrants(Now))
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -130,9 +130,11 @@
   /// with stale data catch up.
   struct VersionHooks {
     std::function<KnownVersions()> Own;
-    /// Called with the versions in a reply; QuerySentAt is when the query was
-    /// sent.
-    std::function<void(const KnownVersions &, TimePoint QuerySentAt)> OnOther;
+    /// Called with the versions in an instance's reply; QuerySentAt is when the
+    /// query was sent.
+    std::function<void(const InstanceId &, const KnownVersions &,
+                       TimePoint QuerySentAt)>
+        OnOther;
   };
 
   FailoverCoordinator(Executor Exec, FailoverCoordinatorOptions Options,
@@ -189,7 +191,8 @@
 
   LeaseExchange::Hooks peerHooks();
   [[nodiscard]] KnownVersions ownVersions() const;
-  void onOtherVersions(const KnownVersions &Other, TimePoint QuerySentAt);
+  void onOtherVersions(const InstanceId &From, const KnownVersions &Other,
+                       TimePoint QuerySentAt);
   void onGranted(const GrantedEpoch &Granted, const GrantRound &Round);
   [[nodiscard]] bool mayGrant(const ServiceId &Id) const;
   [[nodiscard]] PrimaryReachability reachability(const ServiceId &Id) const;
@@ -214,6 +217,8 @@
   /// The instance to query for the store's records; nullptr for the reader
   /// itself.
   [[nodiscard]] const RegisteredInstance *sourceToQuery(std::size_t Turn) const;
+  /// Logs which instance reads the store for the others, when that changes.
+  void trackReader();
   Awaitable<void> queryPeers();
   [[nodiscard]] ConnectivityView connectivity(TimePoint Now);
   void updateIsolation(TimePoint Now);
@@ -298,6 +303,8 @@
   std::optional<TimePoint> FoundNoRecordsAt;
   /// When the store last replied; nothing before the first reply.
   std::optional<TimePoint> StoreAnsweredAt;
+  /// The reader as last logged.
+  std::optional<InstanceId> LoggedReader;
   IsolationDetector Isolation;
   std::optional<TimePoint> LeasesLostAt;
   std::map<ServiceId, TimePoint> NextFailoverAt;
--- a/drivers/LeaseExchange.cpp
+++ b/drivers/LeaseExchange.cpp
@@ -311,7 +311,7 @@
   auto SentAt = this->sentAt(Peer, Reply.Serial);
   if (!SentAt)
     return;
-  this->Callbacks.OnVersions(Reply.Versions, *SentAt);
+  this->Callbacks.OnVersions(Peer, Reply.Versions, *SentAt);
   bool Changed = false;
   // An age in the reply is that at the peer's receipt of the query. The query
   // was sent earlier, so its send time minus the age is no later than the read.
--- a/drivers/LeaseExchange.h
+++ b/drivers/LeaseExchange.h
@@ -46,7 +46,8 @@
     std::function<KnownVersions()> Versions;
     /// Called with the versions that another instance knows, from its reply to
     /// a query sent at QuerySentAt.
-    std::function<void(const KnownVersions &, TimePoint QuerySentAt)>
+    std::function<void(const InstanceId &, const KnownVersions &,
+                       TimePoint QuerySentAt)>
         OnVersions;
     /// Called when a record has changed.
     std::function<void()> OnChanged;
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -104,20 +104,20 @@
               return this->Failover.expectedRecovery(Id);
             }),
         Instances(this->Settings.Self),
-        Failover(
-            this->Loop.get_executor(),
-            {.Self = this->Settings.Self,
-             .Zone = this->Settings.Zone,
-             .Listen = this->peerAddress(),
-             .Seed = std::random_device{}(),
-             .Rules = Options.Rules,
-             .GrantorSelection = Options.Grantors},
-            this->Store, this->Instances, this->Dispatcher,
-            {.Own = [this] { return this->ownVersions(); },
-             .OnOther =
-                 [this](const KnownVersions &Other, TimePoint QuerySentAt) {
-                   this->onOtherVersions(Other, QuerySentAt);
-                 }}),
+        Failover(this->Loop.get_executor(),
+                 {.Self = this->Settings.Self,
+                  .Zone = this->Settings.Zone,
+                  .Listen = this->peerAddress(),
+                  .Seed = std::random_device{}(),
+                  .Rules = Options.Rules,
+                  .GrantorSelection = Options.Grantors},
+                 this->Store, this->Instances, this->Dispatcher,
+                 {.Own = [this] { return this->ownVersions(); },
+                  .OnOther =
+                      [this](const InstanceId &From, const KnownVersions &Other,
+                             TimePoint QuerySentAt) {
+                        this->onOtherVersions(From, Other, QuerySentAt);
+                      }}),
         Limits(this->Loop.get_executor(),
                {.Self = this->Settings.Self,
                 .Listen = this->limitAddress(),
@@ -160,13 +160,18 @@
   Awaitable<bool> readConfiguration();
   Awaitable<void> readNewerConfiguration();
   /// Applies a stored configuration if it is newer than the one in force.
-  void applyConfiguration(const KeyValueEntry &Entry);
+  /// Source is where it came from, for the log.
+  void applyConfiguration(const KeyValueEntry &Entry, std::string_view Source);
+  /// Milliseconds since the newest answered read of the configuration was sent;
+  /// -1 before the first.
+  [[nodiscard]] std::int64_t configurationReadAge() const;
   [[nodiscard]] KnownVersions ownVersions() const;
   /// Whether other instances read the store for this one and report changes.
   [[nodiscard]] bool receivesChangeNotifications() const {
     return !this->Failover.isReader() && !this->Failover.hasStaleRecords();
   }
-  void onOtherVersions(const KnownVersions &Other, TimePoint QuerySentAt);
+  void onOtherVersions(const InstanceId &From, const KnownVersions &Other,
+                       TimePoint QuerySentAt);
   /// Lists the members. Returns false if the list could not be read.
   Awaitable<bool> listMembers(ReadConsistency Consistency);
   /// Lists the members until a change at this revision of the store is known.
@@ -212,6 +217,10 @@
   bool ListingMembers = false;
   /// Whether a read of the configuration is in progress.
   bool ReadingConfiguration = false;
+  /// When the newest answered read of the configuration was sent.
+  std::optional<TimePoint> ConfigurationReadAt;
+  /// The newest version that another instance has reported.
+  std::uint64_t ReportedConfiguration = 0;
   bool Stopping = false;
   /// After a failed read, versions reported by other instances do not trigger
   /// another read before this time.
@@ -264,6 +273,7 @@
 
 Awaitable<bool> SessionDaemon::Components::readConfiguration() {
   this->ReadingConfiguration = true;
+  TimePoint ReadSentAt = BootClock().now();
   auto Read = co_await this->Store.readKey(std::string(ConfigurationKey));
   this->ReadingConfiguration = false;
   if (Read)
@@ -278,12 +288,13 @@
                  "\"");
   if (!Read)
     co_return false;
+  this->ConfigurationReadAt = ReadSentAt;
   // The store's revision, because the history may no longer reach back to the
   // entry's own revision.
   this->ConfigurationRevision =
       std::max(this->ConfigurationRevision, Read.value().StoreRevision);
   if (Read.value().Entry)
-    this->applyConfiguration(*Read.value().Entry);
+    this->applyConfiguration(*Read.value().Entry, "read");
   co_return true;
 }
 
@@ -291,7 +302,16 @@
   co_await this->readConfiguration();
 }
 
-void SessionDaemon::Components::applyConfiguration(const KeyValueEntry &Entry) {
+std::int64_t SessionDaemon::Components::configurationReadAge() const {
+  if (!this->ConfigurationReadAt)
+    return -1;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             BootClock().now() - *this->ConfigurationReadAt)
+      .count();
+}
+
+void SessionDaemon::Components::applyConfiguration(const KeyValueEntry &Entry,
+                                                   std::string_view Source) {
   auto Table = toOutcome([&] { return decodeRouteTable(Entry.Value); });
   if (!Table) {
     writeWarning("event=configuration_refused reason=\"" +
@@ -307,7 +327,8 @@
                     .field("version", Version)
                     .field("routes", Count)
                     .field("accounts", Accounts)
-                    .field("revision", Entry.Modified.Value));
+                    .field("revision", Entry.Modified.Value)
+                    .field("source", Source));
   this->Dispatcher.onRegistry({}, this->Routes, this->Instances.count());
   this->Limits.setLimits(limitsOf(this->Routes.accounts()));
   this->Sessions.onConfigurationApplied();
@@ -324,9 +345,19 @@
   return Own;
 }
 
-void SessionDaemon::Components::onOtherVersions(const KnownVersions &Other,
+void SessionDaemon::Components::onOtherVersions(const InstanceId &From,
+                                                const KnownVersions &Other,
                                                 TimePoint QuerySentAt) {
   TimePoint Now = BootClock().now();
+  if (Other.Configuration > this->Routes.version() &&
+      Other.Configuration > this->ReportedConfiguration) {
+    this->ReportedConfiguration = Other.Configuration;
+    writeDecision(DecisionLine("configuration_behind")
+                      .field("version", this->Routes.version())
+                      .field("newer", Other.Configuration)
+                      .field("told_by", From.Value)
+                      .field("read_age_ms", this->configurationReadAge()));
+  }
   if (Other.Configuration > this->Routes.version() &&
       !this->ReadingConfiguration && Now >= this->NextConfigurationReadAt)
     this->spawn(this->readNewerConfiguration());
@@ -352,6 +383,7 @@
     if (!Following)
       co_await this->pauseAfterFailure(Backoff);
     while (Following) {
+      TimePoint WatchSentAt = BootClock().now();
       auto Watched = co_await this->Store.watch(
           std::string(ConfigurationKey), this->ConfigurationRevision,
           this->receivesChangeNotifications()
@@ -362,11 +394,15 @@
       Following = Watched && !Watched.value().HistoryCompacted;
       if (Watched)
         Backoff.onAnswered();
+      else
+        writeWarning("event=configuration_watch_failed reason=\"" +
+                     Watched.error().Message + "\"");
       if (Following) {
+        this->ConfigurationReadAt = WatchSentAt;
         this->ConfigurationRevision = Watched.value().StoreRevision;
         for (const WatchEvent &Each : Watched.value().Events)
           if (Each.Entry.Key == ConfigurationKey && !Each.Deleted)
-            this->applyConfiguration(Each.Entry);
+            this->applyConfiguration(Each.Entry, "watch");
       }
       if (!Watched || Watched.value().HistoryCompacted)
         co_await this->pauseAfterFailure(Backoff);
@@ -577,6 +613,7 @@
         .field("links_refused", processMetrics().counterValue(
                                     "member_links_total", "refused_at_limit"))
         .field("configuration", this->Routes.version())
+        .field("configuration_read_age_ms", this->configurationReadAge())
         .field("accounts", this->Routes.accounts().accounts().size())
         .field("instances", this->Instances.count())
         .field("limit_owners", this->Limits.owners().Owners.size())
--- a/tests/drivers/FailoverCoordinatorTest.cpp
+++ b/tests/drivers/FailoverCoordinatorTest.cpp
@@ -69,9 +69,10 @@
     return std::make_unique<FailoverCoordinator>(
         this->Loop.get_executor(), Options, *this->Client, Registry,
         this->Dispatcher,
-        FailoverCoordinator::VersionHooks{
-            .Own = [] { return KnownVersions{}; },
-            .OnOther = [](const KnownVersions &, TimePoint) {}});
+        FailoverCoordinator::VersionHooks{.Own = [] { return KnownVersions{}; },
+                                          .OnOther = [](const InstanceId &,
+                                                        const KnownVersions &,
+                                                        TimePoint) {}});
   }
 
 private:
