--- a/tests/platform/RevisionStore.h
+++ b/tests/platform/RevisionStore.h
@@ -20,6 +20,8 @@
 
   /// Errors: Unavailable if the address can't be bound.
   Status start();
+  /// Replies to one request, as to those that arrive at the own address.
+  Awaitable<HttpReply> handle(HttpRequest Request);
   /// Writes a key as the operator or a member would.
   void put(const std::string &Key, const std::string &Value);
   /// The value of a key, or "".
@@ -53,7 +55,6 @@
     std::uint64_t Revision = 1;
   };
 
-  Awaitable<HttpReply> handle(HttpRequest Request);
   HttpReply answer(const HttpRequest &Request);
   [[nodiscard]] boost::json::object encodeItem(const std::string &Key,
                                                const Item &Each) const;
