A call that fails closes the idle connections to the same service

After a network fault has silenced the connections to the store, each idle one costs a call its timeout: up to four in a row, 1.5 s each, with pauses of 0.2 to 1.6 s between them, so that a read that is due at once can come up to 9 s late (by reckoning).

HttpClientTest.SilentCallClosesTheIdleConnections: with four idle connections silenced, the call after the first failed one is answered on a new connection. Without the change it waits for its own timeout, 60 s in the test, and fails.

The outcome of a failed exchange is unchanged.

--- a/drivers/HttpClient.cpp
+++ b/drivers/HttpClient.cpp
@@ -30,6 +30,13 @@
     this->Idle.push_back(std::move(Connection));
 }
 
+void HttpClient::closeIdle() {
+  std::lock_guard Lock(this->Mutex);
+  for (const auto &Each : this->Idle)
+    Each->close();
+  this->Idle.clear();
+}
+
 Awaitable<Outcome<HttpReply>>
 HttpClient::call(HttpRequest Request, Duration Timeout,
                  std::function<bool()> ShouldSend) {
@@ -45,6 +52,8 @@
       this->release(Connection);
     // NotRun means that the service had closed the idle connection before
     // anything was sent, so the request can be sent on a new one.
+    if (!Reply)
+      this->closeIdle();
     if (Reply || Reply.error().Kind != ErrorKind::NotRun)
       co_return Reply;
   }
@@ -63,6 +72,8 @@
   auto Reply = co_await Connection->exchange(std::move(Request), Timeout);
   if (Reply)
     this->release(Connection);
+  else
+    this->closeIdle();
   co_return Reply;
 }
 
--- a/drivers/HttpClient.h
+++ b/drivers/HttpClient.h
@@ -34,6 +34,9 @@
 private:
   std::shared_ptr<HttpConnection> acquireIdle();
   void release(std::shared_ptr<HttpConnection> Connection);
+  /// Closes the idle connections after an exchange failed: what silenced or
+  /// broke that one may have struck them, too, and each would cost a timeout.
+  void closeIdle();
 
   Executor Exec;
   HttpClientOptions Options;
