A relay that was silent is queried again, and a zone's relays share the queries

An instance doesn't query a relay that left queries unanswered for 0.5 s. If that happened with all relays, as in a short partition between instances, it queried nobody any more and heard of no new version, until one of them notified it of a change of primary; its leases came from reads of its own.

Of the relays of its own zone an instance queried the last in the list, and so did all others of the zone: at 300 instances one relay of six answers for all.

The choice is now a decision apart (membership/RelayChoice). One of five turns also queries a silent relay; instances spread over the relays of their zone by their seed. RelayChoiceTest shows both; the first didn't hold before by reading, as nothing queried a silent relay.

--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -234,8 +234,11 @@
     // primaries.
     if (this->isActivePromoter(Now))
       this->Exchange.queryAll();
-    if (const RegisteredInstance *Source = this->sourceToQuery(Turn))
-      this->Exchange.query(*Source);
+    RelayChoice Relay = this->relayToQuery(Turn);
+    if (Relay.Source)
+      this->Exchange.query(*Relay.Source);
+    if (Relay.Silent)
+      this->Exchange.query(*Relay.Silent);
   }
 }
 
@@ -278,32 +281,26 @@
       ReadDuty, [this](const InstanceId &Id) { return this->isSilent(Id); });
 }
 
-const RegisteredInstance *
-FailoverCoordinator::sourceToQuery(std::size_t Turn) const {
-  if (this->isReader())
-    return nullptr;
-  std::vector<InstanceId> Relays =
+RelayChoice FailoverCoordinator::relayToQuery(std::size_t Turn) const {
+  std::vector<InstanceId> Holders =
       this->Duties.holders(ReadDuty, this->relays());
-  bool IsRelay = this->Duties.holds(ReadDuty, Relays.size());
-  std::vector<const RegisteredInstance *> Usable;
-  const RegisteredInstance *SameZone = nullptr;
-  for (const InstanceId &Id : Relays) {
+  bool IsRelay = this->Duties.holds(ReadDuty, Holders.size());
+  std::vector<RelayView> Views;
+  for (const InstanceId &Id : Holders) {
     const RegisteredInstance *Entry = this->Instances.find(Id);
-    if (!Entry || Id == this->Options.Self ||
-        (IsRelay ? this->cannotRead(Id) : this->isSilent(Id)))
+    if (!Entry || Id == this->Options.Self)
       continue;
-    // The first usable instance in the list is the reader.
-    if (IsRelay)
-      return Entry;
-    Usable.push_back(Entry);
-    // A relay of the same zone that has not answered the last query is
-    // skipped for one turn.
-    if (Entry->Zone == this->Options.Zone && !this->Exchange.silentSince(Id))
-      SameZone = Entry;
+    Views.push_back(
+        {.Entry = Entry,
+         .Silent = IsRelay ? this->cannotRead(Id) : this->isSilent(Id),
+         .MissedLast = this->Exchange.silentSince(Id).has_value()});
   }
-  if (SameZone || Usable.empty())
-    return SameZone;
-  return Usable[Turn % Usable.size()];
+  RelayChoice Choice =
+      chooseRelay(this->Options.Relays, Views, this->Options.Zone, IsRelay,
+                  this->Options.Seed, Turn);
+  if (this->isReader())
+    Choice.Source = nullptr;
+  return Choice;
 }
 
 ConnectivityView FailoverCoordinator::connectivity(TimePoint Now) {
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -14,6 +14,7 @@
 #include "limits/StoreBackoff.h"
 #include "membership/IsolationDetector.h"
 #include "membership/RegistryDuties.h"
+#include "membership/RelayChoice.h"
 
 #include <set>
 
@@ -39,6 +40,7 @@
   std::size_t LivenessCheckers = 2;
   /// How often relays query the reader, and the other instances a relay.
   Duration QueryInterval = std::chrono::milliseconds(150);
+  RelayChoiceOptions Relays = {};
   /// If its records are older than this, an instance queries the store, and
   /// relays request grants. Records from a relay are up to 560 ms old.
   Duration MaxRecordAge = std::chrono::milliseconds(620);
@@ -214,9 +216,8 @@
                                              TimePoint Now) const;
   /// Number of instances that rank before this one for replacing primaries.
   [[nodiscard]] std::size_t promoterRank() const;
-  /// The instance to query for the store's records; nullptr for the reader
-  /// itself.
-  [[nodiscard]] const RegisteredInstance *sourceToQuery(std::size_t Turn) const;
+  /// The relays to query for the store's records.
+  [[nodiscard]] RelayChoice relayToQuery(std::size_t Turn) const;
   /// Logs which instance reads the store for the others, when that changes.
   void trackReader();
   Awaitable<void> queryPeers();
