Copies of the store are confirmed by age, and come from other instances if need be

Cause, of the class: an instance didn't know how long ago its configuration was certainly the newest. It waited for a watch of 30 s and for what one relay told, and either may be silent, lag or change hands without a sign; and what was newer could only come from the store, which may turn one instance away.

Now membership/CopyFollower counts the time since the copy was confirmed: by the store, or by another instance's report with the age of its confirmation. After 0.6 of the time to apply a configuration the store is asked (a watch that doesn't wait) and three instances at random, whoever the relay is; the reader asks three times in that time, as its watches did before. If the store doesn't answer and another instance holds a newer version, it is copied from one of the holders (drivers/StoreCopies, TCP on the first port between instances). A watch that misses a version is replaced. The member list follows the same rule, which replaces a current listing every 30 s; the list of instances is copied if the store doesn't answer.

--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -165,6 +165,15 @@
   [[nodiscard]] bool hasStaleRecords() const {
     return this->recordsAreStale(this->Clock.now());
   }
+  /// When the store last answered a read of the records; nothing before the
+  /// first answer.
+  [[nodiscard]] const std::optional<TimePoint> &storeAnsweredAt() const {
+    return this->StoreAnsweredAt;
+  }
+  /// Queries Count instances, chosen at random, for their versions.
+  void queryVersions(std::size_t Count) {
+    this->Exchange.pingSome(Count, this->Random);
+  }
   /// Whether this instance reads the store for all other instances.
   [[nodiscard]] bool isReader() const { return this->readerRank() == 0; }
   /// Whether other instances query this one for records and samples.
--- a/drivers/LeaseExchange.cpp
+++ b/drivers/LeaseExchange.cpp
@@ -69,6 +69,25 @@
   }
 }
 
+void LeaseExchange::pingSome(std::size_t Count, RandomSource &Random) {
+  const std::vector<RegisteredInstance> &All = this->Instances.all();
+  if (All.empty())
+    return;
+  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  std::size_t First = Random.nextBelow(static_cast<std::uint32_t>(All.size()));
+  // Neighbours in the list run in the same zone, so the choice is spread out.
+  std::size_t Step = std::max<std::size_t>(1, All.size() / Count);
+  for (std::size_t Index = 0; Index < std::min(Count, All.size()); ++Index) {
+    const RegisteredInstance &Peer = All[(First + Index * Step) % All.size()];
+    if (Peer.Id == this->Options.Self)
+      continue;
+    processMetrics().count("peer_questions_total", "brief");
+    this->trackQuery(Peer.Id, Sent);
+    this->send(Peer.PeerEndpoint,
+               LeaseQuery{.Serial = Sent.Serial, .Brief = true});
+  }
+}
+
 void LeaseExchange::pingGrantors(const GrantorSet &Set, std::size_t Count) {
   SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
   std::size_t Size = Set.Current.size();
--- a/drivers/LeaseExchange.h
+++ b/drivers/LeaseExchange.h
@@ -1,6 +1,7 @@
 // Exchanges primary records and lease grants with other instances.
 #pragma once
 
+#include "core/RandomSource.h"
 #include "drivers/PeerTransport.h"
 #include "failover/ConsentRound.h"
 #include "failover/GrantRound.h"
@@ -67,6 +68,9 @@
   void queryAll();
   /// Queries all other instances for a sign of life only.
   void pingAll();
+  /// Queries Count instances, chosen at random, for a sign of life and their
+  /// versions only.
+  void pingSome(std::size_t Count, RandomSource &Random);
   /// Queries Count of the grantors in turn for a sign of life only.
   void pingGrantors(const GrantorSet &Set, std::size_t Count);
   /// Requests grants of all grantors, this instance included if it is one, and
--- a/drivers/StoreClient.cpp
+++ b/drivers/StoreClient.cpp
@@ -89,6 +89,17 @@
   co_return decodeKeyRead(Reply.value());
 }
 
+Awaitable<Outcome<WatchReply>> StoreClient::changesSince(std::string Prefix,
+                                                         Revision After) {
+  constexpr std::chrono::milliseconds ShortestWait(1);
+  processMetrics().count("store_calls_total", "check");
+  auto Reply = co_await this->call(encodeWatch(Prefix, After, ShortestWait),
+                                   this->Options.RecentReadTimeout);
+  if (!Reply)
+    co_return Reply.error();
+  co_return decodeWatch(Reply.value(), After);
+}
+
 Awaitable<Outcome<WatchReply>>
 StoreClient::watch(std::string Prefix, Revision After,
                    std::chrono::milliseconds Wait) {
--- a/drivers/StoreClient.h
+++ b/drivers/StoreClient.h
@@ -36,6 +36,10 @@
   /// page.
   Awaitable<Outcome<StorePage>> readAllRecent(std::string Prefix);
   Awaitable<Outcome<StoreItem>> readKey(std::string Key);
+  /// The changes below a prefix after a revision, without waiting for one, with
+  /// RecentReadTimeout.
+  Awaitable<Outcome<WatchReply>> changesSince(std::string Prefix,
+                                              Revision After);
   Awaitable<Outcome<WatchReply>> watch(std::string Prefix, Revision After,
                                        std::chrono::milliseconds Wait);
   /// Conditions on revisions of an earlier era than era() fail without a call,
--- /dev/null
+++ b/drivers/StoreCopies.h
@@ -0,0 +1,77 @@
+// Exchanges copies of what the store holds with other instances.
+#pragma once
+
+#include "core/KeyValue.h"
+#include "drivers/HttpServer.h"
+
+#include <array>
+#include <vector>
+
+namespace turmericpitch {
+
+/// What is copied.
+enum class CopySubject : std::uint8_t { Configuration, Members, Instances };
+
+/// The subject's name in requests; stable. Thread-safe.
+std::string_view toString(CopySubject Subject);
+
+/// Entries that an instance has read from the store. Immutable value.
+struct StoreCopy {
+  std::vector<KeyValueEntry> Entries;
+  /// The store's revision at the read.
+  Revision StoreRevision = {};
+  /// Maximum time since the read.
+  Duration Age{0};
+
+  bool operator==(const StoreCopy &) const = default;
+};
+
+/// Thread-safe.
+std::string encodeStoreCopy(const StoreCopy &Copy);
+/// Thread-safe. Errors: BadRequest if malformed.
+Result<StoreCopy> decodeStoreCopy(std::string_view Bytes);
+
+struct StoreCopiesOptions {
+  Endpoint Listen;
+  /// Requests that are served at a time; others are refused, so that many
+  /// instances that are behind spread over all that hold a copy.
+  std::size_t MaximumRequests = 4;
+  Duration ConnectTimeout = std::chrono::milliseconds(500);
+  /// A large configuration takes 0.3 s on the slowest link.
+  Duration ReplyTimeout = std::chrono::milliseconds(1500);
+};
+
+/// Serves the newest copies of this instance and fetches those of others, for
+/// an instance that the store doesn't answer. Not thread-safe: use only from
+/// the thread that runs Exec.
+class StoreCopies {
+public:
+  StoreCopies(const Executor &Exec, StoreCopiesOptions Options);
+
+  /// Errors: Unavailable if the address can't be bound.
+  Status start();
+  /// Keeps what a read sent at ReadSentAt has shown.
+  void keep(CopySubject Subject, std::vector<KeyValueEntry> Entries,
+            Revision StoreRevision, TimePoint ReadSentAt);
+  /// Fetches the copy of another instance. Errors: Unavailable, NotRun or
+  /// OutcomeUnknown if it was not received, BadRequest if it is malformed.
+  Awaitable<Outcome<StoreCopy>> fetch(CopySubject Subject, Endpoint From);
+
+private:
+  struct Kept {
+    std::vector<KeyValueEntry> Entries;
+    Revision StoreRevision;
+    TimePoint ReadSentAt;
+    bool Known = false;
+  };
+  static constexpr std::size_t Subjects = 3;
+
+  HttpReply reply(const HttpRequest &Request) const;
+
+  Executor Exec;
+  StoreCopiesOptions Options;
+  HttpServer Server;
+  std::array<Kept, Subjects> Copies;
+};
+
+} // namespace turmericpitch
--- a/failover/LeaseMessages.cpp
+++ b/failover/LeaseMessages.cpp
@@ -115,6 +115,36 @@
   return Versions;
 }
 
+/// Fields that were added to a reply since FormatVersion follow its services,
+/// after a byte with a bit for each that is present. Earlier builds don't read
+/// them.
+constexpr std::uint8_t ConfigurationConfirmed = 1U << 0U;
+constexpr std::uint8_t MembersConfirmed = 1U << 1U;
+
+void writeExtension(Writer &To, const KnownVersions &Versions) {
+  const auto &Configuration = Versions.ConfigurationConfirmedAge;
+  const auto &Members = Versions.MembersConfirmedAge;
+  auto Present =
+      static_cast<std::uint8_t>((Configuration ? ConfigurationConfirmed : 0U) |
+                                (Members ? MembersConfirmed : 0U));
+  if (Present == 0)
+    return;
+  To(Present);
+  if (Configuration)
+    writeAge(To, *Configuration);
+  if (Members)
+    writeAge(To, *Members);
+}
+
+void readExtension(Reader &From, KnownVersions &Versions) {
+  std::uint8_t Present = 0;
+  From(Present);
+  if ((Present & ConfigurationConfirmed) != 0)
+    Versions.ConfigurationConfirmedAge = readAge(From);
+  if ((Present & MembersConfirmed) != 0)
+    Versions.MembersConfirmedAge = readAge(From);
+}
+
 void writeBody(Writer &To, const LeaseQuery &Message) {
   To(static_cast<std::uint8_t>(Kind::Query), Message.Serial,
      static_cast<std::uint8_t>(Message.WantsGrants),
@@ -129,6 +159,7 @@
      static_cast<std::uint8_t>(Message.Stopping));
   for (const ServiceReport &Each : Message.Services)
     writeService(To, Each);
+  writeExtension(To, Message.Versions);
 }
 
 void writeBody(Writer &To, const ChangeNotification &) {
@@ -145,7 +176,7 @@
   To(static_cast<std::uint8_t>(Kind::CloseConsent), Message.Serial);
 }
 
-LeaseMessage readMessage(Reader &From) {
+LeaseMessage readMessage(std::istream &Stream, Reader &From) {
   std::uint8_t Version = 0;
   From(Version);
   if (Version != FormatVersion)
@@ -169,6 +200,8 @@
       throw cereal::Exception("too many services in one part");
     for (std::uint8_t Index = 0; Index < Count; ++Index)
       Reply.Services.push_back(readService(From));
+    if (Stream.peek() != std::istream::traits_type::eof())
+      readExtension(From, Reply.Versions);
     return Reply;
   }
   case Kind::Notification:
@@ -205,7 +238,7 @@
   try {
     std::istringstream Stream{std::string(Bytes)};
     Reader From(Stream);
-    return readMessage(From);
+    return readMessage(Stream, From);
   } catch (const std::exception &Failure) {
     return boost::leaf::new_error(Error{
         .Kind = ErrorKind::BadRequest,
--- a/failover/LeaseMessages.h
+++ b/failover/LeaseMessages.h
@@ -62,6 +62,11 @@
   std::uint64_t PromoterStep = 0;
   /// Time since that step was read; the step itself may be older.
   Duration PromoterStepAge{0};
+  /// The store held no newer configuration this long ago; nothing if that isn't
+  /// known, or the instance runs a build that doesn't tell.
+  std::optional<Duration> ConfigurationConfirmedAge = std::nullopt;
+  /// The same for changes in the member registry.
+  std::optional<Duration> MembersConfirmedAge = std::nullopt;
 
   bool operator==(const KnownVersions &) const = default;
 };
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -8,7 +8,9 @@
 #include "drivers/LogPipe.h"
 #include "drivers/SessionServer.h"
 #include "drivers/StoreClient.h"
+#include "drivers/StoreCopies.h"
 #include "limits/StoreBackoff.h"
+#include "membership/CopyFollower.h"
 #include "membership/InstanceRegistry.h"
 #include "platform/StoredObjects.h"
 
@@ -30,24 +32,27 @@
 namespace {
 
 constexpr unsigned ServiceUnavailable = 503;
-/// How long a watch stays open while other instances report new versions. This
-/// is the longest wait that the store accepts.
+/// The longest wait that the store accepts. A watch only makes a new version
+/// known sooner: the copy is checked without it.
 constexpr std::chrono::milliseconds MaxWatchWait(30'000);
-/// Without such reports, a watch stays open for the configuration apply timeout
-/// divided by this number. An unanswered watch, StoreClientOptions::WatchSlack
-/// and the query to the reader must together fit into the apply timeout.
-constexpr int WatchesPerApplyTimeout = 3;
+/// A watch that has not shown a version for this long that came by another way
+/// is silent, and another one is started beside it.
+constexpr Duration MaxWatchLag = std::chrono::milliseconds(1000);
+constexpr Duration WatchRestartInterval = std::chrono::seconds(5);
+/// Number of instances whose versions are queried at a time.
+constexpr std::size_t VersionQueries = 3;
 constexpr Duration ListingInterval = std::chrono::milliseconds(1000);
 /// The same while other instances report changes of the member list. Also
 /// bounds the time for which a leaving member is used if no report arrives.
 constexpr Duration NotifiedListingInterval = std::chrono::milliseconds(2000);
 /// Every third member listing is a current read, so that leaving members are
 /// known within four seconds. The others may be stale and cost the store a
-/// tenth of a current one.
+/// tenth of a current one. While other instances confirm the list, all may be
+/// stale.
 constexpr std::uint32_t CurrentListingPeriod = 3;
-/// Replaces CurrentListingPeriod while other instances report changes of the
-/// member list.
-constexpr std::uint32_t NotifiedCurrentListingPeriod = 15;
+/// Age of the newest confirmation from which the list is read again. The reader
+/// makes a current read every three seconds.
+constexpr Duration MaxUnconfirmedMembers = std::chrono::milliseconds(4500);
 constexpr Duration SummaryInterval = std::chrono::seconds(10);
 constexpr Duration MaintenanceInterval = std::chrono::milliseconds(100);
 /// An instance that ends without revoking its lease stays registered for this
@@ -71,6 +76,20 @@
 /// The drain ends this long before the platform would kill the process.
 constexpr Duration StopMargin = std::chrono::milliseconds(500);
 
+/// An unconfirmed configuration is checked early enough that a call that the
+/// store doesn't answer, a query to other instances and the transfer of a copy
+/// fit into the rest of the time to apply it.
+CopyFollowerOptions configurationFollowing(Duration ApplyTimeout) {
+  constexpr int ReadsPerApplyTimeout = 3;
+  return {.MaxUnconfirmed = ApplyTimeout * 3 / 5,
+          .ReaderInterval = ApplyTimeout / ReadsPerApplyTimeout};
+}
+
+CopyFollowerOptions memberFollowing() {
+  return {.MaxUnconfirmed = MaxUnconfirmedMembers,
+          .ReaderInterval = MaxUnconfirmedMembers};
+}
+
 /// Distinguishes the starts of this process.
 std::uint64_t randomIncarnation() {
   std::random_device Source;
@@ -96,6 +115,11 @@
         Store(this->Loop.get_executor(),
               {.Store = this->Settings.Store,
                .Promotions = this->Settings.Promotions}),
+        Copies(this->Loop.get_executor(), {.Listen = this->peerAddress()}),
+        ConfigurationCopy(
+            configurationFollowing(this->Settings.ConfigurationApplyTimeout),
+            randomIncarnation()),
+        MembersCopy(memberFollowing(), randomIncarnation()),
         Dispatcher(
             this->Loop.get_executor(),
             {.Self = this->Settings.Self, .Zone = this->Settings.Zone},
@@ -155,16 +179,33 @@
   /// Waits after a failed store call until the next attempt is due. Returns
   /// early if no instance could reach the store and one of them now can.
   Awaitable<void> pauseAfterFailure(StoreBackoff &Backoff);
-  Awaitable<void> followConfiguration();
+  /// Reads and watches the configuration, until a newer generation of watches
+  /// is started.
+  Awaitable<void> followConfiguration(std::uint32_t Generation);
   /// Reads the configuration. Returns false if the store was not read.
   Awaitable<bool> readConfiguration();
-  Awaitable<void> readNewerConfiguration();
+  /// Asks the store for a newer configuration.
+  Awaitable<void> checkConfiguration();
+  /// Gets the configuration of another instance.
+  Awaitable<void> copyConfiguration(InstanceId From);
+  /// Takes what is due for the copies of the configuration and the members.
+  void followCopies();
+  /// Whether a call to the store has a chance to be answered. While no instance
+  /// reads the store, the reads of the records show when it is back.
+  [[nodiscard]] bool storeMayAnswer() const;
+  void onStoreFailed(CopyFollower &Copy, TimePoint NextAt);
+  /// Fetches a copy of another instance; logs failures.
+  Awaitable<std::optional<StoreCopy>> fetchCopy(CopySubject Subject,
+                                                InstanceId From);
   /// Applies a stored configuration if it is newer than the one in force.
   /// Source is where it came from, for the log.
   void applyConfiguration(const KeyValueEntry &Entry, std::string_view Source);
-  /// Milliseconds since the newest answered read of the configuration was sent;
-  /// -1 before the first.
-  [[nodiscard]] std::int64_t configurationReadAge() const;
+  /// Applies what a watch or a check has shown.
+  void onConfigurationChanges(const WatchReply &Changes,
+                              std::string_view Source);
+  /// Milliseconds since the configuration was certainly the newest; -1 if it
+  /// never was.
+  [[nodiscard]] std::int64_t configurationAge() const;
   [[nodiscard]] KnownVersions ownVersions() const;
   /// Whether other instances read the store for this one and report changes.
   [[nodiscard]] bool receivesChangeNotifications() const {
@@ -174,12 +215,17 @@
                        TimePoint QuerySentAt);
   /// Lists the members. Returns false if the list could not be read.
   Awaitable<bool> listMembers(ReadConsistency Consistency);
+  void onMemberListing(std::vector<KeyValueEntry> Entries,
+                       Revision StoreRevision, TimePoint ReadSentAt);
+  Awaitable<void> copyMembers(InstanceId From);
   /// Lists the members until a change at this revision of the store is known.
   Awaitable<void> listMembersChangedAt(Revision Change);
   Awaitable<void> followMembers();
   Awaitable<void> keepRegistered();
   Awaitable<std::optional<LeaseId>> registerSelf();
   Awaitable<void> listInstances();
+  void onInstanceListing(const std::vector<KeyValueEntry> &Entries,
+                         TimePoint ReadSentAt);
   Awaitable<void> followInstances();
   Awaitable<void> maintain();
   /// Logs counters of the process at SummaryInterval.
@@ -201,6 +247,9 @@
   Revision ConfigurationRevision;
   MemberRegistry Registry;
   StoreClient Store;
+  StoreCopies Copies;
+  CopyFollower ConfigurationCopy;
+  CopyFollower MembersCopy;
   StatementDispatcher Dispatcher;
   InstanceRegistry Instances;
   FailoverCoordinator Failover;
@@ -215,16 +264,17 @@
   Revision MembersStoreRevision;
   Revision MembersChangeRevision;
   bool ListingMembers = false;
-  /// Whether a read of the configuration is in progress.
-  bool ReadingConfiguration = false;
-  /// When the newest answered read of the configuration was sent.
-  std::optional<TimePoint> ConfigurationReadAt;
   /// The newest version that another instance has reported.
   std::uint64_t ReportedConfiguration = 0;
+  std::uint32_t WatchGeneration = 0;
+  TimePoint WatchStartedAt;
+  /// Since when a version is in force that the watch has not shown.
+  std::optional<TimePoint> WatchLagsSince;
   bool Stopping = false;
-  /// After a failed read, versions reported by other instances do not trigger
-  /// another read before this time.
-  TimePoint NextConfigurationReadAt;
+  /// When a call for one of the copies last failed.
+  std::optional<TimePoint> StoreFailedAt;
+  /// The instance that serves copies and whose reply arrived last.
+  std::optional<InstanceId> CopyHolder;
   TimePoint NextMemberListingAt;
   StoreBackoff ConfigurationReadBackoff;
   StoreBackoff MemberListingBackoff;
@@ -271,42 +321,155 @@
   }
 }
 
+bool SessionDaemon::Components::storeMayAnswer() const {
+  if (!this->StoreFailedAt || this->Failover.isReader() ||
+      !this->Failover.hasStaleRecords())
+    return true;
+  const auto &AnsweredAt = this->Failover.storeAnsweredAt();
+  return AnsweredAt && *AnsweredAt > *this->StoreFailedAt;
+}
+
+void SessionDaemon::Components::onStoreFailed(CopyFollower &Copy,
+                                              TimePoint NextAt) {
+  Copy.onStoreFailed(NextAt);
+  this->StoreFailedAt = BootClock().now();
+}
+
+void SessionDaemon::Components::followCopies() {
+  TimePoint Now = BootClock().now();
+  bool IsReader = this->Failover.isReader();
+  bool MayAsk = this->storeMayAnswer();
+  CopyActions Due = this->ConfigurationCopy.next(Now, IsReader, MayAsk);
+  if (Due.AskStore) {
+    this->ConfigurationCopy.onStoreAsked(Now);
+    this->spawn(this->checkConfiguration());
+  }
+  if (Due.CopyFrom) {
+    this->ConfigurationCopy.onCopyRequested();
+    this->spawn(this->copyConfiguration(*Due.CopyFrom));
+  }
+  CopyActions MembersDue = this->MembersCopy.next(Now, IsReader, MayAsk);
+  if (MembersDue.AskStore && !this->ListingMembers) {
+    this->MembersCopy.onStoreAsked(Now);
+    this->spawn([this]() -> Awaitable<void> {
+      co_await this->listMembers(ReadConsistency::Current);
+    });
+  }
+  if (MembersDue.CopyFrom) {
+    this->MembersCopy.onCopyRequested();
+    this->spawn(this->copyMembers(*MembersDue.CopyFrom));
+  }
+  if (Due.QueryInstances || MembersDue.QueryInstances)
+    this->Failover.queryVersions(VersionQueries);
+  if (this->WatchLagsSince && Now - *this->WatchLagsSince > MaxWatchLag &&
+      Now - this->WatchStartedAt > WatchRestartInterval) {
+    writeDecision(DecisionLine("configuration_watch_restarted")
+                      .field("version", this->Routes.version()));
+    this->spawn(this->followConfiguration(++this->WatchGeneration));
+  }
+}
+
+Awaitable<std::optional<StoreCopy>>
+SessionDaemon::Components::fetchCopy(CopySubject Subject, InstanceId From) {
+  const RegisteredInstance *Entry = this->Instances.find(From);
+  if (!Entry)
+    co_return std::nullopt;
+  auto Copy = co_await this->Copies.fetch(Subject, Entry->PeerEndpoint);
+  DecisionLine Line("copy_fetched");
+  Line.field("subject", toString(Subject)).field("from", From.Value);
+  if (Copy)
+    Line.field("revision", storeRevisionOf(Copy.value().StoreRevision))
+        .field("outcome", "received");
+  else
+    Line.field("outcome", "failed").field("reason", Copy.error().Message);
+  writeDecision(Line);
+  if (!Copy)
+    co_return std::nullopt;
+  co_return std::move(Copy.value());
+}
+
 Awaitable<bool> SessionDaemon::Components::readConfiguration() {
-  this->ReadingConfiguration = true;
   TimePoint ReadSentAt = BootClock().now();
+  this->ConfigurationCopy.onStoreAsked(ReadSentAt);
   auto Read = co_await this->Store.readKey(std::string(ConfigurationKey));
-  this->ReadingConfiguration = false;
-  if (Read)
-    this->ConfigurationReadBackoff.onAnswered();
-  else
-    this->NextConfigurationReadAt =
+  if (!Read)
+    this->onStoreFailed(
+        this->ConfigurationCopy,
         BootClock().now() +
-        this->ConfigurationReadBackoff.onFailed(this->Random);
+            this->ConfigurationReadBackoff.onFailed(this->Random));
   if (!Read || !Read.value().Entry)
     writeWarning("event=configuration_read_failed reason=\"" +
                  (Read ? std::string("no such key") : Read.error().Message) +
                  "\"");
   if (!Read)
     co_return false;
-  this->ConfigurationReadAt = ReadSentAt;
+  this->ConfigurationReadBackoff.onAnswered();
+  this->ConfigurationCopy.onStoreAnswered();
   // The store's revision, because the history may no longer reach back to the
   // entry's own revision.
   this->ConfigurationRevision =
       std::max(this->ConfigurationRevision, Read.value().StoreRevision);
-  if (Read.value().Entry)
+  if (Read.value().Entry) {
     this->applyConfiguration(*Read.value().Entry, "read");
+    this->ConfigurationCopy.onConfirmed(ReadSentAt);
+  }
   co_return true;
 }
 
-Awaitable<void> SessionDaemon::Components::readNewerConfiguration() {
+Awaitable<void> SessionDaemon::Components::checkConfiguration() {
+  TimePoint ReadSentAt = BootClock().now();
+  if (this->Routes.loaded()) {
+    auto Changes = co_await this->Store.changesSince(
+        std::string(ConfigurationKey), this->ConfigurationRevision);
+    if (!Changes) {
+      writeWarning("event=configuration_check_failed reason=\"" +
+                   Changes.error().Message + "\"");
+      this->onStoreFailed(
+          this->ConfigurationCopy,
+          BootClock().now() +
+              this->ConfigurationReadBackoff.onFailed(this->Random));
+      co_return;
+    }
+    if (!Changes.value().HistoryCompacted) {
+      this->ConfigurationReadBackoff.onAnswered();
+      this->ConfigurationCopy.onStoreAnswered();
+      this->onConfigurationChanges(Changes.value(), "check");
+      this->ConfigurationCopy.onConfirmed(ReadSentAt);
+      co_return;
+    }
+  }
   co_await this->readConfiguration();
 }
 
-std::int64_t SessionDaemon::Components::configurationReadAge() const {
-  if (!this->ConfigurationReadAt)
+void SessionDaemon::Components::onConfigurationChanges(
+    const WatchReply &Changes, std::string_view Source) {
+  this->ConfigurationRevision =
+      std::max(this->ConfigurationRevision, Changes.StoreRevision);
+  for (const WatchEvent &Each : Changes.Events)
+    if (Each.Entry.Key == ConfigurationKey && !Each.Deleted)
+      this->applyConfiguration(Each.Entry, Source);
+}
+
+Awaitable<void> SessionDaemon::Components::copyConfiguration(InstanceId From) {
+  auto Copy = co_await this->fetchCopy(CopySubject::Configuration, From);
+  bool Usable = Copy && Copy->Entries.size() == 1 &&
+                Copy->Entries.front().Key == ConfigurationKey;
+  if (Usable)
+    this->applyConfiguration(Copy->Entries.front(), "instance");
+  // The instance may hold an older copy than it has reported, or one that can't
+  // be decoded here.
+  if (!Usable || this->ConfigurationCopy.isBehind())
+    this->ConfigurationCopy.onCopyFailed(From, BootClock().now());
+  else
+    this->ConfigurationCopy.onCopyReceived();
+}
+
+std::int64_t SessionDaemon::Components::configurationAge() const {
+  const auto &ConfirmedAt = this->ConfigurationCopy.confirmedAt();
+  if (!ConfirmedAt)
     return -1;
   return std::chrono::duration_cast<std::chrono::milliseconds>(
-             BootClock().now() - *this->ConfigurationReadAt)
+             BootClock().now() - *ConfirmedAt)
       .count();
 }
 
@@ -323,6 +486,11 @@
   std::uint64_t Version = Table.value().Version;
   if (!this->Routes.replaceIfNewer(std::move(Table.value()), BootClock().now()))
     return;
+  this->ConfigurationCopy.onHeld(Version);
+  this->Copies.keep(CopySubject::Configuration, {Entry}, Entry.Modified,
+                    BootClock().now());
+  if (Source != "watch" && !this->WatchLagsSince)
+    this->WatchLagsSince = BootClock().now();
   writeDecision(DecisionLine("configuration_in_force")
                     .field("version", Version)
                     .field("routes", Count)
@@ -337,11 +505,14 @@
 KnownVersions SessionDaemon::Components::ownVersions() const {
   KnownVersions Own{.Configuration = this->Routes.version(),
                     .Members = this->MembersChangeRevision.Value};
+  TimePoint Now = BootClock().now();
+  Own.ConfigurationConfirmedAge =
+      this->ConfigurationCopy.report(Now).ConfirmedAge;
+  Own.MembersConfirmedAge = this->MembersCopy.report(Now).ConfirmedAge;
   if (!this->Instances.readSentAt())
     return Own;
   Own.Instances = this->Instances.digest();
-  Own.InstancesAge =
-      std::max(Duration{0}, BootClock().now() - *this->Instances.readSentAt());
+  Own.InstancesAge = std::max(Duration{0}, Now - *this->Instances.readSentAt());
   return Own;
 }
 
@@ -349,6 +520,9 @@
                                                 const KnownVersions &Other,
                                                 TimePoint QuerySentAt) {
   TimePoint Now = BootClock().now();
+  // Builds that don't tell this don't serve copies either.
+  if (Other.MembersConfirmedAge)
+    this->CopyHolder = From;
   if (Other.Configuration > this->Routes.version() &&
       Other.Configuration > this->ReportedConfiguration) {
     this->ReportedConfiguration = Other.Configuration;
@@ -356,14 +530,24 @@
                       .field("version", this->Routes.version())
                       .field("newer", Other.Configuration)
                       .field("told_by", From.Value)
-                      .field("read_age_ms", this->configurationReadAge()));
+                      .field("confirmed_age_ms", this->configurationAge()));
   }
-  if (Other.Configuration > this->Routes.version() &&
-      !this->ReadingConfiguration && Now >= this->NextConfigurationReadAt)
-    this->spawn(this->readNewerConfiguration());
+  this->ConfigurationCopy.onReport(
+      From,
+      {.Version = Other.Configuration,
+       .ConfirmedAge = Other.ConfigurationConfirmedAge},
+      QuerySentAt, Now);
+  this->MembersCopy.onReport(
+      From,
+      {.Version = Other.Members, .ConfirmedAge = Other.MembersConfirmedAge},
+      QuerySentAt, Now);
   if (Other.Members > this->MembersStoreRevision.Value &&
-      !this->ListingMembers && Now >= this->NextMemberListingAt)
+      !this->ListingMembers && Now >= this->NextMemberListingAt) {
+    this->MembersCopy.onStoreAsked(Now);
     this->spawn(this->listMembersChangedAt(Revision{Other.Members}));
+  }
+  if (this->ConfigurationCopy.isBehind() || this->MembersCopy.isBehind())
+    this->followCopies();
   if (Other.Instances == 0 || !this->Instances.readSentAt())
     return;
   TimePoint OtherReadSentAt = QuerySentAt - Other.InstancesAge;
@@ -374,37 +558,31 @@
     this->Instances.onConfirmed(OtherReadSentAt);
 }
 
-Awaitable<void> SessionDaemon::Components::followConfiguration() {
+Awaitable<void>
+SessionDaemon::Components::followConfiguration(std::uint32_t Generation) {
   StoreBackoff Backoff;
-  while (true) {
+  this->WatchLagsSince.reset();
+  while (Generation == this->WatchGeneration) {
     // An absent configuration is watched, too: it comes into force as soon as
     // it is written.
     bool Following = co_await this->readConfiguration();
     if (!Following)
       co_await this->pauseAfterFailure(Backoff);
-    while (Following) {
-      TimePoint WatchSentAt = BootClock().now();
-      auto Watched = co_await this->Store.watch(
-          std::string(ConfigurationKey), this->ConfigurationRevision,
-          this->receivesChangeNotifications()
-              ? MaxWatchWait
-              : std::chrono::duration_cast<std::chrono::milliseconds>(
-                    this->Settings.ConfigurationApplyTimeout /
-                    WatchesPerApplyTimeout));
+    while (Following && Generation == this->WatchGeneration) {
+      this->WatchStartedAt = BootClock().now();
+      this->WatchLagsSince.reset();
+      auto Watched =
+          co_await this->Store.watch(std::string(ConfigurationKey),
+                                     this->ConfigurationRevision, MaxWatchWait);
       Following = Watched && !Watched.value().HistoryCompacted;
       if (Watched)
         Backoff.onAnswered();
       else
         writeWarning("event=configuration_watch_failed reason=\"" +
                      Watched.error().Message + "\"");
-      if (Following) {
-        this->ConfigurationReadAt = WatchSentAt;
-        this->ConfigurationRevision = Watched.value().StoreRevision;
-        for (const WatchEvent &Each : Watched.value().Events)
-          if (Each.Entry.Key == ConfigurationKey && !Each.Deleted)
-            this->applyConfiguration(Each.Entry, "watch");
-      }
-      if (!Watched || Watched.value().HistoryCompacted)
+      if (Following)
+        this->onConfigurationChanges(Watched.value(), "watch");
+      else
         co_await this->pauseAfterFailure(Backoff);
     }
   }
@@ -414,29 +592,40 @@
 SessionDaemon::Components::listMembers(ReadConsistency Consistency) {
   this->ListingMembers = true;
   TimePoint ReadSentAt = BootClock().now();
+  this->MembersCopy.onStoreAsked(ReadSentAt);
   auto Listing =
       co_await this->Store.readAll(std::string(MembersPrefix), Consistency);
   this->ListingMembers = false;
-  if (Listing)
-    this->MemberListingBackoff.onAnswered();
-  else
+  if (!Listing) {
     this->NextMemberListingAt =
         BootClock().now() + this->MemberListingBackoff.onFailed(this->Random);
-  if (!Listing) {
+    this->onStoreFailed(this->MembersCopy, this->NextMemberListingAt);
     writeWarning("event=members_read_failed reason=\"" +
                  Listing.error().Message + "\"");
     co_return false;
   }
+  this->MemberListingBackoff.onAnswered();
+  this->MembersCopy.onStoreAnswered();
+  this->onMemberListing(std::move(Listing.value().Entries),
+                        Listing.value().StoreRevision, ReadSentAt);
+  if (Consistency == ReadConsistency::Current)
+    this->MembersCopy.onConfirmed(ReadSentAt);
+  co_return true;
+}
+
+void SessionDaemon::Components::onMemberListing(
+    std::vector<KeyValueEntry> Entries, Revision StoreRevision,
+    TimePoint ReadSentAt) {
   // Listings can arrive out of order, and some are stale.
-  if (Listing.value().StoreRevision < this->MembersStoreRevision)
-    co_return true;
-  if (eraOf(this->MembersStoreRevision) <
-          eraOf(Listing.value().StoreRevision) &&
+  if (StoreRevision < this->MembersStoreRevision)
+    return;
+  if (eraOf(this->MembersStoreRevision) < eraOf(StoreRevision) &&
       this->Registry.loaded())
     this->Registry.onRestored(ReadSentAt);
-  this->MembersStoreRevision = Listing.value().StoreRevision;
+  this->MembersStoreRevision = StoreRevision;
+  this->MembersCopy.onHeld(StoreRevision.Value);
   std::vector<RegisteredMember> Members;
-  for (const KeyValueEntry &Entry : Listing.value().Entries) {
+  for (const KeyValueEntry &Entry : Entries) {
     auto Member = toOutcome([&] { return decodeMemberEntry(Entry); });
     if (Member)
       Members.push_back(std::move(Member.value()));
@@ -444,13 +633,26 @@
       writeWarning("event=member_entry_skipped key=" + Entry.Key +
                    " reason=\"" + Member.error().Message + "\"");
   }
+  this->Copies.keep(CopySubject::Members, std::move(Entries), StoreRevision,
+                    ReadSentAt);
   RegistryChange Change =
       this->Registry.onListing(std::move(Members), ReadSentAt);
-  if (!Change.empty()) {
-    this->MembersChangeRevision = this->MembersStoreRevision;
-    this->Dispatcher.onRegistry(Change, this->Routes, this->Instances.count());
-  }
-  co_return true;
+  if (Change.empty())
+    return;
+  this->MembersChangeRevision = this->MembersStoreRevision;
+  this->Dispatcher.onRegistry(Change, this->Routes, this->Instances.count());
+}
+
+Awaitable<void> SessionDaemon::Components::copyMembers(InstanceId From) {
+  TimePoint RequestedAt = BootClock().now();
+  auto Copy = co_await this->fetchCopy(CopySubject::Members, From);
+  if (Copy)
+    this->onMemberListing(std::move(Copy->Entries), Copy->StoreRevision,
+                          RequestedAt - Copy->Age);
+  if (!Copy || this->MembersCopy.isBehind())
+    this->MembersCopy.onCopyFailed(From, BootClock().now());
+  else
+    this->MembersCopy.onCopyReceived();
 }
 
 Awaitable<void>
@@ -472,10 +674,10 @@
   std::uint32_t ListingCount = 0;
   StoreBackoff Backoff;
   while (true) {
-    std::uint32_t CurrentPeriod = this->receivesChangeNotifications()
-                                      ? NotifiedCurrentListingPeriod
-                                      : CurrentListingPeriod;
-    bool Current = ListingCount++ % CurrentPeriod == 0;
+    bool Current = this->receivesChangeNotifications()
+                       ? this->MembersCopy.isUnconfirmed(BootClock().now())
+                       : ListingCount % CurrentListingPeriod == 0;
+    ++ListingCount;
     bool Read = co_await this->listMembers(
         Current ? ReadConsistency::Current : ReadConsistency::MayBeStale);
     if (Read) {
@@ -546,11 +748,27 @@
   TimePoint ReadSentAt = BootClock().now();
   auto Listing = co_await this->Store.readAll(std::string(InstancesPrefix),
                                               ReadConsistency::Current);
-  if (!Listing || (this->Instances.readSentAt() &&
-                   ReadSentAt < *this->Instances.readSentAt()))
+  if (Listing) {
+    this->Copies.keep(CopySubject::Instances, Listing.value().Entries,
+                      Listing.value().StoreRevision, ReadSentAt);
+    co_return this->onInstanceListing(Listing.value().Entries, ReadSentAt);
+  }
+  if (!this->CopyHolder)
     co_return;
+  TimePoint RequestedAt = BootClock().now();
+  auto Copy =
+      co_await this->fetchCopy(CopySubject::Instances, *this->CopyHolder);
+  if (Copy)
+    this->onInstanceListing(Copy->Entries, RequestedAt - Copy->Age);
+}
+
+void SessionDaemon::Components::onInstanceListing(
+    const std::vector<KeyValueEntry> &Listing, TimePoint ReadSentAt) {
+  if (this->Instances.readSentAt() &&
+      ReadSentAt < *this->Instances.readSentAt())
+    return;
   std::vector<RegisteredInstance> Entries;
-  for (const KeyValueEntry &Entry : Listing.value().Entries) {
+  for (const KeyValueEntry &Entry : Listing) {
     auto Decoded = toOutcome([&] { return decodeRegisteredInstance(Entry); });
     if (Decoded)
       Entries.push_back(std::move(Decoded.value()));
@@ -559,7 +777,7 @@
                    Decoded.error().Message + "\"");
   }
   if (!this->Instances.onListing(std::move(Entries), ReadSentAt))
-    co_return;
+    return;
   writeDecision(DecisionLine("instances_known")
                     .field("count", this->Instances.count())
                     .field("reader", this->Failover.isReader() ? 1 : 0));
@@ -588,6 +806,7 @@
     if (this->Log)
       writePending(*this->Log, STDOUT_FILENO);
     this->Dispatcher.maintain(this->Failover.providesRecords());
+    this->followCopies();
     // Once the load balancer directs new sessions to other instances, idle
     // sessions are closed so that their clients reconnect there.
     if (!this->Stopping && this->Failover.isolation().isolatedFor(
@@ -597,7 +816,7 @@
 }
 
 Awaitable<void> SessionDaemon::Components::summarize() {
-  constexpr std::array Calls{"listing", "old_listing", "read",
+  constexpr std::array Calls{"listing", "old_listing", "read",   "check",
                              "watch",   "write",       "renewal"};
   while (true) {
     co_await this->pause(SummaryInterval);
@@ -613,7 +832,7 @@
         .field("links_refused", processMetrics().counterValue(
                                     "member_links_total", "refused_at_limit"))
         .field("configuration", this->Routes.version())
-        .field("configuration_read_age_ms", this->configurationReadAge())
+        .field("configuration_confirmed_age_ms", this->configurationAge())
         .field("accounts", this->Routes.accounts().accounts().size())
         .field("instances", this->Instances.count())
         .field("limit_owners", this->Limits.owners().Owners.size())
@@ -704,10 +923,12 @@
     Started = P.Failover.start();
   if (Started)
     Started = P.Limits.start();
+  if (Started)
+    Started = P.Copies.start();
   if (!Started)
     return Started;
   P.awaitSignal();
-  P.spawn(P.followConfiguration());
+  P.spawn(P.followConfiguration(P.WatchGeneration));
   P.spawn(P.followMembers());
   P.spawn(P.Limits.run());
   P.spawn(P.keepRegistered());
--- a/tests/compatibility/FormatCorpusTest.cpp
+++ b/tests/compatibility/FormatCorpusTest.cpp
@@ -1,6 +1,7 @@
 // Bytes of messages and records as written by earlier builds. Instances of two
 // builds run side by side during an upgrade, so a codec whose bytes change
 // needs a new version, and has to read what the earlier build writes.
+#include "drivers/StoreCopies.h"
 #include "failover/GrantorSet.h"
 #include "failover/LeaseMessages.h"
 #include "failover/PrimaryRecord.h"
@@ -98,6 +99,14 @@
                          .RemembersGrants = true,
                          .Stopping = false,
                          .Services = {report()}});
+  // Builds before the confirmations ignore them.
+  expectLease(
+      "lease_reply_5_confirmed",
+      LeaseReply{.Serial = 5,
+                 .Versions = {.Configuration = 4,
+                              .Members = 90,
+                              .ConfigurationConfirmedAge = milliseconds(1200),
+                              .MembersConfirmedAge = milliseconds(2100)}});
   expectLease("lease_notification_5", ChangeNotification{});
   expectLease("lease_close_request_5",
               CloseRequest{.Serial = 6, .Service = {"ledger"}, .Closed = {12}});
@@ -187,6 +196,19 @@
   EXPECT_EQ(DecodedInstance.value(), Instance);
 }
 
+TEST(FormatCorpus, CopiesOfTheStore) {
+  StoreCopy Copy{.Entries = {{.Key = "op/config",
+                              .Value = R"({"version":4})",
+                              .Modified = {41}}},
+                 .StoreRevision = {43},
+                 .Age = milliseconds(900)};
+  EXPECT_EQ(encodeStoreCopy(Copy), stored("store_copy"));
+  auto Decoded =
+      toOutcome([&] { return decodeStoreCopy(stored("store_copy")); });
+  ASSERT_TRUE(Decoded);
+  EXPECT_EQ(Decoded.value(), Copy);
+}
+
 /// A message of a later build is refused with an error, never misread.
 TEST(FormatCorpus, MessagesOfALaterFormatAreRefused) {
   for (const char *Name : {"lease_query_5", "limit_request_1"}) {
--- a/tests/platform/ConfigurationFollowTest.cpp
+++ b/tests/platform/ConfigurationFollowTest.cpp
@@ -1,6 +1,5 @@
 // Real daemons follow the configuration while their connections to the store
 // fall silent, or the store turns them away.
-#include "core/DecisionLog.h"
 #include "tests/platform/SessionFleet.h"
 
 #include <gtest/gtest.h>
@@ -15,8 +14,6 @@
 
 class ConfigurationFollowTest : public ::testing::Test {
 protected:
-  ConfigurationFollowTest() { sendLogTo(""); }
-
   /// Routes a new database, and expects each of these instances to serve it
   /// before Clock, another instance of them, has renewed its registration so
   /// often that the time to apply a configuration is over.
--- a/tests/platform/SessionFleet.cpp
+++ b/tests/platform/SessionFleet.cpp
@@ -1,5 +1,6 @@
 #include "tests/platform/SessionFleet.h"
 
+#include "core/DecisionLog.h"
 #include "tests/support/OwnAddress.h"
 
 #include <boost/asio/connect.hpp>
@@ -53,6 +54,7 @@
       Group(this->Loop.get_executor(), "ledger"),
       Store(this->Loop.get_executor(), {.Address = ownAddress(), .Port = 0},
             this->Group) {
+  sendLogTo("");
   for (const char *Id : {"m1", "m2", "m3"})
     EXPECT_TRUE(this->Group.add(Id, {.Address = ownAddress(), .Port = 0}));
   this->Store.put("op/config", configurationText(2, {"bookings"}));
