--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -409,10 +409,10 @@
   // entry's own revision.
   this->ConfigurationRevision =
       std::max(this->ConfigurationRevision, Read.value().StoreRevision);
-  if (Read.value().Entry) {
+  if (Read.value().Entry)
     this->applyConfiguration(*Read.value().Entry, "read");
-    this->ConfigurationCopy.onConfirmed(ReadSentAt);
-  }
+  // Also if there is none yet, which the watch then waits for.
+  this->ConfigurationCopy.onConfirmed(ReadSentAt);
   co_return true;
 }
 
