--- a/tests/platform/StoreCallsTest.cpp
+++ b/tests/platform/StoreCallsTest.cpp
@@ -106,6 +106,16 @@
       decodeWatch(Events, positionInHistory({3}, 8)).value().HistoryCompacted);
 }
 
+// One such key hid all other entries of a listing.
+TEST(StoreCalls, KeyOfAnyBytesHidesNoOtherEntry) {
+  auto Page = decodePage(
+      reply(200, "{\"items\":[{\"key\":\"servers/\xff\",\"value\":\"eA==\","
+                 "\"revision\":3},{\"key\":\"servers/b\",\"value\":\"eA==\","
+                 "\"revision\":4}],\"more_pages\":false,\"current_rev\":5}"));
+  ASSERT_TRUE(Page);
+  EXPECT_EQ(Page.value().Entries.size(), 2U);
+}
+
 TEST(StoreCalls, PromotionContainsRequesterAndFencingToken) {
   HttpRequest Order = encodePromotion({.Service = {"ledger"},
                                        .Target = {"m2"},
