--- a/core/DecisionLog.cpp
+++ b/core/DecisionLog.cpp
@@ -74,8 +74,11 @@
   }
 };
 
+/// Whether a character isn't a control character; bytes of UTF-8 aren't.
 bool isPrintable(char Character) {
-  return Character >= ' ' && Character <= '~';
+  constexpr unsigned char Delete = 0x7F;
+  auto Byte = static_cast<unsigned char>(Character);
+  return Byte >= ' ' && Byte != Delete;
 }
 
 std::string quoted(std::string_view Value) {
@@ -88,6 +91,15 @@
   return Text + '"';
 }
 
+/// The text of one line: what can't be printed, such as a line feed in a name
+/// of another writer, becomes a blank.
+std::string oneLine(std::string_view Text) {
+  std::string Line(Text);
+  std::ranges::replace_if(
+      Line, [](char Character) { return !isPrintable(Character); }, ' ');
+  return Line;
+}
+
 } // namespace
 
 DecisionLine::DecisionLine(std::string_view Kind)
@@ -127,17 +139,17 @@
 void writeDecision(const DecisionLine &Line) {
   processMetrics().count("decisions_total", Line.kind());
   ensureConfigured();
-  LOG(INFO) << Line.text();
+  LOG(INFO) << oneLine(Line.text());
 }
 
 void writeInfo(std::string_view Text) {
   ensureConfigured();
-  LOG(INFO) << Text;
+  LOG(INFO) << oneLine(Text);
 }
 
 void writeWarning(std::string_view Text) {
   ensureConfigured();
-  LOG(WARNING) << Text;
+  LOG(WARNING) << oneLine(Text);
 }
 
 void sendLogTo(const std::string &Path) {
--- a/drivers/CallerSession.cpp
+++ b/drivers/CallerSession.cpp
@@ -101,7 +101,7 @@
 
 void CallerSession::onMalformed(const MalformedLine &Line) {
   this->Connection->send(encodeSessionRefused(
-      {.Code = ReplyError::Malformed, .UpstreamCode = {}, .Text = Line.Why}));
+      {.Code = Line.Code, .UpstreamCode = {}, .Text = Line.Why}));
   this->Connection->finish();
   this->end();
 }
@@ -257,8 +257,18 @@
   this->Owner.Dispatcher.submit(Call);
 }
 
+void CallerSession::send(const StatementReply &Reply) {
+  auto Lines = encodeReply(Reply);
+  if (Lines)
+    return this->Connection->send(Lines.value());
+  // A part of a reply would be taken for the answer to another statement.
+  writeWarning("event=reply_not_encoded reason=" +
+               logValue(Lines.error().Message));
+  this->Connection->finish();
+}
+
 void CallerSession::reply(const StatementReply &Reply) {
-  this->Connection->send(encodeReply(Reply));
+  this->send(Reply);
   this->startIdleTimer();
   if (this->Finishing && !this->busy()) {
     this->Connection->finish();
@@ -346,7 +356,7 @@
         .UpstreamCode = {},
         .Text = "the session's credential is no longer valid; not run, "
                 "nothing of its transaction is kept"};
-  this->Connection->send(encodeReply(Reply));
+  this->send(Reply);
   this->Connection->finish();
   this->end();
 }
--- a/drivers/CallerSession.h
+++ b/drivers/CallerSession.h
@@ -68,6 +68,8 @@
   }
   [[nodiscard]] StatementReply refusal(const Statement &Request,
                                        ReplyError Code, std::string Text);
+  /// Sends a reply to the caller.
+  void send(const StatementReply &Reply);
   void reply(const StatementReply &Reply);
   /// Processes the queued lines until one has to wait for an answer.
   void afterReply();
--- a/drivers/LineConnection.cpp
+++ b/drivers/LineConnection.cpp
@@ -83,7 +83,7 @@
         this->end("line exceeds the size limit");
       return;
     }
-    std::string_view Line = Bytes.substr(0, End);
+    std::string_view Line = Bytes.substr(0, End + 1);
     std::string Joined;
     if (!this->Partial.empty()) {
       Joined = std::move(this->Partial);
@@ -91,20 +91,17 @@
       Joined.append(Line);
       Line = Joined;
     }
-    if (!Line.empty() && Line.back() == '\r')
-      Line.remove_suffix(1);
+    if (Line.ends_with("\r\n"))
+      Line.remove_suffix(2);
     Bytes.remove_prefix(End + 1);
     this->OnLine(Line);
   }
 }
 
-void LineConnection::send(std::string Bytes) {
+void LineConnection::send(const ProtocolLines &Lines) {
   if (!this->Stream.is_open() || this->Finishing)
     return;
-  if (this->Unsent.empty())
-    this->Unsent = std::move(Bytes);
-  else
-    this->Unsent += Bytes;
+  this->Unsent += Lines.bytes();
   if (!this->Writing)
     this->writeUnsent();
 }
--- a/drivers/LineConnection.h
+++ b/drivers/LineConnection.h
@@ -4,6 +4,7 @@
 #include "core/Endpoint.h"
 #include "core/Error.h"
 #include "core/Time.h"
+#include "session/ProtocolLines.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -22,7 +23,8 @@
   Duration PeerTimeout = std::chrono::seconds(3);
 };
 
-/// Sends and receives lines terminated by CR LF or LF. Uses no buffer while
+/// Sends and receives lines terminated by CR LF. A line that ends in LF alone
+/// is delivered with it, so that its decoder refuses it. Uses no buffer while
 /// idle. Not thread-safe: use only on the thread of the socket's executor.
 /// Handlers run on that executor, never from within a call to this class.
 class LineConnection : public std::enable_shared_from_this<LineConnection> {
@@ -42,7 +44,7 @@
   void start(LineHandler OnLine, EndHandler OnEnd);
   /// Sends without blocking. Bytes that the socket doesn't accept yet are
   /// buffered.
-  void send(std::string Bytes);
+  void send(const ProtocolLines &Lines);
   /// Closes the connection once all sent bytes were passed to the socket.
   void finish();
   /// Closes the connection immediately; no handler is called.
--- a/drivers/MemberLink.cpp
+++ b/drivers/MemberLink.cpp
@@ -71,8 +71,14 @@
               if (auto Link = Weak.lock())
                 Link->onEnd();
             });
-        Self->Connection->send(encodeMemberStartup(
-            Self->Member.Service, Self->Account, Self->Member.Id));
+        auto Startup = encodeMemberStartup(Self->Member.Service, Self->Account,
+                                           Self->Member.Id);
+        if (Startup)
+          return Self->Connection->send(Startup.value());
+        writeWarning(
+            "event=link_not_opened member=" + logValue(Self->Member.Id.Value) +
+            " reason=" + logValue(Startup.error().Message));
+        Self->finishOpening(LinkOpening::Unreachable);
       });
 }
 
@@ -121,10 +127,10 @@
   this->deliverReply(std::move(Reply));
 }
 
-void MemberLink::run(const ClientAccountId &Account, std::string Bytes,
+void MemberLink::run(const ClientAccountId &Account, const ProtocolLines &Line,
                      ReplyHandler OnReply) {
   if (Account == this->Account)
-    return this->runOwn(std::move(Bytes), std::move(OnReply));
+    return this->runOwn(Line, std::move(OnReply));
   writeDecision(DecisionLine("link_of_other_account")
                     .field("member", this->Member.Id.Value)
                     .field("account", Account.Value)
@@ -133,9 +139,9 @@
   this->close();
 }
 
-void MemberLink::runOwn(std::string Bytes, ReplyHandler OnReply) {
+void MemberLink::runOwn(const ProtocolLines &Line, ReplyHandler OnReply) {
   this->PendingReply = std::move(OnReply);
-  this->Connection->send(std::move(Bytes));
+  this->Connection->send(Line);
 }
 
 void MemberLink::deliverReply(Outcome<StatementReply> Reply) {
--- a/drivers/MemberLink.h
+++ b/drivers/MemberLink.h
@@ -51,11 +51,11 @@
   void open(Duration Timeout, OpenHandler OnOpened);
   /// Sends one statement of Account's session. If the link was opened for
   /// another account, it sends nothing and closes. Precondition: idle().
-  void run(const ClientAccountId &Account, std::string Bytes,
+  void run(const ClientAccountId &Account, const ProtocolLines &Line,
            ReplyHandler OnReply);
   /// Sends a query of this instance that belongs to no account, such as a
   /// status query. Precondition: idle().
-  void runOwn(std::string Bytes, ReplyHandler OnReply);
+  void runOwn(const ProtocolLines &Line, ReplyHandler OnReply);
   /// Closes the link; the member rolls back an open transaction. A running
   /// statement ends asynchronously with OutcomeUnknown.
   void close();
--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -282,12 +282,12 @@
   this->sendQuery(encodeStepDown(Newest), std::move(OnReport));
 }
 
-void MemberLinkPool::sendQuery(const std::string &Bytes,
+void MemberLinkPool::sendQuery(const ProtocolLines &Line,
                                ReportHandler OnReport) {
   if (this->StatusQueryRunning)
     return OnReport(std::nullopt, TimePoint{});
   this->StatusQueryRunning = true;
-  auto Send = [Self = this->shared_from_this(), Bytes,
+  auto Send = [Self = this->shared_from_this(), Line,
                OnReport](const std::shared_ptr<MemberLink> &Link) {
     ++Self->QueriesInFlight;
     Self->onRequestSent();
@@ -298,8 +298,8 @@
       if (!Failure)
         Link->close();
     });
-    Link->runOwn(Bytes, [Self, Link, OnReport, SentAt,
-                         Timer](const Outcome<StatementReply> &Reply) {
+    Link->runOwn(Line, [Self, Link, OnReport, SentAt,
+                        Timer](const Outcome<StatementReply> &Reply) {
       --Self->QueriesInFlight;
       Self->StatusQueryRunning = false;
       Timer->cancel();
--- a/drivers/MemberLinkPool.h
+++ b/drivers/MemberLinkPool.h
@@ -178,7 +178,7 @@
   /// Queries the member's number of connections on an idle link, if this
   /// instance's share is small and the newest report is old.
   void renewReport(TimePoint Now);
-  void sendQuery(const std::string &Bytes, ReportHandler OnReport);
+  void sendQuery(const ProtocolLines &Line, ReportHandler OnReport);
   [[nodiscard]] MemberOccupancy occupancy(TimePoint Now) const;
   void onOpeningEnded(LinkOpening Result);
   void onRequestSent();
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -482,7 +482,10 @@
 
 void StatementDispatcher::sendStep(const SharedCall &Call,
                                    const SessionSetupStep &Step) {
-  Call->Link->run(Call->Session->Account, encodeSetupStep(Step),
+  auto Line = encodeSetupStep(Step);
+  if (!Line)
+    return this->refuseUnsendable(Call, Line.error());
+  Call->Link->run(Call->Session->Account, Line.value(),
                   [this, Call, Step](Outcome<StatementReply> Reply) {
                     if (!Reply || Reply.value().Failure)
                       return this->onLinkLost(Call);
@@ -552,13 +555,15 @@
   if (Call->Request.Kind == StatementKind::Execute)
     PreparedName =
         this->Names.nameOf(*Session.State.prepared(Call->Request.Name));
+  auto Line = encodeForMember(Call->Request, PreparedName,
+                              Running ? std::nullopt : Call->MinPosition);
+  if (!Line)
+    return this->refuseUnsendable(Call, Line.error());
   countAtMember(*Call);
   Call->StatementSent = true;
   ++Call->PossibleRuns;
   Call->SentAt = this->Clock.now();
-  Call->Link->run(Session.Account,
-                  encodeForMember(Call->Request, PreparedName,
-                                  Running ? std::nullopt : Call->MinPosition),
+  Call->Link->run(Session.Account, Line.value(),
                   [this, Call, Attempt = currentAttempt(*Call)](
                       Outcome<StatementReply> Reply) {
                     if (Call->Link != Attempt.Link)
@@ -570,6 +575,15 @@
     this->startHedgeTimer(Call);
 }
 
+void StatementDispatcher::refuseUnsendable(const SharedCall &Call,
+                                           const Error &Why) {
+  if (Call->Session->State.transaction() == SessionTransaction::Running)
+    this->endTransaction(Call, false);
+  else
+    this->releaseLink(Call);
+  this->refuse(Call, ReplyError::Malformed, Why.Message, Duration{0});
+}
+
 void StatementDispatcher::startHedgeTimer(const SharedCall &Call) {
   if (Call->Attempts >= this->Options.MaxAttempts)
     return;
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -178,6 +178,8 @@
   void advance(const SharedCall &Call);
   void sendStep(const SharedCall &Call, const SessionSetupStep &Step);
   void sendBegin(const SharedCall &Call);
+  /// Refuses a statement that can't be encoded for a member.
+  void refuseUnsendable(const SharedCall &Call, const Error &Why);
   void sendStatement(const SharedCall &Call);
   void onReply(const SharedCall &Call, Outcome<StatementReply> Reply);
   void startHedgeTimer(const SharedCall &Call);
--- a/session/Statement.h
+++ b/session/Statement.h
@@ -1,11 +1,15 @@
 // One statement of a caller's session, decoded.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
 namespace turmericpitch {
 
+/// Maximum length of a line in bytes, without the line end.
+inline constexpr std::size_t MaxLineBytes = 1024 * 1024;
+
 /// The kind of a statement.
 enum class StatementKind : std::uint8_t {
   /// Opens a transaction that may write.
--- a/tests/drivers/MemberLinkPoolTest.cpp
+++ b/tests/drivers/MemberLinkPoolTest.cpp
@@ -3,6 +3,7 @@
 #include "drivers/MemberLinkPool.h"
 #include "core/DecisionLog.h"
 #include "tests/platform/SessionGroup.h"
+#include "tests/support/UncheckedLines.h"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -60,7 +61,7 @@
   bool run(MemberLink &Link, const ClientAccountId &Account,
            const std::string &Id, const std::string &Text) {
     std::optional<bool> Answered;
-    Link.run(Account, "QUERY " + Id + " " + Text + "\r\n",
+    Link.run(Account, UncheckedLines::of("QUERY " + Id + " " + Text + "\r\n"),
              [&](const Outcome<StatementReply> &Reply) {
                Answered = Reply.hasValue();
              });
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -52,6 +52,12 @@
     return Lines;
   }
 
+  /// Sends bytes as they are and returns the next line.
+  std::string send(const std::string &Bytes) {
+    this->write(Bytes);
+    return this->line();
+  }
+
   /// Whether the connection ends without a further line.
   bool closed() { return this->line().empty(); }
 
@@ -266,6 +272,20 @@
       Session.query("-", "READ job").front().starts_with("ERROR MALFORMED"));
 }
 
+// The member ran both statements, and the caller got two replies.
+TEST_F(SessionDaemonTest, LineFeedInDataReachesNoMember) {
+  Caller Session("bookings");
+  EXPECT_TRUE(
+      Session.send("QUERY q1 WRITE job hobs\nQUERY q2 WRITE job none\r\n")
+          .starts_with("ERROR MALFORMED the text holds a line feed"));
+  EXPECT_TRUE(Session.closed());
+  Caller Next("bookings");
+  EXPECT_EQ(Next.query("r", "READ job").front(), "DATAROW ");
+  for (const char *Id : {"q1", "q2"})
+    EXPECT_EQ(this->runOnStandIns([&] { return this->Group.commitCount(Id); }),
+              0U);
+}
+
 TEST_F(SessionDaemonTest, FailedPrimaryIsReplacedWithoutDuplicateWrites) {
   this->writeUntilDone("booking", "one");
   this->runOnStandIns([this] {
--- a/tests/platform/SessionGroup.cpp
+++ b/tests/platform/SessionGroup.cpp
@@ -1,5 +1,7 @@
 #include "tests/platform/SessionGroup.h"
 
+#include "tests/support/UncheckedLines.h"
+
 #include <algorithm>
 #include <sstream>
 #include <utility>
@@ -136,18 +138,18 @@
     From->Caller = nextWord(Rest);
     if (Name != this->Service ||
         (!Rest.empty() && Rest != From->At->State.Id)) {
-      From->Lines->send("ERROR WRONGNODE -\r\n");
+      From->Lines->send(UncheckedLines::of("ERROR WRONGNODE -\r\n"));
       return From->Lines->finish();
     }
     auto &Open = From->At->Open;
     std::erase_if(Open, [](const auto &Each) { return Each->Ended; });
     if (Open.size() > From->At->ConnectionLimit) {
-      From->Lines->send("ERROR TOOMANYCON -\r\n");
+      From->Lines->send(UncheckedLines::of("ERROR TOOMANYCON -\r\n"));
       return From->Lines->finish();
     }
     From->At->Callers.push_back(From->Caller);
     From->Started = true;
-    return From->Lines->send("READY I 1.0\r\n");
+    return From->Lines->send(UncheckedLines::of("READY I 1.0\r\n"));
   }
   if (Word != "QUERY" || !From->Started)
     return From->Lines->finish();
@@ -169,7 +171,7 @@
   if (Statement ? At.State.RepliesHeld : At.State.SetupHeld)
     At.Held.emplace_back(From, Reply);
   else
-    From->Lines->send(Reply);
+    From->Lines->send(UncheckedLines::of(Reply));
 }
 
 std::string SessionGroup::answer(Connection &From, const std::string &Id,
@@ -332,7 +334,7 @@
   if (RepliesHeld)
     return;
   for (const auto &[To, Reply] : At.Held)
-    To->Lines->send(Reply);
+    To->Lines->send(UncheckedLines::of(Reply));
   At.Held.clear();
 }
 
--- a/tests/platform/SessionLinesTest.cpp
+++ b/tests/platform/SessionLinesTest.cpp
@@ -62,28 +62,85 @@
 TEST(SessionLines, EncodesTheRefusalOfAnUnknownCredential) {
   EXPECT_EQ(encodeSessionRefused({.Code = ReplyError::Unauthenticated,
                                   .UpstreamCode = {},
-                                  .Text = "why"}),
+                                  .Text = "why"})
+                .bytes(),
             "ERROR UNAUTH why\r\n");
 }
 
 TEST(SessionLines, StatementIsForwardedUnchanged) {
   Statement Asked = statement("QUERY 5c0e WRITE 1a4  two  blanks ");
-  EXPECT_EQ(encodeForMember(Asked, std::nullopt, std::nullopt),
+  EXPECT_EQ(encodeForMember(Asked, std::nullopt, std::nullopt).value().bytes(),
             "QUERY 5c0e WRITE 1a4  two  blanks \r\n");
   TermPosition At{.WrittenIn = {3}, .Position = {1207}};
-  EXPECT_EQ(encodeForMember(statement("QUERY 1 READ 1a4"), std::nullopt, At),
+  EXPECT_EQ(encodeForMember(statement("QUERY 1 READ 1a4"), std::nullopt, At)
+                .value()
+                .bytes(),
             "QUERY 1 AFTERLSN 3.1207 READ 1a4\r\n");
-  EXPECT_EQ(encodeForMember(statement("QUERY 1 EXECUTE s1 1a4 data"), "p7", At),
+  EXPECT_EQ(encodeForMember(statement("QUERY 1 EXECUTE s1 1a4 data"), "p7", At)
+                .value()
+                .bytes(),
             "QUERY 1 AFTERLSN 3.1207 EXECUTE p7 1a4 data\r\n");
 }
 
+// A line feed in a statement's data started a second statement at the member
+// (review, case 1).
+TEST(SessionLines, NoFieldStartsASecondStatement) {
+  for (std::string_view Odd :
+       {std::string_view("\n"), std::string_view("\r"),
+        std::string_view("\r\nQUERY 2 WRITE y z"),
+        std::string_view("\nQUERY 2 WRITE y z"), std::string_view("\0", 1)}) {
+    std::string Text(Odd);
+    for (const std::string &Line :
+         {"QUERY 1 WRITE x" + Text, "QUERY 1 WRITE " + Text + " x",
+          "QUERY 1" + Text + " WRITE x y", "QUERY 1 SET a" + Text + " b",
+          "QUERY 1 PREPARE s WRITE q" + Text, "STARTUP a" + Text + " key",
+          "STARTUP a key" + Text})
+      EXPECT_TRUE(std::holds_alternative<MalformedLine>(decodeCallerLine(Line)))
+          << Line;
+    Statement Asked{.Kind = StatementKind::Write,
+                    .Id = "1",
+                    .Text = "WRITE x " + Text,
+                    .Name = {},
+                    .Operand = "x" + Text};
+    auto Refused = encodeForMember(Asked, std::nullopt, std::nullopt);
+    ASSERT_FALSE(Refused);
+    EXPECT_TRUE(Refused.error().Message.starts_with("the text holds a "));
+    EXPECT_FALSE(encodeForMember(Asked, "p1", std::nullopt));
+    EXPECT_FALSE(encodeMemberStartup({"s" + Text}, {}, {"m"}));
+    EXPECT_FALSE(encodeMemberStartup({"s"}, {"a" + Text}, {"m"}));
+    StatementReply Reply;
+    Reply.Rows = {"row" + Text};
+    EXPECT_FALSE(encodeReply(Reply));
+    EXPECT_FALSE(toOutcome(
+        [&] { return MemberReplyReader().feed("DATAROW a" + Text); }));
+  }
+  // The session goes on with one message, whose text arrives as it was sent.
+  Statement Bytes = statement("QUERY 1 WRITE x \xff\x01\t\x7f");
+  EXPECT_EQ(encodeForMember(Bytes, std::nullopt, std::nullopt).value().bytes(),
+            "QUERY 1 WRITE x \xff\x01\t\x7f\r\n");
+}
+
+TEST(SessionLines, MessagesAtTheLimitFitWithWhatIsAdded) {
+  TermPosition At{.WrittenIn = {UINT64_MAX}, .Position = {UINT64_MAX}};
+  std::string Begin = "QUERY 1 WRITE x ";
+  std::string Longest =
+      Begin + std::string(MaxLineBytes - 128 - Begin.size(), 'd');
+  EXPECT_TRUE(encodeForMember(statement(Longest), std::nullopt, At));
+  CallerLine TooLong = decodeCallerLine(Longest + "d");
+  ASSERT_TRUE(std::holds_alternative<MalformedLine>(TooLong));
+  EXPECT_EQ(std::get<MalformedLine>(TooLong).Code, ReplyError::TooLarge);
+}
+
 TEST(SessionLines, StartupNamesTheAccountToTheMember) {
   ServiceId Service{"ledger"};
   UpstreamId Member{"i-7f3a91c2"};
-  EXPECT_EQ(encodeMemberStartup(Service, ClientAccountId{"sabarmati"}, Member),
+  EXPECT_EQ(encodeMemberStartup(Service, ClientAccountId{"sabarmati"}, Member)
+                .value()
+                .bytes(),
             "STARTUP ledger sabarmati i-7f3a91c2\r\n");
-  EXPECT_EQ(encodeMemberStartup(Service, ClientAccountId{}, Member),
-            "STARTUP ledger turmericpitch i-7f3a91c2\r\n");
+  EXPECT_EQ(
+      encodeMemberStartup(Service, ClientAccountId{}, Member).value().bytes(),
+      "STARTUP ledger turmericpitch i-7f3a91c2\r\n");
 }
 
 TEST(SessionLines, AssemblesAReplyFromItsLines) {
@@ -99,7 +156,7 @@
   EXPECT_EQ(Reply.Rows, std::vector<std::string>{"qhz"});
   EXPECT_EQ(Reply.Signature, "7.1f3");
   EXPECT_EQ(Reply.Position->Position.Value, 1209U);
-  EXPECT_EQ(encodeReply(Reply),
+  EXPECT_EQ(encodeReply(Reply).value().bytes(),
             "DATAROW qhz\r\nCOMPLETE 7.1f3\r\nREADY I 3.1209\r\n");
 }
 
@@ -112,7 +169,7 @@
   ASSERT_TRUE(Whole && Whole.value());
   EXPECT_EQ(Whole.value()->Failure->Code, ReplyError::ReadOnly);
   EXPECT_EQ(Whole.value()->Transaction, TransactionStatus::Failed);
-  EXPECT_EQ(encodeReply(*Whole.value()),
+  EXPECT_EQ(encodeReply(*Whole.value()).value().bytes(),
             "ERROR READONLY i-7f3a91c2\r\nREADY E 3.1209\r\n");
 }
 
@@ -128,7 +185,7 @@
 }
 
 TEST(SessionLines, StepDownContainsTheNewestTerm) {
-  EXPECT_EQ(encodeStepDown({7}), "QUERY - STEPDOWN 7\r\n");
+  EXPECT_EQ(encodeStepDown({7}).bytes(), "QUERY - STEPDOWN 7\r\n");
 }
 
 TEST(SessionLines, DecodesAMemberReport) {
--- a/tools/DecoderFuzz.cpp
+++ b/tools/DecoderFuzz.cpp
@@ -231,10 +231,16 @@
   const auto *Parsed = std::get_if<Statement>(&Line);
   if (!Parsed)
     return "";
-  // The statement text must be forwarded to the member unchanged.
-  std::string Sent = encodeForMember(*Parsed, std::nullopt, std::nullopt);
-  return Sent.find(Parsed->Text) == std::string::npos ? "statement text changed"
-                                                      : "";
+  // The member must read exactly this statement, also if it takes a line feed
+  // or NUL for the end of a line.
+  auto Sent = encodeForMember(*Parsed, std::nullopt, std::nullopt);
+  if (!Sent)
+    return "decoded, but can't be encoded";
+  const std::string &Bytes = Sent.value().bytes();
+  if (Bytes != "QUERY " + Parsed->Id + " " + Parsed->Text + "\r\n")
+    return "statement changed";
+  std::string_view Sole(Bytes.data(), Bytes.size() - 2);
+  return forbiddenCharacter(Sole).empty() ? "" : "more than one line";
 }
 
 std::string fuzzMemberLines(const std::string &Input) {
