A copy behind an answering store is fetched from an instance, and the store isn't asked at each tick

After a restore the store may hold an older configuration than the instances. Now the newer copy comes from an instance, and the store is asked again after 0.5 s.

--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -407,7 +407,6 @@
   if (!Read)
     co_return false;
   this->ConfigurationReadBackoff.onAnswered();
-  this->ConfigurationCopy.onStoreAnswered();
   // The store's revision, because the history may no longer reach back to the
   // entry's own revision.
   this->ConfigurationRevision =
@@ -416,6 +415,7 @@
     this->applyConfiguration(*Read.value().Entry, "read");
   // Also if there is none yet, which the watch then waits for.
   this->ConfigurationCopy.onConfirmed(ReadSentAt);
+  this->ConfigurationCopy.onStoreAnswered(BootClock().now(), true);
   co_return true;
 }
 
@@ -435,9 +435,9 @@
     }
     if (!Changes.value().HistoryCompacted) {
       this->ConfigurationReadBackoff.onAnswered();
-      this->ConfigurationCopy.onStoreAnswered();
       this->onConfigurationChanges(Changes.value(), "check");
       this->ConfigurationCopy.onConfirmed(ReadSentAt);
+      this->ConfigurationCopy.onStoreAnswered(BootClock().now(), true);
       co_return;
     }
   }
@@ -608,11 +608,12 @@
     co_return false;
   }
   this->MemberListingBackoff.onAnswered();
-  this->MembersCopy.onStoreAnswered();
   this->onMemberListing(std::move(Listing.value().Entries),
                         Listing.value().StoreRevision, ReadSentAt);
-  if (Consistency == ReadConsistency::Current)
+  bool IsCurrent = Consistency == ReadConsistency::Current;
+  if (IsCurrent)
     this->MembersCopy.onConfirmed(ReadSentAt);
+  this->MembersCopy.onStoreAnswered(BootClock().now(), IsCurrent);
   co_return true;
 }
 
--- a/membership/CopyFollower.cpp
+++ b/membership/CopyFollower.cpp
@@ -17,10 +17,12 @@
 
 void CopyFollower::onStoreAsked(TimePoint Now) { this->StoreAskedAt = Now; }
 
-void CopyFollower::onStoreAnswered() {
+void CopyFollower::onStoreAnswered(TimePoint Now, bool IsCurrent) {
   this->StoreAskedAt.reset();
-  this->StoreFailed = false;
-  this->NextStoreCallAt = TimePoint::min();
+  bool StoreIsOlder = IsCurrent && this->isBehind();
+  this->StoreFailed = StoreIsOlder;
+  this->NextStoreCallAt =
+      StoreIsOlder ? Now + this->Options.OlderStorePause : TimePoint::min();
 }
 
 void CopyFollower::onStoreFailed(TimePoint NextAt) {
--- a/membership/CopyFollower.h
+++ b/membership/CopyFollower.h
@@ -33,6 +33,9 @@
   /// A call that the store has not answered for this long counts as failed for
   /// the decision whether to use another instance's copy.
   Duration StorePatience = std::chrono::milliseconds(200);
+  /// Pause before the store is asked again if its newest state was older than
+  /// what another instance has reported, as after a restore.
+  Duration OlderStorePause = std::chrono::milliseconds(500);
   /// Pause between queries to other instances. After FastQueries of them
   /// without a confirmation or a newer version, it doubles up to MaxQueryPause.
   Duration QueryPause = std::chrono::milliseconds(200);
@@ -74,9 +77,11 @@
   void onConfirmed(TimePoint Time);
   /// Records that a call to the store was sent.
   void onStoreAsked(TimePoint Now);
-  /// Records the end of such a call. NextAt is when the store may be asked
-  /// again after a failure.
-  void onStoreAnswered();
+  /// Records the answer to such a call, once it has been applied. IsCurrent:
+  /// whether it was a read of the newest state.
+  void onStoreAnswered(TimePoint Now, bool IsCurrent);
+  /// Records the failure of such a call. NextAt is when the store may be asked
+  /// again.
   void onStoreFailed(TimePoint NextAt);
   /// Records another instance's report in reply to a query sent at QuerySentAt.
   void onReport(const InstanceId &From, const CopyReport &Report,
--- a/tests/membership/CopyFollowerTest.cpp
+++ b/tests/membership/CopyFollowerTest.cpp
@@ -151,9 +151,9 @@
 
   void finishCalls(Instance &Own) {
     if (Own.StoreCallSentAt && Own.Store == StoreState::Answers) {
-      Own.Copy.onStoreAnswered();
       this->apply(Own, this->Stored);
       Own.Copy.onConfirmed(*Own.StoreCallSentAt);
+      Own.Copy.onStoreAnswered(this->Now, true);
       Own.StoreCallSentAt.reset();
     } else if (Own.StoreCallSentAt &&
                (Own.Store == StoreState::Refuses ||
@@ -230,6 +230,22 @@
   }
 }
 
+// After a restore, the store may hold less than the instances.
+TEST(CopyFollower, CopyNewerThanTheStoreComesFromAnInstance) {
+  CopyFollower Copy(Normal, 1);
+  TimePoint Now(std::chrono::seconds(1));
+  Copy.onReport({"a"}, {.Version = 7, .ConfirmedAge = Duration{0}}, Now, Now);
+  EXPECT_TRUE(Copy.next(Now, false, true).AskStore);
+  Copy.onStoreAsked(Now);
+  Copy.onHeld(5);
+  Copy.onConfirmed(Now);
+  Copy.onStoreAnswered(Now, true);
+  Now += Normal.HolderWait;
+  CopyActions Due = Copy.next(Now, false, true);
+  EXPECT_FALSE(Due.AskStore);
+  EXPECT_EQ(Due.CopyFrom, InstanceId{"a"});
+}
+
 TEST(CopyFollower, OnlyTheReaderChecksACopyInTheNormalCase) {
   CopyFleet Fleet(34, 1);
   Fleet.run(milliseconds(30'000));
