Copies of the configuration hold digests in place of credentials

Now withCredentialDigests() keeps the fields that are decoded, with digests; what can't be read stays unreadable, so that a copy means the same as the original (StoredAccounts.CopyHoldsDigestsInPlaceOfCredentials).

--- a/configuration/Credential.cpp
+++ b/configuration/Credential.cpp
@@ -1,6 +1,7 @@
 #include "configuration/Credential.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cstring>
 
 namespace turmericpitch {
@@ -11,6 +12,25 @@
   return Digest;
 }
 
+std::optional<CredentialDigest>
+CredentialDigest::fromHex(std::string_view Digits) {
+  CredentialDigest Digest;
+  constexpr std::size_t DigitsPerByte = 2;
+  constexpr int Base = 16;
+  if (Digits.size() != DigitsPerByte * Digest.Bytes.size())
+    return std::nullopt;
+  const char *At = Digits.data();
+  for (char &Each : Digest.Bytes) {
+    std::uint8_t Byte = 0;
+    auto [End, Failure] = std::from_chars(At, At + DigitsPerByte, Byte, Base);
+    At += DigitsPerByte;
+    if (Failure != std::errc() || End != At)
+      return std::nullopt;
+    Each = static_cast<char>(Byte);
+  }
+  return Digest;
+}
+
 bool CredentialDigest::operator==(const CredentialDigest &Other) const {
   return equalInConstantTime({this->Bytes.data(), this->Bytes.size()},
                              {Other.Bytes.data(), Other.Bytes.size()});
--- a/configuration/Credential.h
+++ b/configuration/Credential.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace turmericpitch {
@@ -17,6 +18,9 @@
   CredentialDigest() = default;
   /// Thread-safe.
   static CredentialDigest of(std::string_view Credential);
+  /// The digest with these 64 hexadecimal digits; nothing if they are no
+  /// digest. Thread-safe.
+  static std::optional<CredentialDigest> fromHex(std::string_view Digits);
 
   /// Thread-safe.
   bool operator==(const CredentialDigest &Other) const;
--- a/drivers/StoreCopies.cpp
+++ b/drivers/StoreCopies.cpp
@@ -39,7 +39,7 @@
 std::string_view toString(CopySubject Subject) {
   switch (Subject) {
   case CopySubject::Configuration:
-    return "configuration";
+    return "digested_configuration";
   case CopySubject::Members:
     return "members";
   case CopySubject::Instances:
--- a/drivers/StoreCopies.h
+++ b/drivers/StoreCopies.h
@@ -9,7 +9,7 @@
 
 namespace turmericpitch {
 
-/// What is copied.
+/// What is copied. The configuration holds digests in place of credentials.
 enum class CopySubject : std::uint8_t { Configuration, Members, Instances };
 
 /// The subject's name in requests; stable. Thread-safe.
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -42,6 +42,8 @@
 constexpr Duration WatchRestartInterval = std::chrono::seconds(5);
 /// Number of instances whose versions are queried at a time.
 constexpr std::size_t VersionQueries = 3;
+/// The source of a configuration that another instance has handed over.
+constexpr std::string_view InstanceSource = "instance";
 constexpr Duration ListingInterval = std::chrono::milliseconds(1000);
 /// The same while other instances report changes of the member list. Also
 /// bounds the time for which a leaving member is used if no report arrives.
@@ -201,6 +203,8 @@
   /// Applies a stored configuration if it is newer than the one in force.
   /// Source is where it came from, for the log.
   void applyConfiguration(const KeyValueEntry &Entry, std::string_view Source);
+  /// Keeps the configuration in force for other instances, without credentials.
+  void keepConfiguration(KeyValueEntry Entry, bool HoldsDigests);
   /// Applies what a watch or a check has shown.
   void onConfigurationChanges(const WatchReply &Changes,
                               std::string_view Source);
@@ -458,7 +462,7 @@
   bool Usable = Copy && Copy->Entries.size() == 1 &&
                 Copy->Entries.front().Key == ConfigurationKey;
   if (Usable)
-    this->applyConfiguration(Copy->Entries.front(), "instance");
+    this->applyConfiguration(Copy->Entries.front(), InstanceSource);
   // The instance may hold an older copy than it has reported, or one that can't
   // be decoded here.
   if (!Usable || this->ConfigurationCopy.isBehind())
@@ -478,7 +482,11 @@
 
 void SessionDaemon::Components::applyConfiguration(const KeyValueEntry &Entry,
                                                    std::string_view Source) {
-  auto Table = toOutcome([&] { return decodeRouteTable(Entry.Value); });
+  bool OfInstance = Source == InstanceSource;
+  auto Table = toOutcome([&] {
+    return decodeRouteTable(Entry.Value, OfInstance ? CredentialEntries::Digests
+                                                    : CredentialEntries::Plain);
+  });
   if (!Table) {
     writeWarning("event=configuration_refused reason=\"" +
                  Table.error().Message + "\"");
@@ -490,8 +498,7 @@
   if (!this->Routes.replaceIfNewer(std::move(Table.value()), BootClock().now()))
     return;
   this->ConfigurationCopy.onHeld(Version);
-  this->Copies.keep(CopySubject::Configuration, {Entry}, Entry.Modified,
-                    BootClock().now());
+  this->keepConfiguration(Entry, OfInstance);
   if (Source != "watch" && !this->WatchLagsSince)
     this->WatchLagsSince = BootClock().now();
   writeDecision(DecisionLine("configuration_in_force")
@@ -505,6 +512,20 @@
   this->Sessions.onConfigurationApplied();
 }
 
+void SessionDaemon::Components::keepConfiguration(KeyValueEntry Entry,
+                                                  bool HoldsDigests) {
+  if (!HoldsDigests) {
+    auto Copy = toOutcome([&] { return withCredentialDigests(Entry.Value); });
+    if (!Copy)
+      return writeWarning("event=configuration_not_kept reason=" +
+                          logValue(Copy.error().Message));
+    Entry.Value = std::move(Copy.value());
+  }
+  Revision Stored = Entry.Modified;
+  this->Copies.keep(CopySubject::Configuration, {std::move(Entry)}, Stored,
+                    BootClock().now());
+}
+
 KnownVersions SessionDaemon::Components::ownVersions() const {
   KnownVersions Own{.Configuration = this->Routes.version(),
                     .Members = this->MembersChangeRevision.Value};
--- a/tests/platform/StoredAccountsTest.cpp
+++ b/tests/platform/StoredAccountsTest.cpp
@@ -102,6 +102,30 @@
   EXPECT_EQ(Lines, 11U) << Text;
 }
 
+// Instances keep and hand over configurations; credentials don't leave them.
+TEST(StoredAccounts, CopyHoldsDigestsInPlaceOfCredentials) {
+  std::string Body =
+      R"({"version":7,"routes":[{"name":"b","host":"y","kind":"primary",)"
+      R"("service":"s","timeout_ms":1000,"latency_goal_ms":200}],)"
+      R"("services":[{"name":"s","max_conns":60}],"secret-note":"secret-1",)"
+      R"("tenants":[{"name":"a","api_keys":["secret-2","secret-3"],)"
+      R"("old_keys":["secret-4"],"rate_per_s":12.5,"burst":3,"priority":1},)"
+      R"({"name":"b","api_keys":"secret-5"},{"name":"c","api_keys":[7]},)"
+      R"({"name":"d"},"secret-6"],"limits":{"tx_idle_ms":3000}})";
+  auto Copy = toOutcome([&] { return withCredentialDigests(Body); });
+  ASSERT_TRUE(Copy);
+  EXPECT_EQ(Copy.value().find("secret"), std::string::npos) << Copy.value();
+  auto Original = toOutcome([&] { return decodeRouteTable(Body); });
+  auto Copied = toOutcome([&] {
+    return decodeRouteTable(Copy.value(), CredentialEntries::Digests);
+  });
+  ASSERT_TRUE(Original && Copied);
+  EXPECT_EQ(Copied.value(), Original.value());
+  EXPECT_EQ(decide(Copied.value(), "secret-3").Account.Value, "a");
+  // A digest isn't a credential.
+  EXPECT_TRUE(decide(Copied.value(), sha256Hex("secret-3")).Refusal);
+}
+
 TEST(StoredAccounts, CredentialOfTwoAccountsIsRefusedForBoth) {
   RouteTable Table =
       decode(R"(,"tenants":[{"name":"a","api_keys":["both","own"]},)"
