Test: relays of a fleet that has lost its reader

Cause: the simulated fleet counted its relays from the first instance, also when that one is lost. With five instances no relay was left. Change: the relays are the first instances that live.

--- a/tests/membership/CopyFollowerTest.cpp
+++ b/tests/membership/CopyFollowerTest.cpp
@@ -39,8 +39,8 @@
 constexpr CopyFollowerOptions Normal{.MaxUnconfirmed = ApplyTimeout * 3 / 5,
                                      .ReaderInterval = ApplyTimeout / 3};
 
-/// Relays are the first instances, the first of them the reader. Queries are
-/// answered within a step.
+/// Relays are the first instances that live, the first of them the reader.
+/// Queries are answered within a step.
 class CopyFleet {
 public:
   CopyFleet(std::size_t Size, std::uint64_t Seed,
@@ -127,9 +127,8 @@
     bool QueryTurn =
         this->Now.time_since_epoch() % QueryInterval == Duration{0};
     if (QueryTurn && Index != Reader) {
-      std::size_t Relay =
-          Index < Relays ? Reader : Reader + Index % (Relays - Reader);
-      this->query(Index, this->All[Relay].Lost ? Reader : Relay);
+      bool IsRelay = Index < Reader + Relays;
+      this->query(Index, IsRelay ? Reader : Reader + Index % Relays);
     }
     if (Own.Old)
       return;
