--- a/tests/drivers/FailoverCoordinatorTest.cpp
+++ b/tests/drivers/FailoverCoordinatorTest.cpp
@@ -35,7 +35,9 @@
     sendLogTo("");
   }
 
-  [[nodiscard]] bool start() {
+  /// The store's list also names Strangers as primaries of the service.
+  [[nodiscard]] bool
+  start(const std::vector<RegisteredMember> &Strangers = {}) {
     if (!this->Group.add("m1", {.Address = ownAddress(), .Port = 0}) ||
         !this->Store.start())
       return false;
@@ -50,6 +52,7 @@
                               .Where = Each.Where,
                               .Zone = {"a"},
                               .Role = MemberRole::Primary});
+    Change.Added.insert(Change.Added.end(), Strangers.begin(), Strangers.end());
     this->Dispatcher.onRegistry(Change, RouteController(), 2);
     return true;
   }
@@ -75,6 +78,8 @@
                                                         TimePoint) {}});
   }
 
+  RevisionStore &store() { return this->Store; }
+
 private:
   boost::asio::io_context Loop;
   SessionGroup Group;
@@ -145,5 +150,76 @@
       [&] { return *Reader->leases().oldestReadSentAt() > Written; }));
 }
 
+class SoleInstance {
+public:
+  explicit SoleInstance(Surroundings &Around)
+      : Listed(instances(1)), Registry(this->Listed.front().Id) {
+    this->Registry.onListing(this->Listed, BootClock().now());
+    FailoverCoordinatorOptions Options;
+    Options.Self = this->Listed.front().Id;
+    Options.Listen = this->Listed.front().PeerEndpoint;
+    this->Coordinator = Around.coordinator(Options, this->Registry);
+  }
+
+  [[nodiscard]] bool start() { return bool(this->Coordinator->start()); }
+  [[nodiscard]] const PrimaryRecord *record() const {
+    return this->Coordinator->leases().record(Service);
+  }
+  [[nodiscard]] bool leads(const std::string &Member) const {
+    return this->record() && this->record()->Phase == PrimaryPhase::Open &&
+           this->record()->Primary.Value == Member;
+  }
+
+private:
+  std::vector<RegisteredInstance> Listed;
+  InstanceRegistry Registry;
+  std::unique_ptr<FailoverCoordinator> Coordinator;
+};
+
+// Nobody wrote the first record of a service while another writer's entry
+// claimed to be its primary, too, so none of its statements was served.
+TEST(FailoverCoordinator, FirstRecordDoesNotWaitForAStrangersClaim) {
+  Surroundings Around;
+  constexpr std::uint16_t NobodyListens = 1;
+  ASSERT_TRUE(
+      Around.start({{.Id = {"stranger"},
+                     .Service = Service,
+                     .Where = {.Address = ownAddress(), .Port = NobodyListens},
+                     .Zone = {"a"},
+                     .Role = MemberRole::Primary}}));
+  SoleInstance Own(Around);
+  ASSERT_TRUE(Own.start());
+  EXPECT_TRUE(Around.runUntil([&] { return Own.leads("m1"); }));
+}
+
+// A record that another writer had overwritten kept its service refused until
+// it was deleted by hand.
+TEST(FailoverCoordinator, UnreadableRecordIsReplaced) {
+  for (const char *Odd : {"", "[[", R"({"reign":-1,"primary":"m1"})"}) {
+    Surroundings Around;
+    ASSERT_TRUE(Around.start());
+    SoleInstance Own(Around);
+    ASSERT_TRUE(Own.start());
+    ASSERT_TRUE(Around.runUntil([&] { return Own.leads("m1"); }));
+    std::uint64_t Epoch = Own.record()->Epoch;
+    Around.store().put(primaryRecordKey(Service), Odd);
+    EXPECT_TRUE(Around.runUntil([&] { return !Own.leads("m1"); }));
+    EXPECT_TRUE(Around.runUntil([&] { return Own.leads("m1"); })) << Odd;
+    if (Own.record()) {
+      EXPECT_GT(Own.record()->Epoch, Epoch);
+    }
+  }
+}
+
+// The same for a fleet whose processes have all started since.
+TEST(FailoverCoordinator, UnreadableRecordIsReplacedByAFleetThatStarts) {
+  Surroundings Around;
+  Around.store().put(primaryRecordKey(Service), "[[");
+  ASSERT_TRUE(Around.start());
+  SoleInstance Own(Around);
+  ASSERT_TRUE(Own.start());
+  EXPECT_TRUE(Around.runUntil([&] { return Own.leads("m1"); }));
+}
+
 } // namespace
 } // namespace turmericpitch
--- a/tests/platform/LimitExchangeTest.cpp
+++ b/tests/platform/LimitExchangeTest.cpp
@@ -179,6 +179,17 @@
   EXPECT_FALSE(Decision.Admitted);
 }
 
+// A table that another writer had overwritten left all accounts with limits
+// refused until it was deleted by hand.
+TEST_F(LimitExchangeTest, UnreadableTableIsReplaced) {
+  this->setLimit({.PerSecond = 100, .Burst = 100});
+  ASSERT_TRUE(this->waitForShares());
+  std::string Key(OwnerTableKey);
+  this->Store.put(Key, "[[");
+  EXPECT_TRUE(this->runUntil([&] { return this->Store.value(Key) != "[["; }));
+  EXPECT_TRUE(this->waitForShares());
+}
+
 TEST_F(LimitExchangeTest, MalformedAndForeignDatagramsAreDropped) {
   this->setLimit({.PerSecond = 100, .Burst = 100});
   ASSERT_TRUE(this->waitForShares());
