A failover of a service with one member waits for that member's reply

Seen while the tests of unreadable records were mended: a service whose only member is its primary stayed closed for the whole search (8 s) again and again. Cause: candidates are queried without waiting for the primary that is thought to be lost. With no other member to wait for, the query returned at once, each time, before the reply was there.

--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -1040,14 +1040,20 @@
 FailoverCoordinator::queryCandidates(Failover &F) {
   std::set<UpstreamId> Skipped = F.Refused;
   std::set<UpstreamId> NotAwaited;
+  bool HasOthers = false;
   for (const auto &[Id, Pool] :
-       this->Dispatcher.services().at(F.Record.Service).Pools)
-    if (Pool->member().Draining && Id != F.Record.Primary)
+       this->Dispatcher.services().at(F.Record.Service).Pools) {
+    if (Id == F.Record.Primary)
+      continue;
+    if (Pool->member().Draining)
       Skipped.insert(Id);
+    HasOthers = HasOthers || !Skipped.contains(Id);
+  }
   if (F.WasOrdered)
     Skipped.insert(F.Record.Primary);
-  // Don't wait for a reply of a lost primary.
-  if (!isPlanned(F.Reason))
+  // Don't wait for a reply of a lost primary, unless it is the only member that
+  // can reply.
+  if (!isPlanned(F.Reason) && HasOthers)
     NotAwaited.insert(F.Record.Primary);
   co_return co_await this->queryMembers(F.Record.Service, Skipped, NotAwaited);
 }
