--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -716,6 +716,7 @@
     this->Activities.begin(Id, FailoverStep::Changing);
     return this->spawn(this->writeFirstRecord(Id));
   }
+  this->FirstPrimarySoughtAt.erase(Id);
   if (Record->Phase != PrimaryPhase::Open)
     return this->checkUnfinished(*Record, Now);
   PrimaryObservation Seen = this->observation(*Record);
@@ -789,24 +790,50 @@
     this->Activities.end(Id);
     co_return;
   }
-  std::vector<std::shared_ptr<MemberLinkPool>> Primaries;
-  auto State = this->Dispatcher.services().find(Id);
-  for (const auto &[Member, Pool] : State->second.Pools)
-    if (Pool->member().Role == MemberRole::Primary && !Pool->member().Draining)
-      Primaries.push_back(Pool);
-  if (Primaries.size() == 1 && !this->Leases.record(Id)) {
-    auto Report = co_await this->queryStatus(Primaries.front());
-    if (Report && Report->Primary) {
-      PrimaryRecord First{.Service = Id,
-                          .Epoch = FirstEpoch,
-                          .Primary = Primaries.front()->member().Id};
-      co_await this->write(First, Revision{});
-    }
-    co_await this->readRecords();
+  TimePoint SoughtAt =
+      this->FirstPrimarySoughtAt.try_emplace(Id, this->Clock.now())
+          .first->second;
+  auto Candidates = co_await this->queryFirstPrimary(Id);
+  auto Primary = chooseFirstPrimary(this->Options.FirstPrimary, Candidates,
+                                    this->Clock.now() - SoughtAt);
+  if (Primary && !this->Leases.record(Id)) {
+    PrimaryRecord First{
+        .Service = Id, .Epoch = FirstEpoch, .Primary = *Primary};
+    co_await this->write(First, Revision{});
   }
+  if (!Candidates.empty())
+    co_await this->readRecords();
   this->Activities.end(Id);
 }
 
+Awaitable<std::vector<FirstPrimaryCandidate>>
+FailoverCoordinator::queryFirstPrimary(ServiceId Service) {
+  std::vector<std::shared_ptr<MemberLinkPool>> Queried;
+  std::vector<std::shared_ptr<MemberLinkPool>> Claimants;
+  auto State = this->Dispatcher.services().find(Service);
+  if (State == this->Dispatcher.services().end())
+    co_return std::vector<FirstPrimaryCandidate>{};
+  for (const auto &[Id, Pool] : State->second.Pools) {
+    Queried.push_back(Pool);
+    if (Pool->member().Role == MemberRole::Primary && !Pool->member().Draining)
+      Claimants.push_back(Pool);
+  }
+  // The others are asked only to decide between claims.
+  if (Claimants.size() < 2)
+    Queried = Claimants;
+  std::vector<FirstPrimaryCandidate> Candidates;
+  for (const std::shared_ptr<MemberLinkPool> &Pool : Queried) {
+    auto Report = co_await this->queryStatus(Pool);
+    FirstPrimaryCandidate Each{.Id = Pool->member().Id};
+    Each.Claims = std::ranges::find(Claimants, Pool) != Claimants.end();
+    Each.Answered = Report.has_value();
+    Each.Leads = Report && Report->Primary;
+    Each.Newest = Report ? Report->Newest : Term{};
+    Candidates.push_back(std::move(Each));
+  }
+  co_return Candidates;
+}
+
 Awaitable<std::optional<MemberReport>>
 FailoverCoordinator::queryStatus(std::shared_ptr<MemberLinkPool> Pool) {
   auto Report = std::make_shared<std::optional<MemberReport>>();
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -8,6 +8,7 @@
 #include "drivers/StoreClient.h"
 #include "failover/FailoverActivities.h"
 #include "failover/FailoverTimeline.h"
+#include "failover/FirstPrimary.h"
 #include "failover/GrantorMaintenance.h"
 #include "failover/PrimaryMonitor.h"
 #include "failover/PromotionRules.h"
@@ -63,6 +64,7 @@
   Duration GrantorCheckInterval = std::chrono::milliseconds(500);
   /// How often unanswered requests to grantors are repeated.
   Duration GrantorRetryInterval = std::chrono::milliseconds(60);
+  FirstPrimaryOptions FirstPrimary = {};
   /// How much later each rank verifies the records of a restored store.
   Duration VerificationRankDelay = std::chrono::milliseconds(1000);
   /// How often an instance looks for the first records.
@@ -259,6 +261,10 @@
   void checkUnfinished(const PrimaryRecord &Record, TimePoint Now);
   [[nodiscard]] bool mayStartFailover(TimePoint Now) const;
   Awaitable<void> writeFirstRecord(ServiceId Id);
+  /// Queries all members of a service, one after the other, for what
+  /// chooseFirstPrimary() decides by.
+  Awaitable<std::vector<FirstPrimaryCandidate>>
+  queryFirstPrimary(ServiceId Service);
   Awaitable<void> replace(PrimaryRecord From, FailoverReason Reason);
   Awaitable<bool> isStillNeeded(PrimaryRecord From, FailoverReason Reason);
   Awaitable<bool> closeRecord(Failover &F);
@@ -304,6 +310,9 @@
   /// be written until that is restored.
   Revision UnreadableGrantors;
   SkippedEntries SkippedRecords{"reign_record_skipped"};
+  /// When this instance first looked for the primary of a service without a
+  /// record.
+  std::map<ServiceId, TimePoint> FirstPrimarySoughtAt;
   GrantorMaintenance GrantorUpkeep;
   /// An era of the store whose records are not verified, and since when it is
   /// known. The copy's entries are kept for the verification.
