--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -56,7 +56,8 @@
       Grants({.MaxUse = Options.Rules.Leases.maxUse()}),
       Exchange(Exec, {.Self = Options.Self, .Listen = Options.Listen},
                this->Leases, this->Grants, Instances, this->peerHooks()),
-      GrantorUpkeep(Options.GrantorSelection), Random(Options.Seed) {}
+      Repair(Options.Repair), GrantorUpkeep(Options.GrantorSelection),
+      Random(Options.Seed) {}
 
 LeaseExchange::Hooks FailoverCoordinator::peerHooks() {
   return {
@@ -491,6 +492,7 @@
 void FailoverCoordinator::onRecordListing(const StorePage &Listing,
                                           TimePoint ReadSentAt) {
   std::vector<PrimaryRecord> Records;
+  std::vector<UnreadableRecord> UnreadableRecords;
   GrantorSet Set;
   Revision Unreadable;
   Revision Promoter;
@@ -514,10 +516,14 @@
       continue;
     }
     auto Record = toOutcome([&] { return decodePrimaryRecord(Entry); });
-    if (Record)
+    if (Record) {
       Records.push_back(std::move(Record.value()));
-    else
-      this->SkippedRecords.report(Entry, Record.error());
+      continue;
+    }
+    this->SkippedRecords.report(Entry, Record.error());
+    if (auto Service = serviceOfRecordKey(Entry.Key))
+      UnreadableRecords.push_back(
+          {.Service = std::move(*Service), .Stored = Entry.Modified});
   }
   StoreEra Era = eraOf(Listing.StoreRevision);
   // Replies may arrive out of order across a restore.
@@ -538,6 +544,7 @@
     }
     this->UnverifiedEra = Era;
     this->UnverifiedRecords = std::move(Records);
+    this->UnverifiedUnreadable = std::move(UnreadableRecords);
     this->UnverifiedGrantors = std::move(Set);
     return;
   }
@@ -549,6 +556,8 @@
   this->Grantors = std::move(Set);
   this->UnreadableGrantors = Unreadable;
   this->ReadAt = std::max(this->ReadAt.value_or(ReadSentAt), ReadSentAt);
+  this->Repair.onListing(UnreadableRecords, this->Leases.all(),
+                         this->Clock.now());
   bool Changed = this->Leases.onListing(
       Records, {.ReadSentAt = ReadSentAt, .Grantors = this->Grantors.Stored});
   if (Changed)
@@ -649,6 +658,8 @@
   std::map<ServiceId, Revision> Expected;
   for (const PrimaryRecord &Each : this->UnverifiedRecords)
     Expected[Each.Service] = Each.Stored;
+  for (const UnreadableRecord &Each : this->UnverifiedUnreadable)
+    Expected[Each.Service] = Each.Stored;
   GrantorSet Next = Verification.grantors();
   Next.VerifiedEra = Verification.era();
   bool Done = true;
@@ -712,6 +723,13 @@
 
 void FailoverCoordinator::checkService(const ServiceId &Id, TimePoint Now) {
   const PrimaryRecord *Record = this->Leases.record(Id);
+  if (!Record && this->Repair.isUnreadable(Id)) {
+    auto Next = this->Repair.replacement(Id, this->promoterRank(), Now);
+    if (!Next || !this->mayStartFailover(Now))
+      return;
+    this->Activities.begin(Id, FailoverStep::Changing);
+    return this->spawn(this->replaceUnreadable(std::move(*Next)));
+  }
   if (!Record) {
     this->Activities.begin(Id, FailoverStep::Changing);
     return this->spawn(this->writeFirstRecord(Id));
@@ -834,6 +852,19 @@
   co_return Candidates;
 }
 
+Awaitable<void> FailoverCoordinator::replaceUnreadable(PrimaryRecord Next) {
+  writeDecision(DecisionLine("unreadable_reign_replaced")
+                    .field("service", Next.Service.Value)
+                    .field("reign", Next.Epoch)
+                    .field("primary", Next.Primary.Value)
+                    .field("revision", Next.Stored.Value));
+  auto Stored = co_await this->write(Next, Next.Stored);
+  if (!Stored)
+    co_return this->Activities.end(Next.Service);
+  Next.Stored = *Stored;
+  co_await this->replace(Next, FailoverReason::Lost);
+}
+
 Awaitable<std::optional<MemberReport>>
 FailoverCoordinator::queryStatus(std::shared_ptr<MemberLinkPool> Pool) {
   auto Report = std::make_shared<std::optional<MemberReport>>();
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -12,6 +12,7 @@
 #include "failover/GrantorMaintenance.h"
 #include "failover/PrimaryMonitor.h"
 #include "failover/PromotionRules.h"
+#include "failover/RecordRepair.h"
 #include "failover/ReplicaBacklogMonitor.h"
 #include "limits/StoreBackoff.h"
 #include "membership/IsolationDetector.h"
@@ -64,6 +65,7 @@
   Duration GrantorCheckInterval = std::chrono::milliseconds(500);
   /// How often unanswered requests to grantors are repeated.
   Duration GrantorRetryInterval = std::chrono::milliseconds(60);
+  RecordRepairOptions Repair = {};
   FirstPrimaryOptions FirstPrimary = {};
   /// How much later each rank verifies the records of a restored store.
   Duration VerificationRankDelay = std::chrono::milliseconds(1000);
@@ -265,6 +267,9 @@
   /// chooseFirstPrimary() decides by.
   Awaitable<std::vector<FirstPrimaryCandidate>>
   queryFirstPrimary(ServiceId Service);
+  /// Writes a record in place of one that can't be decoded, and finds the
+  /// primary by a failover.
+  Awaitable<void> replaceUnreadable(PrimaryRecord Next);
   Awaitable<void> replace(PrimaryRecord From, FailoverReason Reason);
   Awaitable<bool> isStillNeeded(PrimaryRecord From, FailoverReason Reason);
   Awaitable<bool> closeRecord(Failover &F);
@@ -310,6 +315,7 @@
   /// be written until that is restored.
   Revision UnreadableGrantors;
   SkippedEntries SkippedRecords{"reign_record_skipped"};
+  RecordRepair Repair;
   /// When this instance first looked for the primary of a service without a
   /// record.
   std::map<ServiceId, TimePoint> FirstPrimarySoughtAt;
@@ -319,6 +325,7 @@
   std::optional<StoreEra> UnverifiedEra;
   TimePoint UnverifiedSince;
   std::vector<PrimaryRecord> UnverifiedRecords;
+  std::vector<UnreadableRecord> UnverifiedUnreadable;
   GrantorSet UnverifiedGrantors;
   /// When this instance's newest read of verified records was sent; nothing
   /// before the first.
--- a/failover/PrimaryRecord.cpp
+++ b/failover/PrimaryRecord.cpp
@@ -38,6 +38,16 @@
          Service.Value;
 }
 
+std::optional<ServiceId> serviceOfRecordKey(std::string_view Key) {
+  std::string Prefix = primaryRecordKey({});
+  ServiceId Service;
+  if (Key.starts_with(Prefix))
+    Service.Value = Key.substr(Prefix.size());
+  if (!isWord(Service.Value))
+    return std::nullopt;
+  return Service;
+}
+
 std::string encodePrimaryRecord(const PrimaryRecord &Record) {
   return json::serialize(json::object{{"reign", Record.Epoch},
                                       {"primary", Record.Primary.Value},
@@ -49,15 +59,14 @@
 }
 
 Result<PrimaryRecord> decodePrimaryRecord(const KeyValueEntry &Entry) {
-  std::string Prefix =
-      std::string(PrimaryRecordPrefix) + std::string(ServicePart);
+  auto Service = serviceOfRecordKey(Entry.Key);
   boost::system::error_code Failure;
   json::value Value = json::parse(Entry.Value, Failure);
-  if (Failure || !Value.is_object() || !Entry.Key.starts_with(Prefix))
+  if (Failure || !Value.is_object() || !Service)
     return boost::leaf::new_error(malformed(Entry.Key));
   const json::object &Object = Value.as_object();
   PrimaryRecord Record;
-  Record.Service.Value = Entry.Key.substr(Prefix.size());
+  Record.Service = *Service;
   Record.Stored = Entry.Modified;
   auto Text = [&](const char *Key) -> std::optional<std::string> {
     const json::value *Found = Object.if_contains(Key);
@@ -81,7 +90,7 @@
   auto Writer = Text("writer");
   // A later epoch must be greater.
   if (!Epoch || *Epoch == UINT64_MAX || !Attempt || !Primary || !Phase ||
-      !Target || !Writer || Failure || !isWord(Record.Service.Value))
+      !Target || !Writer || Failure)
     return boost::leaf::new_error(malformed(Entry.Key));
   Record.Epoch = *Epoch;
   Record.Attempt = *Attempt;
--- a/failover/PrimaryRecord.h
+++ b/failover/PrimaryRecord.h
@@ -6,6 +6,7 @@
 #include "core/KeyValue.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -56,6 +57,8 @@
 
 /// The key of a service's record. Thread-safe.
 std::string primaryRecordKey(const ServiceId &Service);
+/// The service whose record a key holds; nothing for another key. Thread-safe.
+std::optional<ServiceId> serviceOfRecordKey(std::string_view Key);
 /// The record as stored, without its revision. Thread-safe.
 std::string encodePrimaryRecord(const PrimaryRecord &Record);
 /// Decodes a stored record. Thread-safe. Errors: BadRequest.
