--- a/drivers/LimitExchange.cpp
+++ b/drivers/LimitExchange.cpp
@@ -254,9 +254,10 @@
     const KeyValueEntry &Entry = *Read.value().Entry;
     auto Decoded = toOutcome([&] { return decodeOwnerTable(Entry); });
     if (!Decoded) {
-      // The present right goes on until it ends.
       writeWarning("event=limit_owners_refused reason=\"" +
                    Decoded.error().Message + "\"");
+      this->TableReadAt = ReadSentAt;
+      this->Right.onUnreadable(Entry.Modified, this->Clock.now());
       co_await this->pause(this->ReadBackoff.onFailed(this->Random));
       co_return;
     }
@@ -279,7 +280,7 @@
 Awaitable<void> LimitExchange::writeTable(OwnerTable Next) {
   TransactionRequest Request;
   Request.Compares = {
-      {.Key = std::string(OwnerTableKey), .Modified = this->Right.stored()}};
+      {.Key = std::string(OwnerTableKey), .Modified = this->Right.replaced()}};
   Request.Writes = {PutOperation{.Key = std::string(OwnerTableKey),
                                  .Value = encodeOwnerTable(Next),
                                  .Lease = {}}};
--- a/limits/ShareRight.cpp
+++ b/limits/ShareRight.cpp
@@ -10,6 +10,7 @@
   bool Deleted = Table.Epoch == 0 && eraOf(Stored) == eraOf(this->Stored);
   if (this->ReadSentAt && Stored < this->Stored && !Deleted)
     return;
+  this->Unreadable.reset();
   // The position of a store without a table need not be the same.
   bool Same = this->ReadSentAt && Table.Epoch == this->Table.Epoch &&
               (Stored == this->Stored ||
@@ -27,6 +28,11 @@
   this->Differences.clear();
 }
 
+void ShareRight::onUnreadable(Revision Stored, TimePoint Now) {
+  if (!this->Unreadable || this->Unreadable->Stored != Stored)
+    this->Unreadable = {.Stored = Stored, .SeenAt = Now};
+}
+
 void ShareRight::onConfirmed(std::uint64_t Epoch, Revision Stored,
                              TimePoint ReadSentAt) {
   if (!this->ReadSentAt || Epoch == 0 || Epoch != this->Table.Epoch ||
@@ -99,7 +105,19 @@
   std::sort(Next.begin(), Next.end());
   Next.erase(std::unique(Next.begin(), Next.end()), Next.end());
   this->trackMembership(Next, Now);
-  if (!this->ReadSentAt || Next.empty())
+  if (Next.empty())
+    return std::nullopt;
+  if (this->Unreadable) {
+    // No read has shown a table since, so all rights have expired by then.
+    if (Now - this->Unreadable->SeenAt <
+        this->Options.Validity + this->Options.Margin)
+      return std::nullopt;
+    return OwnerTable{.Epoch = this->Table.Epoch + 1,
+                      .Owners = Next,
+                      .PreviousOwners = Next,
+                      .WrittenIn = eraOf(this->Unreadable->Stored)};
+  }
+  if (!this->ReadSentAt)
     return std::nullopt;
   StoreEra Era = eraOf(this->Stored);
   if (this->Table.Epoch == 0) {
--- a/limits/ShareRight.h
+++ b/limits/ShareRight.h
@@ -38,6 +38,10 @@
   /// sent after the one before was answered.
   void onRead(const OwnerTable &Table, Revision Stored, TimePoint ReadSentAt,
               TimePoint Now);
+  /// This instance's own current read has shown an entry at Stored that can't
+  /// be decoded. The right by the table before it goes on until it ends.
+  /// Precondition: as for onRead.
+  void onUnreadable(Revision Stored, TimePoint Now);
   /// Another instance has read the same table with a read sent no earlier than
   /// ReadSentAt. Ignored for another epoch or revision.
   void onConfirmed(std::uint64_t Epoch, Revision Stored, TimePoint ReadSentAt);
@@ -46,17 +50,28 @@
   /// The table that should replace the present one, given the registered
   /// instances; nothing if it need not or may not be replaced yet. Call
   /// regularly. Precondition of the write: the key is unchanged since
-  /// stored(), in the same era of the store.
+  /// replaced(), in the same era of the store.
   [[nodiscard]] std::optional<OwnerTable>
   proposeChange(const std::vector<InstanceId> &Registered, TimePoint Now);
   [[nodiscard]] const OwnerTable &table() const { return this->Table; }
   [[nodiscard]] Revision stored() const { return this->Stored; }
+  /// The store revision of what a proposed table replaces.
+  [[nodiscard]] Revision replaced() const {
+    return this->Unreadable ? this->Unreadable->Stored : this->Stored;
+  }
   /// When the newest read of the present table was sent.
   [[nodiscard]] const std::optional<TimePoint> &readSentAt() const {
     return this->ReadSentAt;
   }
 
 private:
+  /// An entry that another writer left in place of the table.
+  struct UnreadableEntry {
+    Revision Stored;
+    /// When it was first known here.
+    TimePoint SeenAt;
+  };
+
   [[nodiscard]] bool isOfOlderCopy() const;
   /// Whether all rights by older tables have certainly expired.
   [[nodiscard]] bool olderRightsExpired(TimePoint Now) const;
@@ -68,6 +83,7 @@
   ShareRightOptions Options;
   OwnerTable Table;
   Revision Stored;
+  std::optional<UnreadableEntry> Unreadable;
   std::optional<TimePoint> ReadSentAt;
   /// When the present table was first known here.
   TimePoint FirstKnownAt;
--- a/tests/limits/ShareRightModelTest.cpp
+++ b/tests/limits/ShareRightModelTest.cpp
@@ -1,6 +1,7 @@
 // Searches random interleavings of reads, confirmations, changes of the owners,
-// restarts, outages and restores of the store for a moment at which the shares
-// in use add up to more than one.
+// restarts, outages and restores of the store, and entries of another writer in
+// place of the table, for a moment at which the shares in use add up to more
+// than one.
 #include "core/RandomSource.h"
 #include "limits/ShareRight.h"
 
@@ -19,13 +20,18 @@
   GrowsAtOnce,
   ReplacesEarly,
   TrustsOlderCopies,
+  ReplacesUnreadableEarly,
 };
 
+/// Whether another writer overwrites the table now and then.
+enum class Stranger { Absent, Present };
+
 /// Not thread-safe.
 class ShareRightModel {
 public:
-  ShareRightModel(std::uint64_t Seed, RightFault Fault)
-      : Random(Seed), Fault(Fault) {
+  ShareRightModel(std::uint64_t Seed, RightFault Fault,
+                  Stranger OtherWriter = Stranger::Absent)
+      : Random(Seed), Fault(Fault), OtherWriter(OtherWriter) {
     if (Fault == RightFault::ReplacesEarly)
       this->Options.Margin = -this->Options.Validity / 2;
     for (int Index = 0; Index < Count; ++Index)
@@ -37,6 +43,7 @@
     double LargestSum = 0;
     int Changes = 0;
     int Restores = 0;
+    int Overwrites = 0;
     /// Sum of shares in use, averaged.
     double MeanSum = 0;
   };
@@ -57,6 +64,7 @@
     }
     Run.Changes = this->Changes;
     Run.Restores = this->Restores;
+    Run.Overwrites = this->Overwrites;
     return Run;
   }
 
@@ -69,6 +77,7 @@
     OwnerTable Table;
     std::uint64_t KeyRevision = 0;
     std::uint64_t StoreRevision = 10;
+    bool Unreadable = false;
   };
   struct Read {
     TimePoint SentAt;
@@ -76,6 +85,7 @@
     TimePoint ArrivesAt;
     OwnerTable Table = {};
     Revision Stored = {};
+    bool Unreadable = false;
     bool HasRun = false;
   };
   struct Write {
@@ -120,6 +130,11 @@
     if (this->Random.chance(0.01))
       for (int Index = 0; Index < Count; ++Index)
         this->Registered[Index] = this->Random.chance(0.4);
+    if (this->OtherWriter == Stranger::Present && this->Random.chance(0.002)) {
+      this->Store.KeyRevision = ++this->Store.StoreRevision;
+      this->Store.Unreadable = true;
+      ++this->Overwrites;
+    }
     if (this->Snapshots.empty() || !this->Random.chance(0.002))
       return;
     this->Store = this->Snapshots[this->Random.nextBelow(
@@ -152,7 +167,7 @@
     if (Next && !Self.Writing && !Cut)
       Self.Writing = {.RunsAt = this->Now + this->upTo(LongestTransit),
                       .Table = *Next,
-                      .Expected = Self.Right.stored()};
+                      .Expected = Self.Right.replaced()};
   }
 
   void advanceCalls(Instance &Self) {
@@ -161,6 +176,7 @@
       Self.Reading->HasRun = true;
       Self.Reading->Table = this->Store.Table;
       Self.Reading->Stored = this->storedPosition();
+      Self.Reading->Unreadable = this->Store.Unreadable;
     }
     if (!Self.Writing || Self.Writing->RunsAt > this->Now)
       return;
@@ -169,6 +185,7 @@
       return;
     this->Store.KeyRevision = ++this->Store.StoreRevision;
     this->Store.Table = Each.Table;
+    this->Store.Unreadable = false;
     ++this->Changes;
   }
 
@@ -176,6 +193,12 @@
     Read Each = *std::exchange(Self.Reading, std::nullopt);
     if (!Each.HasRun)
       return;
+    if (Each.Unreadable) {
+      bool Early = this->Fault == RightFault::ReplacesUnreadableEarly;
+      Duration Waited = this->Options.Validity + this->Options.Margin;
+      return Self.Right.onUnreadable(
+          Each.Stored, this->Now - (Early ? Waited : Duration{0}));
+    }
     TimePoint SentAt = this->Fault == RightFault::CountsRightFromReceipt
                            ? this->Now
                            : Each.SentAt;
@@ -194,6 +217,7 @@
 
   RandomSource Random;
   RightFault Fault;
+  Stranger OtherWriter;
   ShareRightOptions Options;
   TimePoint Now{seconds(1000)};
   Content Store;
@@ -203,6 +227,7 @@
   std::vector<bool> Registered = std::vector<bool>(Count, true);
   int Changes = 0;
   int Restores = 0;
+  int Overwrites = 0;
 };
 
 constexpr std::uint64_t Seeds = 60;
@@ -228,14 +253,29 @@
   RecordProperty("x_mean", std::to_string(MeanSum));
 }
 
+TEST(ShareRightModel, SharesInUseNeverExceedOneBesideAnotherWriter) {
+  int Overwrites = 0;
+  double MeanSum = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    auto Run = ShareRightModel(Seed, RightFault::None, Stranger::Present).run();
+    EXPECT_LE(Run.LargestSum, 1 + Rounding) << "seed " << Seed;
+    Overwrites += Run.Overwrites;
+    MeanSum += Run.MeanSum / static_cast<double>(Seeds);
+  }
+  EXPECT_GT(Overwrites, static_cast<int>(Seeds) * 5);
+  EXPECT_GT(MeanSum, 0.2);
+}
+
 class ShareRightFaultTest : public testing::TestWithParam<RightFault> {};
 
 /// Each condition is needed: without it, the search finds a violation.
 TEST_P(ShareRightFaultTest, IsFound) {
   bool Found = false;
   for (std::uint64_t Seed = 1; Seed <= Seeds && !Found; ++Seed) {
-    Found =
-        ShareRightModel(Seed, this->GetParam()).run().LargestSum > 1 + Rounding;
+    bool Overwritten = this->GetParam() == RightFault::ReplacesUnreadableEarly;
+    ShareRightModel Model(Seed, this->GetParam(),
+                          Overwritten ? Stranger::Present : Stranger::Absent);
+    Found = Model.run().LargestSum > 1 + Rounding;
     RecordProperty("found_by_seed", static_cast<int>(Seed));
   }
   EXPECT_TRUE(Found);
@@ -245,7 +285,8 @@
                          testing::Values(RightFault::CountsRightFromReceipt,
                                          RightFault::GrowsAtOnce,
                                          RightFault::ReplacesEarly,
-                                         RightFault::TrustsOlderCopies));
+                                         RightFault::TrustsOlderCopies,
+                                         RightFault::ReplacesUnreadableEarly));
 
 } // namespace
 } // namespace turmericpitch
--- a/tests/limits/ShareRightTest.cpp
+++ b/tests/limits/ShareRightTest.cpp
@@ -73,6 +73,30 @@
   EXPECT_TRUE(Right.proposeChange({A}, at(101) + RightLength));
 }
 
+TEST(ShareRight, AnUnreadableTableIsReplacedOnceAllRightsHaveExpired) {
+  ShareRight Right(A, Options);
+  Right.onRead(tableOf(4, {A, B}, {A, B}), {5}, at(0), at(0));
+  Right.onUnreadable({9}, at(10));
+  EXPECT_DOUBLE_EQ(Right.share(at(59)), 0.5);
+  EXPECT_FALSE(Right.proposeChange({A, B}, at(10) + RightLength - seconds(1)));
+  auto Next = Right.proposeChange({B, A}, at(10) + RightLength);
+  EXPECT_EQ(Next, tableOf(5, {A, B}, {A, B}));
+  EXPECT_EQ(Right.replaced(), Revision{9});
+  // The one that writes it uses its share at once, as do the others.
+  Right.onRead(*Next, {12}, at(80), at(80));
+  EXPECT_DOUBLE_EQ(Right.share(at(80)), 0.5);
+  EXPECT_EQ(Right.replaced(), Revision{12});
+}
+
+TEST(ShareRight, AnUnreadableTableIsReplacedByAnInstanceThatStarts) {
+  ShareRight Right(A, Options);
+  Right.onUnreadable({9}, at(0));
+  Right.onUnreadable({9}, at(20));
+  Right.onUnreadable({11}, at(30));
+  EXPECT_FALSE(Right.proposeChange({A}, at(0) + RightLength));
+  EXPECT_TRUE(Right.proposeChange({A}, at(30) + RightLength));
+}
+
 TEST(ShareRight, AnOlderReadIsIgnored) {
   ShareRight Right(A, Options);
   Right.onRead(tableOf(2, {A, B}, {A, B}), {9}, at(0), at(0));
