A newer version that nobody reports any more is given up

Cause: the newest version ever reported was kept for good. After a restore of the store, with the instances that held the version gone, each of the others would ask the store twice a second from then on. Found by reading. Change: it is given up once no instance has reported it for 10 s. If it exists after all, the age of the confirmation shows that the copy must be checked. Test: CopyFollower.ReportThatNobodyRepeatsIsForgotten.

--- a/membership/CopyFollower.cpp
+++ b/membership/CopyFollower.cpp
@@ -44,6 +44,8 @@
     this->Holders.clear();
     this->FirstHolderAt = Now;
   }
+  if (Report.Version == this->Newest)
+    this->NewestReportedAt = Now;
   // Builds that don't tell the age don't serve copies either.
   if (Report.Version == this->Newest && Report.ConfirmedAge)
     this->Holders.try_emplace(From, TimePoint::min());
@@ -82,6 +84,11 @@
 }
 
 CopyActions CopyFollower::next(TimePoint Now, bool IsReader, bool MayAskStore) {
+  if (this->isBehind() && !this->CopyRequested &&
+      Now - this->NewestReportedAt > this->Options.ReportLifetime) {
+    this->Newest = this->Held;
+    this->Holders.clear();
+  }
   CopyActions Due;
   bool ReaderDue =
       IsReader && (!this->ConfirmedAt ||
--- a/membership/CopyFollower.h
+++ b/membership/CopyFollower.h
@@ -48,6 +48,10 @@
   Duration HolderWait = std::chrono::milliseconds(150);
   /// How long a holder whose copy could not be had isn't asked again.
   Duration HolderPause = std::chrono::milliseconds(2000);
+  /// A newer version that no instance has reported for this long is given up:
+  /// the store may have been restored from an older copy, and the instances
+  /// that held the version may be gone.
+  Duration ReportLifetime = std::chrono::seconds(10);
 };
 
 /// What is due for a copy.
@@ -118,6 +122,7 @@
   std::uint64_t Held = 0;
   std::optional<TimePoint> ConfirmedAt;
   std::uint64_t Newest = 0;
+  TimePoint NewestReportedAt;
   /// The instances that reported Newest and serve copies, with when each may be
   /// asked for it.
   std::map<InstanceId, TimePoint> Holders;
--- a/tests/membership/CopyFollowerTest.cpp
+++ b/tests/membership/CopyFollowerTest.cpp
@@ -245,6 +245,24 @@
   EXPECT_EQ(Due.CopyFrom, InstanceId{"a"});
 }
 
+// After a restore, a version that nobody holds any more kept all instances
+// asking the store.
+TEST(CopyFollower, ReportThatNobodyRepeatsIsForgotten) {
+  CopyFollower Copy(Normal, 1);
+  TimePoint Now(std::chrono::seconds(1));
+  Copy.onHeld(5);
+  Copy.onReport({"a"}, {.Version = 7, .ConfirmedAge = Duration{0}}, Now, Now);
+  for (TimePoint End = Now + Normal.ReportLifetime; Now <= End; Now += Step) {
+    if (Copy.next(Now, false, true).AskStore) {
+      Copy.onStoreAsked(Now);
+      Copy.onConfirmed(Now);
+      Copy.onStoreAnswered(Now, true);
+    }
+    EXPECT_TRUE(Copy.isBehind());
+  }
+  EXPECT_EQ(Copy.next(Now, false, true), CopyActions{});
+}
+
 TEST(CopyFollower, OnlyTheReaderChecksACopyInTheNormalCase) {
   CopyFleet Fleet(34, 1);
   Fleet.run(milliseconds(30'000));
