An instance that can't use the newest configuration confirms no other's copy

Cause: a configuration that couldn't be decoded was logged and passed over, and the older copy then counted as confirmed by that read. Its age was told to others, so one of another build, whose watch is silent, would have taken it as proof that nothing newer exists, while builds run side by side. Change: until it holds a newer version, such an instance tells no age, as a build that doesn't know ages; others then ask the store themselves. Test: CopyFollower.CopyConfirmsNothingWhileANewerOneCannotBeUsed.

--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -490,6 +490,8 @@
   if (!Table) {
     writeWarning("event=configuration_refused reason=\"" +
                  Table.error().Message + "\"");
+    if (!OfInstance)
+      this->ConfigurationCopy.onUnusable();
     return;
   }
   std::size_t Count = Table.value().Routes.size();
--- a/membership/CopyFollower.cpp
+++ b/membership/CopyFollower.cpp
@@ -6,6 +6,8 @@
 namespace turmericpitch {
 
 void CopyFollower::onHeld(std::uint64_t Version) {
+  if (Version > this->Held)
+    this->NewerIsUnusable = false;
   this->Held = std::max(this->Held, Version);
   if (!this->isBehind())
     this->Holders.clear();
@@ -119,7 +121,7 @@
 
 CopyReport CopyFollower::report(TimePoint Now) const {
   CopyReport Report{.Version = this->Held};
-  if (this->ConfirmedAt)
+  if (this->ConfirmedAt && !this->NewerIsUnusable)
     Report.ConfirmedAge = std::max(Duration{0}, Now - *this->ConfirmedAt);
   return Report;
 }
--- a/membership/CopyFollower.h
+++ b/membership/CopyFollower.h
@@ -77,6 +77,9 @@
 
   /// Records that this instance holds a version, wherever it came from.
   void onHeld(std::uint64_t Version);
+  /// Records that the store holds something newer that can't be used. Until a
+  /// newer version is held, this instance confirms no copies of others.
+  void onUnusable() { this->NewerIsUnusable = true; }
   /// Records that the store held nothing newer than the copy at Time.
   void onConfirmed(TimePoint Time);
   /// Records that a call to the store was sent.
@@ -121,6 +124,7 @@
   CopyFollowerOptions Options;
   std::uint64_t Held = 0;
   std::optional<TimePoint> ConfirmedAt;
+  bool NewerIsUnusable = false;
   std::uint64_t Newest = 0;
   TimePoint NewestReportedAt;
   /// The instances that reported Newest and serve copies, with when each may be
--- a/tests/membership/CopyFollowerTest.cpp
+++ b/tests/membership/CopyFollowerTest.cpp
@@ -245,6 +245,23 @@
   EXPECT_EQ(Due.CopyFrom, InstanceId{"a"});
 }
 
+// Another instance may be able to use what this one can't, as during an
+// upgrade.
+TEST(CopyFollower, CopyConfirmsNothingWhileANewerOneCannotBeUsed) {
+  TimePoint Now(std::chrono::seconds(1));
+  CopyFollower Refusing(Normal, 1);
+  Refusing.onHeld(5);
+  Refusing.onUnusable();
+  Refusing.onConfirmed(Now);
+  EXPECT_FALSE(Refusing.report(Now).ConfirmedAge);
+  CopyFollower Other(Normal, 2);
+  Other.onHeld(5);
+  Other.onReport({"a"}, Refusing.report(Now), Now, Now);
+  EXPECT_TRUE(Other.next(Now, false, true).AskStore);
+  Refusing.onHeld(6);
+  EXPECT_TRUE(Refusing.report(Now).ConfirmedAge);
+}
+
 // After a restore, a version that nobody holds any more kept all instances
 // asking the store.
 TEST(CopyFollower, ReportThatNobodyRepeatsIsForgotten) {
