--- a/tests/platform/OddRecordsTest.cpp
+++ b/tests/platform/OddRecordsTest.cpp
@@ -108,6 +108,16 @@
     EXPECT_FALSE(toOutcome([&] {
       return decodeMemberEntry(entry("servers/", Name, ValidMember));
     })) << Name;
+  for (const char *Odd :
+       {R"("seq":-1)", R"("seq":"4")", R"("version":[1])",
+        R"("cold_left_ms":"0")", R"("cold_left_ms":-5)", R"("born":0.5)"})
+    EXPECT_FALSE(toOutcome([&] {
+      return decodeMemberEntry(
+          entry("servers/", "i-1",
+                R"({"service":"ledger","addr":"10.1.0.9:8080","zone":"a",)"
+                R"("slots":5,"state":"ready","db_role":"primary",)" +
+                    std::string(Odd) + "}"));
+    })) << Odd;
 }
 
 TEST(OddRecords, InstanceEntriesAreRefusedOrUsable) {
