Copies between instances are compressed

Cause: a copy of 0.4 MB takes 1.6 s there, four at a time 6.4 s, and is cut off after 1.5 s. It was asked of one holder after the other, 692 times in vain, and left no bandwidth for statements. Change: a copy is compressed once, by zlib, and its age sent in a header field. It is asked for under a path of its own; a build that doesn't know it answers 404 and is asked for a plain copy, which is still served to such builds. The rest of the loss on slow links is the storm of eleven more versions, each of which the store sends whole. Package: zlib1g-dev, which prometheus-cpp-dev needs as well.

--- a/drivers/StoreCopies.h
+++ b/drivers/StoreCopies.h
@@ -30,6 +30,9 @@
 std::string encodeStoreCopy(const StoreCopy &Copy);
 /// Thread-safe. Errors: BadRequest if malformed.
 Result<StoreCopy> decodeStoreCopy(std::string_view Bytes);
+/// Decodes the reply to a request for a compressed copy. Thread-safe. Errors:
+/// BadRequest if malformed.
+Result<StoreCopy> decodeCompressedCopy(const HttpReply &Reply);
 
 struct StoreCopiesOptions {
   Endpoint Listen;
@@ -37,7 +40,8 @@
   /// instances that are behind spread over all that hold a copy.
   std::size_t MaximumRequests = 4;
   Duration ConnectTimeout = std::chrono::milliseconds(500);
-  /// A large configuration takes 0.3 s on the slowest link.
+  /// A large configuration is compressed to 50 KB, which four at a time take
+  /// 0.8 s on a link of 2 Mbit/s.
   Duration ReplyTimeout = std::chrono::milliseconds(1500);
 };
 
@@ -63,10 +67,13 @@
     Revision StoreRevision;
     TimePoint ReadSentAt;
     bool Known = false;
+    /// Empty until a request asks for it.
+    std::string Compressed;
   };
   static constexpr std::size_t Subjects = 3;
 
-  HttpReply reply(const HttpRequest &Request) const;
+  HttpReply reply(const HttpRequest &Request);
+  Awaitable<Outcome<HttpReply>> request(std::string Target, Endpoint From);
 
   Executor Exec;
   StoreCopiesOptions Options;
