Copies that can't be had are requested at growing intervals

Change: 100 ms, doubled up to 2 s, until a copy arrives. Test: CopyFollower.CopiesThatFailAreRequestedLessAndLessOften.

--- a/membership/CopyFollower.cpp
+++ b/membership/CopyFollower.cpp
@@ -53,8 +53,20 @@
     this->Holders.try_emplace(From, TimePoint::min());
 }
 
+void CopyFollower::onCopyReceived() {
+  this->CopyRequested = false;
+  this->CopyFailures = 0;
+}
+
 void CopyFollower::onCopyFailed(const InstanceId &From, TimePoint Now) {
   this->CopyRequested = false;
+  Duration Pause = this->Options.CopyPause;
+  for (std::size_t Count = 0;
+       Count < this->CopyFailures && Pause < this->Options.MaxCopyPause;
+       ++Count)
+    Pause *= 2;
+  ++this->CopyFailures;
+  this->NextCopyAt = Now + std::min(Pause, this->Options.MaxCopyPause);
   auto Holder = this->Holders.find(From);
   if (Holder != this->Holders.end())
     Holder->second = Now + this->Options.HolderPause;
@@ -114,7 +126,8 @@
       this->QueryPause =
           std::min(this->Options.MaxQueryPause, 2 * this->QueryPause);
   }
-  if (this->isBehind() && StoreFailing && !this->CopyRequested)
+  if (this->isBehind() && StoreFailing && !this->CopyRequested &&
+      Now >= this->NextCopyAt)
     Due.CopyFrom = this->chooseHolder(Now);
   return Due;
 }
--- a/membership/CopyFollower.h
+++ b/membership/CopyFollower.h
@@ -48,6 +48,11 @@
   Duration HolderWait = std::chrono::milliseconds(150);
   /// How long a holder whose copy could not be had isn't asked again.
   Duration HolderPause = std::chrono::milliseconds(2000);
+  /// Pause after a copy could not be had from any holder; doubles up to
+  /// MaxCopyPause. Requests that fail for lack of bandwidth would take even
+  /// more of it.
+  Duration CopyPause = std::chrono::milliseconds(100);
+  Duration MaxCopyPause = std::chrono::milliseconds(2000);
   /// A newer version that no instance has reported for this long is given up:
   /// the store may have been restored from an older copy, and the instances
   /// that held the version may be gone.
@@ -96,7 +101,7 @@
   /// Records that a copy was requested from another instance, and the end of
   /// that request.
   void onCopyRequested() { this->CopyRequested = true; }
-  void onCopyReceived() { this->CopyRequested = false; }
+  void onCopyReceived();
   void onCopyFailed(const InstanceId &From, TimePoint Now);
 
   /// What is due. Report each action that is taken. IsReader: whether this
@@ -138,6 +143,9 @@
   std::size_t Queries = 0;
   Duration QueryPause{0};
   bool CopyRequested = false;
+  TimePoint NextCopyAt = TimePoint::min();
+  /// Number of copies in a row that could not be had.
+  std::size_t CopyFailures = 0;
   RandomSource Random;
 };
 
--- a/tests/membership/CopyFollowerTest.cpp
+++ b/tests/membership/CopyFollowerTest.cpp
@@ -2,6 +2,7 @@
 // are silent, the store turns instances away, and the reader is lost.
 #include "membership/CopyFollower.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
 constexpr Duration QueryInterval = milliseconds(150);
 constexpr Duration StoreTimeout = milliseconds(700);
 constexpr Duration CopyTime = milliseconds(150);
+constexpr std::size_t CopiesServedAtATime = 4;
 constexpr std::size_t VersionQueries = 3;
 constexpr std::size_t InstancesPerRelay = 12;
 
@@ -142,12 +144,22 @@
       Own.StoreCallSentAt = this->Now;
     }
     if (Due.CopyFrom) {
+      std::size_t From = std::stoul(Due.CopyFrom->Value);
       Own.Copy.onCopyRequested();
-      Own.CopyFrom = std::stoul(Due.CopyFrom->Value);
+      if (this->servedCopies(From) >= CopiesServedAtATime)
+        return Own.Copy.onCopyFailed(*Due.CopyFrom, this->Now);
+      Own.CopyFrom = From;
       Own.CopyArrivesAt = this->Now + CopyTime;
     }
   }
 
+  std::size_t servedCopies(std::size_t Holder) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->All, [&](const Instance &Each) {
+          return Each.CopyArrivesAt && Each.CopyFrom == Holder;
+        }));
+  }
+
   void finishCalls(Instance &Own) {
     if (Own.StoreCallSentAt && Own.Store == StoreState::Answers) {
       this->apply(Own, this->Stored);
@@ -280,6 +292,27 @@
   EXPECT_EQ(Copy.next(Now, false, true), CopyActions{});
 }
 
+// On a slow link, copies that were cut off were requested again and again, and
+// left no bandwidth for anything else.
+TEST(CopyFollower, CopiesThatFailAreRequestedLessAndLessOften) {
+  CopyFollower Copy(Normal, 1);
+  TimePoint Now(std::chrono::seconds(1));
+  std::size_t Requests = 0;
+  for (TimePoint End = Now + std::chrono::seconds(20); Now < End; Now += Step) {
+    for (const char *Holder : {"a", "b", "c", "d"})
+      Copy.onReport({Holder}, {.Version = 7, .ConfirmedAge = Duration{0}}, Now,
+                    Now);
+    auto From = Copy.next(Now, false, false).CopyFrom;
+    if (!From)
+      continue;
+    ++Requests;
+    Copy.onCopyRequested();
+    Copy.onCopyFailed(*From, Now);
+  }
+  EXPECT_GE(Requests, 10U);
+  EXPECT_LE(Requests, 16U);
+}
+
 TEST(CopyFollower, OnlyTheReaderChecksACopyInTheNormalCase) {
   CopyFleet Fleet(34, 1);
   Fleet.run(milliseconds(30'000));
