A long reply may take longer than the timeout of its call

Cause: a read of a configuration of 0.35 MB was cut off after 0.7 s, which is 1.4 s on a link of 2 Mbit/s, and sent again. Change: each 125 bytes that arrive add a millisecond, so what comes at 1 Mbit/s or more isn't cut off; what stops still is. Test: HttpClient.LongRepliesMayTakeLonger.

--- a/drivers/HttpConnection.cpp
+++ b/drivers/HttpConnection.cpp
@@ -34,15 +34,24 @@
 
 } // namespace
 
+Duration replyTimeout(Duration Timeout, std::size_t ReceivedBytes) {
+  constexpr std::size_t MinBytesPerMillisecond = 125;
+  return Timeout +
+         std::chrono::milliseconds(ReceivedBytes / MinBytesPerMillisecond);
+}
+
 struct HttpConnection::State {
   State(const Executor &Exec, const TlsContext &Tls)
       : Stream(tcp::socket(asio::make_strand(Exec)), Tls) {}
 
   /// Reads available bytes and feeds them to Into.
   Awaitable<Status> readMore(HttpReplyReader &Into);
+  /// Reads a whole reply. It may take Timeout, and longer the longer it is.
+  Awaitable<Status> readReply(HttpReplyReader &Into, Duration Timeout);
 
   ByteStream Stream;
   std::string Unread;
+  std::size_t ReceivedBytes = 0;
   std::atomic<bool> Usable = false;
 };
 
@@ -104,6 +113,7 @@
   if (Count.value() == 0)
     co_return failed(ErrorKind::Unavailable,
                      "HTTP connection closed by the peer");
+  this->ReceivedBytes += Count.value();
   this->Unread.append(Chunk.data(), Count.value());
   auto Used = Into.feed(this->Unread);
   if (!Used)
@@ -112,6 +122,23 @@
   co_return std::monostate{};
 }
 
+Awaitable<Status> HttpConnection::State::readReply(HttpReplyReader &Into,
+                                                   Duration Timeout) {
+  auto Began = std::chrono::steady_clock::now();
+  this->ReceivedBytes = 0;
+  Status Read = std::monostate{};
+  while (Read && !Into.done()) {
+    Read = co_await this->readMore(Into);
+    if (!Read || Into.done())
+      break;
+    auto Elapsed = std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now() - Began);
+    this->Stream.setTimeout(replyTimeout(Timeout, this->ReceivedBytes) -
+                            Elapsed);
+  }
+  co_return Read;
+}
+
 Awaitable<Outcome<HttpReply>>
 HttpConnection::exchangeOnStrand(HttpRequest Request, Duration Timeout) {
   State &S = *this->Impl;
@@ -128,8 +155,8 @@
   Status Written = co_await S.Stream.writeAll(Bytes);
   HttpReplyReader Reader(ReplyLimits);
   Status Read = Written;
-  while (Read && !Reader.done())
-    Read = co_await S.readMore(Reader);
+  if (Written)
+    Read = co_await S.readReply(Reader, Timeout);
   S.Stream.clearTimeout();
   if (!Written)
     co_return Written.error();
--- a/drivers/HttpConnection.h
+++ b/drivers/HttpConnection.h
@@ -6,6 +6,11 @@
 
 namespace turmericpitch {
 
+/// The time that a reply may take of which so much has arrived. One that
+/// arrives at 1 Mbit/s or more isn't cut off: it would be asked for again, on a
+/// link that is busy already. Pure; thread-safe.
+Duration replyTimeout(Duration Timeout, std::size_t ReceivedBytes);
+
 /// A keep-alive connection. Thread-safe. Carries one exchange at a time: a
 /// second concurrent exchange fails immediately with NotRun.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
@@ -19,7 +24,8 @@
   HttpConnection(const HttpConnection &) = delete;
   HttpConnection &operator=(const HttpConnection &) = delete;
 
-  /// Sends a request and waits for the reply. Errors: NotRun if nothing was
+  /// Sends a request and waits for the reply, which may take Timeout and longer
+  /// the longer it is, see replyTimeout(). Errors: NotRun if nothing was
   /// sent, OutcomeUnknown if no complete reply arrived. The connection is not
   /// usable after an error.
   Awaitable<Outcome<HttpReply>> exchange(HttpRequest Request, Duration Timeout);
--- a/tests/drivers/HttpClientTest.cpp
+++ b/tests/drivers/HttpClientTest.cpp
@@ -1,5 +1,6 @@
 #include "drivers/HttpClient.h"
 
+#include "drivers/HttpConnection.h"
 #include "drivers/HttpServer.h"
 #include "tests/support/OwnAddress.h"
 
@@ -69,5 +70,19 @@
   EXPECT_EQ(AfterSilence, true);
 }
 
+// Large replies of the store were cut off and asked for again on links that
+// take longer than the timeout for them.
+TEST(HttpClient, LongRepliesMayTakeLonger) {
+  constexpr Duration Timeout = std::chrono::milliseconds(700);
+  EXPECT_EQ(replyTimeout(Timeout, 0), Timeout);
+  constexpr std::size_t Configuration = 350'000;
+  constexpr double SlowLinkBytesPerSecond = 2e6 / 8;
+  std::chrono::duration<double> Transfer(Configuration /
+                                         SlowLinkBytesPerSecond);
+  EXPECT_GT(replyTimeout(Timeout, Configuration), Transfer);
+  // A reply that stops is still given up.
+  EXPECT_LT(replyTimeout(Timeout, Configuration), std::chrono::seconds(4));
+}
+
 } // namespace
 } // namespace turmericpitch
