The store isn't asked for versions older than an instance's copy

Cause: after a copy of another instance the next watch went on from the revision of the store before it, so the store sent again all versions since, whole. Change: it goes on from the copy's revision.

--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -461,8 +461,13 @@
   auto Copy = co_await this->fetchCopy(CopySubject::Configuration, From);
   bool Usable = Copy && Copy->Entries.size() == 1 &&
                 Copy->Entries.front().Key == ConfigurationKey;
-  if (Usable)
+  if (Usable) {
     this->applyConfiguration(Copy->Entries.front(), InstanceSource);
+    // The store then need not send again what is older.
+    this->ConfigurationRevision =
+        std::max(this->ConfigurationRevision,
+                 std::min(Copy->StoreRevision, Copy->Entries.front().Modified));
+  }
   // The instance may hold an older copy than it has reported, or one that can't
   // be decoded here.
   if (!Usable || this->ConfigurationCopy.isBehind())
