--- a/configuration/RouteTable.cpp
+++ b/configuration/RouteTable.cpp
@@ -47,6 +47,13 @@
   return Found == this->Table->Services.end() ? nullptr : &Found->second;
 }
 
+bool RouteController::hasSynchronousReplicas() const {
+  return this->Table &&
+         std::ranges::any_of(this->Table->Services, [](const auto &Each) {
+           return Each.second.SynchronousReplicas > 0;
+         });
+}
+
 std::uint32_t RouteController::lowestPriority(const ServiceId &Id) const {
   std::uint32_t Lowest = 0;
   if (!this->Table)
--- a/configuration/RouteTable.h
+++ b/configuration/RouteTable.h
@@ -99,6 +99,8 @@
   /// replaceIfNewer().
   [[nodiscard]] const RouteRule *route(std::string_view Database) const;
   [[nodiscard]] const ServiceRule *service(const ServiceId &Id) const;
+  /// Whether a service acknowledges commits once replicas have received them.
+  [[nodiscard]] bool hasSynchronousReplicas() const;
   /// The lowest priority (the greatest number) among the routes of a service; 0
   /// if it has none.
   [[nodiscard]] std::uint32_t lowestPriority(const ServiceId &Id) const;
--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -34,8 +34,13 @@
   FailoverReason Reason = FailoverReason::None;
   /// Whether an earlier promoter may have ordered a promotion already.
   bool WasOrdered = false;
-  /// The newest position known to have been acknowledged to callers.
-  std::optional<TermPosition> Acknowledged;
+  /// The newest sample of the primary's position when the failover began.
+  std::optional<TermPosition> Sampled;
+  /// The members' replies since the record was closed.
+  std::shared_ptr<MemberReplies> Replies = std::make_shared<MemberReplies>();
+  /// What the log has shown of the search.
+  std::map<UpstreamId, TermPosition> LoggedPositions;
+  std::vector<UpstreamId> LoggedMissing;
   /// Members that refused the promotion order.
   std::set<UpstreamId> Refused;
   /// Whether the old primary remains primary.
@@ -705,6 +710,7 @@
     TimePoint Now = this->Clock.now();
     for (const auto &[Id, State] : this->Dispatcher.services()) {
       this->trackUnfinished(Id, Now);
+      this->trackReplicas(Id, State, Now);
       if (!State.Pools.empty() && !this->Activities.isActive(Id))
         this->checkService(Id, Now);
     }
@@ -757,6 +763,31 @@
   this->spawn(this->replace(*Record, Reason));
 }
 
+std::optional<TimePoint>
+FailoverCoordinator::membersListedAt(TimePoint Now) const {
+  return this->Versions.MembersConfirmedAt ? this->Versions.MembersConfirmedAt()
+                                           : Now;
+}
+
+void FailoverCoordinator::trackReplicas(const ServiceId &Id,
+                                        const ServiceState &State,
+                                        TimePoint Now) {
+  if (State.SynchronousReplicas == 0) {
+    this->ReplicaHistories.erase(Id);
+    return;
+  }
+  std::vector<RegisteredMember> Registered;
+  for (const auto &[Member, Pool] : State.Pools)
+    Registered.push_back(Pool->member());
+  auto ListedAt = this->membersListedAt(Now);
+  if (!ListedAt)
+    return;
+  ReplicaHistory &History = this->ReplicaHistories[Id];
+  History.onMembers(Registered, *ListedAt, Now);
+  if (auto Newest = State.Freshness.newest())
+    History.onSample(*Newest);
+}
+
 void FailoverCoordinator::trackUnfinished(const ServiceId &Id, TimePoint Now) {
   const PrimaryRecord *Record = this->Leases.record(Id);
   if (!Record || Record->Phase == PrimaryPhase::Open) {
@@ -974,7 +1005,7 @@
   F.WasOrdered = From.Phase == PrimaryPhase::Ordered;
   if (auto Newest =
           this->Dispatcher.services().at(From.Service).Freshness.newest())
-    F.Acknowledged = Newest->Reached;
+    F.Sampled = Newest->Reached;
   bool Needed = co_await this->isStillNeeded(From, Reason);
   writeDecision(DecisionLine("replace_primary")
                     .field("service", From.Service.Value)
@@ -995,6 +1026,9 @@
       break;
     Promoted = co_await this->awaitPromotion(F);
   }
+  if (F.KeepsOldPrimary)
+    this->NextFailoverAt[From.Service] =
+        this->Clock.now() + this->Options.FailoverRetryPause;
   if (Promoted || F.KeepsOldPrimary) {
     PrimaryRecord Next{.Service = F.Record.Service,
                        .Epoch = F.Record.Epoch + (Promoted ? 1 : 0),
@@ -1025,9 +1059,48 @@
         this->Clock.now() + this->Options.FailoverRetryPause;
     co_return false;
   }
+  if (Open && isPlanned(Reason)) {
+    bool HasSuccessor = co_await this->hasSuccessor(From);
+    if (!HasSuccessor) {
+      this->NextFailoverAt[Id] =
+          this->Clock.now() + this->Options.FailoverRetryPause;
+      co_return false;
+    }
+  }
   co_return true;
 }
 
+Awaitable<bool> FailoverCoordinator::hasSuccessor(PrimaryRecord Record) {
+  if (this->Dispatcher.services().at(Record.Service).SynchronousReplicas == 0)
+    co_return true;
+  auto Replies = std::make_shared<MemberReplies>();
+  TimePoint GiveUpAt =
+      this->Clock.now() + this->Options.Successor.CatchUpTimeout;
+  std::optional<TermPosition> Reached;
+  while (this->Clock.now() < GiveUpAt) {
+    co_await this->queryMembers(Record.Service, {}, {}, Replies);
+    const auto &Pools = this->Dispatcher.services().at(Record.Service).Pools;
+    for (const auto &[Id, Reply] : *Replies) {
+      auto Pool = Pools.find(Id);
+      // A replica that has what the primary had a round ago can catch up.
+      if (Reached && Id != Record.Primary && Pool != Pools.end() &&
+          !Pool->second->member().Draining && Reply.Report.Received >= *Reached)
+        co_return true;
+    }
+    auto Own = Replies->find(Record.Primary);
+    if (Own != Replies->end() && !Reached)
+      Reached = Own->second.Report.Received;
+    co_await this->pause(this->Options.PollInterval);
+  }
+  writeDecision(
+      DecisionLine("hand_over_postponed")
+          .field("service", Record.Service.Value)
+          .field("primary", Record.Primary.Value)
+          .field("position", Reached ? positionText(*Reached) : "unknown"));
+  // Without a reply of the primary, the search has to do without it as well.
+  co_return !Reached.has_value();
+}
+
 Awaitable<bool> FailoverCoordinator::closeRecord(Failover &F) {
   // Another promoter may have started while the other instances were queried.
   if (!this->mayStartFailover(this->Clock.now()))
@@ -1069,11 +1142,9 @@
   co_return true;
 }
 
-Awaitable<std::vector<FailoverCoordinator::MemberReply>>
-FailoverCoordinator::queryMembers(ServiceId Service,
-                                  std::set<UpstreamId> Skipped,
-                                  std::set<UpstreamId> NotAwaited) {
-  auto Answers = std::make_shared<std::vector<MemberReply>>();
+Awaitable<void> FailoverCoordinator::queryMembers(
+    ServiceId Service, std::set<UpstreamId> Skipped,
+    std::set<UpstreamId> NotAwaited, std::shared_ptr<MemberReplies> Replies) {
   auto Missing = std::make_shared<std::size_t>(0);
   for (const auto &[Id, Pool] : this->Dispatcher.services().at(Service).Pools) {
     if (Skipped.contains(Id))
@@ -1081,31 +1152,31 @@
     bool Awaited = !NotAwaited.contains(Id);
     *Missing += Awaited ? 1 : 0;
     Pool->queryStatus(
-        [Answers, Missing, Awaited,
-         Id = Id](const std::optional<MemberReport> &Report, TimePoint) {
+        [Replies, Missing, Awaited, Id = Id, Clock = this->Clock](
+            const std::optional<MemberReport> &Report, TimePoint) {
           *Missing -= Awaited ? 1 : 0;
           if (Report)
-            Answers->push_back({.Id = Id, .Report = *Report});
+            Replies->insert_or_assign(
+                Id, MemberReply{.Report = *Report, .ReceivedAt = Clock.now()});
         });
   }
   TimePoint GiveUpAt = this->Clock.now() + this->Options.ReportTimeout;
   while (*Missing > 0 && this->Clock.now() < GiveUpAt)
     co_await this->pause(this->Options.PollInterval / 8);
-  co_return *Answers;
 }
 
-Awaitable<std::vector<FailoverCoordinator::MemberReply>>
-FailoverCoordinator::queryCandidates(Failover &F) {
-  std::set<UpstreamId> Skipped = F.Refused;
-  std::set<UpstreamId> NotAwaited;
+Awaitable<void> FailoverCoordinator::queryCandidates(Failover &F) {
+  const ServiceState &State = this->Dispatcher.services().at(F.Record.Service);
+  std::set<UpstreamId> Skipped;
+  std::set<UpstreamId> NotAwaited = F.Refused;
   bool HasOthers = false;
-  for (const auto &[Id, Pool] :
-       this->Dispatcher.services().at(F.Record.Service).Pools) {
+  for (const auto &[Id, Pool] : State.Pools) {
     if (Id == F.Record.Primary)
       continue;
-    if (Pool->member().Draining)
-      Skipped.insert(Id);
-    HasOthers = HasOthers || !Skipped.contains(Id);
+    // Its log counts only where acknowledgements rest on replicas.
+    if (Pool->member().Draining && State.SynchronousReplicas == 0)
+      NotAwaited.insert(Id);
+    HasOthers = HasOthers || !NotAwaited.contains(Id);
   }
   if (F.WasOrdered)
     Skipped.insert(F.Record.Primary);
@@ -1113,60 +1184,136 @@
   // can reply.
   if (!isPlanned(F.Reason) && HasOthers)
     NotAwaited.insert(F.Record.Primary);
-  co_return co_await this->queryMembers(F.Record.Service, Skipped, NotAwaited);
+  co_await this->queryMembers(F.Record.Service, std::move(Skipped),
+                              std::move(NotAwaited), F.Replies);
+}
+
+bool FailoverCoordinator::stillLeads(const Failover &F) {
+  auto Former = F.Replies->find(F.Record.Primary);
+  if (isPlanned(F.Reason) || F.WasOrdered || Former == F.Replies->end())
+    return false;
+  // An order that nobody remembers may have made another member primary.
+  Term Newest;
+  for (const auto &[Id, Reply] : *F.Replies)
+    if (Reply.Report.Primary)
+      Newest = std::max(Newest, Reply.Report.Newest);
+  const MemberReport &Report = Former->second.Report;
+  return Report.Primary && Report.Newest == Newest;
+}
+
+SuccessorSearch FailoverCoordinator::successorSearch(const Failover &F,
+                                                     TimePoint BeganAt) {
+  const ServiceState &State = this->Dispatcher.services().at(F.Record.Service);
+  SuccessorSearch Search;
+  Search.Reason = F.Reason;
+  Search.SynchronousReplicas = State.SynchronousReplicas;
+  Search.Sampled = F.Sampled;
+  Search.BeganAt = BeganAt;
+  Search.ClosedAt = this->closingSeenAt(F.Record, BeganAt);
+  Search.ListedAt = this->membersListedAt(this->Clock.now());
+  for (const auto &[Id, Pool] : State.Pools) {
+    bool Former = Id == F.Record.Primary;
+    auto Reply = F.Replies->find(Id);
+    bool Replied = Reply != F.Replies->end();
+    if (Former && Replied && isPlanned(F.Reason) &&
+        Reply->second.Report.Primary)
+      Search.PrimaryPosition = Reply->second.Report.Received;
+    // A lost primary that has become a replica may lead again.
+    if (Former && (!Replied || isPlanned(F.Reason)))
+      continue;
+    ReplicaState Replica{.Id = Id,
+                         .Draining = Pool->member().Draining,
+                         .Refused = F.Refused.contains(Id)};
+    if (Replied)
+      Replica.Report = {.Received = Reply->second.Report.Received,
+                        .ApplyDelay = Reply->second.Report.ApplyDelay,
+                        .ReceivedAt = Reply->second.ReceivedAt};
+    Search.Replicas.push_back(std::move(Replica));
+  }
+  auto History = this->ReplicaHistories.find(F.Record.Service);
+  if (History != this->ReplicaHistories.end())
+    for (DepartedReplica &Each : History->second.departed())
+      if (Each.Id != F.Record.Primary)
+        Search.Departed.push_back(std::move(Each));
+  return Search;
+}
+
+void FailoverCoordinator::logSearch(Failover &F, const SuccessorSearch &Search,
+                                    const SuccessorDecision &Decision) {
+  auto Known = std::max(Search.PrimaryPosition, Search.Sampled);
+  for (const ReplicaState &Each : Search.Replicas) {
+    if (!Each.Report)
+      continue;
+    auto [Logged, Added] =
+        F.LoggedPositions.try_emplace(Each.Id, Each.Report->Received);
+    if (!Added && Logged->second == Each.Report->Received)
+      continue;
+    Logged->second = Each.Report->Received;
+    writeDecision(
+        DecisionLine("successor_candidate")
+            .field("service", F.Record.Service.Value)
+            .field("member", Each.Id.Value)
+            .field("received", positionText(Each.Report->Received))
+            .field("draining", Each.Draining ? 1 : 0)
+            .field("acknowledged", Known ? positionText(*Known) : "unknown"));
+  }
+  bool Incomplete = Decision.Action == SuccessorAction::Promote &&
+                    Decision.Missing.size() >= Search.SynchronousReplicas &&
+                    !Decision.Missing.empty();
+  if (Decision.Missing == F.LoggedMissing && !Incomplete)
+    return;
+  F.LoggedMissing = Decision.Missing;
+  std::string Names;
+  for (const UpstreamId &Each : Decision.Missing)
+    Names += (Names.empty() ? "" : ",") +
+             (Each.Value.empty() ? std::string("unknown") : Each.Value);
+  writeDecision(DecisionLine("successor_search")
+                    .field("service", F.Record.Service.Value)
+                    .field("sync_replicas", Search.SynchronousReplicas)
+                    .field("missing", Names)
+                    .field("members_listed", needsMemberList(Search) ? 0 : 1)
+                    .field("outcome", Incomplete ? "given_up" : "known"));
+}
+
+Awaitable<void> FailoverCoordinator::awaitMemberList() {
+  TimePoint Since = this->Clock.now();
+  TimePoint GiveUpAt = Since + this->Options.ReportTimeout;
+  while (this->Clock.now() < GiveUpAt) {
+    auto ListedAt = this->membersListedAt(this->Clock.now());
+    if (ListedAt && *ListedAt >= Since)
+      co_return;
+    this->Versions.ListMembers();
+    co_await this->pause(this->Options.PollInterval / 8);
+  }
 }
 
 Awaitable<std::optional<UpstreamId>>
 FailoverCoordinator::findSuccessor(Failover &F) {
-  TimePoint GiveUpAt = this->Clock.now() + this->Options.SearchTimeout;
-  TimePoint CatchUpUntil = this->Clock.now() + this->Options.CatchUpTimeout;
-  while (this->Clock.now() < GiveUpAt) {
-    auto Answers = co_await this->queryCandidates(F);
-    std::vector<SuccessorCandidate> Candidates;
-    // An order that nobody remembers may have made another member primary.
-    Term NewestTerm;
-    for (const MemberReply &Each : Answers)
-      if (Each.Report.Primary)
-        NewestTerm = std::max(NewestTerm, Each.Report.Newest);
-    for (const MemberReply &Each : Answers) {
-      bool Old = Each.Id == F.Record.Primary;
-      if (Old && isPlanned(F.Reason)) {
-        // Its last acknowledged commits must not be lost.
-        F.Acknowledged =
-            std::max(F.Acknowledged, std::optional(Each.Report.Received));
-        continue;
-      }
-      if (Old && Each.Report.Primary && Each.Report.Newest == NewestTerm) {
-        F.KeepsOldPrimary = true;
-        co_return std::nullopt;
-      }
-      if (F.WasOrdered && Each.Id == F.Record.Target)
-        co_return Each.Id;
-      Candidates.push_back({.Id = Each.Id,
-                            .Received = Each.Report.Received,
-                            .ApplyDelay = Each.Report.ApplyDelay});
-      writeDecision(DecisionLine("successor_candidate")
-                        .field("service", F.Record.Service.Value)
-                        .field("member", Each.Id.Value)
-                        .field("received", positionText(Each.Report.Received))
-                        .field("acknowledged",
-                               F.Acknowledged ? positionText(*F.Acknowledged)
-                                              : "unknown"));
+  TimePoint BeganAt = this->Clock.now();
+  while (this->Clock.now() < BeganAt + this->Options.SearchTimeout) {
+    co_await this->queryCandidates(F);
+    if (stillLeads(F)) {
+      F.KeepsOldPrimary = true;
+      co_return std::nullopt;
     }
-    auto Best = chooseSuccessor(Candidates);
-    bool ReachesAcknowledged = false;
-    for (const SuccessorCandidate &Each : Candidates)
-      ReachesAcknowledged = ReachesAcknowledged || !F.Acknowledged ||
-                            Each.Received >= *F.Acknowledged;
-    if (Best && ReachesAcknowledged)
-      co_return Best;
-    bool CatchUpExpired = this->Clock.now() >= CatchUpUntil;
-    if (CatchUpExpired && F.Reason == FailoverReason::Backlog) {
+    SuccessorSearch Search = this->successorSearch(F, BeganAt);
+    if (needsMemberList(Search) && this->Versions.ListMembers) {
+      co_await this->awaitMemberList();
+      Search = this->successorSearch(F, BeganAt);
+    }
+    auto Ordered = F.Replies->find(F.Record.Target);
+    if (F.WasOrdered && Ordered != F.Replies->end() &&
+        Ordered->second.ReceivedAt >= BeganAt)
+      co_return F.Record.Target;
+    SuccessorDecision Decision =
+        decideSuccessor(this->Options.Successor, Search, this->Clock.now());
+    logSearch(F, Search, Decision);
+    if (Decision.Action == SuccessorAction::KeepPrimary) {
       F.KeepsOldPrimary = true;
       co_return std::nullopt;
     }
-    if (Best && CatchUpExpired)
-      co_return Best;
+    if (Decision.Action == SuccessorAction::Promote)
+      co_return Decision.Target;
     co_await this->pause(this->Options.PollInterval);
   }
   co_return std::nullopt;
@@ -1188,15 +1335,16 @@
 
 Awaitable<void>
 FailoverCoordinator::handOverIfBacklogged(PrimaryRecord Record) {
-  auto Answers = co_await this->queryMembers(Record.Service, {}, {});
+  auto Replies = std::make_shared<MemberReplies>();
+  co_await this->queryMembers(Record.Service, {}, {}, Replies);
   const auto &Pools = this->Dispatcher.services().at(Record.Service).Pools;
   std::vector<MemberBacklog> Reports;
-  for (const MemberReply &Each : Answers) {
-    auto Pool = Pools.find(Each.Id);
+  for (const auto &[Id, Each] : *Replies) {
+    auto Pool = Pools.find(Id);
     if (Pool == Pools.end() || Pool->second->member().Draining)
       continue;
-    Reports.push_back({.Id = Each.Id,
-                       .Primary = Each.Id == Record.Primary,
+    Reports.push_back({.Id = Id,
+                       .Primary = Id == Record.Primary,
                        .Received = Each.Report.Received,
                        .ApplyDelay = Each.Report.ApplyDelay,
                        .StatementCount = Each.Report.StatementCount,
@@ -1204,7 +1352,7 @@
     writeDecision(
         DecisionLine("replica_backlog")
             .field("service", Record.Service.Value)
-            .field("member", Each.Id.Value)
+            .field("member", Id.Value)
             .field("received", positionText(Each.Report.Received))
             .field("catch_up_ms", Each.Report.ApplyDelay / milliseconds(1))
             .field("busy", Each.Report.StatementCount));
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -14,6 +14,8 @@
 #include "failover/PromotionRules.h"
 #include "failover/RecordRepair.h"
 #include "failover/ReplicaBacklogMonitor.h"
+#include "failover/ReplicaHistory.h"
+#include "failover/SuccessorRules.h"
 #include "limits/StoreBackoff.h"
 #include "membership/IsolationDetector.h"
 #include "membership/RegistryDuties.h"
@@ -110,9 +112,7 @@
   /// How long a member may take from the promotion order until it is
   /// primary; the users state 1 s.
   Duration PromotionTimeout = std::chrono::milliseconds(3000);
-  /// How long a promotion waits for a replica with all commits that are known
-  /// to have been acknowledged.
-  Duration CatchUpTimeout = std::chrono::milliseconds(1000);
+  SuccessorOptions Successor = {};
   /// How long this instance searches for a successor before it leaves the
   /// failover to other instances.
   Duration SearchTimeout = std::chrono::milliseconds(8000);
@@ -142,6 +142,11 @@
     std::function<void(const InstanceId &, const KnownVersions &,
                        TimePoint QuerySentAt)>
         OnOther;
+    /// When the list of members was certainly the newest; nothing if it never
+    /// was. Not set if the list can't change.
+    std::function<std::optional<TimePoint>()> MembersConfirmedAt = {};
+    /// Starts a read of the list of members unless one is in progress.
+    std::function<void()> ListMembers = {};
   };
 
   FailoverCoordinator(Executor Exec, FailoverCoordinatorOptions Options,
@@ -201,9 +206,12 @@
   struct Failover;
   /// A member's status reply to a promoter.
   struct MemberReply {
-    UpstreamId Id;
     MemberReport Report;
+    TimePoint ReceivedAt;
   };
+  /// The newest reply of each member. Replies that arrive after a round of
+  /// queries has ended are added, too.
+  using MemberReplies = std::map<UpstreamId, MemberReply>;
 
   LeaseExchange::Hooks peerHooks();
   [[nodiscard]] KnownVersions ownVersions() const;
@@ -275,13 +283,30 @@
   Awaitable<bool> closeRecord(Failover &F);
   /// Queries the members of a service except those in Skipped. Returns when
   /// all but those in NotAwaited have replied, or after ReportTimeout.
-  Awaitable<std::vector<MemberReply>>
-  queryMembers(ServiceId Service, std::set<UpstreamId> Skipped,
-               std::set<UpstreamId> NotAwaited);
-  Awaitable<std::vector<MemberReply>> queryCandidates(Failover &F);
+  Awaitable<void> queryMembers(ServiceId Service, std::set<UpstreamId> Skipped,
+                               std::set<UpstreamId> NotAwaited,
+                               std::shared_ptr<MemberReplies> Replies);
+  Awaitable<void> queryCandidates(Failover &F);
+  /// Whether a running primary of a service with synchronous replicas has a
+  /// successor, so that the record need not be closed in vain.
+  Awaitable<bool> hasSuccessor(PrimaryRecord Record);
+  /// Whether the former primary has replied that it still leads.
+  [[nodiscard]] static bool stillLeads(const Failover &F);
+  [[nodiscard]] SuccessorSearch successorSearch(const Failover &F,
+                                                TimePoint BeganAt);
+  /// Logs candidates with new positions, and what the search waits for.
+  static void logSearch(Failover &F, const SuccessorSearch &Search,
+                        const SuccessorDecision &Decision);
+  /// When the list of members was certainly the newest.
+  [[nodiscard]] std::optional<TimePoint> membersListedAt(TimePoint Now) const;
+  /// Tracks which replicas an acknowledged commit of a service may stand on.
+  void trackReplicas(const ServiceId &Id, const ServiceState &State,
+                     TimePoint Now);
   /// After a planned failover, demotes the former primary to a replica without
   /// waiting for its reply.
   void stepDownFormerPrimary(const Failover &F);
+  /// Has the members listed. Returns once they are, or after ReportTimeout.
+  Awaitable<void> awaitMemberList();
   Awaitable<std::optional<UpstreamId>> findSuccessor(Failover &F);
   Awaitable<bool> orderPromotion(Failover &F, UpstreamId Target);
   Awaitable<bool> awaitPromotion(Failover &F);
@@ -344,6 +369,8 @@
   std::map<InstanceId, TimePoint> ExcludedReaders;
   std::map<ServiceId, PrimaryMonitor> Monitors;
   std::map<ServiceId, ReplicaBacklogMonitor> BacklogMonitors;
+  /// Of services with synchronous replicas.
+  std::map<ServiceId, ReplicaHistory> ReplicaHistories;
   std::map<ServiceId, Unfinished> UnfinishedRecords;
   std::map<ServiceId, SeenClosing> SeenClosings;
   /// Services for which a failover, a check that may start one, or the write
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -194,6 +194,10 @@
   for (auto &[Service, State] : this->Services) {
     State.LowestPriority = Routes.lowestPriority(Service);
     State.Ages = Routes.acceptedAges(Service);
+    if (Routes.loaded()) {
+      const ServiceRule *Rule = Routes.service(Service);
+      State.SynchronousReplicas = Rule ? Rule->SynchronousReplicas : 0;
+    }
     if (State.Ages)
       State.Freshness.setLoosestAge(State.Ages->Loosest);
     for (auto &[Id, Pool] : State.Pools)
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -79,6 +79,9 @@
   std::uint32_t LowestPriority = 0;
   /// The limits on the age of data among the service's routes.
   std::optional<AcceptedAges> Ages;
+  /// Replicas that must have received a commit before it is acknowledged. Until
+  /// the configuration is known, one is assumed.
+  std::uint32_t SynchronousReplicas = 1;
   /// Whether the queue is being served; prevents recursion.
   bool Serving = false;
 };
--- a/failover/PrimaryMonitor.cpp
+++ b/failover/PrimaryMonitor.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <string_view>
-#include <tuple>
 
 namespace turmericpitch {
 
@@ -83,16 +82,4 @@
   return DelayElapsed ? Reason : FailoverReason::None;
 }
 
-std::optional<UpstreamId>
-chooseSuccessor(std::span<const SuccessorCandidate> Candidates) {
-  const SuccessorCandidate *Best = nullptr;
-  for (const SuccessorCandidate &Each : Candidates)
-    if (!Best || std::tie(Each.Received, Each.ApplyDelay) >
-                     std::tie(Best->Received, Best->ApplyDelay))
-      Best = &Each;
-  if (!Best)
-    return std::nullopt;
-  return Best->Id;
-}
-
 } // namespace turmericpitch
--- a/failover/PrimaryMonitor.h
+++ b/failover/PrimaryMonitor.h
@@ -8,7 +8,6 @@
 #include "failover/LeaseMessages.h"
 
 #include <optional>
-#include <span>
 
 namespace turmericpitch {
 
@@ -105,19 +104,4 @@
   TimePoint ResumedAt;
 };
 
-/// A member that could become primary. Immutable value.
-struct SuccessorCandidate {
-  UpstreamId Id;
-  /// The last entry in the member's log.
-  TermPosition Received;
-  /// Time until all received entries are applied.
-  Duration ApplyDelay{0};
-};
-
-/// The candidate whose log is furthest ahead; among equals, the one with the
-/// longest apply delay, as a promotion ends it. Nothing without candidates.
-/// Pure; thread-safe.
-std::optional<UpstreamId>
-chooseSuccessor(std::span<const SuccessorCandidate> Candidates);
-
 } // namespace turmericpitch
--- /dev/null
+++ b/failover/SuccessorRules.h
@@ -0,0 +1,127 @@
+// Decides which replica succeeds a primary.
+#pragma once
+
+#include "failover/PrimaryMonitor.h"
+#include "failover/ReplicaHistory.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace turmericpitch {
+
+struct SuccessorOptions {
+  /// How long a promotion waits for a replica that stays and has all commits
+  /// that are known to have been acknowledged.
+  Duration CatchUpTimeout = std::chrono::milliseconds(1000);
+  /// How long after the closing of the record a promotion waits for members
+  /// that may hold the only copy of an acknowledged commit. Longer than users
+  /// state that a member is down; after it, service goes before durability.
+  Duration HolderTimeout = std::chrono::seconds(15);
+  /// A replica whose newest report is older is not promoted, as it may have
+  /// ended.
+  Duration ReportValidity = std::chrono::milliseconds(1000);
+};
+
+/// A member that could become primary. Immutable value.
+struct SuccessorCandidate {
+  UpstreamId Id;
+  /// The last entry in the member's log.
+  TermPosition Received;
+  /// Time until all received entries are applied.
+  Duration ApplyDelay{0};
+};
+
+/// The candidate whose log is furthest ahead; among equals, the one with the
+/// longest apply delay, as a promotion ends it. Nothing without candidates.
+/// Pure; thread-safe.
+std::optional<UpstreamId>
+chooseSuccessor(std::span<const SuccessorCandidate> Candidates);
+
+/// A replica's report of its log. Immutable value.
+struct LogReport {
+  TermPosition Received;
+  Duration ApplyDelay{0};
+  TimePoint ReceivedAt;
+
+  auto operator<=>(const LogReport &) const = default;
+};
+
+/// A registered replica as a promoter knows it. Immutable value.
+struct ReplicaState {
+  UpstreamId Id;
+  bool Draining = false;
+  /// Whether it refused a promotion in this failover.
+  bool Refused = false;
+  /// Its newest report since the record was closed; empty without one.
+  std::optional<LogReport> Report = std::nullopt;
+};
+
+/// What a promoter knows in its search for a successor. Immutable value.
+struct SuccessorSearch {
+  FailoverReason Reason = FailoverReason::Lost;
+  /// Number of replicas that must have received a commit before it is
+  /// acknowledged.
+  std::uint32_t SynchronousReplicas = 0;
+  /// All registered members but the former primary, draining ones included.
+  std::vector<ReplicaState> Replicas = {};
+  std::vector<DepartedReplica> Departed = {};
+  /// The end of the former primary's log, asked for after the record was
+  /// closed; empty if it did not reply.
+  std::optional<TermPosition> PrimaryPosition = std::nullopt;
+  /// A position that the primary had reached when it was last sampled.
+  std::optional<TermPosition> Sampled = std::nullopt;
+  /// When this search began, and when the record's closing was first seen.
+  TimePoint BeganAt;
+  TimePoint ClosedAt;
+  /// When the registered members were certainly all that are; nothing if they
+  /// never were.
+  std::optional<TimePoint> ListedAt = std::nullopt;
+};
+
+enum class SuccessorAction : std::uint8_t {
+  /// Ask the members again.
+  Wait,
+  Promote,
+  /// The former primary remains primary.
+  KeepPrimary,
+};
+
+/// Immutable value.
+struct SuccessorDecision {
+  SuccessorAction Action = SuccessorAction::Wait;
+  /// The replica to promote.
+  UpstreamId Target = {};
+  /// The members whose logs are unknown and may hold acknowledged commits that
+  /// no known log holds. An empty id stands for members that this process never
+  /// knew.
+  std::vector<UpstreamId> Missing = {};
+
+  bool operator==(const SuccessorDecision &) const = default;
+};
+
+/// Whether the list of members has to be read again before a replica can be
+/// promoted. Pure; thread-safe.
+bool needsMemberList(const SuccessorSearch &Search);
+
+/// Decides by one rule, for lost, draining and overloaded primaries.
+///
+/// An acknowledged commit stands on the former primary and on
+/// SynchronousReplicas of the replicas, draining ones and ones that have
+/// departed since included. So each set of members whose logs are known meets
+/// all sets that an acknowledged commit may stand on if it contains the former
+/// primary, or all but SynchronousReplicas - 1 of the replicas. Until then the
+/// search waits, HolderTimeout at most. With the former primary's log known, a
+/// replica must reach its end, else the end of the furthest known log. The list
+/// of replicas must be newer than their reports: one that has just joined may
+/// hold a commit, and one that has started again may have lost its log.
+///
+/// Replicas that are draining succeed a lost primary only after CatchUpTimeout,
+/// and never one that still runs. Without synchronous replicas, CatchUpTimeout
+/// bounds the wait for what the primary had when last sampled. Pure;
+/// thread-safe.
+SuccessorDecision decideSuccessor(const SuccessorOptions &Options,
+                                  const SuccessorSearch &Search, TimePoint Now);
+
+} // namespace turmericpitch
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -51,7 +51,8 @@
 /// Every third member listing is a current read, so that leaving members are
 /// known within four seconds. The others may be stale and cost the store a
 /// tenth of a current one. While other instances confirm the list, all may be
-/// stale.
+/// stale. Where acknowledgements rest on replicas, the reader makes current
+/// reads alone, so that no member comes and goes unseen.
 constexpr std::uint32_t CurrentListingPeriod = 3;
 /// Age of the newest confirmation from which the list is read again. The reader
 /// makes a current read every three seconds.
@@ -144,7 +145,10 @@
                       [this](const InstanceId &From, const KnownVersions &Other,
                              TimePoint QuerySentAt) {
                         this->onOtherVersions(From, Other, QuerySentAt);
-                      }}),
+                      },
+                  .MembersConfirmedAt =
+                      [this] { return this->MembersCopy.confirmedAt(); },
+                  .ListMembers = [this] { this->listMembersOnce(); }}),
         Limits(this->Loop.get_executor(),
                {.Self = this->Settings.Self,
                 .Listen = this->limitAddress(),
@@ -218,6 +222,8 @@
   }
   void onOtherVersions(const InstanceId &From, const KnownVersions &Other,
                        TimePoint QuerySentAt);
+  /// Starts a current listing of the members unless one is in progress.
+  void listMembersOnce();
   /// Lists the members. Returns false if the list could not be read.
   Awaitable<bool> listMembers(ReadConsistency Consistency);
   void onMemberListing(std::vector<KeyValueEntry> Entries,
@@ -356,12 +362,8 @@
     this->spawn(this->copyConfiguration(*Due.CopyFrom));
   }
   CopyActions MembersDue = this->MembersCopy.next(Now, IsReader, MayAsk);
-  if (MembersDue.AskStore && !this->ListingMembers) {
-    this->MembersCopy.onStoreAsked(Now);
-    this->spawn([this]() -> Awaitable<void> {
-      co_await this->listMembers(ReadConsistency::Current);
-    });
-  }
+  if (MembersDue.AskStore)
+    this->listMembersOnce();
   if (MembersDue.CopyFrom) {
     this->MembersCopy.onCopyRequested();
     this->spawn(this->copyMembers(*MembersDue.CopyFrom));
@@ -619,6 +621,16 @@
   }
 }
 
+void SessionDaemon::Components::listMembersOnce() {
+  if (this->ListingMembers)
+    return;
+  this->ListingMembers = true;
+  this->MembersCopy.onStoreAsked(BootClock().now());
+  this->spawn([this]() -> Awaitable<void> {
+    co_await this->listMembers(ReadConsistency::Current);
+  });
+}
+
 Awaitable<bool>
 SessionDaemon::Components::listMembers(ReadConsistency Consistency) {
   this->ListingMembers = true;
@@ -707,7 +719,8 @@
   while (true) {
     bool Current = this->receivesChangeNotifications()
                        ? this->MembersCopy.isUnconfirmed(BootClock().now())
-                       : ListingCount % CurrentListingPeriod == 0;
+                       : ListingCount % CurrentListingPeriod == 0 ||
+                             this->Routes.hasSynchronousReplicas();
     ++ListingCount;
     bool Read = co_await this->listMembers(
         Current ? ReadConsistency::Current : ReadConsistency::MayBeStale);
--- a/tests/failover/PrimaryMonitorTest.cpp
+++ b/tests/failover/PrimaryMonitorTest.cpp
@@ -63,24 +63,6 @@
             FailoverReason::Lost);
 }
 
-TEST(PrimaryMonitor, ChoosesTheFurthestLog) {
-  EXPECT_FALSE(chooseSuccessor({}));
-  std::vector<SuccessorCandidate> All{
-      {.Id = {"a"}, .Received = {.WrittenIn = {1}, .Position = {9}}},
-      {.Id = {"b"}, .Received = {.WrittenIn = {2}, .Position = {3}}},
-      {.Id = {"c"}, .Received = {.WrittenIn = {1}, .Position = {10}}}};
-  EXPECT_EQ(chooseSuccessor(All)->Value, "b");
-}
-
-TEST(PrimaryMonitor, ChoosesTheLongestBacklogAmongEqualLogs) {
-  TermPosition Received{.WrittenIn = {1}, .Position = {9}};
-  std::vector<SuccessorCandidate> All{
-      {.Id = {"a"}, .Received = Received, .ApplyDelay = milliseconds(200)},
-      {.Id = {"b"}, .Received = Received, .ApplyDelay = milliseconds(9000)},
-      {.Id = {"c"}, .Received = Received, .ApplyDelay = milliseconds(0)}};
-  EXPECT_EQ(chooseSuccessor(All)->Value, "b");
-}
-
 // If a zone is isolated during a rolling restart, ten ranks can precede the
 // first instance that is able to act.
 TEST(PrimaryMonitor, TenRanksDelayByLessThan600Ms) {
--- /dev/null
+++ b/tests/failover/SuccessorRulesTest.cpp
@@ -0,0 +1,234 @@
+#include "failover/SuccessorRules.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(SuccessorRules, ChoosesTheFurthestLog) {
+  EXPECT_FALSE(chooseSuccessor({}));
+  std::vector<SuccessorCandidate> All{
+      {.Id = {"a"}, .Received = {.WrittenIn = {1}, .Position = {9}}},
+      {.Id = {"b"}, .Received = {.WrittenIn = {2}, .Position = {3}}},
+      {.Id = {"c"}, .Received = {.WrittenIn = {1}, .Position = {10}}}};
+  EXPECT_EQ(chooseSuccessor(All)->Value, "b");
+}
+
+TEST(SuccessorRules, ChoosesTheLongestBacklogAmongEqualLogs) {
+  TermPosition Received{.WrittenIn = {1}, .Position = {9}};
+  std::vector<SuccessorCandidate> All{
+      {.Id = {"a"}, .Received = Received, .ApplyDelay = milliseconds(200)},
+      {.Id = {"b"}, .Received = Received, .ApplyDelay = milliseconds(9000)},
+      {.Id = {"c"}, .Received = Received, .ApplyDelay = milliseconds(0)}};
+  EXPECT_EQ(chooseSuccessor(All)->Value, "b");
+}
+
+constexpr SuccessorOptions Options;
+const TimePoint Began{std::chrono::hours(1)};
+
+TermPosition at(std::uint64_t Position) {
+  return {.WrittenIn = {1}, .Position = {Position}};
+}
+
+ReplicaState replica(const char *Id, std::optional<std::uint64_t> Received,
+                     bool Draining = false) {
+  ReplicaState State{.Id = {Id}, .Draining = Draining};
+  if (Received)
+    State.Report = LogReport{.Received = at(*Received), .ReceivedAt = Began};
+  return State;
+}
+
+SuccessorSearch search(std::vector<ReplicaState> Replicas,
+                       std::uint32_t SynchronousReplicas = 1) {
+  return {.Reason = FailoverReason::Lost,
+          .SynchronousReplicas = SynchronousReplicas,
+          .Replicas = std::move(Replicas),
+          .BeganAt = Began,
+          .ClosedAt = Began,
+          .ListedAt = Began};
+}
+
+/// The decision After the search began, with reports that are as new.
+SuccessorDecision decide(SuccessorSearch Search,
+                         Duration After = milliseconds(10)) {
+  for (ReplicaState &Each : Search.Replicas)
+    if (Each.Report)
+      Each.Report->ReceivedAt = Began + After;
+  if (Search.ListedAt == Began)
+    Search.ListedAt = Began + After;
+  return decideSuccessor(Options, Search, Began + After);
+}
+
+SuccessorDecision promote(const char *Id,
+                          std::vector<UpstreamId> Missing = {}) {
+  return {.Action = SuccessorAction::Promote,
+          .Target = {Id},
+          .Missing = std::move(Missing)};
+}
+
+SuccessorDecision waitFor(std::vector<UpstreamId> Missing) {
+  return {.Action = SuccessorAction::Wait, .Missing = std::move(Missing)};
+}
+
+TEST(SuccessorRules, WaitsForEachReplicaThatMayHoldACommitAlone) {
+  SuccessorSearch Search = search({replica("a", 5), replica("b", {})});
+  EXPECT_EQ(decide(Search), waitFor({{"b"}}));
+  EXPECT_EQ(decide(Search, Options.HolderTimeout - milliseconds(1)),
+            waitFor({{"b"}}));
+  // Each commit stands on both.
+  Search.SynchronousReplicas = 2;
+  EXPECT_EQ(decide(Search), promote("a", {{"b"}}));
+  Search.SynchronousReplicas = 0;
+  EXPECT_EQ(decide(Search), promote("a"));
+}
+
+// No service stays without a primary for good.
+TEST(SuccessorRules, PromotesWithoutTheMissingReplicaInTheEnd) {
+  SuccessorSearch Search = search({replica("a", 5), replica("b", {})});
+  EXPECT_EQ(decide(Search, Options.HolderTimeout), promote("a", {{"b"}}));
+  Search.Replicas = {replica("a", {}), replica("b", 4, true)};
+  EXPECT_EQ(decide(Search, Options.HolderTimeout), promote("b", {{"a"}}));
+}
+
+TEST(SuccessorRules, DrainingReplicaSucceedsIfNoOtherReachesItsLog) {
+  SuccessorSearch Search = search({replica("a", 5), replica("b", 9, true)});
+  EXPECT_EQ(decide(Search), waitFor({}));
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), promote("b"));
+  Search.Replicas[0] = replica("a", 9);
+  EXPECT_EQ(decide(Search), promote("a"));
+  // Not in place of a primary that still runs.
+  Search.Replicas[0] = replica("a", 5);
+  Search.Reason = FailoverReason::Leaving;
+  Search.PrimaryPosition = at(9);
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout).Action,
+            SuccessorAction::KeepPrimary);
+}
+
+TEST(SuccessorRules, HandOverWaitsForThePrimarysLog) {
+  SuccessorSearch Search = search({replica("a", 5), replica("b", {})});
+  Search.Reason = FailoverReason::Leaving;
+  Search.PrimaryPosition = at(6);
+  EXPECT_EQ(decide(Search), waitFor({}));
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout).Action,
+            SuccessorAction::KeepPrimary);
+  Search.Replicas[0] = replica("a", 6);
+  EXPECT_EQ(decide(Search), promote("a"));
+  // A primary that no longer replies is treated as a lost one.
+  Search.PrimaryPosition.reset();
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), waitFor({{"b"}}));
+}
+
+TEST(SuccessorRules, WithoutSynchronousReplicasTheWaitIsShort) {
+  SuccessorSearch Search = search({replica("a", 5), replica("b", {})}, 0);
+  Search.Sampled = at(6);
+  EXPECT_EQ(decide(Search), waitFor({}));
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), promote("a"));
+  // A service whose replicas all drain has a primary again, too.
+  Search.Replicas = {replica("a", 5, true)};
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), promote("a"));
+}
+
+TEST(SuccessorRules, DepartedReplicaIsCoveredByALaterSample) {
+  SuccessorSearch Search = search({replica("a", 5)});
+  Search.Departed = {{.Id = {"b"}}};
+  EXPECT_EQ(decide(Search), waitFor({{"b"}}));
+  Search.Departed = {{.Id = {"b"}, .CoveredFrom = at(6)}};
+  EXPECT_EQ(decide(Search), waitFor({{"b"}}));
+  Search.Departed = {{.Id = {"b"}, .CoveredFrom = at(5)}};
+  EXPECT_EQ(decide(Search), promote("a"));
+}
+
+// A replica that has just joined may hold a commit alone, and one that has
+// started again may have lost its log.
+TEST(SuccessorRules, MembersAreListedAfterTheirReports) {
+  SuccessorSearch Search = search({replica("a", 5)});
+  Search.ListedAt = Began - milliseconds(1);
+  EXPECT_TRUE(needsMemberList(Search));
+  EXPECT_EQ(decide(Search), waitFor({}));
+  Search.ListedAt.reset();
+  EXPECT_EQ(decide(Search), waitFor({}));
+  Search.SynchronousReplicas = 0;
+  EXPECT_EQ(decide(Search), promote("a"));
+}
+
+TEST(SuccessorRules, MemberThatEndedIsNotPromoted) {
+  SuccessorSearch Search = search({replica("a", 5), replica("b", 4)});
+  Search.Replicas[0].Refused = true;
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), waitFor({}));
+  EXPECT_EQ(decide(Search, Options.HolderTimeout), promote("b"));
+  Search.Replicas[0].Refused = false;
+  TimePoint Later = Began + Options.ReportValidity + milliseconds(1);
+  EXPECT_EQ(decideSuccessor(Options, Search, Later).Action,
+            SuccessorAction::Wait);
+}
+
+RegisteredMember member(const char *Id, std::uint16_t Port,
+                        bool Draining = false) {
+  RegisteredMember Member;
+  Member.Id = {Id};
+  Member.Where = {.Address = "127.0.0.1", .Port = Port};
+  Member.Draining = Draining;
+  return Member;
+}
+
+PrimarySample sampleAt(TimePoint AskedAt, std::uint64_t Position) {
+  return {.AskedAt = AskedAt, .Reached = at(Position)};
+}
+
+TEST(ReplicaHistory, DepartureIsCoveredByWhatWasAskedAfterwards) {
+  ReplicaHistory History;
+  History.onMembers({member("a", 1), member("b", 2)}, Began, Began);
+  EXPECT_EQ(History.departed(), std::vector<DepartedReplica>{{}});
+  History.onSample(sampleAt(Began, 3));
+  History.onMembers({member("a", 1)}, Began + milliseconds(100),
+                    Began + milliseconds(100));
+  History.onSample(sampleAt(Began + milliseconds(50), 4));
+  std::vector<DepartedReplica> Expected{{.Id = {}, .CoveredFrom = at(3)},
+                                        {.Id = {"b"}}};
+  EXPECT_EQ(History.departed(), Expected);
+  History.onSample(sampleAt(Began + milliseconds(100), 5));
+  History.onSample(sampleAt(Began + milliseconds(200), 6));
+  Expected[1].CoveredFrom = at(5);
+  EXPECT_EQ(History.departed(), Expected);
+}
+
+// A member may join, confirm a commit and be gone while nothing is listed.
+TEST(ReplicaHistory, MembersMayHaveDepartedInAGap) {
+  ReplicaHistory History;
+  TimePoint Listed = Began + ReplicaHistoryOptions().MaxListingGap;
+  History.onMembers({member("a", 1)}, Began, Began);
+  History.onMembers({member("a", 1)}, Listed, Listed);
+  EXPECT_EQ(History.departed().size(), 1U);
+  Listed += ReplicaHistoryOptions().MaxListingGap + milliseconds(1);
+  History.onMembers({member("a", 1)}, Listed, Listed);
+  EXPECT_EQ(History.departed(), (std::vector<DepartedReplica>{{}, {}}));
+}
+
+TEST(ReplicaHistory, MemberThatStartsAgainHasDeparted) {
+  ReplicaHistory History;
+  RegisteredMember First = member("a", 1);
+  RegisteredMember Second = First;
+  Second.StartedAt = First.StartedAt + 1;
+  History.onMembers({First}, Began, Began);
+  History.onMembers({Second}, Began, Began);
+  ASSERT_EQ(History.departed().size(), 2U);
+  EXPECT_EQ(History.departed()[1].Id.Value, "a");
+}
+
+// A member that drained hands its log to the one that takes its address; one
+// that crashed doesn't.
+TEST(ReplicaHistory, OnlyADrainedMembersLogIsTakenOver) {
+  for (bool Drained : {true, false}) {
+    ReplicaHistory History;
+    History.onMembers({member("a", 1), member("b", 2, Drained)}, Began, Began);
+    History.onMembers({member("a", 1)}, Began, Began);
+    EXPECT_EQ(History.departed().size(), 2U);
+    History.onMembers({member("a", 1), member("c", 2)}, Began, Began);
+    EXPECT_EQ(History.departed().size(), Drained ? 1U : 2U);
+  }
+}
+
+} // namespace
+} // namespace turmericpitch
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -3,6 +3,7 @@
 #include "main/SessionDaemon.h"
 
 #include "core/DecisionLog.h"
+#include "core/Metrics.h"
 #include "tests/platform/RevisionStore.h"
 #include "tests/support/OwnAddress.h"
 
@@ -86,7 +87,8 @@
 };
 
 /// Accounts: the value of the configuration's list of them; empty for none.
-std::string configuration(int Version, const std::string &Accounts = "") {
+std::string configuration(int Version, const std::string &Accounts = "",
+                          int SynchronousReplicas = 0) {
   return R"({"version":)" + std::to_string(Version) +
          R"(,"routes":[)"
          R"({"name":"r1","host":"bookings","kind":"primary","service":"ledger",)"
@@ -94,7 +96,8 @@
          R"({"name":"r2","host":"fittings","kind":"read_your_writes",)"
          R"("service":"ledger","timeout_ms":1000,"latency_goal_ms":400,)"
          R"("priority":2,"max_staleness_ms":2500}],)"
-         R"("services":[{"name":"ledger","max_conns":20,"sync_replicas":0}],)" +
+         R"("services":[{"name":"ledger","max_conns":20,"sync_replicas":)" +
+         std::to_string(SynchronousReplicas) + "}]," +
          (Accounts.empty() ? "" : R"("tenants":)" + Accounts + ",") +
          R"("limits":{"tx_idle_ms":3000}})";
 }
@@ -152,14 +155,18 @@
     return Settings;
   }
 
+  void registerMember(const SessionGroupMember &Each, bool Draining = false) {
+    this->Store.put("servers/" + Each.Id,
+                    R"({"service":"ledger","addr":")" + toString(Each.Where) +
+                        R"(","zone":"a","version":"v1","slots":3,"state":")" +
+                        (Draining ? "draining" : "ready") +
+                        R"(","cold_left_ms":0,"seq":1,"db_role":")" +
+                        (Each.Primary ? "primary" : "replica") + R"("})");
+  }
+
   void registerMembers() {
     for (const SessionGroupMember &Each : this->Group.members())
-      this->Store.put(
-          "servers/" + Each.Id,
-          R"({"service":"ledger","addr":")" + toString(Each.Where) +
-              R"(","zone":"a","version":"v1","slots":3,"state":"ready",)"
-              R"("cold_left_ms":0,"seq":1,"db_role":")" +
-              (Each.Primary ? "primary" : "replica") + R"("})");
+      this->registerMember(Each);
     // Invalid entries of other writers must be ignored.
     this->Store.put("servers/stray", "no json");
     this->Store.put("servers/odd", R"({"service":7})");
@@ -314,6 +321,114 @@
   EXPECT_EQ(Session.query("r", "READ booking").front(), "DATAROW two");
 }
 
+/// A service whose commits are acknowledged once one replica has received
+/// them. Replica m2 lags, so they stand on m1 and m3.
+class SynchronousReplicaTest : public SessionDaemonTest {
+protected:
+  SynchronousReplicaTest() {
+    // The new route shows that the configuration is in force.
+    std::string Text = configuration(3, "", 1);
+    Text.replace(Text.find("fittings"), 8, "repairs");
+    this->runOnStandIns([&] {
+      this->Store.put("op/config", Text);
+      this->Group.setReplicationPaused("m2", true);
+      return 0;
+    });
+    while (Caller("repairs").StartupReply != "READY I -")
+      std::this_thread::yield();
+    this->writeUntilDone("booking", "kept");
+  }
+
+  template <typename Callable>
+  void waitFor(Callable Value, const decltype(Value()) &Without) {
+    auto Deadline = std::chrono::steady_clock::now() + TestTimeout;
+    while (this->runOnStandIns(Value) == Without &&
+           std::chrono::steady_clock::now() < Deadline)
+      std::this_thread::yield();
+  }
+  void drain(const std::string &Id) {
+    this->runOnStandIns([&] {
+      for (const SessionGroupMember &Each : this->Group.members())
+        if (Each.Id == Id)
+          this->registerMember(Each, true);
+      return 0;
+    });
+    // The first of two further listings may have begun before.
+    auto Listings = [] {
+      return processMetrics().counterValue("store_listings_total", "members");
+    };
+    auto Before = Listings();
+    this->waitFor([&] { return Listings() >= Before + 2; }, false);
+  }
+  /// Waits until a promotion was ordered or Enough is true.
+  template <typename Callable> void waitForPromotionOr(Callable Enough) {
+    this->waitFor([&] { return this->Store.promotions() > 0 || Enough(); },
+                  false);
+  }
+  void expectServedWithCommit() {
+    this->runOnStandIns([this] {
+      this->Group.setReplicationPaused("m2", false);
+      return 0;
+    });
+    this->writeUntilDone("other", "two");
+    Caller Session("bookings");
+    EXPECT_EQ(Session.query("r", "READ booking").front(), "DATAROW kept");
+  }
+};
+
+// A draining replica with all acknowledged commits wasn't asked, and another
+// one without them was promoted.
+TEST_F(SynchronousReplicaTest, DrainingReplicaWithTheCommitSucceeds) {
+  this->drain("m3");
+  this->runOnStandIns([this] {
+    this->Group.stop("m1");
+    return 0;
+  });
+  this->waitForPromotionOr([] { return false; });
+  EXPECT_TRUE(this->runOnStandIns([this] {
+    for (const SessionGroupMember &Each : this->Group.members())
+      if (Each.Primary)
+        return this->Group.holds(Each.Id, "kept");
+    return false;
+  }));
+  this->expectServedWithCommit();
+}
+
+// A replica that didn't reply within a second was passed over.
+TEST_F(SynchronousReplicaTest, PromotionWaitsForAReplicaThatIsSlowToReply) {
+  // Each query to a member that holds its replies takes 400 ms.
+  constexpr std::size_t HeldQueries = 5;
+  this->runOnStandIns([this] {
+    this->Group.setSetupHeld("m3", true);
+    this->Group.stop("m1");
+    return 0;
+  });
+  std::size_t Before =
+      this->runOnStandIns([this] { return this->Group.statusCount("m3"); });
+  this->waitForPromotionOr(
+      [&] { return this->Group.statusCount("m3") >= Before + HeldQueries; });
+  EXPECT_EQ(this->runOnStandIns([this] { return this->Store.promotions(); }),
+            0U);
+  this->runOnStandIns([this] {
+    this->Group.setSetupHeld("m3", false);
+    return 0;
+  });
+  this->expectServedWithCommit();
+}
+
+// A planned hand-over promoted the replica that stays, without the commit.
+TEST_F(SynchronousReplicaTest, HandOverWaitsForAReplicaThatStays) {
+  // The lagging replica is asked every 40 ms.
+  constexpr std::size_t Queries = 100;
+  this->drain("m3");
+  this->drain("m1");
+  this->waitForPromotionOr(
+      [this] { return this->Group.statusCount("m2") >= Queries; });
+  EXPECT_EQ(this->runOnStandIns([this] { return this->Store.promotions(); }),
+            0U);
+  this->expectServedWithCommit();
+}
+
 TEST_F(SessionDaemonTest, SingleInstanceServesWithoutTheStore) {
   this->runOnStandIns([this] {
     this->Store.setUnavailable(true);
--- a/tests/platform/SessionGroup.cpp
+++ b/tests/platform/SessionGroup.cpp
@@ -273,10 +273,19 @@
                           const std::string &Item, const std::string &Data) {
   At.State.Log.push_back({.Term = At.State.Term, .Item = Item, .Data = Data});
   this->Committed.insert(Id);
+  this->replicate();
+}
+
+void SessionGroup::replicate() {
+  auto Source = std::ranges::find_if(this->Members, [](const auto &Each) {
+    return Each.second->State.Primary && !Each.second->State.Down;
+  });
+  if (Source == this->Members.end())
+    return;
   for (auto &[Name, Each] : this->Members)
     if (!Each->State.Primary && !Each->State.ReplicationPaused &&
         !Each->State.Down)
-      Each->State.Log = At.State.Log;
+      Each->State.Log = Source->second->State.Log;
 }
 
 void SessionGroup::holdStatements(bool Held) {
@@ -300,6 +309,7 @@
   }
   Found->second->State.Primary = true;
   Found->second->State.Term = Newest + 1;
+  this->replicate();
   return true;
 }
 
@@ -317,6 +327,7 @@
 void SessionGroup::setReplicationPaused(const std::string &Id,
                                         bool ReplicationPaused) {
   this->Members.at(Id)->State.ReplicationPaused = ReplicationPaused;
+  this->replicate();
 }
 
 void SessionGroup::setConnectionLimit(const std::string &Id,
@@ -357,6 +368,19 @@
   return this->Members.at(Id)->State.Statements;
 }
 
+std::size_t SessionGroup::statusCount(const std::string &Id) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Statements, [&](const Received &Each) {
+        return Each.Member == Id && Each.Text == "STATUS";
+      }));
+}
+
+bool SessionGroup::holds(const std::string &Id, const std::string &Data) const {
+  return std::ranges::any_of(
+      this->Members.at(Id)->State.Log,
+      [&](const auto &Entry) { return Entry.Data == Data; });
+}
+
 std::size_t SessionGroup::heldCount(const std::string &Id) const {
   return this->Members.at(Id)->Held.size();
 }
--- a/tests/platform/SessionGroup.h
+++ b/tests/platform/SessionGroup.h
@@ -58,6 +58,7 @@
   /// unknown.
   bool promote(const std::string &Id);
   void stop(const std::string &Id);
+  /// Clearing it lets the member catch up.
   void setReplicationPaused(const std::string &Id, bool ReplicationPaused);
   /// While set, the member runs reads and writes but keeps their replies back.
   /// Clearing it sends the replies that were kept back.
@@ -71,6 +72,11 @@
   void setRefusal(const std::string &Id, const std::string &Code);
   /// Number of reads and writes that have reached the member.
   [[nodiscard]] std::size_t statementCount(const std::string &Id) const;
+  /// Number of status queries that have reached the member.
+  [[nodiscard]] std::size_t statusCount(const std::string &Id) const;
+  /// Whether a member's log has an entry with this data.
+  [[nodiscard]] bool holds(const std::string &Id,
+                           const std::string &Data) const;
   /// Number of replies that the member keeps back.
   [[nodiscard]] std::size_t heldCount(const std::string &Id) const;
 
@@ -112,6 +118,8 @@
                   const std::string &Text);
   void append(Member &At, const std::string &Id, const std::string &Item,
               const std::string &Data);
+  /// Gives the primary's log to all replicas that receive.
+  void replicate();
 
   boost::asio::any_io_executor Exec;
   std::string Service;
