--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -29,7 +29,7 @@
   const RouteRule &Route = Call.Session->Route;
   auto Needed =
       State.Freshness.positionFor(Route.MaximumAge, Call.Terms.ArrivedAt);
-  const auto &Written = Call.Session->State.lastWrite();
+  auto Written = Call.Session->State.lastWrite(Route.Service);
   if (Route.Level != Consistency::ReadYourWrites || !Written || !Needed)
     return Needed;
   auto Own = State.Freshness.positionFor(*Written);
@@ -754,7 +754,7 @@
   if (this->holdsLease(Service, Call->Epoch)) {
     if (Reply.Position)
       Call->Session->State.onWriteAcknowledged(
-          {.Epoch = Call->Epoch, .Entry = *Reply.Position});
+          Service, {.Epoch = Call->Epoch, .Entry = *Reply.Position});
     return this->deliver(Call, std::move(Reply));
   }
   writeDecision(DecisionLine("hold_acknowledgement")
--- a/session/SessionState.cpp
+++ b/session/SessionState.cpp
@@ -1,5 +1,7 @@
 #include "session/SessionState.h"
 
+#include <algorithm>
+
 namespace turmericpitch {
 
 StatementReply SessionState::successReply() const {
@@ -132,9 +134,19 @@
   this->ReadOnly = false;
 }
 
-void SessionState::onWriteAcknowledged(const EpochPosition &Reached) {
-  if (!this->LastWrite || *this->LastWrite < Reached)
-    this->LastWrite = Reached;
+void SessionState::onWriteAcknowledged(const ServiceId &Service,
+                                       const EpochPosition &Reached) {
+  EpochPosition &Last =
+      this->LastWrites.try_emplace(Service, Reached).first->second;
+  Last = std::max(Last, Reached);
+}
+
+std::optional<EpochPosition>
+SessionState::lastWrite(const ServiceId &Service) const {
+  auto Found = this->LastWrites.find(Service);
+  if (Found == this->LastWrites.end())
+    return std::nullopt;
+  return Found->second;
 }
 
 } // namespace turmericpitch
--- a/session/SessionState.h
+++ b/session/SessionState.h
@@ -1,6 +1,7 @@
 // The state of a caller's session.
 #pragma once
 
+#include "core/Identifiers.h"
 #include "core/LogPosition.h"
 #include "session/Statement.h"
 #include "session/StatementReply.h"
@@ -19,7 +20,8 @@
   auto operator<=>(const PreparedStatement &) const = default;
 };
 
-/// A log position with the epoch of the primary that reported it.
+/// A log position with the epoch of the primary that reported it. Positions of
+/// different services can't be compared.
 struct EpochPosition {
   std::uint64_t Epoch = 0;
   TermPosition Entry;
@@ -57,9 +59,10 @@
   void onTransactionFailed();
   /// Call when the transaction has ended.
   void onTransactionEnded();
-  /// Records that the log up to Reached contains a write or commit of the
-  /// session. Earlier positions are ignored.
-  void onWriteAcknowledged(const EpochPosition &Reached);
+  /// Records that the service's log up to Reached contains a write or commit of
+  /// the session. Earlier positions are ignored.
+  void onWriteAcknowledged(const ServiceId &Service,
+                           const EpochPosition &Reached);
 
   [[nodiscard]] SessionTransaction transaction() const {
     return this->Transaction;
@@ -76,9 +79,10 @@
   /// The prepared statement with this name, or nullptr.
   [[nodiscard]] const PreparedStatement *
   prepared(const std::string &Name) const;
-  [[nodiscard]] const std::optional<EpochPosition> &lastWrite() const {
-    return this->LastWrite;
-  }
+  /// The position of the session's last write or commit in a service; empty
+  /// without one.
+  [[nodiscard]] std::optional<EpochPosition>
+  lastWrite(const ServiceId &Service) const;
 
 private:
   std::optional<StatementReply> begin(bool ReadOnlyRequested);
@@ -92,7 +96,8 @@
   std::map<std::string, PreparedStatement> Prepared;
   SessionTransaction Transaction = SessionTransaction::None;
   bool ReadOnly = false;
-  std::optional<EpochPosition> LastWrite;
+  /// By service, as the session's route may be replaced by one to another.
+  std::map<ServiceId, EpochPosition> LastWrites;
 };
 
 } // namespace turmericpitch
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -155,9 +155,11 @@
     return Settings;
   }
 
-  void registerMember(const SessionGroupMember &Each, bool Draining = false) {
+  void registerMember(const SessionGroupMember &Each, bool Draining = false,
+                      const std::string &Service = "ledger") {
     this->Store.put("servers/" + Each.Id,
-                    R"({"service":"ledger","addr":")" + toString(Each.Where) +
+                    R"({"service":")" + Service + R"(","addr":")" +
+                        toString(Each.Where) +
                         R"(","zone":"a","version":"v1","slots":3,"state":")" +
                         (Draining ? "draining" : "ready") +
                         R"(","cold_left_ms":0,"seq":1,"db_role":")" +
@@ -209,6 +211,8 @@
   asio::executor_work_guard<asio::io_context::executor_type> WorkGuard{
       this->StandInLoop.get_executor()};
   SessionGroup Group;
+  /// A second service, without members at first.
+  SessionGroup Archive{this->StandInLoop.get_executor(), "archive"};
   RevisionStore Store;
   std::thread StandInThread;
   std::unique_ptr<SessionDaemon> Daemon;
@@ -242,6 +246,51 @@
               "DATAROW 58cm");
 }
 
+// A session whose route moved to another service kept the position of its last
+// write in the former one, so replicas served reads without its own commits.
+TEST_F(SessionDaemonTest, OwnWritesAreReadAfterTheRouteMovedToAnotherService) {
+  this->runOnStandIns([this] {
+    this->Group.stop("m1");
+    for (const char *Id : {"a1", "a2", "a3"})
+      EXPECT_TRUE(this->Archive.add(Id, {.Address = ownAddress(), .Port = 0}));
+    for (const SessionGroupMember &Each : this->Archive.members())
+      this->registerMember(Each, false, "archive");
+    return 0;
+  });
+  // The former service has had a failover.
+  this->writeUntilDone("booking", "one");
+  Caller Session("fittings");
+  ASSERT_TRUE(
+      Session.query("w", "WRITE hat 57cm").front().starts_with("COMPLETE"));
+  std::string Moved = configuration(3);
+  constexpr std::string_view Former = R"("service":"ledger")";
+  Moved.replace(Moved.rfind(Former), Former.size(), R"("service":"archive")");
+  constexpr std::string_view Services = R"("services":[)";
+  Moved.insert(Moved.find(Services) + Services.size(),
+               R"({"name":"archive","max_conns":20},)");
+  this->runOnStandIns([&] {
+    this->Store.put("op/config", Moved);
+    return 0;
+  });
+  // Whoever serves the session now signs its writes.
+  int Attempt = 0;
+  auto Write = [&](const std::string &Data) {
+    return Session.query("m" + std::to_string(Attempt++), "WRITE hat " + Data)
+        .front();
+  };
+  while (!Write("58cm").starts_with("COMPLETE signed-by-a"))
+    ASSERT_LT(Attempt, 100'000);
+  this->runOnStandIns([this] {
+    this->Archive.setReplicationPaused("a2", true);
+    this->Archive.setReplicationPaused("a3", true);
+    return 0;
+  });
+  ASSERT_TRUE(Write("59cm").starts_with("COMPLETE signed-by-a1"));
+  for (int Index = 0; Index < 20; ++Index)
+    EXPECT_EQ(Session.query("r" + std::to_string(Index), "READ hat").front(),
+              "DATAROW 59cm");
+}
+
 TEST_F(SessionDaemonTest, TransactionIsAtomic) {
   Caller Session("bookings");
   EXPECT_EQ(Session.query("b", "BEGIN").back(), "READY T -");
--- a/tests/session/SessionStateTest.cpp
+++ b/tests/session/SessionStateTest.cpp
@@ -84,13 +84,28 @@
 
 TEST(SessionState, LastWriteNeverMovesBack) {
   SessionState State;
+  const ServiceId Service{"ledger"};
   TermPosition Earlier{.WrittenIn = {1}, .Position = {5}};
   TermPosition Later{.WrittenIn = {1}, .Position = {9}};
-  State.onWriteAcknowledged({.Epoch = 1, .Entry = Later});
-  State.onWriteAcknowledged({.Epoch = 1, .Entry = Earlier});
-  EXPECT_EQ(State.lastWrite()->Entry, Later);
-  State.onWriteAcknowledged({.Epoch = 2, .Entry = Earlier});
-  EXPECT_EQ(State.lastWrite()->Epoch, 2U);
+  State.onWriteAcknowledged(Service, {.Epoch = 1, .Entry = Later});
+  State.onWriteAcknowledged(Service, {.Epoch = 1, .Entry = Earlier});
+  EXPECT_EQ(State.lastWrite(Service)->Entry, Later);
+  State.onWriteAcknowledged(Service, {.Epoch = 2, .Entry = Earlier});
+  EXPECT_EQ(State.lastWrite(Service)->Epoch, 2U);
+}
+
+// A position in one service hid all that the session wrote in another one.
+TEST(SessionState, PositionsOfServicesAreKeptApart) {
+  SessionState State;
+  const ServiceId Former{"ledger"};
+  const ServiceId Next{"archive"};
+  EpochPosition High{.Epoch = 3, .Entry = {.WrittenIn = {3}, .Position = {9}}};
+  EpochPosition Low{.Epoch = 1, .Entry = {.WrittenIn = {1}, .Position = {2}}};
+  State.onWriteAcknowledged(Former, High);
+  EXPECT_FALSE(State.lastWrite(Next));
+  State.onWriteAcknowledged(Next, Low);
+  EXPECT_EQ(State.lastWrite(Next), Low);
+  EXPECT_EQ(State.lastWrite(Former), High);
 }
 
 TEST(ConnectionState, NewConnectionReceivesOnlyTheSessionState) {
