--- a/drivers/StatementCall.h
+++ b/drivers/StatementCall.h
@@ -43,6 +43,9 @@
       : Timer(Exec), HedgeTimer(Exec) {}
 
   std::shared_ptr<SessionContext> Session;
+  /// The session's route when the statement was submitted. Members may answer
+  /// it after the session has gone on to another route.
+  RouteRule Route;
   Statement Request;
   SchedulingTerms Terms;
   ReplyHandler OnReply;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -26,7 +26,7 @@
 /// empty if no sample is known that would meet the requirement.
 std::optional<TermPosition> requiredReplicaPosition(const ServiceState &State,
                                                     const StatementCall &Call) {
-  const RouteRule &Route = Call.Session->Route;
+  const RouteRule &Route = Call.Route;
   auto Needed =
       State.Freshness.positionFor(Route.MaximumAge, Call.Terms.ArrivedAt);
   auto Written = Call.Session->State.lastWrite(Route.Service);
@@ -151,7 +151,7 @@
 }
 
 bool StatementDispatcher::isBeingReplaced(const SharedCall &Call) const {
-  const ServiceId &Service = Call->Session->Route.Service;
+  const ServiceId &Service = Call->Route.Service;
   auto Lease = this->LeaseOf(Service);
   return Lease && !this->holdsLease(Service, Call->Epoch) &&
          (Lease->Ending || Lease->Epoch != Call->Epoch);
@@ -224,8 +224,9 @@
 
 void StatementDispatcher::submit(const SharedCall &Call) {
   SessionContext &Session = *Call->Session;
+  Call->Route = Session.Route;
   const SessionState &State = Session.State;
-  bool Strong = Session.Route.Level == Consistency::Strong;
+  bool Strong = Call->Route.Level == Consistency::Strong;
   Call->NeedsPrimary = Strong || State.mayWrite(Call->Request);
   Call->LastingEffect =
       State.inTransaction()
@@ -249,10 +250,9 @@
 }
 
 void StatementDispatcher::enqueue(const SharedCall &Call) {
-  ServiceState &State = this->Services[Call->Session->Route.Service];
-  State.Id = Call->Session->Route.Service;
-  Call->Terms.ServiceTime =
-      this->ServiceTimes[classOf(Call->Session->Route)].value();
+  ServiceState &State = this->Services[Call->Route.Service];
+  State.Id = Call->Route.Service;
+  Call->Terms.ServiceTime = this->ServiceTimes[classOf(Call->Route)].value();
   if (State.Queue.empty() &&
       this->tryPlace(State, Call) == StartAttempt::Done) {
     State.Monitor.onPass({}, this->Clock.now());
@@ -433,7 +433,7 @@
   Call->Epoch = Lease ? Lease->Epoch : 0;
   if (++Call->Attempts == 1) {
     this->Use->note(Call->Session->Account, this->Clock.now());
-    ServiceState &State = this->Services[Call->Session->Route.Service];
+    ServiceState &State = this->Services[Call->Route.Service];
     State.HedgeBudget.onFirstAttempt();
     State.FailedReadBudget.onFirstAttempt();
   }
@@ -501,8 +501,7 @@
 }
 
 void StatementDispatcher::sendBegin(const SharedCall &Call) {
-  if (Call->Epoch != 0 &&
-      !this->holdsLease(Call->Session->Route.Service, Call->Epoch)) {
+  if (Call->Epoch != 0 && !this->holdsLease(Call->Route.Service, Call->Epoch)) {
     this->releaseLink(Call);
     return this->retry(Call, false, "right_ran_out");
   }
@@ -518,7 +517,7 @@
           ReplyFailure Failure = *Reply.value().Failure;
           return this->onFailure(Call, Failure, std::move(Reply.value()));
         }
-        if (!this->ranUnderLease(Call->Session->Route.Service, Call->Epoch)) {
+        if (!this->ranUnderLease(Call->Route.Service, Call->Epoch)) {
           // Nothing has run in the transaction yet.
           auto Link = Call->Link;
           auto Pool = Call->Pool;
@@ -543,7 +542,7 @@
 
 void StatementDispatcher::sendStatement(const SharedCall &Call) {
   SessionContext &Session = *Call->Session;
-  const ServiceId &Service = Session.Route.Service;
+  const ServiceId &Service = Call->Route.Service;
   bool Running = Session.State.transaction() == SessionTransaction::Running;
   if (Call->Epoch != 0 && !Running && !this->holdsLease(Service, Call->Epoch)) {
     this->releaseLink(Call);
@@ -604,7 +603,7 @@
 }
 
 void StatementDispatcher::hedge(const SharedCall &Call) {
-  ServiceState &State = this->Services[Call->Session->Route.Service];
+  ServiceState &State = this->Services[Call->Route.Service];
   HedgeContext Seen{.AttemptRuns = Call->Link != nullptr,
                     .Loaded = !State.Queue.empty() || Call->Pool->congested(),
                     .MemberAnswers = Call->Pool->answeredSince(Call->SentAt)};
@@ -640,7 +639,7 @@
   }
   Attempt.Pool->onStatementEnded(std::nullopt);
   Attempt.Pool->release(Attempt.Link, Now);
-  asio::post(this->Exec, [this, Service = Call->Session->Route.Service] {
+  asio::post(this->Exec, [this, Service = Call->Route.Service] {
     this->serve(this->Services[Service]);
   });
   if (Reply)
@@ -666,7 +665,7 @@
     Call->FailedReply = std::move(Reply.value());
     return;
   }
-  if (this->ranUnderLease(Call->Session->Route.Service, Attempt.Epoch))
+  if (this->ranUnderLease(Call->Route.Service, Attempt.Epoch))
     return this->deliver(Call, std::move(Reply.value()));
   Call->MayHaveRun = true;
 }
@@ -681,7 +680,7 @@
   Attempt.Pool->onPositionReported(*Reply.Position);
   if (Attempt.MinPosition && !Reply.Failure)
     Attempt.Pool->onCaughtUp();
-  const ServiceId &Service = Call->Session->Route.Service;
+  const ServiceId &Service = Call->Route.Service;
   if (Attempt.Epoch == 0)
     return;
   // If the lease of this epoch is valid now, it was also valid when the
@@ -702,7 +701,7 @@
   if (Code == ReplyError::Failed)
     Attempt.Pool->onRunEnded(true);
   if (Code == ReplyError::ReadOnly && Attempt.Epoch != 0)
-    this->Services[Call->Session->Route.Service].NotPrimaryUntil =
+    this->Services[Call->Route.Service].NotPrimaryUntil =
         Now + this->Options.NotPrimaryBackoff;
 }
 
@@ -712,7 +711,7 @@
   bool Answered = Reply.hasValue();
   std::optional<MemberLinkPool::RunTime> Run;
   if (Answered && !Reply.value().Failure) {
-    const RouteRule &Route = Call->Session->Route;
+    const RouteRule &Route = Call->Route;
     Run = {.Elapsed = Now - Call->SentAt,
            .TargetTime = Route.LatencyGoal / this->Options.GoalShare};
     Call->Pool->onRunEnded(false);
@@ -733,7 +732,7 @@
   }
   SessionContext &Session = *Call->Session;
   if (!Session.State.inTransaction() && !Call->LastingEffect &&
-      !this->ranUnderLease(Session.Route.Service, Call->Epoch)) {
+      !this->ranUnderLease(Call->Route.Service, Call->Epoch)) {
     Call->MayHaveRun = true;
     this->releaseLink(Call);
     return this->retry(Call, false, "right_ran_out");
@@ -750,7 +749,7 @@
 
 void StatementDispatcher::confirmOrHold(const SharedCall &Call,
                                         StatementReply Reply) {
-  const ServiceId &Service = Call->Session->Route.Service;
+  const ServiceId &Service = Call->Route.Service;
   if (this->holdsLease(Service, Call->Epoch)) {
     if (Reply.Position)
       Call->Session->State.onWriteAcknowledged(
@@ -778,7 +777,7 @@
   for (HeldReply &Each : Replies) {
     if (Each.Call->Finished)
       continue;
-    const ServiceId &Service = Each.Call->Session->Route.Service;
+    const ServiceId &Service = Each.Call->Route.Service;
     auto Lease = this->LeaseOf(Service);
     bool Superseded = Lease && Lease->Epoch != Each.Epoch;
     if (this->holdsLease(Service, Each.Epoch))
@@ -817,7 +816,7 @@
         .AttemptsLeft = Call->Attempts < this->Options.MaxAttempts};
     if (Call->Outstanding.empty() &&
         shouldRunElsewhere(
-            Seen, this->Services[Session.Route.Service].FailedReadBudget)) {
+            Seen, this->Services[Call->Route.Service].FailedReadBudget)) {
       Call->FailedReply = std::move(Reply);
       return this->retry(Call, true, "failed");
     }
@@ -906,7 +905,7 @@
   if (LastAttempt)
     return this->refuse(Call, ReplyError::Busy, "all attempts failed",
                         this->Options.RetryAfter);
-  ServiceState &State = this->Services[Call->Session->Route.Service];
+  ServiceState &State = this->Services[Call->Route.Service];
   this->pushToQueue(State, Call);
   this->scheduleWake();
   this->serve(State);
@@ -923,7 +922,7 @@
     Call->Session->PinnedPool.reset();
   }
   Call->Pool->release(Link, this->Clock.now());
-  asio::post(this->Exec, [this, Service = Call->Session->Route.Service] {
+  asio::post(this->Exec, [this, Service = Call->Route.Service] {
     this->serve(this->Services[Service]);
   });
 }
--- a/drivers/StatementLog.cpp
+++ b/drivers/StatementLog.cpp
@@ -20,8 +20,8 @@
   DecisionLine Line(Kind);
   Line.field("request", Call.Request.Id)
       .field("account", Session.Account.Value)
-      .field("route", Session.Route.Name)
-      .field("service", Session.Route.Service.Value);
+      .field("route", Call.Route.Name)
+      .field("service", Call.Route.Service.Value);
   if (Session.State.transaction() == SessionTransaction::Running)
     Line.field("transaction", Session.TransactionId);
   return Line;
--- a/tests/drivers/StatementHedgeTest.cpp
+++ b/tests/drivers/StatementHedgeTest.cpp
@@ -176,6 +176,31 @@
   EXPECT_EQ(this->Replies, 1);
 }
 
+// The log position of one service counted for the other one once the session
+// had gone on to its route.
+TEST_F(StatementHedgeTest, LateReplyCountsForTheServiceThatItCameFrom) {
+  const ServiceId Next{"archive"};
+  RegistryChange Gone;
+  Gone.Removed.push_back(
+      this->Dispatcher.services().at(Service).Pools.at({"m3"})->member());
+  this->Dispatcher.onRegistry(Gone, this->Routes, 1);
+  this->startHeldRead();
+  this->runUntil([&] {
+    return this->Group.heldCount("m1") > 0 && this->Group.heldCount("m2") > 0;
+  });
+  this->Group.setRepliesHeld("m2", false);
+  ASSERT_FALSE(this->finish().Failure);
+  this->Call->Session->Route.Service = Next;
+  this->Group.setRepliesHeld("m1", false);
+  this->runUntil([&] {
+    auto Links = this->Dispatcher.links();
+    return Links.Open == Links.Idle;
+  });
+  auto State = this->Dispatcher.services().find(Next);
+  EXPECT_TRUE(State == this->Dispatcher.services().end() ||
+              !State->second.Freshness.newest());
+}
+
 /// Seen in the load test "sabedge large quiet-1": two lagging replicas turned a
 /// read away that the primary held, and the client was told "not run".
 TEST_F(StatementHedgeTest, RefusalsOfOtherMembersAreNoRefusal) {
