--- a/routing/FreshnessTracker.cpp
+++ b/routing/FreshnessTracker.cpp
@@ -72,7 +72,7 @@
 
 std::optional<TermPosition>
 FreshnessTracker::positionFor(const EpochPosition &Written) const {
-  if (Written.Epoch == this->Epoch)
+  if (Written.Epoch >= this->Epoch)
     return Written.Entry;
   return this->FirstOfEpoch;
 }
--- a/routing/FreshnessTracker.h
+++ b/routing/FreshnessTracker.h
@@ -47,9 +47,11 @@
   /// BeganAt is no older than MaximumAge; empty if no sample is recent enough.
   [[nodiscard]] std::optional<TermPosition>
   positionFor(Duration MaximumAge, TimePoint BeganAt) const;
-  /// The position that a log must reach to hold the session's own commits: the
-  /// written position, or the first sample of the current epoch if it was
-  /// written in another epoch.
+  /// The position that a log must reach to hold the session's own commits in
+  /// this service: the written position, or the first sample of the current
+  /// epoch if it was written in an earlier one. The epoch may be newer than all
+  /// samples, as the position of a write whose acknowledgement was held back is
+  /// no sample.
   [[nodiscard]] std::optional<TermPosition>
   positionFor(const EpochPosition &Written) const;
   /// The newest sample; empty if there is none.
--- a/tests/routing/FreshnessTrackerTest.cpp
+++ b/tests/routing/FreshnessTrackerTest.cpp
@@ -72,6 +72,15 @@
   EXPECT_EQ(Tracker.newest()->Reached, position(1, 40));
 }
 
+// A write whose acknowledgement was held back until the lease was renewed gives
+// no sample, and its session read from a log without it.
+TEST(FreshnessTracker, PositionOfAnEpochWithoutSampleIsAskedForItself) {
+  FreshnessTracker Tracker;
+  Tracker.onPrimaryAnswer(1, position(1, 10), at(1000));
+  EXPECT_EQ(Tracker.positionFor(EpochPosition{2, position(1, 30)}),
+            position(1, 30));
+}
+
 // Lets replicas serve bounded-staleness reads across a change of primary.
 TEST(FreshnessTracker, KeepsSamplesThatTheNewPrimaryHolds) {
   FreshnessTracker Tracker;
