--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr std::uint32_t AttemptIdBound = 1U << 30;
-constexpr std::uint64_t FirstEpoch = 1;
 
 std::string positionText(const TermPosition &Position) {
   return std::to_string(Position.WrittenIn.Value) + "." +
@@ -554,6 +553,8 @@
     return;
   }
   this->UnverifiedEra.reset();
+  this->ListedAtRevision =
+      std::max(this->ListedAtRevision, Listing.StoreRevision);
   if (Promoter != this->PromoterRevision)
     this->PromoterSeenAt = this->Clock.now();
   this->PromoterRevision = Promoter;
@@ -846,8 +847,9 @@
   auto Primary = chooseFirstPrimary(this->Options.FirstPrimary, Candidates,
                                     this->Clock.now() - SoughtAt);
   if (Primary && !this->Leases.record(Id)) {
-    PrimaryRecord First{
-        .Service = Id, .Epoch = FirstEpoch, .Primary = *Primary};
+    PrimaryRecord First{.Service = Id,
+                        .Epoch = firstEpoch(this->ListedAtRevision),
+                        .Primary = *Primary};
     co_await this->write(First, Revision{});
   }
   if (!Candidates.empty())
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -339,6 +339,8 @@
   /// 0 if it doesn't. Grantors then holds the set before it, and records can't
   /// be written until that is restored.
   Revision UnreadableGrantors;
+  /// The store's revision at the newest listing of verified records.
+  Revision ListedAtRevision;
   SkippedEntries SkippedRecords{"reign_record_skipped"};
   RecordRepair Repair;
   /// When this instance first looked for the primary of a service without a
--- a/failover/PrimaryRecord.cpp
+++ b/failover/PrimaryRecord.cpp
@@ -1,5 +1,7 @@
 #include "failover/PrimaryRecord.h"
 
+#include <algorithm>
+
 #include "core/Word.h"
 
 #include <boost/json.hpp>
@@ -33,6 +35,10 @@
   return "open";
 }
 
+std::uint64_t firstEpoch(Revision ListedAt) {
+  return std::max<std::uint64_t>(1, ListedAt.Value);
+}
+
 std::string primaryRecordKey(const ServiceId &Service) {
   return std::string(PrimaryRecordPrefix) + std::string(ServicePart) +
          Service.Value;
--- a/failover/PrimaryRecord.h
+++ b/failover/PrimaryRecord.h
@@ -55,6 +55,13 @@
   auto operator<=>(const PrimaryRecord &) const = default;
 };
 
+/// The epoch of a record that is written where there is none, or none that can
+/// be read, as the store showed at ListedAt. Above all epochs that the service
+/// may have had before: each of them began with a write of its own. So
+/// positions and leases of an earlier record can't be taken for those of this
+/// one. Thread-safe.
+std::uint64_t firstEpoch(Revision ListedAt);
+
 /// The key of a service's record. Thread-safe.
 std::string primaryRecordKey(const ServiceId &Service);
 /// The service whose record a key holds; nothing for another key. Thread-safe.
--- a/failover/RecordRepair.cpp
+++ b/failover/RecordRepair.cpp
@@ -48,12 +48,13 @@
   if (Now - Lost.SeenAt < Wait)
     return std::nullopt;
   PrimaryRecord Before = Lost.Known.value_or(PrimaryRecord{});
-  return PrimaryRecord{.Service = Id,
-                       .Epoch = Before.Epoch + LostEpochs,
-                       .Primary = Before.Primary,
-                       .Phase = PrimaryPhase::Closing,
-                       .ClosedFrom = Lost.Stored,
-                       .Stored = Lost.Stored};
+  return PrimaryRecord{
+      .Service = Id,
+      .Epoch = std::max(Before.Epoch, firstEpoch(Lost.Stored)) + LostEpochs,
+      .Primary = Before.Primary,
+      .Phase = PrimaryPhase::Closing,
+      .ClosedFrom = Lost.Stored,
+      .Stored = Lost.Stored};
 }
 
 } // namespace turmericpitch
--- a/tests/drivers/FailoverCoordinatorTest.cpp
+++ b/tests/drivers/FailoverCoordinatorTest.cpp
@@ -211,7 +211,23 @@
   }
 }
 
-// The same for a fleet whose processes have all started since.
+// The record that was written in place of a deleted one began again with the
+// first epoch, so log positions and leases of two lines of history were the
+// same.
+TEST(FailoverCoordinator, RecordThatIsWrittenAnewBeginsAboveEarlierEpochs) {
+  Surroundings Around;
+  ASSERT_TRUE(Around.start());
+  SoleInstance Own(Around);
+  ASSERT_TRUE(Own.start());
+  ASSERT_TRUE(Around.runUntil([&] { return Own.leads("m1"); }));
+  std::uint64_t Epoch = Own.record()->Epoch;
+  Around.store().erase(primaryRecordKey(Service));
+  ASSERT_TRUE(Around.runUntil([&] { return !Own.record(); }));
+  ASSERT_TRUE(Around.runUntil([&] { return Own.leads("m1"); }));
+  EXPECT_GT(Own.record()->Epoch, Epoch);
+}
+
+// An unreadable record of a fleet whose processes have all started since.
 TEST(FailoverCoordinator, UnreadableRecordIsReplacedByAFleetThatStarts) {
   Surroundings Around;
   Around.store().put(primaryRecordKey(Service), "[[");
--- a/tests/platform/ConfigurationFollowTest.cpp
+++ b/tests/platform/ConfigurationFollowTest.cpp
@@ -44,6 +44,35 @@
   this->expectApplied(Left, Left.front());
 }
 
+// The same for the members, whose list no watch follows: a draining primary is
+// replaced before it ends.
+TEST_F(ConfigurationFollowTest,
+       MembersAfterSilentConnectionsAndTheLossOfTheReader) {
+  std::size_t Reader = this->Fleet.reader();
+  std::size_t Left = (Reader + 1) % SessionFleet::Size;
+  this->Fleet.onStandIns([&] {
+    for (std::size_t Index = 0; Index < SessionFleet::Size; ++Index)
+      this->Fleet.door(Index).silenceConnections();
+    return 0;
+  });
+  this->Fleet.kill(Reader);
+  auto Over = this->Fleet.afterRenewals(Left, RenewalsInBound);
+  std::string Entry = this->Fleet.value("servers/m1");
+  Entry.replace(Entry.find("ready"), 5, "draining");
+  this->Fleet.put("servers/m1", Entry);
+  auto IsReplaced = [this] {
+    return this->Fleet.onStandIns([this] {
+      for (const SessionGroupMember &Each : this->Fleet.group().members())
+        if (Each.Primary)
+          return Each.Id != "m1";
+      return false;
+    });
+  };
+  while (!IsReplaced() && !Over())
+    std::this_thread::yield();
+  EXPECT_TRUE(IsReplaced());
+}
+
 TEST_F(ConfigurationFollowTest, StoreTurnsAwayAnInstance) {
   std::size_t Reader = this->Fleet.reader();
   std::size_t TurnedAway = (Reader + 1) % SessionFleet::Size;
--- a/tests/platform/RevisionStore.h
+++ b/tests/platform/RevisionStore.h
@@ -24,6 +24,11 @@
   Awaitable<HttpReply> handle(HttpRequest Request);
   /// Writes a key as the operator or a member would.
   void put(const std::string &Key, const std::string &Value);
+  /// Deletes a key as another writer would.
+  void erase(const std::string &Key) {
+    this->Items.erase(Key);
+    ++this->Revision;
+  }
   /// The value of a key, or "".
   [[nodiscard]] std::string value(const std::string &Key) const {
     auto Found = this->Items.find(Key);
