--- a/routing/FreshnessTracker.cpp
+++ b/routing/FreshnessTracker.cpp
@@ -72,7 +72,8 @@
 
 std::optional<TermPosition>
 FreshnessTracker::positionFor(const EpochPosition &Written) const {
-  if (Written.Epoch >= this->Epoch)
+  // Without a sample nothing is known of the epochs.
+  if (this->FirstOfEpoch && Written.Epoch >= this->Epoch)
     return Written.Entry;
   return this->FirstOfEpoch;
 }
