--- a/drivers/MemberLinkPool.cpp
+++ b/drivers/MemberLinkPool.cpp
@@ -117,7 +117,6 @@
 MemberLinkPool::takeIdle(const ClientAccountId &Account,
                          const std::map<std::string, std::string> &Values) {
   this->eraseEndedIdle();
-  PreparedStatementNames Unused;
   std::size_t BestIndex = this->IdleLinks.size();
   std::size_t FewestSteps = SIZE_MAX;
   // Prefers the most recently used link, so that the others reach their idle
@@ -126,7 +125,7 @@
     if (this->IdleLinks[Back - 1]->account() != Account)
       continue;
     std::size_t Steps = this->IdleLinks[Back - 1]
-                            ->SetupState.setupSteps(Values, nullptr, Unused)
+                            ->SetupState.setupSteps(Values, nullptr)
                             .size();
     if (Steps < FewestSteps) {
       FewestSteps = Steps;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -465,7 +465,7 @@
           ? Call->Session->State.prepared(Call->Request.Name)
           : nullptr;
   auto SetupSteps = Call->Link->SetupState.setupSteps(
-      Call->Session->State.values(), Prepared, this->Names);
+      Call->Session->State.values(), Prepared);
   Call->SetupSteps.assign(SetupSteps.begin(), SetupSteps.end());
   Call->StatementSent = false;
   this->advance(Call);
@@ -556,8 +556,7 @@
   }
   std::optional<std::string> PreparedName;
   if (Call->Request.Kind == StatementKind::Execute)
-    PreparedName =
-        this->Names.nameOf(*Session.State.prepared(Call->Request.Name));
+    PreparedName = memberNameOf(*Session.State.prepared(Call->Request.Name));
   auto Line = encodeForMember(Call->Request, PreparedName,
                               Running ? std::nullopt : Call->MinPosition);
   if (!Line)
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -235,7 +235,6 @@
   /// Of all services together.
   std::shared_ptr<AccountUse> Use = std::make_shared<AccountUse>();
   std::vector<HeldReply> HeldReplies;
-  PreparedStatementNames Names;
   boost::asio::steady_timer WakeTimer;
   bool WakeScheduled = false;
   BootClock Clock;
--- a/session/ConnectionState.cpp
+++ b/session/ConnectionState.cpp
@@ -1,16 +1,24 @@
 #include "session/ConnectionState.h"
 
+#include "core/Digest.h"
+
 namespace turmericpitch {
 
-std::string PreparedStatementNames::nameOf(const PreparedStatement &Prepared) {
-  auto [Found, Added] =
-      this->Names.try_emplace(Prepared, "p" + std::to_string(Names.size()));
-  return Found->second;
+namespace {
+
+/// 128 bits: callers can't find two texts with the same name.
+constexpr std::size_t NameDigits = 32;
+
+} // namespace
+
+std::string memberNameOf(const PreparedStatement &Prepared) {
+  return (Prepared.Writes ? "w" : "r") +
+         sha256Hex(Prepared.Text).substr(0, NameDigits);
 }
 
 std::vector<SessionSetupStep> ConnectionState::setupSteps(
     const std::map<std::string, std::string> &SessionValues,
-    const PreparedStatement *Prepared, PreparedStatementNames &Names) const {
+    const PreparedStatement *Prepared) const {
   std::vector<SessionSetupStep> Steps;
   bool Clear = this->Prepared.size() >= MaxPrepared;
   for (const auto &[Name, Value] : this->Values)
@@ -26,7 +34,7 @@
   }
   if (!Prepared)
     return Steps;
-  std::string Name = Names.nameOf(*Prepared);
+  std::string Name = memberNameOf(*Prepared);
   if (Clear || !this->Prepared.contains(Name))
     Steps.push_back({.Type = SessionSetupStep::Kind::Prepare,
                      .Name = std::move(Name),
--- a/session/ConnectionState.h
+++ b/session/ConnectionState.h
@@ -31,16 +31,10 @@
   bool operator==(const SessionSetupStep &) const = default;
 };
 
-/// Assigns names to prepared statements by their content, so that sessions with
-/// equal statements share them on a connection. Not thread-safe.
-class PreparedStatementNames {
-public:
-  /// The name used at members; equal statements have the same name.
-  std::string nameOf(const PreparedStatement &Prepared);
-
-private:
-  std::map<PreparedStatement, std::string> Names;
-};
+/// The name used at members for a prepared statement. Derived from its content
+/// alone, so that sessions with equal statements share them on a connection and
+/// nothing has to be remembered. Thread-safe.
+std::string memberNameOf(const PreparedStatement &Prepared);
 
 /// Values and prepared statements of one connection. Performs no I/O; not
 /// thread-safe.
@@ -55,8 +49,7 @@
   /// or nullptr.
   [[nodiscard]] std::vector<SessionSetupStep>
   setupSteps(const std::map<std::string, std::string> &SessionValues,
-             const PreparedStatement *Prepared,
-             PreparedStatementNames &Names) const;
+             const PreparedStatement *Prepared) const;
   /// Records a step that the member has confirmed.
   void onStepCompleted(const SessionSetupStep &Step);
 
--- a/tests/session/SessionStateTest.cpp
+++ b/tests/session/SessionStateTest.cpp
@@ -110,47 +110,54 @@
 
 TEST(ConnectionState, NewConnectionReceivesOnlyTheSessionState) {
   ConnectionState Connection;
-  PreparedStatementNames Names;
   PreparedStatement Prepared{.Writes = true, .Text = "q"};
-  auto Steps = Connection.setupSteps({{"x", "1"}}, &Prepared, Names);
+  auto Steps = Connection.setupSteps({{"x", "1"}}, &Prepared);
   ASSERT_EQ(Steps.size(), 2U);
   EXPECT_EQ(Steps[0].Type, SessionSetupStep::Kind::SetValue);
   EXPECT_EQ(Steps[1].Type, SessionSetupStep::Kind::Prepare);
   for (const SessionSetupStep &Step : Steps)
     Connection.onStepCompleted(Step);
-  EXPECT_TRUE(Connection.setupSteps({{"x", "1"}}, &Prepared, Names).empty());
+  EXPECT_TRUE(Connection.setupSteps({{"x", "1"}}, &Prepared).empty());
 }
 
 TEST(ConnectionState, ValuesOfAnotherSessionAreClearedFirst) {
   ConnectionState Connection;
-  PreparedStatementNames Names;
   for (const SessionSetupStep &Step :
-       Connection.setupSteps({{"x", "1"}}, nullptr, Names))
+       Connection.setupSteps({{"x", "1"}}, nullptr))
     Connection.onStepCompleted(Step);
-  auto Steps = Connection.setupSteps({{"y", "2"}}, nullptr, Names);
+  auto Steps = Connection.setupSteps({{"y", "2"}}, nullptr);
   ASSERT_EQ(Steps.size(), 2U);
   EXPECT_EQ(Steps[0].Type, SessionSetupStep::Kind::Clear);
   EXPECT_EQ(Steps[1].Name, "y");
 }
 
 TEST(ConnectionState, EqualStatementsShareAName) {
-  PreparedStatementNames Names;
   PreparedStatement Read{.Writes = false, .Text = "q"};
   PreparedStatement Write{.Writes = true, .Text = "q"};
-  EXPECT_EQ(Names.nameOf(Read), Names.nameOf(Read));
-  EXPECT_NE(Names.nameOf(Read), Names.nameOf(Write));
+  EXPECT_EQ(memberNameOf(Read), memberNameOf(Read));
+  EXPECT_NE(memberNameOf(Read), memberNameOf(Write));
+}
+
+// The name came from a table that kept the text of each statement until the
+// process ended.
+TEST(ConnectionState, NameDependsOnTheStatementAlone) {
+  PreparedStatement Asked{.Writes = false, .Text = "q"};
+  std::string Name = memberNameOf(Asked);
+  for (int Index = 0; Index < 100; ++Index)
+    EXPECT_NE(memberNameOf({.Writes = false, .Text = std::to_string(Index)}),
+              Name);
+  EXPECT_EQ(Name, "r8e35c2cd3bf6641bdb0e2050b76932cb");
 }
 
 TEST(ConnectionState, IsClearedAtThePreparedStatementLimit) {
   ConnectionState Connection;
-  PreparedStatementNames Names;
   for (std::size_t Index = 0; Index < ConnectionState::MaxPrepared; ++Index) {
     PreparedStatement Each{.Writes = false, .Text = std::to_string(Index)};
-    for (const SessionSetupStep &Step : Connection.setupSteps({}, &Each, Names))
+    for (const SessionSetupStep &Step : Connection.setupSteps({}, &Each))
       Connection.onStepCompleted(Step);
   }
   PreparedStatement First{.Writes = false, .Text = "0"};
-  auto Steps = Connection.setupSteps({}, &First, Names);
+  auto Steps = Connection.setupSteps({}, &First);
   ASSERT_EQ(Steps.size(), 2U);
   EXPECT_EQ(Steps[0].Type, SessionSetupStep::Kind::Clear);
 }
