--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -385,6 +385,8 @@
     });
     while (Caller("repairs").StartupReply != "READY I -")
       std::this_thread::yield();
+    // A sample of the primary covers what departed before the daemon started.
+    this->awaitListing();
     this->writeUntilDone("booking", "kept");
   }
 
@@ -402,10 +404,14 @@
           this->registerMember(Each, true);
       return 0;
     });
-    // The first of two further listings may have begun before.
+    this->awaitListing();
+  }
+  /// Waits until the daemon has listed the members.
+  void awaitListing() {
     auto Listings = [] {
       return processMetrics().counterValue("store_listings_total", "members");
     };
+    // The first of two further listings may have begun before.
     auto Before = Listings();
     this->waitFor([&] { return Listings() >= Before + 2; }, false);
   }
