--- a/drivers/MemberLink.cpp
+++ b/drivers/MemberLink.cpp
@@ -100,8 +100,12 @@
   // A member refuses to open a session with a single error line, and then
   // closes the connection.
   auto Decoded = toOutcome([&] { return this->Reader.feed(Line); });
-  if (!Decoded)
+  if (!Decoded) {
+    writeWarning(
+        "event=member_reply_refused member=" + logValue(this->Member.Id.Value) +
+        " reason=" + logValue(Decoded.error().Message));
     return this->onEnd();
+  }
   if (this->OnOpened && !Decoded.value() && this->Reader.failure()) {
     ReplyError Code = this->Reader.failure()->Code;
     if (Code == ReplyError::TooManyConnections)
--- a/tests/platform/SessionLinesTest.cpp
+++ b/tests/platform/SessionLinesTest.cpp
@@ -205,5 +205,29 @@
   EXPECT_FALSE(toOutcome([&] { return decodeMemberReport({}); }));
 }
 
+// A member's reply was kept whatever its size.
+TEST(SessionLines, RepliesOfMembersAreBounded) {
+  for (const std::string &Row : {std::string(100'000, 'r'), std::string()}) {
+    MemberReplyReader Reader;
+    std::size_t Rows = 0;
+    auto FeedRow = [&] {
+      return static_cast<bool>(
+          toOutcome([&] { return Reader.feed("DATAROW " + Row); }));
+    };
+    while (Rows < 1'000'000 && FeedRow())
+      ++Rows;
+    EXPECT_LE(Rows * (Row.size() + MemberReplyReader::RowOverhead),
+              MemberReplyReader::MaxReplyBytes);
+    EXPECT_GE(Rows, 41U);
+  }
+  // The bound holds for each reply.
+  MemberReplyReader Reader;
+  for (int Reply = 0; Reply < 60; ++Reply)
+    for (const std::string &Line :
+         {"DATAROW " + std::string(100'000, 'r'), std::string("COMPLETE c"),
+          std::string("READY I -")})
+      ASSERT_TRUE(toOutcome([&] { return Reader.feed(Line); })) << Reply;
+}
+
 } // namespace
 } // namespace turmericpitch
