--- a/drivers/HttpServer.cpp
+++ b/drivers/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "drivers/HttpServer.h"
 
+#include "core/DecisionLog.h"
+#include "drivers/AcceptRetry.h"
 #include "drivers/ByteStream.h"
 #include "drivers/HttpMessages.h"
 
@@ -9,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
@@ -302,8 +305,16 @@
     auto Strand = asio::make_strand(this->Exec);
     auto Token = asio::redirect_error(asio::use_awaitable, Failure);
     tcp::socket Socket = co_await this->Acceptor.async_accept(Strand, Token);
-    if (Failure)
+    if (Failure == asio::error::operation_aborted)
+      co_return;
+    if (Failure) {
+      writeWarning("event=http_accept_failed reason=" +
+                   logValue(Failure.message()));
+      asio::steady_timer Retry(this->Acceptor.get_executor(),
+                               AcceptRetryInterval);
+      co_await Retry.async_wait(Token);
       continue;
+    }
     Socket.set_option(tcp::no_delay(true), Failure);
     TlsContext Tls;
     if (this->Options.CurrentTls)
--- a/drivers/SessionServer.cpp
+++ b/drivers/SessionServer.cpp
@@ -1,6 +1,8 @@
 #include "drivers/SessionServer.h"
 
 #include "core/DecisionLog.h"
+#include "core/Metrics.h"
+#include "drivers/AcceptRetry.h"
 #include "drivers/CallerSession.h"
 
 #include <boost/asio/post.hpp>
@@ -16,7 +18,8 @@
                              StatementDispatcher &Dispatcher)
     : Exec(Exec), Options(std::move(Options)), Routes(Routes),
       Dispatcher(Dispatcher), Acceptor(Exec),
-      Memory(std::make_shared<MemoryBudget>(this->Options.Memory)) {}
+      Memory(std::make_shared<MemoryBudget>(this->Options.Memory)),
+      AcceptTimer(Exec) {}
 
 SessionServer::~SessionServer() = default;
 
@@ -44,18 +47,39 @@
 }
 
 void SessionServer::accept() {
-  this->Acceptor.async_accept([this](const ErrorCode &Failure,
-                                     asio::ip::tcp::socket Connected) {
-    if (Failure == asio::error::operation_aborted)
-      return;
-    if (Failure)
-      writeWarning("event=accept_failed reason=\"" + Failure.message() + "\"");
-    else
-      this->onAccepted(std::move(Connected));
-    this->accept();
+  this->Acceptor.async_accept(
+      [this](const ErrorCode &Failure, asio::ip::tcp::socket Connected) {
+        if (Failure == asio::error::operation_aborted)
+          return;
+        if (!Failure) {
+          this->onAccepted(std::move(Connected));
+          return this->accept();
+        }
+        writeWarning("event=accept_failed sessions=" +
+                     std::to_string(this->Sessions.size()) +
+                     " reason=" + logValue(Failure.message()));
+        this->acceptLater();
+      });
+}
+
+void SessionServer::acceptLater() {
+  processMetrics().count("accepts_suspended_total", "failed");
+  this->AcceptSuspended = true;
+  this->AcceptTimer.expires_after(AcceptRetryInterval);
+  this->AcceptTimer.async_wait([this](const ErrorCode &Failure) {
+    if (!Failure)
+      this->resumeAccepting();
   });
 }
 
+void SessionServer::resumeAccepting() {
+  if (!std::exchange(this->AcceptSuspended, false))
+    return;
+  this->AcceptTimer.cancel();
+  if (this->Acceptor.is_open())
+    this->accept();
+}
+
 void SessionServer::onAccepted(asio::ip::tcp::socket Connected) {
   if (this->Sessions.size() >= this->Options.MaximumSessions) {
     writeWarning("event=session_refused reason=\"session limit reached\"");
@@ -72,7 +96,10 @@
 
 void SessionServer::remove(const std::shared_ptr<CallerSession> &Session) {
   // Called by the session itself, so it must not be destroyed right away.
-  asio::post(this->Exec, [this, Session] { this->Sessions.erase(Session); });
+  asio::post(this->Exec, [this, Session] {
+    this->Sessions.erase(Session);
+    this->resumeAccepting();
+  });
 }
 
 void SessionServer::closeIdle() {
@@ -97,6 +124,7 @@
 void SessionServer::stopAccepting() {
   ErrorCode Ignored;
   this->Acceptor.close(Ignored);
+  this->AcceptTimer.cancel();
 }
 
 std::size_t SessionServer::busySessions() const {
--- a/drivers/SessionServer.h
+++ b/drivers/SessionServer.h
@@ -8,6 +8,7 @@
 #include "limits/MemoryBudget.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <set>
 
 namespace turmericpitch {
@@ -57,6 +58,10 @@
 private:
   friend class CallerSession;
   void accept();
+  /// Suspends accepting until a session has ended, for AcceptRetryInterval at
+  /// the longest.
+  void acceptLater();
+  void resumeAccepting();
   void onAccepted(boost::asio::ip::tcp::socket Connected);
   void remove(const std::shared_ptr<CallerSession> &Session);
 
@@ -68,6 +73,8 @@
   /// Shared with the connections, which outlive their sessions.
   std::shared_ptr<MemoryBudget> Memory;
   std::set<std::shared_ptr<CallerSession>> Sessions;
+  boost::asio::steady_timer AcceptTimer;
+  bool AcceptSuspended = false;
   bool Draining = false;
 };
 
--- a/tests/drivers/CallerSessionTest.cpp
+++ b/tests/drivers/CallerSessionTest.cpp
@@ -14,6 +14,8 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <sstream>
+#include <sys/resource.h>
+#include <unistd.h>
 
 namespace turmericpitch {
 namespace {
@@ -702,5 +704,39 @@
   EXPECT_TRUE(Other.query("EXECUTE a hat").starts_with("DATAROW"));
 }
 
+// At its limit of open files the server accepted in a busy loop.
+TEST_F(CallerSessionTest, AcceptingWaitsForAFreeDescriptor) {
+  TestCaller First(this->Loop);
+  First.startUp("bookings secret-1");
+  TestCaller Waiting(this->Loop);
+  TestCaller Leaving(this->Loop);
+  Leaving.startUp("bookings secret-1");
+  rlimit Former{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &Former), 0);
+  // The next descriptor is the lowest that is free.
+  int Lowest = dup(STDERR_FILENO);
+  close(Lowest);
+  rlimit Full{.rlim_cur = static_cast<rlim_t>(Lowest),
+              .rlim_max = Former.rlim_max};
+  asio::ip::tcp::socket Blocked(this->Loop);
+  Blocked.connect({asio::ip::make_address(ownAddress()), SessionPort});
+  Lowest = dup(STDERR_FILENO);
+  close(Lowest);
+  Full.rlim_cur = static_cast<rlim_t>(Lowest);
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &Full), 0);
+  std::size_t Sessions = this->Server.sessions();
+  int Handlers = 0;
+  while (Handlers < 1000 && this->Loop.poll_one() > 0)
+    ++Handlers;
+  EXPECT_LT(Handlers, 1000);
+  EXPECT_EQ(this->Server.sessions(), Sessions);
+  EXPECT_EQ(First.query("SET colour blue"), "COMPLETE - / READY I");
+  // A session that ends makes room.
+  Leaving.leave();
+  this->runUntil([&] { return this->Server.sessions() == Sessions - 1; });
+  this->runUntil([&] { return this->Server.sessions() == Sessions; });
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &Former), 0);
+}
+
 } // namespace
 } // namespace turmericpitch
