--- a/drivers/CallerSession.cpp
+++ b/drivers/CallerSession.cpp
@@ -37,6 +37,24 @@
   return Line;
 }
 
+/// The answer to a statement that the process doesn't wait for any more. Call:
+/// null if it hasn't been passed to the dispatcher.
+ReplyFailure outcomeAtStop(const StatementCall *Call) {
+  if (!Call || Call->PossibleRuns == 0)
+    return {.Code = ReplyError::Busy,
+            .UpstreamCode = {},
+            .Text = "this instance is stopping; not run"};
+  if (Call->LastingEffect)
+    return {.Code = ReplyError::InDoubt,
+            .UpstreamCode = {},
+            .Text = "this instance is stopping; the statement may have taken "
+                    "effect"};
+  return {.Code = ReplyError::Failed,
+          .UpstreamCode = {},
+          .Text = "this instance is stopping; the statement had no lasting "
+                  "effect"};
+}
+
 std::string_view explain(LimitRefusal Refusal) {
   return Refusal == LimitRefusal::LimitReached
              ? "the account's operation limit is reached"
@@ -183,6 +201,17 @@
   }
   const RouteController &Routes = this->Owner.Routes;
   const RouteRule &Route = *Routes.route(Startup.Database);
+  if (this->Owner.Stop &&
+      !this->Owner.Stop->takes(BootClock().now(), Route.StatementTimeout)) {
+    writeDecision(refusalLine("refuse_session", Routes, "stopping")
+                      .field("route", Route.Name));
+    this->Connection->send(encodeSessionRefused(
+        {.Code = ReplyError::Busy,
+         .UpstreamCode = {},
+         .Text = "this instance is stopping; connect to another one"}));
+    this->Connection->finish();
+    return this->end();
+  }
   AccountDecision Caller =
       Routes.accounts().decide(Route.Access, Startup.Credential);
   if (Caller.Refusal) {
@@ -261,6 +290,9 @@
     Refusal.Transaction = Session.State.transactionStatus();
     return this->reply(Refusal);
   }
+  if (this->Owner.Stop &&
+      !this->Owner.Stop->takes(BootClock().now(), Route->StatementTimeout))
+    return this->refuseStopping(Request);
   Session.Route = *Route;
   this->admit(Request);
 }
@@ -309,6 +341,29 @@
   this->afterReply();
 }
 
+void CallerSession::refuseStopping(const Statement &Request) {
+  writeDecision(refusalLine("refuse_operation", this->Owner.Routes, "stopping")
+                    .field("request", Request.Id)
+                    .field("account", this->Context->Account.Value)
+                    .field("sessions", this->Owner.sessions()));
+  this->reply(this->refusal(Request, ReplyError::Busy,
+                            "this instance is stopping; not run, connect to "
+                            "another one"));
+}
+
+void CallerSession::answerRunning() {
+  if (this->Ended)
+    return;
+  if (this->waiting()) {
+    StatementReply Reply;
+    Reply.Failure = outcomeAtStop(this->CurrentCall.get());
+    this->Context->State.onTransactionEnded();
+    this->send(Reply);
+  }
+  this->Connection->finish();
+  this->end();
+}
+
 StatementReply CallerSession::refusal(const Statement &Request, ReplyError Code,
                                       std::string Text) {
   SessionState &State = this->Context->State;
--- a/drivers/CallerSession.h
+++ b/drivers/CallerSession.h
@@ -33,6 +33,9 @@
   /// Like finishWhenIdle(), but if no statement is running, also ends a session
   /// that has a transaction open; the transaction is rolled back.
   void endIdleTransactions();
+  /// Answers a running statement with an error that tells whether it may have
+  /// taken effect, and ends the session.
+  void answerRunning();
   /// Whether a statement is running or queued, or a transaction is open.
   [[nodiscard]] bool busy() const;
   /// Checks the session's credential against the configuration in force.
@@ -75,6 +78,8 @@
   std::string takeQueued();
   /// Refuses a statement that there is no memory for.
   void refuseForMemory(const Statement &Request);
+  /// Refuses a statement that can't be answered before the process ends.
+  void refuseStopping(const Statement &Request);
   [[nodiscard]] StatementReply refusal(const Statement &Request,
                                        ReplyError Code, std::string Text);
   /// Sends a reply to the caller.
--- a/drivers/SessionServer.cpp
+++ b/drivers/SessionServer.cpp
@@ -127,6 +127,12 @@
   this->AcceptTimer.cancel();
 }
 
+void SessionServer::answerRunning() {
+  auto All = this->Sessions;
+  for (const auto &Session : All)
+    Session->answerRunning();
+}
+
 std::size_t SessionServer::busySessions() const {
   std::size_t Busy = 0;
   for (const auto &Session : this->Sessions)
--- a/drivers/SessionServer.h
+++ b/drivers/SessionServer.h
@@ -6,6 +6,7 @@
 #include "drivers/StatementDispatcher.h"
 #include "limits/LimitDecision.h"
 #include "limits/MemoryBudget.h"
+#include "membership/StopSchedule.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -39,6 +40,12 @@
   /// Starts to listen and accept. Errors: Unavailable if the address can't be
   /// bound.
   Status start();
+  /// Refuses the sessions and statements that can't be served before the
+  /// process ends.
+  void stopAt(StopSchedule Schedule) { this->Stop = Schedule; }
+  /// Answers each running statement with an error that tells whether it may
+  /// have taken effect, and ends all sessions. For the end of the process.
+  void answerRunning();
   /// Starts draining: ends sessions without a running statement or an open
   /// transaction, and the others once these have ended.
   void closeIdle();
@@ -76,6 +83,7 @@
   boost::asio::steady_timer AcceptTimer;
   bool AcceptSuspended = false;
   bool Draining = false;
+  std::optional<StopSchedule> Stop;
 };
 
 } // namespace turmericpitch
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -79,8 +79,6 @@
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(100);
 /// Datagrams on account limits use the second of the ports between instances.
 constexpr std::uint16_t LimitPortOffset = 1;
-/// The drain ends this long before the platform would kill the process.
-constexpr Duration StopMargin = std::chrono::milliseconds(500);
 
 /// An unconfirmed configuration is checked early enough that a call that the
 /// store doesn't answer, a query to other instances and the transfer of a copy
@@ -929,25 +927,24 @@
 }
 
 Awaitable<void> SessionDaemon::Components::stop() {
-  TimePoint StopRequestedAt = BootClock().now();
+  StopSchedule Schedule(BootClock().now(), this->Settings.StopGracePeriod);
   this->Stopping = true;
+  this->Sessions.stopAt(Schedule);
   this->Failover.stop();
   writeDecision(
       DecisionLine("stop").field("sessions", this->Sessions.sessions()));
   co_await this->pause(BalancerNotice);
-  TimePoint EndTransactionsAt =
-      StopRequestedAt + this->Settings.StopGracePeriod / 2;
-  TimePoint Deadline =
-      StopRequestedAt + this->Settings.StopGracePeriod - StopMargin;
-  while (this->Sessions.sessions() > 0 && BootClock().now() < Deadline) {
+  while (this->Sessions.sessions() > 0 &&
+         BootClock().now() < Schedule.endsAt()) {
     this->Sessions.closeIdle();
-    if (BootClock().now() >= EndTransactionsAt)
+    if (BootClock().now() >= Schedule.endsTransactionsAt())
       this->Sessions.endIdleTransactions();
     co_await this->pause(DrainPollInterval);
   }
   this->Sessions.stopAccepting();
   writeDecision(
       DecisionLine("stopped").field("sessions_cut", this->Sessions.sessions()));
+  this->Sessions.answerRunning();
   this->Loop.stop();
 }
 
--- a/tests/drivers/CallerSessionTest.cpp
+++ b/tests/drivers/CallerSessionTest.cpp
@@ -738,5 +738,52 @@
   ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &Former), 0);
 }
 
+const std::string RefusedAsStopping =
+    "ERROR BUSY this instance is stopping; not run, connect to another one";
+
+TEST_F(CallerSessionTest, AStoppingServerTakesNothingItCantAnswerInTime) {
+  TestCaller Open(this->Loop);
+  Open.startUp("bookings secret-1");
+  TestCaller InTransaction(this->Loop);
+  InTransaction.startUp("bookings secret-1");
+  InTransaction.query("BEGIN");
+  InTransaction.query("WRITE hat 58cm");
+  // The route's timeout of 30 s is longer than what is left.
+  this->Server.stopAt(StopSchedule(BootClock().now() - std::chrono::seconds(20),
+                                   std::chrono::seconds(40)));
+  EXPECT_EQ(Open.query("WRITE coat 40cm"), RefusedAsStopping + " / READY I");
+  EXPECT_EQ(Open.query("SET colour blue"), "COMPLETE - / READY I");
+  TestCaller Late(this->Loop);
+  EXPECT_EQ(Late.startUp("bookings secret-1"),
+            "ERROR BUSY this instance is stopping; connect to another one");
+  EXPECT_TRUE(Late.closed());
+  // A transaction that is open is finished.
+  EXPECT_EQ(InTransaction.query("COMMIT"), "COMPLETE signed-by-m1 / READY I");
+  EXPECT_EQ(this->committed(), Items{"hat"});
+  this->expectLogged("decision=refuse_operation cause=stopping");
+}
+
+TEST_F(CallerSessionTest, RunningStatementsAreAnsweredWhenTheServerEnds) {
+  TestCaller Writer(this->Loop);
+  TestCaller Reader(this->Loop);
+  TestCaller Queued(this->Loop);
+  for (TestCaller *Each : {&Writer, &Reader, &Queued})
+    Each->startUp("bookings secret-1");
+  this->Group.holdStatements(true);
+  Writer.send("QUERY w WRITE hat 58cm");
+  Reader.send("QUERY r READ hat");
+  this->runUntil([&] { return this->Group.heldStatements() == 2; });
+  this->HoldDecisions = true;
+  Queued.send("QUERY q WRITE coat 40cm");
+  this->runUntil([&] { return this->Pending.size() == 1; });
+  this->Server.answerRunning();
+  EXPECT_TRUE(Writer.reply().starts_with("ERROR INDOUBT"));
+  EXPECT_TRUE(Reader.reply().starts_with("ERROR FAILED"));
+  EXPECT_EQ(Queued.reply(),
+            "ERROR BUSY this instance is stopping; not run / READY I");
+  for (TestCaller *Each : {&Writer, &Reader, &Queued})
+    EXPECT_TRUE(Each->closed());
+}
+
 } // namespace
 } // namespace turmericpitch
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <csignal>
 #include <future>
 #include <gtest/gtest.h>
 #include <thread>
@@ -53,6 +54,12 @@
     return Lines;
   }
 
+  /// Sends a statement without waiting for its reply.
+  void sendQuery(const std::string &Id, const std::string &Text) {
+    this->write("QUERY " + Id + " " + Text + "\r\n");
+  }
+  /// The next line; empty once the connection is closed.
+  std::string nextLine() { return this->line(); }
   /// Sends bytes as they are and returns the next line.
   std::string send(const std::string &Bytes) {
     this->write(Bytes);
@@ -152,6 +159,7 @@
     Settings.FirstPeerPort = Settings.LastPeerPort = PeerPort;
     Settings.Store = {.Address = ownAddress(), .Port = this->Store.port()};
     Settings.Promotions = Settings.Store;
+    Settings.StopGracePeriod = this->StopGracePeriod;
     return Settings;
   }
 
@@ -218,6 +226,7 @@
   std::unique_ptr<SessionDaemon> Daemon;
   std::thread DaemonThread;
   Status RunResult;
+  Duration StopGracePeriod = std::chrono::seconds(6);
   std::vector<std::string> Failures;
   int NextId = 0;
 };
@@ -679,5 +688,38 @@
       Caller("bookings", "key-1").StartupReply.starts_with("ERROR UNAUTH"));
 }
 
+// Statements that ran when the grace period ended were cut off without an
+// answer, and new ones were taken until then.
+TEST_F(SessionDaemonTest, AStopAnswersWhatRunsAndTakesNothingItCantFinish) {
+  this->killDaemon();
+  // Nothing that arrives after the request can be finished in time.
+  this->StopGracePeriod = std::chrono::milliseconds(500);
+  this->startDaemon();
+  this->writeUntilDone("again", "1");
+  Caller Running("bookings");
+  Caller Waiting("bookings");
+  this->runOnStandIns([this] {
+    this->Group.holdStatements(true);
+    return 0;
+  });
+  Running.sendQuery("w1", "WRITE hat 58cm");
+  while (this->runOnStandIns([this] { return this->Group.heldStatements(); }) ==
+         0) {
+  }
+  kill(getpid(), SIGTERM);
+  // Readiness is given up with the request to stop.
+  while (Caller("bookings").StartupReply.starts_with("READY")) {
+  }
+  EXPECT_EQ(Waiting.query("w2", "WRITE coat 40cm").front(),
+            "ERROR BUSY this instance is stopping; not run, connect to another "
+            "one");
+  EXPECT_TRUE(Running.nextLine().starts_with("ERROR "));
+  EXPECT_TRUE(Running.nextLine().starts_with("READY "));
+  this->DaemonThread.join();
+  this->DaemonThread = std::thread([] {});
+  EXPECT_FALSE(
+      this->runOnStandIns([this] { return this->Group.holds("m1", "40cm"); }));
+}
+
 } // namespace
 } // namespace turmericpitch
