--- a/drivers/LeaseExchange.cpp
+++ b/drivers/LeaseExchange.cpp
@@ -19,7 +19,7 @@
                              PrimaryLeases &Leases, LeaseGrants &Grants,
                              const InstanceRegistry &Instances, Hooks Callbacks)
     : Options(Options), Leases(Leases), Grants(Grants), Instances(Instances),
-      Callbacks(std::move(Callbacks)),
+      Callbacks(std::move(Callbacks)), Queries(Instances),
       Transport(std::move(Exec), Options.Listen, Options.Self, {FrameKey}) {}
 
 Status LeaseExchange::start() {
@@ -36,34 +36,34 @@
 void LeaseExchange::query(const RegisteredInstance &Peer) {
   if (Peer.Id == this->Options.Self)
     return;
-  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  SentQuery Sent = this->nextQuery();
   processMetrics().count("peer_questions_total", "one");
-  this->trackQuery(Peer.Id, Sent);
+  this->Queries.onSent(Peer.Id, Sent.Serial, Sent.SentAt);
   this->send(Peer.PeerEndpoint, LeaseQuery{.Serial = Sent.Serial});
 }
 
 void LeaseExchange::queryAll() {
-  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  SentQuery Sent = this->nextQuery();
   std::set<InstanceId> Queried;
   for (const RegisteredInstance &Peer : this->Instances.all()) {
     if (Peer.Id == this->Options.Self)
       continue;
-    if (!this->isStopping(Peer))
+    if (!this->Queries.isStopping(Peer))
       Queried.insert(Peer.Id);
     processMetrics().count("peer_questions_total", "all");
-    this->trackQuery(Peer.Id, Sent);
+    this->Queries.onSent(Peer.Id, Sent.Serial, Sent.SentAt);
     this->send(Peer.PeerEndpoint, LeaseQuery{.Serial = Sent.Serial});
   }
   this->Round = LeaseRound(Sent.Serial, Sent.SentAt, std::move(Queried));
 }
 
 void LeaseExchange::pingAll() {
-  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  SentQuery Sent = this->nextQuery();
   for (const RegisteredInstance &Peer : this->Instances.all()) {
     if (Peer.Id == this->Options.Self)
       continue;
     processMetrics().count("peer_questions_total", "brief");
-    this->trackQuery(Peer.Id, Sent);
+    this->Queries.onSent(Peer.Id, Sent.Serial, Sent.SentAt);
     this->send(Peer.PeerEndpoint,
                LeaseQuery{.Serial = Sent.Serial, .Brief = true});
   }
@@ -73,7 +73,7 @@
   const std::vector<RegisteredInstance> &All = this->Instances.all();
   if (All.empty())
     return;
-  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  SentQuery Sent = this->nextQuery();
   std::size_t First = Random.nextBelow(static_cast<std::uint32_t>(All.size()));
   // Neighbours in the list run in the same zone, so the choice is spread out.
   std::size_t Step = std::max<std::size_t>(1, All.size() / Count);
@@ -82,35 +82,35 @@
     if (Peer.Id == this->Options.Self)
       continue;
     processMetrics().count("peer_questions_total", "brief");
-    this->trackQuery(Peer.Id, Sent);
+    this->Queries.onSent(Peer.Id, Sent.Serial, Sent.SentAt);
     this->send(Peer.PeerEndpoint,
                LeaseQuery{.Serial = Sent.Serial, .Brief = true});
   }
 }
 
 void LeaseExchange::pingGrantors(const GrantorSet &Set, std::size_t Count) {
-  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  SentQuery Sent = this->nextQuery();
   std::size_t Size = Set.Current.size();
   for (std::size_t Pinged = 0; Pinged < std::min(Count, Size); ++Pinged) {
     const Grantor &Each = Set.Current[this->NextPinged++ % Size];
     if (Each == this->self())
       continue;
     processMetrics().count("peer_questions_total", "brief");
-    this->trackQuery(Each.Id, Sent);
+    this->Queries.onSent(Each.Id, Sent.Serial, Sent.SentAt);
     this->send(Each.PeerEndpoint,
                LeaseQuery{.Serial = Sent.Serial, .Brief = true});
   }
 }
 
 void LeaseExchange::requestGrants(const GrantorSet &Set) {
-  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  SentQuery Sent = this->nextQuery();
   LeaseQuery Query{.Serial = Sent.Serial, .WantsGrants = true};
   this->NewestGrants = GrantRound(Sent.Serial, Sent.SentAt, Set);
   for (const Grantor &Each : Set.Current) {
     if (Each == this->self())
       continue;
     processMetrics().count("peer_questions_total", "grantors");
-    this->trackQuery(Each.Id, Sent);
+    this->Queries.onSent(Each.Id, Sent.Serial, Sent.SentAt);
     this->send(Each.PeerEndpoint, Query);
   }
   if (std::find(Set.Current.begin(), Set.Current.end(), this->self()) ==
@@ -143,7 +143,7 @@
 
 void LeaseExchange::queryForVerification(RecordVerification &Verification) {
   this->Verification = &Verification;
-  SentQuery Sent{.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  SentQuery Sent = this->nextQuery();
   LeaseQuery Query{.Serial = Sent.Serial};
   this->VerificationSerials.insert(Sent.Serial);
   for (const Grantor &Each : Verification.grantors().all()) {
@@ -152,75 +152,11 @@
         Verification.onReply(Each, Own);
       continue;
     }
-    this->trackQuery(Each.Id, Sent);
+    this->Queries.onSent(Each.Id, Sent.Serial, Sent.SentAt);
     this->send(Each.PeerEndpoint, Query);
   }
 }
 
-bool LeaseExchange::isStopping(const RegisteredInstance &Peer) const {
-  auto Found = this->StoppingRegistrations.find(Peer.Id);
-  return Found != this->StoppingRegistrations.end() &&
-         Found->second == Peer.Stored;
-}
-
-void LeaseExchange::trackQuery(const InstanceId &Peer, const SentQuery &Sent) {
-  std::deque<SentQuery> &Pending = this->PendingQueries[Peer];
-  Pending.push_back(Sent);
-  if (Pending.size() > MaxPendingQueries)
-    Pending.pop_front();
-  const RegisteredInstance *Entry = this->Instances.find(Peer);
-  Revision Registered = Entry ? Entry->Stored : Revision{};
-  Silence Begins{.Registered = Registered, .Since = Sent.SentAt};
-  Silence &Known = this->Silences.try_emplace(Peer, Begins).first->second;
-  if (Known.Registered != Registered)
-    Known = Begins;
-}
-
-std::optional<TimePoint> LeaseExchange::sentAt(const InstanceId &Peer,
-                                               std::uint32_t Serial) const {
-  auto Pending = this->PendingQueries.find(Peer);
-  if (Pending == this->PendingQueries.end())
-    return std::nullopt;
-  for (const SentQuery &Each : Pending->second)
-    if (Each.Serial == Serial)
-      return Each.SentAt;
-  return std::nullopt;
-}
-
-std::optional<TimePoint>
-LeaseExchange::silentSince(const InstanceId &Id) const {
-  auto Found = this->Silences.find(Id);
-  if (Found == this->Silences.end())
-    return std::nullopt;
-  return Found->second.Since;
-}
-
-std::optional<TimePoint>
-LeaseExchange::lastReplyOutside(const ZoneId &Zone) const {
-  std::optional<TimePoint> Newest;
-  for (const RegisteredInstance &Peer : this->Instances.all()) {
-    auto Found = this->LastReplyAt.find(Peer.Id);
-    if (Peer.Zone == Zone || Found == this->LastReplyAt.end())
-      continue;
-    Newest = std::max(Newest, std::optional(Found->second));
-  }
-  return Newest;
-}
-
-std::optional<TimePoint>
-LeaseExchange::silentOutsideSince(const ZoneId &Zone, Duration Limit) const {
-  TimePoint Now = this->Clock.now();
-  std::optional<TimePoint> First;
-  for (const RegisteredInstance &Peer : this->Instances.all()) {
-    auto Since = this->silentSince(Peer.Id);
-    if (Peer.Zone == Zone || this->isStopping(Peer) || !Since ||
-        Now - *Since <= Limit)
-      continue;
-    First = std::min(First.value_or(*Since), *Since);
-  }
-  return First;
-}
-
 void LeaseExchange::notifyChange() {
   for (const RegisteredInstance &Peer : this->Instances.all())
     if (Peer.Id != this->Options.Self)
@@ -322,12 +258,8 @@
 
 void LeaseExchange::onReply(const PeerArrival &From, const LeaseReply &Reply) {
   const InstanceId &Peer = From.Frame.From;
-  this->Silences.erase(Peer);
-  this->LastReplyAt[Peer] = this->Clock.now();
-  const RegisteredInstance *Entry = this->Instances.find(Peer);
-  if (Reply.Stopping && Entry)
-    this->StoppingRegistrations[Peer] = Entry->Stored;
-  auto SentAt = this->sentAt(Peer, Reply.Serial);
+  this->Queries.onReply(Peer, Reply.Stopping, this->Clock.now());
+  auto SentAt = this->Queries.sentAt(Peer, Reply.Serial);
   if (!SentAt)
     return;
   this->Callbacks.OnVersions(Peer, Reply.Versions, *SentAt);
--- a/drivers/LeaseExchange.h
+++ b/drivers/LeaseExchange.h
@@ -9,11 +9,9 @@
 #include "failover/LeaseRound.h"
 #include "failover/PrimaryLeases.h"
 #include "failover/RecordVerification.h"
-#include "membership/InstanceRegistry.h"
+#include "membership/PeerQueries.h"
 #include "routing/FreshnessTracker.h"
 
-#include <deque>
-
 namespace turmericpitch {
 
 struct LeaseExchangeOptions {
@@ -95,15 +93,21 @@
   /// Since when an instance has not answered queries; nothing if it answered
   /// since, or was not queried.
   [[nodiscard]] std::optional<TimePoint>
-  silentSince(const InstanceId &Id) const;
+  silentSince(const InstanceId &Id) const {
+    return this->Queries.silentSince(Id);
+  }
   /// When an instance outside a zone last replied; nothing if none has.
   [[nodiscard]] std::optional<TimePoint>
-  lastReplyOutside(const ZoneId &Zone) const;
+  lastReplyOutside(const ZoneId &Zone) const {
+    return this->Queries.lastReplyOutside(Zone);
+  }
   /// The earliest time from which an instance outside a zone has not answered
   /// queries. Considers only instances silent for longer than Limit; nothing if
   /// there is none.
   [[nodiscard]] std::optional<TimePoint>
-  silentOutsideSince(const ZoneId &Zone, Duration Limit) const;
+  silentOutsideSince(const ZoneId &Zone, Duration Limit) const {
+    return this->Queries.silentOutsideSince(Zone, Limit, this->Clock.now());
+  }
   /// The newest round.
   [[nodiscard]] const LeaseRound &round() const { return this->Round; }
   /// This instance as a grantor.
@@ -116,8 +120,6 @@
     std::uint32_t Serial = 0;
     TimePoint SentAt;
   };
-  /// Queries to one instance whose replies are still accepted.
-  static constexpr std::size_t MaxPendingQueries = 4;
 
   void send(const Endpoint &To, const LeaseMessage &Message);
   void onArrival(const PeerArrival &Arrival);
@@ -130,33 +132,19 @@
                        TimePoint Now);
   /// The parts of this instance's reply to a query.
   std::vector<LeaseReply> replies(const LeaseQuery &Query);
-  [[nodiscard]] std::optional<TimePoint> sentAt(const InstanceId &Peer,
-                                                std::uint32_t Serial) const;
+  SentQuery nextQuery() {
+    return {.Serial = this->NextSerial++, .SentAt = this->Clock.now()};
+  }
 
   LeaseExchangeOptions Options;
   PrimaryLeases &Leases;
   LeaseGrants &Grants;
   const InstanceRegistry &Instances;
   Hooks Callbacks;
+  PeerQueries Queries;
   PeerTransport Transport;
   std::uint32_t NextSerial = 1;
   std::size_t NextPinged = 0;
-  /// A period during which a process of an instance has not answered queries.
-  struct Silence {
-    /// The registration of that process.
-    Revision Registered;
-    TimePoint Since;
-  };
-
-  void trackQuery(const InstanceId &Peer, const SentQuery &Sent);
-  [[nodiscard]] bool isStopping(const RegisteredInstance &Peer) const;
-
-  /// The newest queries to each instance, oldest first.
-  std::map<InstanceId, std::deque<SentQuery>> PendingQueries;
-  std::map<InstanceId, Silence> Silences;
-  std::map<InstanceId, TimePoint> LastReplyAt;
-  /// Registrations of processes that have reported to be stopping.
-  std::map<InstanceId, Revision> StoppingRegistrations;
   LeaseRound Round;
   GrantRound NewestGrants;
   /// The newest round of each service.
--- a/limits/LimitKeeper.cpp
+++ b/limits/LimitKeeper.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t MaxKeeperLists = 64;
 /// A sender's sequence is kept this many times as long as an echo is accepted.
 constexpr int SequenceRetention = 3;
+/// Senders whose sequences are kept. A further one is answered once others have
+/// been silent for long enough.
+constexpr std::size_t MaxSenders = 4096;
 constexpr Duration InflowPeriod = std::chrono::seconds(1);
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(1);
 /// Absorbs the rounding of sums of deposits, in operations.
@@ -118,8 +121,10 @@
       return Now - Entry.second.LastRequestAt >= Retention;
     });
   }
-  Sender &Known =
-      this->Senders[{.Instance = From, .Incarnation = Request.Incarnation}];
+  SenderKey Key{.Instance = From, .Incarnation = Request.Incarnation};
+  if (this->Senders.size() >= MaxSenders && !this->Senders.contains(Key))
+    return false;
+  Sender &Known = this->Senders[Key];
   if (Request.Sequence <= Known.LastSequence)
     return false;
   Known.LastSequence = Request.Sequence;
--- a/tests/limits/LimitKeeperTest.cpp
+++ b/tests/limits/LimitKeeperTest.cpp
@@ -115,5 +115,23 @@
             MaxLimitRetryAfter);
 }
 
+// Requests under ever new names made the table grow within the time for which
+// sequences are kept.
+TEST_F(LimitKeeperTest, SendersAreBounded) {
+  LimitRequest Request = depositSentAt(1000);
+  EXPECT_TRUE(this->Keeper.onRequest(Owner, Request, at(1001)));
+  std::size_t Answered = 0;
+  for (int Index = 0; Index < 20'000; ++Index)
+    Answered +=
+        this->Keeper.onRequest({"x" + std::to_string(Index)}, Request, at(1001))
+            ? 1
+            : 0;
+  EXPECT_LT(Answered, 5000U);
+  // A known sender is answered, and new ones once the others are silent.
+  Request.Sequence = 2;
+  EXPECT_TRUE(this->Keeper.onRequest(Owner, Request, at(1002)));
+  EXPECT_TRUE(this->Keeper.onRequest({"new"}, Request, at(600'000)));
+}
+
 } // namespace
 } // namespace turmericpitch
