--- a/core/Metrics.cpp
+++ b/core/Metrics.cpp
@@ -124,6 +124,8 @@
   void aggregateInto(ThreadMetrics &Into) const;
 
   oneapi::tbb::enumerable_thread_specific<ThreadMetrics> Threads;
+  std::mutex GaugeMutex;
+  SeriesMap<double> Gauges;
 };
 
 Metrics::Metrics() : Impl(std::make_unique<State>()) {}
@@ -135,6 +137,13 @@
   ++findOrAddSeries(Local.Counts, {.Family = Family, .Label = Label});
 }
 
+void Metrics::set(std::string_view Family, std::string_view Label,
+                  double Value) {
+  std::lock_guard Lock(this->Impl->GaugeMutex);
+  findOrAddSeries(this->Impl->Gauges, {.Family = Family, .Label = Label}) =
+      Value;
+}
+
 void Metrics::observe(std::string_view Family, std::string_view Label,
                       Duration Length) {
   ThreadMetrics &Local = this->Impl->Threads.local();
@@ -181,6 +190,15 @@
     familyOf(Families, Key.Family, prometheus::MetricType::Counter)
         .metric.push_back(std::move(Metric));
   }
+  {
+    std::lock_guard Lock(this->Impl->GaugeMutex);
+    for (const auto &[Key, Value] : this->Impl->Gauges) {
+      prometheus::ClientMetric Metric = labelled(Key.Label);
+      Metric.gauge.value = Value;
+      familyOf(Families, Key.Family, prometheus::MetricType::Gauge)
+          .metric.push_back(std::move(Metric));
+    }
+  }
   for (const auto &[Key, Histogram] : Sum.Histograms)
     familyOf(Families, Key.Family, prometheus::MetricType::Histogram)
         .metric.push_back(histogramMetric(Key.Label, Histogram));
--- a/core/Metrics.h
+++ b/core/Metrics.h
@@ -1,4 +1,4 @@
-// Counters and latency histograms in the Prometheus format.
+// Counters, gauges and latency histograms in the Prometheus format.
 #pragma once
 
 #include "core/Time.h"
@@ -9,9 +9,10 @@
 
 namespace turmericpitch {
 
-/// Counters and histograms, kept per thread and aggregated when read.
-/// Thread-safe. Label values must come from small fixed sets, never from
-/// callers, sessions or statements, since each creates a time series.
+/// Counters, gauges and histograms. The first and the last are kept per thread
+/// and aggregated when read. Thread-safe. Label values must come from small
+/// fixed sets, never from callers, sessions or statements, since each creates a
+/// time series.
 class Metrics {
 public:
   Metrics();
@@ -22,6 +23,8 @@
   /// Increments a counter. Family is the metric's name without the prefix
   /// "turmericpitch_"; Label is the value of its one label, "kind".
   void count(std::string_view Family, std::string_view Label);
+  /// Sets a gauge, whose family must differ from those of counters.
+  void set(std::string_view Family, std::string_view Label, double Value);
   /// Records a duration in a histogram.
   void observe(std::string_view Family, std::string_view Label,
                Duration Length);
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -184,6 +184,10 @@
   void queryVersions(std::size_t Count) {
     this->Exchange.pingSome(Count, this->Random);
   }
+  /// Number of instances that something is remembered of.
+  [[nodiscard]] std::size_t knownPeers() const {
+    return this->Exchange.knownPeers();
+  }
   /// Whether this instance reads the store for all other instances.
   [[nodiscard]] bool isReader() const { return this->readerRank() == 0; }
   /// Whether other instances query this one for records and samples.
--- a/drivers/LeaseExchange.h
+++ b/drivers/LeaseExchange.h
@@ -108,6 +108,8 @@
   silentOutsideSince(const ZoneId &Zone, Duration Limit) const {
     return this->Queries.silentOutsideSince(Zone, Limit, this->Clock.now());
   }
+  /// Number of instances that something is remembered of.
+  [[nodiscard]] std::size_t knownPeers() const { return this->Queries.count(); }
   /// The newest round.
   [[nodiscard]] const LeaseRound &round() const { return this->Round; }
   /// This instance as a grantor.
--- a/drivers/LimitExchange.h
+++ b/drivers/LimitExchange.h
@@ -65,6 +65,8 @@
   /// This instance's present share of all limits.
   [[nodiscard]] double share() const;
   [[nodiscard]] const OwnerTable &owners() const { return this->Right.table(); }
+  /// Number of senders of requests that are remembered.
+  [[nodiscard]] std::size_t senders() const { return this->Limiter.senders(); }
 
 private:
   void scheduleTick(Duration Delay);
--- a/drivers/SessionServer.h
+++ b/drivers/SessionServer.h
@@ -58,6 +58,9 @@
   /// Stops accepting connections.
   void stopAccepting();
   [[nodiscard]] std::size_t sessions() const { return this->Sessions.size(); }
+  [[nodiscard]] std::size_t maximumSessions() const {
+    return this->Options.MaximumSessions;
+  }
   [[nodiscard]] const MemoryBudget &memory() const { return *this->Memory; }
   /// Number of sessions with a running statement or an open transaction.
   [[nodiscard]] std::size_t busySessions() const;
--- a/limits/AccountLimiter.h
+++ b/limits/AccountLimiter.h
@@ -74,6 +74,8 @@
   /// Whether another keeper has answered since the start, or there is none, so
   /// that this instance takes part in the fleet's limits.
   [[nodiscard]] bool hasContact() const;
+  /// Number of senders of requests that are remembered.
+  [[nodiscard]] std::size_t senders() const { return this->Pool.senders(); }
   /// The decisions since the last call.
   std::vector<LimitOutcome> takeOutcomes();
 
--- a/limits/LimitKeeper.h
+++ b/limits/LimitKeeper.h
@@ -46,6 +46,9 @@
   std::optional<LimitReply>
   onRequest(const InstanceId &From, const LimitRequest &Request, TimePoint Now);
 
+  /// Number of senders whose sequences are kept.
+  [[nodiscard]] std::size_t senders() const { return this->Senders.size(); }
+
 private:
   struct Account {
     OperationLimit Limit;
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -77,6 +77,10 @@
 /// second and needs two failed checks.
 constexpr Duration BalancerNotice = std::chrono::milliseconds(2300);
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(100);
+/// Readiness checks and metrics need few connections and short requests.
+constexpr HttpLimits ReadinessLimits{.Header = 4096, .Body = 4096};
+constexpr Duration ReadinessIdleTimeout = std::chrono::seconds(10);
+constexpr std::size_t MaxReadinessConnections = 256;
 /// Datagrams on account limits use the second of the ports between instances.
 constexpr std::uint16_t LimitPortOffset = 1;
 
@@ -167,7 +171,10 @@
         Sessions(this->Loop.get_executor(), this->sessionOptions(),
                  this->Routes, this->Dispatcher),
         Readiness(this->Loop.get_executor(),
-                  {.Listen = this->Settings.Readiness},
+                  {.Listen = this->Settings.Readiness,
+                   .Limits = ReadinessLimits,
+                   .IdleTimeout = ReadinessIdleTimeout,
+                   .MaximumConnections = MaxReadinessConnections},
                   [this] {
                     return [this](HttpRequest Request) -> Awaitable<HttpReply> {
                       co_return this->handleHttpRequest(Request);
@@ -194,6 +201,9 @@
             .Gate = this->Limits.gate()};
   }
   HttpReply handleHttpRequest(const HttpRequest &Request);
+  /// Sets the gauges of the tables that callers, members and other instances
+  /// can make grow.
+  void setTableGauges() const;
   void awaitSignal();
   Awaitable<void> pause(Duration Length);
   /// Like pause(), but returns early once the process is stopping.
@@ -313,6 +323,7 @@
 SessionDaemon::Components::handleHttpRequest(const HttpRequest &Request) {
   HttpReply Reply;
   if (Request.Target == "/metrics") {
+    this->setTableGauges();
     Reply.Body = processMetrics().scrape();
     Reply.ContentType = "text/plain";
     return Reply;
@@ -326,6 +337,34 @@
   return Reply;
 }
 
+void SessionDaemon::Components::setTableGauges() const {
+  Metrics &Gauges = processMetrics();
+  auto Set = [&](std::string_view Family, std::string_view Kind,
+                 std::size_t Value) {
+    Gauges.set(Family, Kind, static_cast<double>(Value));
+  };
+  const MemoryBudget &Memory = this->Sessions.memory();
+  for (std::size_t Kind = 0; Kind < SessionMemoryKinds; ++Kind) {
+    auto Each = static_cast<SessionMemory>(Kind);
+    Set("session_memory_bytes", toString(Each), Memory.held(Each));
+  }
+  Set("session_memory_shared_bytes", "in_use", Memory.sharedInUse());
+  Set("session_memory_shared_bytes", "limit", Memory.options().Shared);
+  Set("session_memory_reclaimed_sessions", "all", Memory.reclaimed());
+  Set("table_entries", "sessions", this->Sessions.sessions());
+  Set("table_entries", "sessions_limit", this->Sessions.maximumSessions());
+  auto Links = this->Dispatcher.links();
+  Set("table_entries", "member_links", Links.Open);
+  Set("table_entries", "member_links_idle", Links.Idle);
+  Set("table_entries", "instances", this->Instances.count());
+  Set("table_entries", "accounts", this->Routes.accounts().accounts().size());
+  Set("table_entries", "known_peers", this->Failover.knownPeers());
+  Set("table_entries", "limit_senders", this->Limits.senders());
+  Set("table_entries", "limit_owners", this->Limits.owners().Owners.size());
+  Set("table_entries", "routes",
+      this->Routes.table() ? this->Routes.table()->Routes.size() : 0);
+}
+
 Awaitable<void> SessionDaemon::Components::pause(Duration Length) {
   asio::steady_timer Timer(this->Loop, Length);
   co_await Timer.async_wait(asio::use_awaitable);
--- a/tests/core/MetricsTest.cpp
+++ b/tests/core/MetricsTest.cpp
@@ -33,5 +33,18 @@
       << Text;
 }
 
+TEST(Metrics, GaugesShowTheLastValue) {
+  Metrics Registry;
+  Registry.set("table_entries", "sessions", 7);
+  Registry.set("table_entries", "sessions", 3);
+  std::string Text = Registry.scrape();
+  EXPECT_NE(Text.find("# TYPE turmericpitch_table_entries gauge"),
+            std::string::npos)
+      << Text;
+  EXPECT_NE(Text.find("turmericpitch_table_entries{kind=\"sessions\"} 3"),
+            std::string::npos)
+      << Text;
+}
+
 } // namespace
 } // namespace turmericpitch
