--- a/tools/mixed_fleet_trial.py
+++ b/tools/mixed_fleet_trial.py
@@ -214,4 +214,5 @@
             each.kill()
 
 
-main()
+if __name__ == '__main__':
+    main()
