--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <csignal>
@@ -688,6 +689,35 @@
       Caller("bookings", "key-1").StartupReply.starts_with("ERROR UNAUTH"));
 }
 
+TEST_F(SessionDaemonTest, MetricsShowTheTablesThatOthersCanMakeGrow) {
+  Caller Session("bookings");
+  Session.query("p", "PREPARE s READ " + std::string(1000, 's'));
+  asio::io_context Loop;
+  asio::ip::tcp::socket Scraper(Loop);
+  Scraper.connect({asio::ip::make_address(ownAddress()), ReadyPort});
+  asio::write(Scraper, asio::buffer(std::string(
+                           "GET /metrics HTTP/1.1\r\nHost: daemon\r\n"
+                           "Connection: close\r\n\r\n")));
+  std::string Page;
+  boost::system::error_code Ended;
+  asio::read(Scraper, asio::dynamic_buffer(Page), Ended);
+  auto Gauge = [&](const std::string &Series) {
+    std::size_t At = Page.find("turmericpitch_" + Series + " ");
+    EXPECT_NE(At, std::string::npos) << Series << " in\n" << Page;
+    return At == std::string::npos
+               ? 0
+               : std::stoul(Page.substr(Page.find(' ', At) + 1));
+  };
+  EXPECT_GE(Gauge(R"(session_memory_bytes{kind="state"})"), 1000U);
+  EXPECT_EQ(Gauge(R"(session_memory_shared_bytes{kind="in_use"})"), 0U);
+  EXPECT_GE(Gauge(R"(session_memory_shared_bytes{kind="limit"})"), 1'000'000U);
+  EXPECT_GE(Gauge(R"(table_entries{kind="sessions"})"), 1U);
+  EXPECT_EQ(Gauge(R"(table_entries{kind="routes"})"), 2U);
+  for (const char *Kind : {"sessions_limit", "member_links", "instances",
+                           "known_peers", "limit_senders", "accounts"})
+    Gauge("table_entries{kind=\"" + std::string(Kind) + "\"}");
+}
+
 // Statements that ran when the grace period ended were cut off without an
 // answer, and new ones were taken until then.
 TEST_F(SessionDaemonTest, AStopAnswersWhatRunsAndTakesNothingItCantFinish) {
