Test fleets begin with all their instances as grantors

The log: the third instance started 1.5 s late, so the first grantor set, which test fleets choose without a wait, was front-1 alone, and the test ends front-1, the reader.

Change: a test fleet starts like one that ran before, with a registration of each instance, and waits as before until all have registered themselves. No bound or check of a test is changed.

--- a/tests/platform/SessionFleet.cpp
+++ b/tests/platform/SessionFleet.cpp
@@ -47,6 +47,13 @@
          R"("limits":{"tx_idle_ms":3000}})";
 }
 
+/// Tells the registration of a former process from that of a daemon.
+constexpr std::string_view FormerMark = R"("former":1)";
+
+std::string registrationKey(std::size_t Index) {
+  return "turmericpitch/instances/front-" + std::to_string(Index + 1);
+}
+
 } // namespace
 
 SessionFleet::SessionFleet(Duration ConfigurationApplyTimeout)
@@ -72,6 +79,14 @@
         this->Store);
     EXPECT_TRUE(Each.Store->start());
   }
+  // The fleet has run before, so that the first grantor set has all instances
+  // even if one of them starts late.
+  for (std::size_t Index = 0; Index < Size; ++Index)
+    this->Store.put(registrationKey(Index),
+                    R"({"peers":")" +
+                        toString(Endpoint{.Address = fleetAddress(Index),
+                                          .Port = PeerPort}) +
+                        R"(","zone":"a",)" + std::string(FormerMark) + "}");
   this->StandInThread = std::thread([this] { this->Loop.run(); });
   for (std::size_t Index = 0; Index < Size; ++Index) {
     FleetInstance &Each = this->Instances.at(Index);
@@ -90,12 +105,10 @@
   auto Registered = [this] {
     std::size_t Count = 0;
     for (std::size_t Index = 0; Index < Size; ++Index)
-      Count += this->Store
-                       .value("turmericpitch/instances/front-" +
-                              std::to_string(Index + 1))
-                       .empty()
-                   ? 0
-                   : 1;
+      Count += this->Store.value(registrationKey(Index)).find(FormerMark) ==
+                       std::string::npos
+                   ? 1
+                   : 0;
     return Count;
   };
   while (this->onStandIns(Registered) < Size &&
