--- a/limits/MemoryBudget.cpp
+++ b/limits/MemoryBudget.cpp
@@ -14,8 +14,12 @@
 constexpr std::size_t SharedDivisor = 4;
 constexpr std::size_t MaxAllowance = std::size_t{8} * 1024;
 constexpr std::size_t MaxSessions = 5000;
-/// Descriptors for files and for the connections between instances.
-constexpr std::size_t ReservedDescriptors = 200;
+/// Descriptors that are left for files: a part of them, up to a maximum.
+constexpr std::size_t FileDescriptorDivisor = 4;
+constexpr std::size_t MaxFileDescriptors = 200;
+/// The part of the sockets that is left for the members, the store and the
+/// other instances.
+constexpr std::size_t OtherSocketDivisor = 4;
 
 } // namespace
 
@@ -111,14 +115,12 @@
 
 SessionCapacity sessionCapacity(std::size_t MemoryLimit,
                                 std::size_t DescriptorLimit) {
-  std::size_t Sockets = DescriptorLimit > ReservedDescriptors
-                            ? DescriptorLimit - ReservedDescriptors
-                            : 1;
+  std::size_t Sockets =
+      DescriptorLimit -
+      std::min(MaxFileDescriptors, DescriptorLimit / FileDescriptorDivisor);
   SessionCapacity Capacity;
-  // A quarter of the sockets is left for the members, the store and the other
-  // instances.
-  Capacity.MaximumSessions =
-      std::clamp<std::size_t>(Sockets - Sockets / 4, 1, MaxSessions);
+  Capacity.MaximumSessions = std::clamp<std::size_t>(
+      Sockets - Sockets / OtherSocketDivisor, 1, MaxSessions);
   Capacity.Memory = {.Shared = MemoryLimit / SharedDivisor,
                      .Allowance =
                          std::min(MaxAllowance, MemoryLimit / AllowanceDivisor /
--- a/tests/limits/MemoryBudgetTest.cpp
+++ b/tests/limits/MemoryBudgetTest.cpp
@@ -109,5 +109,14 @@
     }
 }
 
+// A limit of some hundred files left a single session.
+TEST(SessionCapacity, MostDescriptorsServeSessions) {
+  for (std::size_t Descriptors : std::vector<std::size_t>{16, 64, 256, 1024})
+    EXPECT_GE(sessionCapacity(std::size_t{512} * 1024 * 1024, Descriptors)
+                  .MaximumSessions,
+              Descriptors / 2)
+        << Descriptors;
+}
+
 } // namespace
 } // namespace turmericpitch
