--- a/review/lab-2/Main.cpp
+++ b/review/lab-2/Main.cpp
@@ -17,8 +17,6 @@
 constexpr int RuleBroken = 1;
 constexpr int CouldNotRun = 2;
 constexpr int Daemons = 3;
-constexpr std::string_view Service = "ledger";
-constexpr std::string_view Database = "bookings";
 
 void pauseFor(std::chrono::milliseconds Length) {
   std::this_thread::sleep_for(Length);
@@ -51,8 +49,15 @@
   return 0;
 }
 
+/// Where the stand-ins of a case listen.
+struct Places {
+  std::uint16_t Platform = 0;
+  std::uint16_t Promotions = 0;
+  std::vector<Front> Fronts;
+};
+
 void writeSettings(const std::string &Folder, int Daemon, std::uint16_t Ports,
-                   std::uint16_t Platform) {
+                   const Places &Where) {
   std::string Ip = addressOf(Daemon);
   std::string Number = std::to_string(Daemon + 1);
   std::ofstream(Folder + "/front-" + Number + ".yaml")
@@ -64,19 +69,58 @@
       << Ports + 1 << "\nbootstrap: true\nlimits:\n  memory_mb: 390\n"
       << "  max_fds: 6300\nheartbeat_ms: 1200\nbounds:\n  contact_ms: 4000\n"
       << "  drain_ms: 7000\n  grace_s: 6\n  config_apply_ms: 3000\n"
-      << "platform:\n  addr: \"127.0.0.1:" << Platform
-      << "\"\n  form: \"kv\"\ncloud_api:\n  addr: \"127.0.0.1:" << Platform
-      << "\"\n  duties:\n    - \"promotion\"\n";
+      << "platform:\n  addr: \"127.0.0.1:" << Where.Platform
+      << "\"\n  form: \"kv\"\ncloud_api:\n  addr: \"127.0.0.1:"
+      << Where.Promotions << "\"\n  duties:\n    - \"promotion\"\n";
+}
+
+/// A service has the name of its database.
+std::string configuration(const std::vector<std::string> &Services,
+                          int SyncReplicas) {
+  std::string Routes;
+  std::string Rules;
+  for (const std::string &Each : Services) {
+    std::string Comma = Routes.empty() ? "" : ",";
+    Routes += Comma + R"({"name":"r-)" + Each + R"(","host":")" + Each +
+              R"(","service":")" + Each +
+              R"(","kind":"primary","timeout_ms":1000,"latency_goal_ms":200,)"
+              R"("priority":1,"max_staleness_ms":0})";
+    Rules += Comma + R"({"name":")" + Each +
+             R"(","max_conns":60,"sync_replicas":)" +
+             std::to_string(SyncReplicas) + "}";
+  }
+  return R"({"version":3,"routes":[)" + Routes + R"(],"services":[)" + Rules +
+         R"(],"limits":{"tx_idle_ms":3000}})";
+}
+
+/// Starts the platform and writes the daemons' settings.
+Places prepare(const std::string &Folder, Store &Platform) {
+  Places Where{.Platform = Platform.start("127.0.0.1"),
+               .Promotions = Platform.start("127.0.0.1")};
+  std::uint16_t Ports = freePorts();
+  for (int Daemon = 0; Daemon < Daemons; ++Daemon) {
+    writeSettings(Folder, Daemon, Ports, Where);
+    Where.Fronts.push_back({.Ip = addressOf(Daemon),
+                            .Port = static_cast<std::uint16_t>(Ports + 2)});
+  }
+  return Where;
 }
 
-std::string configuration() {
-  return R"({"version":3,"routes":[{"name":"r1","host":")" +
-         std::string(Database) + R"(","service":")" + std::string(Service) +
-         R"(","kind":"primary","timeout_ms":1000,"latency_goal_ms":200,)"
-         R"("priority":1,"max_staleness_ms":0}],"services":[{"name":")" +
-         std::string(Service) +
-         R"(","max_conns":60,"sync_replicas":1}],)"
-         R"("limits":{"tx_idle_ms":3000}})";
+/// Tells run.sh to start the daemons.
+void startDaemons(const std::string &Folder) {
+  std::ofstream(Folder + "/ready") << "ready\n";
+}
+
+bool awaitWrites(Clients &Callers, std::size_t Count) {
+  constexpr int Tries = 300;
+  for (int Try = 0; Try < Tries && Callers.count() < Count; ++Try)
+    pauseFor(std::chrono::milliseconds(100));
+  return Callers.count() >= Count;
+}
+
+int finish(Record &Log, bool Broken) {
+  Log.write(Broken ? "the rule is broken" : "the rule holds");
+  return Broken ? RuleBroken : 0;
 }
 
 /// One replica of a service with synchronous replicas receives nothing for a
@@ -93,23 +137,13 @@
   constexpr std::chrono::milliseconds Rest(6000);
   // Static: threads use them until the process ends.
   static Group Members(
-      Log,
-      {.Service = std::string(Service), .Ip = "127.0.0.1", .SyncReplicas = 1});
+      Log, {.Service = "ledger", .Ip = "127.0.0.1", .SyncReplicas = 1});
   static Store Platform(
       Log, [](const std::string &, const std::string &Id, std::uint64_t Token) {
         return Members.promote(Id, Token);
       });
-  std::uint16_t Ports = freePorts();
-  std::uint16_t Port = Platform.start("127.0.0.1");
-  if (Ports == 0 || Port == 0)
-    return CouldNotRun;
-  std::vector<Front> Fronts;
-  for (int Daemon = 0; Daemon < Daemons; ++Daemon) {
-    writeSettings(Folder, Daemon, Ports, Port);
-    Fronts.push_back({.Ip = addressOf(Daemon),
-                      .Port = static_cast<std::uint16_t>(Ports + 2)});
-  }
-  static Clients Callers(Log, Fronts, std::string(Database));
+  Places Where = prepare(Folder, Platform);
+  static Clients Callers(Log, Where.Fronts, "ledger");
   static bool Broken = false;
   Members.start(
       Platform, {"i-1", "i-2", "i-3"},
@@ -123,13 +157,10 @@
                   " acknowledged writes are not in the log of " + Id);
         Broken = Broken || Lost > 0;
       });
-  Platform.put("op/config", configuration());
-  std::ofstream(Folder + "/ready") << "ready\n";
+  Platform.put("op/config", configuration({"ledger"}, 1));
+  startDaemons(Folder);
   Callers.start(2);
-  constexpr int Tries = 300;
-  for (int Try = 0; Try < Tries && Callers.count() < EnoughWrites; ++Try)
-    pauseFor(std::chrono::milliseconds(100));
-  if (Callers.count() < EnoughWrites)
+  if (!awaitWrites(Callers, EnoughWrites))
     return CouldNotRun;
   if (Trouble) {
     std::string Primary = Members.primary();
@@ -149,8 +180,55 @@
   }
   pauseFor(Rest);
   Callers.stop();
-  Log.write(Broken ? "the rule is broken" : "the rule holds");
-  return Broken ? RuleBroken : 0;
+  return finish(Log, Broken);
+}
+
+/// The primaries of two services crash at the same moment. A packet of the
+/// first order for a promotion is lost and sent again.
+int runOvertakenOrder(const std::string &Folder, Record &Log, bool Trouble) {
+  constexpr std::size_t EnoughWrites = 150;
+  constexpr std::chrono::milliseconds SentAgainAfter(250);
+  constexpr std::chrono::milliseconds Rest(8000);
+  static Group Ledger(Log, {.Service = "ledger", .Ip = "127.0.0.1"});
+  static Group Orders(Log, {.Service = "orders", .Ip = "127.0.0.1"});
+  static std::mutex Mutex;
+  static std::uint64_t NewestToken = 0;
+  static bool Broken = false;
+  static Store Platform(Log, [&Log](const std::string &Service,
+                                    const std::string &Id,
+                                    std::uint64_t Token) {
+    {
+      std::lock_guard Lock(Mutex);
+      if (Token < NewestToken)
+        Log.write("ONE: " + Service + " sends token " + std::to_string(Token) +
+                  ", but " + std::to_string(NewestToken) + " was seen before");
+      Broken = Broken || Token < NewestToken;
+      NewestToken = std::max(NewestToken, Token);
+    }
+    return (Service == "ledger" ? Ledger : Orders).promote(Id, Token);
+  });
+  Places Where = prepare(Folder, Platform);
+  static Clients LedgerCallers(Log, Where.Fronts, "ledger");
+  static Clients OrdersCallers(Log, Where.Fronts, "orders");
+  auto Ignore = [](const std::string &, const std::vector<Entry> &) {};
+  Ledger.start(Platform, {"i-1", "i-2", "i-3"}, Ignore);
+  Orders.start(Platform, {"i-4", "i-5", "i-6"}, Ignore);
+  Platform.put("op/config", configuration({"ledger", "orders"}, 0));
+  startDaemons(Folder);
+  LedgerCallers.start(2);
+  OrdersCallers.start(2);
+  if (!awaitWrites(LedgerCallers, EnoughWrites) ||
+      !awaitWrites(OrdersCallers, EnoughWrites))
+    return CouldNotRun;
+  if (Trouble) {
+    Platform.holdUpNext(Where.Promotions, SentAgainAfter);
+    Ledger.crash({Ledger.primary()});
+    Orders.crash({Orders.primary()});
+  }
+  pauseFor(Rest);
+  LedgerCallers.stop();
+  OrdersCallers.stop();
+  return finish(Log, Broken);
 }
 
 } // namespace
@@ -165,10 +243,13 @@
   }
   const char *Trouble = std::getenv("TROUBLE");
   lab::Record Log(Arguments[3]);
+  bool WithTrouble = !Trouble || std::string_view(Trouble) != "0";
+  std::string_view Case = Arguments[1];
   int Result = lab::CouldNotRun;
-  if (std::string_view(Arguments[1]) == "restarted-replica")
-    Result = lab::runRestartedReplica(
-        Arguments[2], Log, !Trouble || std::string_view(Trouble) != "0");
+  if (Case == "restarted-replica")
+    Result = lab::runRestartedReplica(Arguments[2], Log, WithTrouble);
+  if (Case == "overtaken-order")
+    Result = lab::runOvertakenOrder(Arguments[2], Log, WithTrouble);
   // Threads of the stand-ins still wait for requests.
   std::_Exit(Result);
 }
--- a/review/lab-2/Store.cpp
+++ b/review/lab-2/Store.cpp
@@ -68,11 +68,16 @@
 
 std::uint16_t Store::start(const std::string &Ip) {
   int Listener = listenAt(Ip, 0);
-  std::thread([this, Listener] {
+  std::uint16_t Port = portOf(Listener);
+  std::thread([this, Listener, Port] {
     while (true) {
       int Handle = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
-      if (Handle >= 0)
-        std::thread([this, Handle] { this->serve(Handle); }).detach();
+      if (Handle < 0)
+        continue;
+      std::thread([this, Handle, Delay = this->takeHoldUp(Port)] {
+        std::this_thread::sleep_for(Delay);
+        this->serve(Handle);
+      }).detach();
     }
   }).detach();
   std::thread([this] {
@@ -81,7 +86,17 @@
       this->endLeases();
     }
   }).detach();
-  return portOf(Listener);
+  return Port;
+}
+
+void Store::holdUpNext(std::uint16_t Port, std::chrono::milliseconds Delay) {
+  std::lock_guard Lock(this->Mutex);
+  this->HoldUps[Port] = Delay;
+}
+
+std::chrono::milliseconds Store::takeHoldUp(std::uint16_t Port) {
+  std::lock_guard Lock(this->Mutex);
+  return std::exchange(this->HoldUps[Port], std::chrono::milliseconds(0));
 }
 
 void Store::write(const std::string &Key, const std::string &Value,
--- a/review/lab-2/Store.h
+++ b/review/lab-2/Store.h
@@ -23,8 +23,11 @@
 
   Store(Record &Log, PromoteHandler OnPromote);
 
-  /// Listens on a free port of a loopback address. Returns the port.
+  /// Listens on a free port of a loopback address. Returns the port. May be
+  /// called again for another port.
   std::uint16_t start(const std::string &Ip);
+  /// What the next connection to a port sends arrives this much later.
+  void holdUpNext(std::uint16_t Port, std::chrono::milliseconds Delay);
   /// Writes or removes a key as the operator or a member does.
   void put(const std::string &Key, const std::string &Json);
   void remove(const std::string &Key);
@@ -51,6 +54,7 @@
   };
 
   void serve(int Handle);
+  std::chrono::milliseconds takeHoldUp(std::uint16_t Port);
   void endLeases();
   Answer call(const std::string &Method, const std::string &Target,
               const std::string &Body,
@@ -68,6 +72,7 @@
   std::map<std::string, Item> Items;
   std::vector<Change> History;
   std::map<std::uint64_t, Lease> Leases;
+  std::map<std::uint16_t, std::chrono::milliseconds> HoldUps;
   std::uint64_t Revision = 1;
   std::uint64_t NextLease = 1;
 };
