--- a/review/lab-2/Group.cpp
+++ b/review/lab-2/Group.cpp
@@ -93,7 +93,6 @@
     Member &At = this->Members.at(Id);
     this->Log.write("member " + Id + " crashes at " + textOf(At.Entries));
     At.Up = false;
-    At.AliveAt = Clock::now();
     ::shutdown(At.Listener, SHUT_RDWR);
     ::close(At.Listener);
     for (int Handle : At.Open)
@@ -112,7 +111,7 @@
     if (Each.Term > At.Term && At.Primary)
       At.Primary = false;
   At.Born = unixMilliseconds();
-  At.EntryDueAt = Clock::now() + EntryDelay;
+  At.NextBeatAt = Clock::now() + EntryDelay;
   this->listen(At);
   this->Log.write("member " + Id + " starts again as " +
                   (At.Primary ? "primary" : "replica") + " at " +
@@ -134,6 +133,26 @@
   return Newest;
 }
 
+void Group::cutFromStore(const std::string &Id) {
+  constexpr std::chrono::milliseconds Before(40);
+  constexpr std::chrono::milliseconds Poll(5);
+  std::unique_lock Lock(this->Mutex);
+  Member &At = this->Members.at(Id);
+  while (At.NextBeatAt - Clock::now() > Before) {
+    Lock.unlock();
+    std::this_thread::sleep_for(Poll);
+    Lock.lock();
+  }
+  At.CutFromStore = true;
+  this->Log.write("member " + Id + " is cut off from the store");
+}
+
+void Group::reachStore(const std::string &Id) {
+  std::lock_guard Lock(this->Mutex);
+  this->Members.at(Id).CutFromStore = false;
+  this->Log.write("member " + Id + " reaches the store again");
+}
+
 std::string Group::primary() {
   std::lock_guard Lock(this->Mutex);
   Member *Leader = this->leader();
@@ -172,11 +191,22 @@
           {"seq", 1},
           {"born", Each.Born},
           {"db_role", Each.Primary ? "primary" : "replica"}});
-      if (!Each.Up && Now - Each.AliveAt > 3 * this->Options.Heartbeat)
+      // A heartbeat that changes nothing isn't written.
+      bool RoleChanged = Each.Primary != Each.StoredPrimary;
+      bool Beats = Each.Up && !Each.CutFromStore &&
+                   (Now >= Each.NextBeatAt ||
+                    (RoleChanged && !Each.StoredEntry.empty()));
+      while (Each.NextBeatAt <= Now)
+        Each.NextBeatAt = std::max(Each.NextBeatAt + this->Options.Heartbeat,
+                                   Now - this->Options.Heartbeat);
+      if (Beats)
+        Each.LastBeatAt = Now;
+      bool Expired = Now - Each.LastBeatAt > 3 * this->Options.Heartbeat;
+      if (Expired)
         Next = "";
-      bool Due = Each.Up ? Now >= Each.EntryDueAt : Next.empty();
-      if (!Due || Next == Each.StoredEntry)
+      if ((!Beats && !Expired) || Next == Each.StoredEntry)
         continue;
+      Each.StoredPrimary = Each.Primary;
       Each.StoredEntry = Next;
       Changes.emplace_back("servers/" + Id, Next);
       this->Log.write(
--- a/review/lab-2/Group.h
+++ b/review/lab-2/Group.h
@@ -46,6 +46,11 @@
   void restart(const std::string &Id, std::chrono::milliseconds EntryDelay);
   /// While deaf, a replica receives nothing.
   void setDeaf(const std::string &Id, bool Deaf);
+  /// Cuts a member off from the store, and from nothing else, as its next
+  /// heartbeat is due; returns then.
+  void cutFromStore(const std::string &Id);
+  /// Ends the cut. The member's entry is back with its next heartbeat.
+  void reachStore(const std::string &Id);
   [[nodiscard]] std::string primary();
 
 private:
@@ -62,9 +67,12 @@
     std::uint64_t Born = 0;
     /// Counts the starts; threads of an earlier one end.
     int Start = 0;
-    Clock::time_point EntryDueAt;
-    Clock::time_point AliveAt;
+    /// When the next heartbeat is due, and when the store last got one.
+    Clock::time_point NextBeatAt;
+    Clock::time_point LastBeatAt;
+    bool CutFromStore = false;
     std::string StoredEntry;
+    bool StoredPrimary = false;
   };
   struct Session {
     bool InTransaction = false;
--- a/review/lab-2/Main.cpp
+++ b/review/lab-2/Main.cpp
@@ -5,6 +5,7 @@
 #include "Sockets.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -123,6 +124,32 @@
   return Broken ? RuleBroken : 0;
 }
 
+/// Starts a primary and two replicas. Broken is set when a member is promoted
+/// whose log lacks an acknowledged write.
+void startGroup(Group &Members, Store &Platform, Clients &Callers, Record &Log,
+                std::atomic<bool> &Broken) {
+  Members.start(Platform, {"i-1", "i-2", "i-3"},
+                [&](const std::string &Id, const std::vector<Entry> &Entries) {
+                  std::size_t Lost = 0;
+                  for (const std::string &Each : Callers.acknowledged())
+                    Lost += std::ranges::find(Entries, Each, &Entry::Id) ==
+                                    Entries.end()
+                                ? 1
+                                : 0;
+                  Log.write("LOST: " + std::to_string(Lost) +
+                            " acknowledged writes are not in the log of " + Id);
+                  Broken = Broken || Lost > 0;
+                });
+}
+
+std::vector<std::string> replicasOf(const std::string &Primary) {
+  std::vector<std::string> Replicas;
+  for (const std::string Id : {"i-1", "i-2", "i-3"})
+    if (Id != Primary)
+      Replicas.push_back(Id);
+  return Replicas;
+}
+
 /// One replica of a service with synchronous replicas receives nothing for a
 /// while. Meanwhile the primary and the other replica crash. The replica starts
 /// again first, with an empty log, and renews its entry a moment later. The
@@ -144,19 +171,8 @@
       });
   Places Where = prepare(Folder, Platform);
   static Clients Callers(Log, Where.Fronts, "ledger");
-  static bool Broken = false;
-  Members.start(
-      Platform, {"i-1", "i-2", "i-3"},
-      [&Log](const std::string &Id, const std::vector<Entry> &Entries) {
-        std::size_t Lost = 0;
-        for (const std::string &Each : Callers.acknowledged())
-          Lost += std::ranges::find(Entries, Each, &Entry::Id) == Entries.end()
-                      ? 1
-                      : 0;
-        Log.write("LOST: " + std::to_string(Lost) +
-                  " acknowledged writes are not in the log of " + Id);
-        Broken = Broken || Lost > 0;
-      });
+  static std::atomic<bool> Broken = false;
+  startGroup(Members, Platform, Callers, Log, Broken);
   Platform.put("op/config", configuration({"ledger"}, 1));
   startDaemons(Folder);
   Callers.start(2);
@@ -164,10 +180,7 @@
     return CouldNotRun;
   if (Trouble) {
     std::string Primary = Members.primary();
-    std::vector<std::string> Replicas;
-    for (const std::string Id : {"i-1", "i-2", "i-3"})
-      if (Id != Primary)
-        Replicas.push_back(Id);
+    std::vector<std::string> Replicas = replicasOf(Primary);
     Members.setDeaf(Replicas.back(), true);
     pauseFor(DeafBefore);
     Members.crash({Primary, Replicas.front()});
@@ -183,6 +196,50 @@
   return finish(Log, Broken);
 }
 
+/// One replica of a service with synchronous replicas is cut off from the
+/// store alone, until its entry ends. It still receives and confirms. Then the
+/// other replica receives nothing for a while, and the primary crashes.
+int runUnlistedReplica(const std::string &Folder, Record &Log, bool Trouble) {
+  constexpr std::size_t EnoughWrites = 300;
+  constexpr std::chrono::milliseconds CutBefore(3700);
+  constexpr std::chrono::milliseconds DeafBefore(700);
+  constexpr std::chrono::milliseconds CutAfter(600);
+  constexpr std::chrono::milliseconds DeafAfter(3400);
+  constexpr std::chrono::milliseconds Rest(6000);
+  static Group Members(
+      Log, {.Service = "ledger", .Ip = "127.0.0.1", .SyncReplicas = 1});
+  static Store Platform(
+      Log, [](const std::string &, const std::string &Id, std::uint64_t Token) {
+        return Members.promote(Id, Token);
+      });
+  Places Where = prepare(Folder, Platform);
+  static Clients Callers(Log, Where.Fronts, "ledger");
+  static std::atomic<bool> Broken = false;
+  startGroup(Members, Platform, Callers, Log, Broken);
+  Platform.put("op/config", configuration({"ledger"}, 1));
+  startDaemons(Folder);
+  Callers.start(2);
+  if (!awaitWrites(Callers, EnoughWrites))
+    return CouldNotRun;
+  if (Trouble) {
+    std::string Primary = Members.primary();
+    std::vector<std::string> Replicas = replicasOf(Primary);
+    Members.cutFromStore(Replicas.front());
+    pauseFor(CutBefore);
+    Members.setDeaf(Replicas.back(), true);
+    pauseFor(DeafBefore);
+    Members.crash({Primary});
+    pauseFor(CutAfter);
+    Members.reachStore(Replicas.front());
+    pauseFor(DeafAfter - CutAfter);
+    Members.setDeaf(Replicas.back(), false);
+    Members.restart(Primary, std::chrono::milliseconds(0));
+  }
+  pauseFor(Rest);
+  Callers.stop();
+  return finish(Log, Broken);
+}
+
 /// The primaries of two services crash at the same moment. A packet of the
 /// first order for a promotion is lost and sent again.
 int runOvertakenOrder(const std::string &Folder, Record &Log, bool Trouble) {
@@ -248,6 +305,8 @@
   int Result = lab::CouldNotRun;
   if (Case == "restarted-replica")
     Result = lab::runRestartedReplica(Arguments[2], Log, WithTrouble);
+  if (Case == "unlisted-replica")
+    Result = lab::runUnlistedReplica(Arguments[2], Log, WithTrouble);
   if (Case == "overtaken-order")
     Result = lab::runOvertakenOrder(Arguments[2], Log, WithTrouble);
   // Threads of the stand-ins still wait for requests.
--- a/review/lab-2/Store.cpp
+++ b/review/lab-2/Store.cpp
@@ -178,8 +178,7 @@
     if (!Body)
       break;
     Answer Reply =
-        this->call(Start->substr(0, First),
-                   Start->substr(First + 1, Last - First - 1), *Body, Fields);
+        this->call(Start->substr(First + 1, Last - First - 1), *Body, Fields);
     if (!sendAll(Handle, "HTTP/1.1 " + std::to_string(Reply.Status) +
                              " -\r\nContent-Type: application/json\r\n"
                              "Content-Length: " +
@@ -190,8 +189,7 @@
   ::close(Handle);
 }
 
-Store::Answer Store::call(const std::string &Method, const std::string &Target,
-                          const std::string &Body,
+Store::Answer Store::call(const std::string &Target, const std::string &Body,
                           const std::map<std::string, std::string> &Fields) {
   auto Query = queryOf(Target);
   std::string Path = Target.substr(0, Target.find('?'));
--- a/review/lab-2/Store.h
+++ b/review/lab-2/Store.h
@@ -56,8 +56,7 @@
   void serve(int Handle);
   std::chrono::milliseconds takeHoldUp(std::uint16_t Port);
   void endLeases();
-  Answer call(const std::string &Method, const std::string &Target,
-              const std::string &Body,
+  Answer call(const std::string &Target, const std::string &Body,
               const std::map<std::string, std::string> &Fields);
   Answer watch(const std::map<std::string, std::string> &Query);
   Answer commit(const std::string &Body);
