Review case 10: the end of an answer is lost when a daemon stops

Shows the entry of KNOWN-RED.txt: a session whose answer the client hasn't taken yet doesn't keep a stopping daemon.

--- a/review/lab-2/Group.cpp
+++ b/review/lab-2/Group.cpp
@@ -343,11 +343,11 @@
     Word = Known->second ? "WRITE" : "READ";
   }
   if (Word == "READ") {
-    std::string Row;
+    std::string Rows;
     for (const Entry &Each : At.Entries)
       if (Each.Item == Rest)
-        Row = Each.Data;
-    return "DATAROW " + Row + "\r\n" + Signed;
+        Rows += "DATAROW " + Each.Data + "\r\n";
+    return Rows + Signed;
   }
   bool Commits = Word == "COMMIT";
   if (!Commits && Word != "WRITE")
--- a/review/lab-2/Main.cpp
+++ b/review/lab-2/Main.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -77,7 +78,7 @@
 
 /// A service has the name of its database.
 std::string configuration(const std::vector<std::string> &Services,
-                          int SyncReplicas) {
+                          int SyncReplicas, int TimeoutMs = 1000) {
   std::string Routes;
   std::string Rules;
   for (const std::string &Each : Services) {
@@ -288,6 +289,93 @@
   return finish(Log, Broken);
 }
 
+/// Sends a statement and returns the result line of its answer.
+std::string ask(int Handle, Reader &From, const std::string &Statement) {
+  std::string Result = "no answer";
+  if (!sendAll(Handle, Statement + "\r\n"))
+    return Result;
+  auto Line = From.line();
+  while (Line && !Line->starts_with("READY")) {
+    Result = Line->substr(0, Line->find(' ', Line->find(' ') + 1));
+    Line = From.line();
+  }
+  return Line ? Result : "no answer";
+}
+
+/// A daemon is asked to stop. In the first half of its grace period, a client
+/// with an open session and a slow link asks for 4 MB.
+int runSlowReader(const std::string &Folder, Record &Log, bool Trouble) {
+  constexpr int Rows = 4;
+  constexpr std::size_t RowBytes = 1'000'000;
+  constexpr int RouteTimeoutMs = 3000;
+  constexpr int ReceiveBuffer = 128 * 1024;
+  constexpr std::size_t Chunk = std::size_t{80} * 1024;
+  constexpr std::chrono::milliseconds ChunkPause(40);
+  constexpr std::chrono::milliseconds StopBefore(2000);
+  static Group Members(Log, {.Service = "ledger", .Ip = "127.0.0.1"});
+  static Store Platform(
+      Log, [](const std::string &, const std::string &Id, std::uint64_t Token) {
+        return Members.promote(Id, Token);
+      });
+  Places Where = prepare(Folder, Platform);
+  static Clients Callers(Log, Where.Fronts, "ledger");
+  static std::atomic<bool> Broken = false;
+  startGroup(Members, Platform, Callers, Log, Broken);
+  Platform.put("op/config", configuration({"ledger"}, 0, RouteTimeoutMs));
+  startDaemons(Folder);
+  Callers.start(1);
+  bool Writes = awaitWrites(Callers, 2);
+  Callers.stop();
+  const Front &At = Where.Fronts.front();
+  int Handle = connectTo(At.Ip, At.Port, ReceiveBuffer);
+  if (!Writes || Handle < 0)
+    return CouldNotRun;
+  Reader From(Handle);
+  bool Prepared = sendAll(Handle, "STARTUP ledger key\r\n") &&
+                  From.line().value_or("").starts_with("READY");
+  for (int Row = 0; Row < Rows; ++Row)
+    Prepared = Prepared && ask(Handle, From,
+                               "QUERY p" + std::to_string(Row) +
+                                   " WRITE scans " + std::string(RowBytes, 's'))
+                               .starts_with("COMPLETE");
+  std::ifstream PidFile(Folder + "/front-1.pid");
+  pid_t Daemon = 0;
+  PidFile >> Daemon;
+  if (!Prepared || Daemon == 0)
+    return CouldNotRun;
+  if (Trouble) {
+    Log.write("SIGTERM to front-1");
+    ::kill(Daemon, SIGTERM);
+  }
+  pauseFor(StopBefore);
+  Log.write("the client sends QUERY r1 READ scans");
+  auto SentAt = Clock::now();
+  sendAll(Handle, "QUERY r1 READ scans\r\n");
+  std::size_t Received = 0;
+  std::string Tail;
+  std::vector<char> Bytes(Chunk);
+  ssize_t Count = 1;
+  while (Count > 0 && Tail.find("READY") == std::string::npos) {
+    Count = ::recv(Handle, Bytes.data(), Bytes.size(), 0);
+    if (Count <= 0)
+      break;
+    Received += static_cast<std::size_t>(Count);
+    Tail += std::string(Bytes.data(), static_cast<std::size_t>(Count));
+    constexpr std::size_t LongestEnd = 200;
+    if (Tail.size() > LongestEnd)
+      Tail.erase(0, Tail.size() - LongestEnd);
+    pauseFor(ChunkPause);
+  }
+  Broken = Tail.find("COMPLETE") == std::string::npos ||
+           Tail.find("READY") == std::string::npos;
+  auto Took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Clock::now() - SentAt);
+  Log.write(std::string(Broken ? "LOST: the connection ends" : "answered") +
+            " after " + std::to_string(Received) + " bytes and " +
+            std::to_string(Took.count()) + " ms");
+  return finish(Log, Broken);
+}
+
 } // namespace
 
 } // namespace lab
@@ -307,6 +395,8 @@
     Result = lab::runRestartedReplica(Arguments[2], Log, WithTrouble);
   if (Case == "unlisted-replica")
     Result = lab::runUnlistedReplica(Arguments[2], Log, WithTrouble);
+  if (Case == "slow-reader")
+    Result = lab::runSlowReader(Arguments[2], Log, WithTrouble);
   if (Case == "overtaken-order")
     Result = lab::runOvertakenOrder(Arguments[2], Log, WithTrouble);
   // Threads of the stand-ins still wait for requests.
--- a/review/lab-2/Sockets.h
+++ b/review/lab-2/Sockets.h
@@ -51,9 +51,19 @@
   return ntohs(Where.sin_port);
 }
 
-inline int connectTo(const std::string &Ip, std::uint16_t Port) {
+/// ReceiveBuffer: its size in bytes, for a client whose packets have the size
+/// of those of a real link; 0 for a client on loopback.
+inline int connectTo(const std::string &Ip, std::uint16_t Port,
+                     int ReceiveBuffer = 0) {
   int Handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int On = 1;
+  if (ReceiveBuffer > 0) {
+    int SegmentSize = 1460;
+    setsockopt(Handle, SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer,
+               sizeof(ReceiveBuffer));
+    setsockopt(Handle, IPPROTO_TCP, TCP_MAXSEG, &SegmentSize,
+               sizeof(SegmentSize));
+  }
   setsockopt(Handle, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
   sockaddr_in Where = socketAddress(Ip, Port);
   if (::connect(Handle, reinterpret_cast<sockaddr *>(&Where), sizeof(Where)) ==
