--- a/review/lab-2/Main.cpp
+++ b/review/lab-2/Main.cpp
@@ -85,7 +85,9 @@
     std::string Comma = Routes.empty() ? "" : ",";
     Routes += Comma + R"({"name":"r-)" + Each + R"(","host":")" + Each +
               R"(","service":")" + Each +
-              R"(","kind":"primary","timeout_ms":1000,"latency_goal_ms":200,)"
+              R"(","kind":"primary","timeout_ms":)" +
+              std::to_string(TimeoutMs) +
+              R"(,"latency_goal_ms":200,)"
               R"("priority":1,"max_staleness_ms":0})";
     Rules += Comma + R"({"name":")" + Each +
              R"(","max_conns":60,"sync_replicas":)" +
