--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -25,6 +25,32 @@
          std::to_string(Position.Position.Value);
 }
 
+std::string positionText(const std::optional<TermPosition> &Position) {
+  return Position ? positionText(*Position) : "unknown";
+}
+
+/// The members of a search as ID:STANDING, separated by commas.
+std::string standingsText(const SearchAssessment &Assessment) {
+  std::string Text;
+  for (const MemberAssessment &Each : Assessment.Members) {
+    Text += Text.empty() ? "" : ",";
+    Text += Each.Id.Value.empty() ? "unknown" : Each.Id.Value;
+    Text += ":" + std::string(toString(Each.Standing));
+  }
+  return Text;
+}
+
+std::string_view outcomeOf(const SuccessorSearch &Search,
+                           const SuccessorDecision &Decision) {
+  if (Decision.Action == SuccessorAction::Wait)
+    return "waits";
+  if (Decision.Action == SuccessorAction::KeepPrimary)
+    return "keeps_primary";
+  bool Incomplete = !Decision.Missing.empty() &&
+                    Decision.Missing.size() >= Search.SynchronousReplicas;
+  return Incomplete ? "given_up" : "promotes";
+}
+
 } // namespace
 
 /// A failover in progress.
@@ -39,7 +65,7 @@
   std::shared_ptr<MemberReplies> Replies = std::make_shared<MemberReplies>();
   /// What the log has shown of the search.
   std::map<UpstreamId, TermPosition> LoggedPositions;
-  std::vector<UpstreamId> LoggedMissing;
+  std::string LoggedSearch;
   /// Members that refused the promotion order.
   std::set<UpstreamId> Refused;
   /// Whether the old primary remains primary.
@@ -1094,11 +1120,10 @@
       Reached = Own->second.Report.Received;
     co_await this->pause(this->Options.PollInterval);
   }
-  writeDecision(
-      DecisionLine("hand_over_postponed")
-          .field("service", Record.Service.Value)
-          .field("primary", Record.Primary.Value)
-          .field("position", Reached ? positionText(*Reached) : "unknown"));
+  writeDecision(DecisionLine("hand_over_postponed")
+                    .field("service", Record.Service.Value)
+                    .field("primary", Record.Primary.Value)
+                    .field("position", positionText(Reached)));
   // Without a reply of the primary, the search has to do without it as well.
   co_return !Reached.has_value();
 }
@@ -1241,7 +1266,7 @@
 }
 
 void FailoverCoordinator::logSearch(Failover &F, const SuccessorSearch &Search,
-                                    const SuccessorDecision &Decision) {
+                                    const SuccessorDecision &Decision) const {
   auto Known = std::max(Search.PrimaryPosition, Search.Sampled);
   for (const ReplicaState &Each : Search.Replicas) {
     if (!Each.Report)
@@ -1251,30 +1276,34 @@
     if (!Added && Logged->second == Each.Report->Received)
       continue;
     Logged->second = Each.Report->Received;
-    writeDecision(
-        DecisionLine("successor_candidate")
-            .field("service", F.Record.Service.Value)
-            .field("member", Each.Id.Value)
-            .field("received", positionText(Each.Report->Received))
-            .field("draining", Each.Draining ? 1 : 0)
-            .field("acknowledged", Known ? positionText(*Known) : "unknown"));
+    writeDecision(DecisionLine("successor_candidate")
+                      .field("service", F.Record.Service.Value)
+                      .field("member", Each.Id.Value)
+                      .field("received", positionText(Each.Report->Received))
+                      .field("draining", Each.Draining ? 1 : 0)
+                      .field("acknowledged", positionText(Known)));
   }
-  bool Incomplete = Decision.Action == SuccessorAction::Promote &&
-                    Decision.Missing.size() >= Search.SynchronousReplicas &&
-                    !Decision.Missing.empty();
-  if (Decision.Missing == F.LoggedMissing && !Incomplete)
-    return;
-  F.LoggedMissing = Decision.Missing;
-  std::string Names;
+  std::string Missing;
   for (const UpstreamId &Each : Decision.Missing)
-    Names += (Names.empty() ? "" : ",") +
-             (Each.Value.empty() ? std::string("unknown") : Each.Value);
+    Missing += (Missing.empty() ? "" : ",") +
+               (Each.Value.empty() ? std::string("unknown") : Each.Value);
+  SearchAssessment Assessment =
+      assessSearch(this->Options.Successor, Search, this->Clock.now());
+  std::string Standings = standingsText(Assessment);
+  std::string_view Outcome = outcomeOf(Search, Decision);
+  std::string Shown = Missing + " " + Standings + " " + std::string(Outcome);
+  if (Shown == F.LoggedSearch)
+    return;
+  F.LoggedSearch = std::move(Shown);
   writeDecision(DecisionLine("successor_search")
                     .field("service", F.Record.Service.Value)
                     .field("sync_replicas", Search.SynchronousReplicas)
-                    .field("missing", Names)
+                    .field("required", positionText(Assessment.Required))
+                    .field("sampled", positionText(Search.Sampled))
+                    .field("missing", Missing)
+                    .field("members", Standings)
                     .field("members_listed", needsMemberList(Search) ? 0 : 1)
-                    .field("outcome", Incomplete ? "given_up" : "known"));
+                    .field("outcome", Outcome));
 }
 
 Awaitable<void> FailoverCoordinator::awaitMemberList() {
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -298,9 +298,10 @@
   [[nodiscard]] static bool stillLeads(const Failover &F);
   [[nodiscard]] SuccessorSearch successorSearch(const Failover &F,
                                                 TimePoint BeganAt);
-  /// Logs candidates with new positions, and what the search waits for.
-  static void logSearch(Failover &F, const SuccessorSearch &Search,
-                        const SuccessorDecision &Decision);
+  /// Logs candidates with new positions, and the decision when it or its
+  /// grounds have changed.
+  void logSearch(Failover &F, const SuccessorSearch &Search,
+                 const SuccessorDecision &Decision) const;
   /// When the list of members was certainly the newest.
   [[nodiscard]] std::optional<TimePoint> membersListedAt(TimePoint Now) const;
   /// Tracks which replicas an acknowledged commit of a service may stand on.
--- a/failover/SuccessorRules.cpp
+++ b/failover/SuccessorRules.cpp
@@ -16,6 +16,13 @@
   return Furthest;
 }
 
+/// Whether the furthest known log holds all that a departed replica can have
+/// confirmed.
+bool isCovered(const DepartedReplica &Each,
+               const std::optional<TermPosition> &Furthest) {
+  return Each.CoveredFrom && Furthest && *Furthest >= *Each.CoveredFrom;
+}
+
 /// The replicas that can have confirmed a commit which the furthest known log
 /// lacks.
 std::vector<UpstreamId>
@@ -26,32 +33,59 @@
     if (!Each.Report)
       Unknown.push_back(Each.Id);
   for (const DepartedReplica &Each : Search.Departed)
-    if (!Each.CoveredFrom || !Furthest || *Furthest < *Each.CoveredFrom)
+    if (!isCovered(Each, Furthest))
       Unknown.push_back(Each.Id);
   return Unknown;
 }
 
-/// The furthest replica that may be promoted and reaches Required.
+/// The position that a successor must reach if nothing is to be lost.
+std::optional<TermPosition> requiredPosition(const SuccessorSearch &Search) {
+  if (Search.SynchronousReplicas == 0)
+    return std::max(Search.PrimaryPosition, Search.Sampled);
+  return Search.PrimaryPosition ? Search.PrimaryPosition : furthestLog(Search);
+}
+
+/// Whether replicas that drain may succeed.
+bool mayDrain(const SuccessorOptions &Options, const SuccessorSearch &Search,
+              TimePoint Now) {
+  return Now - Search.BeganAt >= Options.CatchUpTimeout &&
+         !isPlanned(Search.Reason);
+}
+
+MemberStanding standingOf(const SuccessorOptions &Options,
+                          const ReplicaState &Each,
+                          const std::optional<TermPosition> &Required,
+                          bool MayDrain, TimePoint Now) {
+  if (!Each.Report)
+    return MemberStanding::Silent;
+  if (Each.Refused)
+    return MemberStanding::Refused;
+  if (Now - Each.Report->ReceivedAt > Options.ReportValidity)
+    return MemberStanding::Outdated;
+  if (Required && Each.Report->Received < *Required)
+    return MemberStanding::Behind;
+  if (Each.Draining && !MayDrain)
+    return MemberStanding::Draining;
+  return MemberStanding::Candidate;
+}
+
+/// The furthest replica that may be promoted and reaches Required; one that
+/// drains only if no other does.
 std::optional<UpstreamId>
 bestSuccessor(const SuccessorOptions &Options, const SuccessorSearch &Search,
-              const std::optional<TermPosition> &Required, bool MayDrain,
-              TimePoint Now) {
+              const std::optional<TermPosition> &Required, TimePoint Now) {
+  bool MayDrain = mayDrain(Options, Search, Now);
   std::vector<SuccessorCandidate> Staying;
   std::vector<SuccessorCandidate> Draining;
-  for (const ReplicaState &Each : Search.Replicas) {
-    if (!Each.Report || Each.Refused ||
-        Now - Each.Report->ReceivedAt > Options.ReportValidity ||
-        (Required && Each.Report->Received < *Required))
-      continue;
-    (Each.Draining ? Draining : Staying)
-        .push_back({.Id = Each.Id,
-                    .Received = Each.Report->Received,
-                    .ApplyDelay = Each.Report->ApplyDelay});
-  }
+  for (const ReplicaState &Each : Search.Replicas)
+    if (standingOf(Options, Each, Required, MayDrain, Now) ==
+        MemberStanding::Candidate)
+      (Each.Draining ? Draining : Staying)
+          .push_back({.Id = Each.Id,
+                      .Received = Each.Report->Received,
+                      .ApplyDelay = Each.Report->ApplyDelay});
   auto Best = chooseSuccessor(Staying);
-  if (Best || !MayDrain)
-    return Best;
-  return chooseSuccessor(Draining);
+  return Best ? Best : chooseSuccessor(Draining);
 }
 
 } // namespace
@@ -68,6 +102,46 @@
   return Best->Id;
 }
 
+std::string_view toString(MemberStanding Standing) {
+  switch (Standing) {
+  case MemberStanding::Candidate:
+    return "candidate";
+  case MemberStanding::Outdated:
+    return "outdated";
+  case MemberStanding::Refused:
+    return "refused";
+  case MemberStanding::Behind:
+    return "behind";
+  case MemberStanding::Draining:
+    return "draining";
+  case MemberStanding::Departed:
+    return "departed";
+  case MemberStanding::Covered:
+    return "covered";
+  case MemberStanding::Silent:
+    break;
+  }
+  return "silent";
+}
+
+SearchAssessment assessSearch(const SuccessorOptions &Options,
+                              const SuccessorSearch &Search, TimePoint Now) {
+  SearchAssessment Result{.Required = requiredPosition(Search)};
+  bool MayDrain = mayDrain(Options, Search, Now);
+  for (const ReplicaState &Each : Search.Replicas)
+    Result.Members.push_back(
+        {.Id = Each.Id,
+         .Standing =
+             standingOf(Options, Each, Result.Required, MayDrain, Now)});
+  std::optional<TermPosition> Furthest = furthestLog(Search);
+  for (const DepartedReplica &Each : Search.Departed)
+    Result.Members.push_back({.Id = Each.Id,
+                              .Standing = isCovered(Each, Furthest)
+                                              ? MemberStanding::Covered
+                                              : MemberStanding::Departed});
+  return Result;
+}
+
 bool needsMemberList(const SuccessorSearch &Search) {
   if (Search.SynchronousReplicas == 0 || Search.PrimaryPosition)
     return false;
@@ -83,15 +157,10 @@
                                   TimePoint Now) {
   bool Synchronous = Search.SynchronousReplicas > 0;
   bool CatchUpOver = Now - Search.BeganAt >= Options.CatchUpTimeout;
-  bool MayDrain = CatchUpOver && !isPlanned(Search.Reason);
   std::optional<TermPosition> Furthest = furthestLog(Search);
   SuccessorDecision Decision;
-  std::optional<TermPosition> Required = Search.PrimaryPosition;
   bool IsComplete = true;
-  if (!Synchronous) {
-    Required = std::max(Required, Search.Sampled);
-  } else if (!Required) {
-    Required = Furthest;
+  if (Synchronous && !Search.PrimaryPosition) {
     Decision.Missing = unknownHolders(Search, Furthest);
     // The empty id stands for any number of members.
     bool KnowsAll = std::ranges::find(Decision.Missing, UpstreamId{}) ==
@@ -101,7 +170,7 @@
   }
   std::optional<UpstreamId> Best;
   if (IsComplete)
-    Best = bestSuccessor(Options, Search, Required, MayDrain, Now);
+    Best = bestSuccessor(Options, Search, requiredPosition(Search), Now);
   if (!Best && CatchUpOver) {
     bool Keep = Search.Reason == FailoverReason::Backlog ||
                 (Synchronous && isPlanned(Search.Reason) &&
@@ -111,10 +180,10 @@
     bool MayLose =
         !Synchronous || Now - Search.ClosedAt >= Options.HolderTimeout;
     if (MayLose)
-      Best = bestSuccessor(Options, Search, Furthest, MayDrain, Now);
+      Best = bestSuccessor(Options, Search, Furthest, Now);
     // The member with the furthest log may be unable to become primary.
     if (MayLose && !Best)
-      Best = bestSuccessor(Options, Search, std::nullopt, MayDrain, Now);
+      Best = bestSuccessor(Options, Search, std::nullopt, Now);
   }
   if (Best) {
     Decision.Action = SuccessorAction::Promote;
--- a/failover/SuccessorRules.h
+++ b/failover/SuccessorRules.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace turmericpitch {
@@ -101,6 +102,50 @@
   bool operator==(const SuccessorDecision &) const = default;
 };
 
+/// What a search makes of a member.
+enum class MemberStanding : std::uint8_t {
+  /// It may be promoted.
+  Candidate,
+  /// It has not reported its log.
+  Silent,
+  /// Its report is too old to promote it.
+  Outdated,
+  /// It refused the promotion.
+  Refused,
+  /// Its log does not reach the required position.
+  Behind,
+  Draining,
+  /// It departed, and may have confirmed commits that no known log holds.
+  Departed,
+  /// It departed, and the furthest known log holds all that it confirmed.
+  Covered,
+};
+
+/// The standing's stable name in the decision log. Thread-safe.
+std::string_view toString(MemberStanding Standing);
+
+/// Why a search promotes a member or not. Immutable value.
+struct MemberAssessment {
+  UpstreamId Id;
+  MemberStanding Standing = MemberStanding::Silent;
+
+  bool operator==(const MemberAssessment &) const = default;
+};
+
+/// What a search requires and makes of each member. Immutable value.
+struct SearchAssessment {
+  /// The position that a successor must reach; empty if none is known.
+  std::optional<TermPosition> Required = std::nullopt;
+  /// The registered replicas, then those that have departed.
+  std::vector<MemberAssessment> Members = {};
+
+  bool operator==(const SearchAssessment &) const = default;
+};
+
+/// Explains a search for the decision log. Pure; thread-safe.
+SearchAssessment assessSearch(const SuccessorOptions &Options,
+                              const SuccessorSearch &Search, TimePoint Now);
+
 /// Whether the list of members has to be read again before a replica can be
 /// promoted. Pure; thread-safe.
 bool needsMemberList(const SuccessorSearch &Search);
