--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -312,6 +312,13 @@
       ReadDuty, [this](const InstanceId &Id) { return this->isSilent(Id); });
 }
 
+std::size_t FailoverCoordinator::promoterRank(const ServiceId &Id) const {
+  auto History = this->ReplicaHistories.find(Id);
+  bool KnowsAll =
+      History == this->ReplicaHistories.end() || History->second.knowsAll();
+  return this->promoterRank() + (KnowsAll ? 0 : this->Instances.count());
+}
+
 RelayChoice FailoverCoordinator::relayToQuery(std::size_t Turn) const {
   std::vector<InstanceId> Holders =
       this->Duties.holders(ReadDuty, this->relays());
@@ -778,7 +785,7 @@
         .at(Id)
         .Pools.at(Record->Primary)
         ->queryStatus([](const auto &, TimePoint) {});
-  FailoverReason Reason = Monitor.evaluate(Seen, this->promoterRank(), Now);
+  FailoverReason Reason = Monitor.evaluate(Seen, this->promoterRank(Id), Now);
   if (Reason == FailoverReason::None && this->isActivePromoter(Now) &&
       this->othersFindPrimarySilent(Id, Now))
     Reason = FailoverReason::Lost;
@@ -801,6 +808,7 @@
                                         TimePoint Now) {
   if (State.SynchronousReplicas == 0) {
     this->ReplicaHistories.erase(Id);
+    this->ReplicaWatches.erase(Id);
     return;
   }
   std::vector<RegisteredMember> Registered;
@@ -809,10 +817,104 @@
   auto ListedAt = this->membersListedAt(Now);
   if (!ListedAt)
     return;
-  ReplicaHistory &History = this->ReplicaHistories[Id];
-  History.onMembers(Registered, *ListedAt, Now);
+  ReplicaHistory &History =
+      this->ReplicaHistories.try_emplace(Id, this->Options.Replicas)
+          .first->second;
+  std::vector<Endpoint> OtherAddresses;
+  if (!History.unlisted().empty())
+    for (const auto &[Other, OtherState] : this->Dispatcher.services())
+      for (const auto &[Member, Pool] : OtherState.Pools)
+        if (Other != Id)
+          OtherAddresses.push_back(Pool->member().Where);
+  History.onMembers(Registered, *ListedAt, Now, OtherAddresses);
   if (auto Newest = State.Freshness.newest())
     History.onSample(*Newest);
+  this->watchReplicas(Id, State);
+  this->sampleForDepartures(Id, State, Now);
+}
+
+void FailoverCoordinator::watchReplicas(const ServiceId &Id,
+                                        const ServiceState &State) {
+  // A search may have begun to watch replicas here.
+  if (!State.Configured ||
+      this->promoterRank() >= this->Options.ReplicaWatchers) {
+    if (!this->Activities.isActive(Id))
+      this->ReplicaWatches.erase(Id);
+    return;
+  }
+  const PrimaryRecord *Record = this->Leases.record(Id);
+  std::vector<RegisteredMember> Replicas = this->unlistedReplicas(Id);
+  for (const auto &[Member, Pool] : State.Pools)
+    if (!Record || Record->Primary != Member)
+      Replicas.push_back(Pool->member());
+  std::erase_if(this->ReplicaWatches[Id], [&](const auto &Each) {
+    return std::ranges::none_of(Replicas, [&](const RegisteredMember &Kept) {
+      return Kept.Id == Each.first;
+    });
+  });
+  for (const RegisteredMember &Each : Replicas)
+    this->watch(Id, Each).poll(this->Options.ReplicaPollInterval);
+}
+
+ReplicaWatch &FailoverCoordinator::watch(const ServiceId &Id,
+                                         const RegisteredMember &Member) {
+  std::shared_ptr<ReplicaWatch> &Found = this->ReplicaWatches[Id][Member.Id];
+  if (Found && Found->member().Where == Member.Where)
+    return *Found;
+  auto Notify = [this, Id](const auto &Event) {
+    auto History = this->ReplicaHistories.find(Id);
+    if (History != this->ReplicaHistories.end())
+      Event(History->second);
+  };
+  Found = std::make_shared<ReplicaWatch>(
+      this->Exec, Member,
+      ReplicaWatch::Hooks{.OnAddressAnswered = [Notify, Replica = Member.Id](
+                                                   bool InUse,
+                                                   TimePoint AskedAt,
+                                                   TimePoint AnsweredAt) {
+        Notify([&](ReplicaHistory &History) {
+          History.onAddressAnswered(Replica, InUse, AskedAt, AnsweredAt);
+        });
+      }});
+  return *Found;
+}
+
+void FailoverCoordinator::sampleForDepartures(const ServiceId &Id,
+                                              const ServiceState &State,
+                                              TimePoint Now) {
+  auto Lease = this->lease(Id);
+  if (!this->ReplicaHistories.at(Id).needsSample(Now) || !Lease ||
+      Lease->ExpiresAt <= Now)
+    return;
+  auto Primary = State.Pools.find(Lease->Primary);
+  if (Primary == State.Pools.end())
+    return;
+  Primary->second->queryStatus(
+      [this, Id, Epoch = Lease->Epoch](
+          const std::optional<MemberReport> &Report, TimePoint SentAt) {
+        // If the lease of this epoch is valid now, it was when this was sent.
+        auto Current = this->lease(Id);
+        bool Leads = Current && Current->Epoch == Epoch &&
+                     Current->ExpiresAt > this->Clock.now();
+        auto History = this->ReplicaHistories.find(Id);
+        if (Report && Report->Primary && Leads &&
+            History != this->ReplicaHistories.end())
+          History->second.onSample(
+              {.AskedAt = SentAt, .Reached = Report->Received});
+      });
+}
+
+std::vector<RegisteredMember>
+FailoverCoordinator::unlistedReplicas(const ServiceId &Id) const {
+  std::vector<RegisteredMember> Replicas;
+  auto History = this->ReplicaHistories.find(Id);
+  const PrimaryRecord *Record = this->Leases.record(Id);
+  if (History == this->ReplicaHistories.end())
+    return Replicas;
+  for (RegisteredMember &Each : History->second.unlisted())
+    if (!Record || Record->Primary != Each.Id)
+      Replicas.push_back(std::move(Each));
+  return Replicas;
 }
 
 void FailoverCoordinator::trackUnfinished(const ServiceId &Id, TimePoint Now) {
@@ -844,8 +946,9 @@
 
 void FailoverCoordinator::checkUnfinished(const PrimaryRecord &Record,
                                           TimePoint Now) {
-  Duration Limit = this->Options.TakeOverAfter +
-                   rankDelay(this->Options.Monitor, this->promoterRank());
+  Duration Limit =
+      this->Options.TakeOverAfter +
+      rankDelay(this->Options.Monitor, this->promoterRank(Record.Service));
   if (Now - this->UnfinishedRecords.at(Record.Service).SeenAt < Limit ||
       !this->mayStartFailover(Now))
     return;
@@ -1173,20 +1276,41 @@
     ServiceId Service, std::set<UpstreamId> Skipped,
     std::set<UpstreamId> NotAwaited, std::shared_ptr<MemberReplies> Replies) {
   auto Missing = std::make_shared<std::size_t>(0);
-  for (const auto &[Id, Pool] : this->Dispatcher.services().at(Service).Pools) {
-    if (Skipped.contains(Id))
-      continue;
-    bool Awaited = !NotAwaited.contains(Id);
+  auto HandlerFor = [&](const UpstreamId &Id, bool Awaited) {
     *Missing += Awaited ? 1 : 0;
-    Pool->queryStatus(
-        [Replies, Missing, Awaited, Id = Id, Clock = this->Clock](
-            const std::optional<MemberReport> &Report, TimePoint) {
-          *Missing -= Awaited ? 1 : 0;
-          if (Report)
-            Replies->insert_or_assign(
-                Id, MemberReply{.Report = *Report, .ReceivedAt = Clock.now()});
+    return [Replies, Missing, Awaited, Id,
+            Clock = this->Clock](const std::optional<MemberReport> &Report,
+                                 std::optional<TimePoint> ConnectedAt) {
+      *Missing -= Awaited ? 1 : 0;
+      if (Report)
+        Replies->insert_or_assign(Id, MemberReply{.Report = *Report,
+                                                  .ReceivedAt = Clock.now(),
+                                                  .ConnectedAt = ConnectedAt});
+    };
+  };
+  auto QueryWatched = [&](const RegisteredMember &Member, auto Handler) {
+    this->watch(Service, Member)
+        .query([Handler](const std::optional<ReplicaWatch::Reply> &Reply) {
+          if (Reply)
+            return Handler(Reply->Report, Reply->ConnectedAt);
+          Handler(std::nullopt, std::nullopt);
         });
+  };
+  const ServiceState &State = this->Dispatcher.services().at(Service);
+  const PrimaryRecord *Record = this->Leases.record(Service);
+  for (const auto &[Id, Pool] : State.Pools) {
+    if (Skipped.contains(Id))
+      continue;
+    auto Handler = HandlerFor(Id, !NotAwaited.contains(Id));
+    bool IsPrimary = Record && Record->Primary == Id;
+    if (State.SynchronousReplicas > 0 && !IsPrimary)
+      QueryWatched(Pool->member(), Handler);
+    else
+      Pool->queryStatus([Handler](const std::optional<MemberReport> &Report,
+                                  TimePoint) { Handler(Report, {}); });
   }
+  for (const RegisteredMember &Each : this->unlistedReplicas(Service))
+    QueryWatched(Each, HandlerFor(Each.Id, false));
   TimePoint GiveUpAt = this->Clock.now() + this->Options.ReportTimeout;
   while (*Missing > 0 && this->Clock.now() < GiveUpAt)
     co_await this->pause(this->Options.PollInterval / 8);
@@ -1258,10 +1382,18 @@
     Search.Replicas.push_back(std::move(Replica));
   }
   auto History = this->ReplicaHistories.find(F.Record.Service);
-  if (History != this->ReplicaHistories.end())
-    for (DepartedReplica &Each : History->second.departed())
-      if (Each.Id != F.Record.Primary)
-        Search.Departed.push_back(std::move(Each));
+  if (History == this->ReplicaHistories.end())
+    return Search;
+  for (DepartedReplica &Each : History->second.departed()) {
+    if (Each.Id == F.Record.Primary)
+      continue;
+    auto Reply = F.Replies->find(Each.Id);
+    if (!Each.Ended && Reply != F.Replies->end())
+      Each.Report = {.Received = Reply->second.Report.Received,
+                     .ApplyDelay = Reply->second.Report.ApplyDelay,
+                     .ReceivedAt = Reply->second.ReceivedAt};
+    Search.Departed.push_back(std::move(Each));
+  }
   return Search;
 }
 
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -4,6 +4,7 @@
 #include "core/RandomSource.h"
 #include "core/SkippedEntries.h"
 #include "drivers/LeaseExchange.h"
+#include "drivers/ReplicaWatch.h"
 #include "drivers/StatementDispatcher.h"
 #include "drivers/StoreClient.h"
 #include "failover/FailoverActivities.h"
@@ -113,6 +114,12 @@
   /// primary; the users state 1 s.
   Duration PromotionTimeout = std::chrono::milliseconds(3000);
   SuccessorOptions Successor = {};
+  ReplicaHistoryOptions Replicas = {};
+  /// Number of instances, the first to replace primaries, that keep connections
+  /// to the replicas of services with synchronous replicas.
+  std::size_t ReplicaWatchers = 4;
+  /// How often they check these connections.
+  Duration ReplicaPollInterval = std::chrono::milliseconds(1000);
   /// How long this instance searches for a successor before it leaves the
   /// failover to other instances.
   Duration SearchTimeout = std::chrono::milliseconds(8000);
@@ -212,6 +219,8 @@
   struct MemberReply {
     MemberReport Report;
     TimePoint ReceivedAt;
+    /// Since when the connection of a watched replica is open.
+    std::optional<TimePoint> ConnectedAt = std::nullopt;
   };
   /// The newest reply of each member. Replies that arrive after a round of
   /// queries has ended are added, too.
@@ -242,6 +251,9 @@
                                              TimePoint Now) const;
   /// Number of instances that rank before this one for replacing primaries.
   [[nodiscard]] std::size_t promoterRank() const;
+  /// The same for one service: an instance that may not know all replicas of
+  /// the service comes after those that do.
+  [[nodiscard]] std::size_t promoterRank(const ServiceId &Id) const;
   /// The relays to query for the store's records.
   [[nodiscard]] RelayChoice relayToQuery(std::size_t Turn) const;
   /// Logs which instance reads the store for the others, when that changes.
@@ -285,8 +297,9 @@
   Awaitable<void> replace(PrimaryRecord From, FailoverReason Reason);
   Awaitable<bool> isStillNeeded(PrimaryRecord From, FailoverReason Reason);
   Awaitable<bool> closeRecord(Failover &F);
-  /// Queries the members of a service except those in Skipped. Returns when
-  /// all but those in NotAwaited have replied, or after ReportTimeout.
+  /// Queries the members of a service except those in Skipped, and its replicas
+  /// that run without being registered. Returns when all members but those in
+  /// NotAwaited have replied, or after ReportTimeout.
   Awaitable<void> queryMembers(ServiceId Service, std::set<UpstreamId> Skipped,
                                std::set<UpstreamId> NotAwaited,
                                std::shared_ptr<MemberReplies> Replies);
@@ -307,6 +320,15 @@
   /// Tracks which replicas an acknowledged commit of a service may stand on.
   void trackReplicas(const ServiceId &Id, const ServiceState &State,
                      TimePoint Now);
+  /// Keeps connections to the replicas of a service, unlisted ones included.
+  void watchReplicas(const ServiceId &Id, const ServiceState &State);
+  ReplicaWatch &watch(const ServiceId &Id, const RegisteredMember &Member);
+  /// Samples the primary if that covers replicas that have departed.
+  void sampleForDepartures(const ServiceId &Id, const ServiceState &State,
+                           TimePoint Now);
+  /// The replicas that a search asks although they are not registered.
+  [[nodiscard]] std::vector<RegisteredMember>
+  unlistedReplicas(const ServiceId &Id) const;
   /// After a planned failover, demotes the former primary to a replica without
   /// waiting for its reply.
   void stepDownFormerPrimary(const Failover &F);
@@ -378,6 +400,8 @@
   std::map<ServiceId, ReplicaBacklogMonitor> BacklogMonitors;
   /// Of services with synchronous replicas.
   std::map<ServiceId, ReplicaHistory> ReplicaHistories;
+  std::map<ServiceId, std::map<UpstreamId, std::shared_ptr<ReplicaWatch>>>
+      ReplicaWatches;
   std::map<ServiceId, Unfinished> UnfinishedRecords;
   std::map<ServiceId, SeenClosing> SeenClosings;
   /// Services for which a failover, a check that may start one, or the write
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -194,6 +194,7 @@
   for (auto &[Service, State] : this->Services) {
     State.LowestPriority = Routes.lowestPriority(Service);
     State.Ages = Routes.acceptedAges(Service);
+    State.Configured = Routes.loaded();
     if (Routes.loaded()) {
       const ServiceRule *Rule = Routes.service(Service);
       State.SynchronousReplicas = Rule ? Rule->SynchronousReplicas : 0;
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -79,6 +79,8 @@
   std::uint32_t LowestPriority = 0;
   /// The limits on the age of data among the service's routes.
   std::optional<AcceptedAges> Ages;
+  /// Whether the configuration is known.
+  bool Configured = false;
   /// Replicas that must have received a commit before it is acknowledged. Until
   /// the configuration is known, one is assumed.
   std::uint32_t SynchronousReplicas = 1;
--- a/failover/SuccessorRules.cpp
+++ b/failover/SuccessorRules.cpp
@@ -7,20 +7,25 @@
 
 namespace {
 
-/// The end of the furthest known log of a replica; empty without reports.
+/// The end of the furthest known log of a replica, registered or not; empty
+/// without reports.
 std::optional<TermPosition> furthestLog(const SuccessorSearch &Search) {
   std::optional<TermPosition> Furthest;
   for (const ReplicaState &Each : Search.Replicas)
     if (Each.Report)
       Furthest = std::max(Furthest, std::optional(Each.Report->Received));
+  for (const DepartedReplica &Each : Search.Departed)
+    if (Each.Report)
+      Furthest = std::max(Furthest, std::optional(Each.Report->Received));
   return Furthest;
 }
 
-/// Whether the furthest known log holds all that a departed replica can have
-/// confirmed.
-bool isCovered(const DepartedReplica &Each,
+/// Whether the furthest known log holds all that a departed replica, and a
+/// member that took over its address since, can have confirmed.
+bool isCovered(const SuccessorSearch &Search, const DepartedReplica &Each,
                const std::optional<TermPosition> &Furthest) {
-  return Each.CoveredFrom && Furthest && *Furthest >= *Each.CoveredFrom;
+  return Each.CoveredFrom && Furthest && *Furthest >= *Each.CoveredFrom &&
+         Each.VacantAt && *Each.VacantAt >= Search.ClosedAt;
 }
 
 /// The replicas that can have confirmed a commit which the furthest known log
@@ -33,7 +38,7 @@
     if (!Each.Report)
       Unknown.push_back(Each.Id);
   for (const DepartedReplica &Each : Search.Departed)
-    if (!isCovered(Each, Furthest))
+    if (!Each.Report && !isCovered(Search, Each, Furthest))
       Unknown.push_back(Each.Id);
   return Unknown;
 }
@@ -77,13 +82,15 @@
   bool MayDrain = mayDrain(Options, Search, Now);
   std::vector<SuccessorCandidate> Staying;
   std::vector<SuccessorCandidate> Draining;
-  for (const ReplicaState &Each : Search.Replicas)
-    if (standingOf(Options, Each, Required, MayDrain, Now) ==
+  for (const ReplicaState &Each : Search.Replicas) {
+    if (standingOf(Options, Each, Required, MayDrain, Now) !=
         MemberStanding::Candidate)
-      (Each.Draining ? Draining : Staying)
-          .push_back({.Id = Each.Id,
-                      .Received = Each.Report->Received,
-                      .ApplyDelay = Each.Report->ApplyDelay});
+      continue;
+    (Each.Draining ? Draining : Staying)
+        .push_back({.Id = Each.Id,
+                    .Received = Each.Report->Received,
+                    .ApplyDelay = Each.Report->ApplyDelay});
+  }
   auto Best = chooseSuccessor(Staying);
   return Best ? Best : chooseSuccessor(Draining);
 }
@@ -118,6 +125,8 @@
     return "departed";
   case MemberStanding::Covered:
     return "covered";
+  case MemberStanding::Unlisted:
+    return "unlisted";
   case MemberStanding::Silent:
     break;
   }
@@ -136,7 +145,8 @@
   std::optional<TermPosition> Furthest = furthestLog(Search);
   for (const DepartedReplica &Each : Search.Departed)
     Result.Members.push_back({.Id = Each.Id,
-                              .Standing = isCovered(Each, Furthest)
+                              .Standing = Each.Report ? MemberStanding::Unlisted
+                                          : isCovered(Search, Each, Furthest)
                                               ? MemberStanding::Covered
                                               : MemberStanding::Departed});
   return Result;
--- a/failover/SuccessorRules.h
+++ b/failover/SuccessorRules.h
@@ -40,15 +40,6 @@
 std::optional<UpstreamId>
 chooseSuccessor(std::span<const SuccessorCandidate> Candidates);
 
-/// A replica's report of its log. Immutable value.
-struct LogReport {
-  TermPosition Received;
-  Duration ApplyDelay{0};
-  TimePoint ReceivedAt;
-
-  auto operator<=>(const LogReport &) const = default;
-};
-
 /// A registered replica as a promoter knows it. Immutable value.
 struct ReplicaState {
   UpstreamId Id;
@@ -119,6 +110,8 @@
   Departed,
   /// It departed, and the furthest known log holds all that it confirmed.
   Covered,
+  /// It is not registered, but has reported its log.
+  Unlisted,
 };
 
 /// The standing's stable name in the decision log. Thread-safe.
@@ -159,8 +152,13 @@
 /// primary, or all but SynchronousReplicas - 1 of the replicas. Until then the
 /// search waits, HolderTimeout at most. With the former primary's log known, a
 /// replica must reach its end, else the end of the furthest known log. The list
-/// of replicas must be newer than their reports: one that has just joined may
-/// hold a commit, and one that has started again may have lost its log.
+/// of replicas must be newer than their reports, as one that has just joined
+/// may hold a commit.
+///
+/// A replica that has departed counts until it is proven that it holds nothing
+/// that the known logs lack; see ReplicaHistory. One that runs without being
+/// registered reports its log like the others, but can't succeed, as no
+/// statement could reach it.
 ///
 /// Replicas that are draining succeed a lost primary only after CatchUpTimeout,
 /// and never one that still runs. Without synchronous replicas, CatchUpTimeout
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -150,7 +150,8 @@
                   .Listen = this->peerAddress(),
                   .Seed = std::random_device{}(),
                   .Rules = Options.Rules,
-                  .GrantorSelection = Options.Grantors},
+                  .GrantorSelection = Options.Grantors,
+                  .Replicas = Options.Replicas},
                  this->Store, this->Instances, this->Dispatcher,
                  {.Own = [this] { return this->ownVersions(); },
                   .OnOther =
--- a/main/SessionDaemon.h
+++ b/main/SessionDaemon.h
@@ -4,6 +4,7 @@
 #include "core/BoundedLog.h"
 #include "failover/GrantorMaintenance.h"
 #include "failover/PromotionRules.h"
+#include "failover/ReplicaHistory.h"
 #include "limits/ShareRight.h"
 #include "platform/InstanceSettings.h"
 
@@ -14,6 +15,7 @@
 struct SessionDaemonOptions {
   PromotionRulesOptions Rules = {};
   GrantorMaintenanceOptions Grantors = {};
+  ReplicaHistoryOptions Replicas = {};
   ShareRightOptions LimitShares = {};
   /// Buffered log lines, which the daemon writes to standard output. Null if
   /// log lines are written directly.
--- a/tests/failover/SuccessorRulesTest.cpp
+++ b/tests/failover/SuccessorRulesTest.cpp
@@ -1,5 +1,6 @@
 #include "failover/SuccessorRules.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace turmericpitch {
@@ -136,8 +137,14 @@
   EXPECT_EQ(decide(Search), waitFor({{"b"}}));
   Search.Departed = {{.Id = {"b"}, .CoveredFrom = at(6)}};
   EXPECT_EQ(decide(Search), waitFor({{"b"}}));
-  Search.Departed = {{.Id = {"b"}, .CoveredFrom = at(5)}};
+  Search.Departed = {
+      {.Id = {"b"}, .Ended = true, .CoveredFrom = at(5), .VacantAt = Began}};
   EXPECT_EQ(decide(Search), promote("a"));
+  // A member that isn't registered may have taken over its address.
+  Search.Departed[0].VacantAt = Began - milliseconds(1);
+  EXPECT_EQ(decide(Search), waitFor({{"b"}}));
+  Search.Departed[0].VacantAt.reset();
+  EXPECT_EQ(decide(Search), waitFor({{"b"}}));
 }
 
 // A replica that has just joined may hold a commit alone, and one that has
@@ -153,6 +160,25 @@
   EXPECT_EQ(decide(Search), promote("a"));
 }
 
+// A replica that ran without an entry held acknowledged commits and wasn't
+// asked.
+TEST(SuccessorRules, LogOfAnUnlistedReplicaIsRequired) {
+  SuccessorSearch Search = search({replica("a", 5)});
+  Search.Departed = {
+      {.Id = {"b"},
+       .Report = LogReport{.Received = at(9), .ReceivedAt = Began}}};
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), waitFor({}));
+  SearchAssessment Expected{.Required = at(9),
+                            .Members = {{{"a"}, MemberStanding::Behind},
+                                        {{"b"}, MemberStanding::Unlisted}}};
+  EXPECT_EQ(assessSearch(Options, Search, Began), Expected);
+  // No service stays without a primary for good.
+  EXPECT_EQ(decide(Search, Options.HolderTimeout), promote("a"));
+  Search.Departed.clear();
+  Search.Replicas.push_back(replica("b", 9));
+  EXPECT_EQ(decide(Search), promote("b"));
+}
+
 TEST(SuccessorRules, MemberThatEndedIsNotPromoted) {
   SuccessorSearch Search = search({replica("a", 5), replica("b", 4)});
   Search.Replicas[0].Refused = true;
@@ -177,33 +203,100 @@
   return {.AskedAt = AskedAt, .Reached = at(Position)};
 }
 
-TEST(ReplicaHistory, DepartureIsCoveredByWhatWasAskedAfterwards) {
-  ReplicaHistory History;
+const UpstreamId B{"b"};
+constexpr TimePoint Always = TimePoint::max();
+
+TEST(ReplicaHistory, DepartureIsCoveredByWhatWasAskedAfterItsEnd) {
+  ReplicaHistory History({.UnlistedTimeout = Duration{0}});
   History.onMembers({member("a", 1), member("b", 2)}, Began, Began);
-  EXPECT_EQ(History.departed(), std::vector<DepartedReplica>{{}});
+  EXPECT_EQ(History.departed(),
+            (std::vector<DepartedReplica>{{.Id = {}, .VacantAt = Always}}));
   History.onSample(sampleAt(Began, 3));
-  History.onMembers({member("a", 1)}, Began + milliseconds(100),
-                    Began + milliseconds(100));
-  History.onSample(sampleAt(Began + milliseconds(50), 4));
-  std::vector<DepartedReplica> Expected{{.Id = {}, .CoveredFrom = at(3)},
-                                        {.Id = {"b"}}};
+  TimePoint Missing = Began + milliseconds(100);
+  History.onMembers({member("a", 1)}, Missing, Missing);
+  TimePoint Refused = Missing + milliseconds(100);
+  History.onSample(sampleAt(Refused - milliseconds(1), 4));
+  History.onAddressAnswered(B, false, Missing, Refused);
+  std::vector<DepartedReplica> Expected{
+      {.Id = {}, .CoveredFrom = at(3), .VacantAt = Always},
+      {.Id = B, .Ended = true, .VacantAt = Missing}};
+  EXPECT_EQ(History.departed(), Expected);
+  EXPECT_TRUE(History.needsSample(Refused));
+  History.onSample(sampleAt(Refused - milliseconds(1), 4));
   EXPECT_EQ(History.departed(), Expected);
-  History.onSample(sampleAt(Began + milliseconds(100), 5));
-  History.onSample(sampleAt(Began + milliseconds(200), 6));
+  History.onSample(sampleAt(Refused, 5));
+  History.onSample(sampleAt(Refused + milliseconds(100), 6));
   Expected[1].CoveredFrom = at(5);
   EXPECT_EQ(History.departed(), Expected);
+  EXPECT_FALSE(History.needsSample(Refused));
+}
+
+// A replica whose entry had ended went on confirming commits, and a sample of
+// the primary covered it.
+TEST(ReplicaHistory, UnlistedReplicaIsNotCoveredWhileItMayRun) {
+  ReplicaHistory History({.UnlistedTimeout = Duration{0}});
+  History.onMembers({member("a", 1), member("b", 2)}, Began, Began);
+  TimePoint Missing = Began + milliseconds(100);
+  History.onMembers({member("a", 1)}, Missing, Missing);
+  History.onSample(sampleAt(Missing + milliseconds(100), 5));
+  ASSERT_EQ(History.departed().size(), 2U);
+  EXPECT_EQ(History.departed()[1], DepartedReplica{.Id = B});
+  EXPECT_EQ(History.unlisted(), std::vector{member("b", 2)});
+  // It is back with the process that had left.
+  History.onMembers({member("a", 1), member("b", 2)}, Missing, Missing);
+  EXPECT_EQ(History.departed().size(), 1U);
+  EXPECT_TRUE(History.unlisted().empty());
+}
+
+// A member that isn't registered yet has the log of the drained one and goes on
+// confirming commits.
+TEST(ReplicaHistory, TakenOverAddressIsNotCovered) {
+  ReplicaHistory History;
+  History.onMembers({member("a", 1), member("b", 2, true)}, Began, Began);
+  History.onMembers({member("a", 1)}, Began, Began);
+  History.onAddressAnswered(B, false, Began, Began);
+  History.onSample(sampleAt(Began, 5));
+  EXPECT_EQ(History.departed()[1].CoveredFrom, at(5));
+  History.onAddressAnswered(B, true, Began, Began);
+  History.onSample(sampleAt(Began, 6));
+  EXPECT_EQ(History.departed()[1], DepartedReplica{.Id = B});
+  History.onMembers({member("a", 1), member("c", 2)}, Began, Began);
+  EXPECT_EQ(History.departed().size(), 1U);
+}
+
+TEST(ReplicaHistory, AddressOfAnotherServicesMemberIsNotAsked) {
+  ReplicaHistory History;
+  History.onMembers({member("a", 1), member("b", 2)}, Began, Began);
+  std::vector<Endpoint> Others{member("x", 2).Where};
+  History.onMembers({member("a", 1)}, Began, Began, Others);
+  EXPECT_TRUE(History.unlisted().empty());
+  History.onSample(sampleAt(Began, 5));
+  EXPECT_EQ(
+      History.departed()[1],
+      (DepartedReplica{
+          .Id = B, .Ended = true, .CoveredFrom = at(5), .VacantAt = Always}));
 }
 
 // A member may join, confirm a commit and be gone while nothing is listed.
 TEST(ReplicaHistory, MembersMayHaveDepartedInAGap) {
+  ReplicaHistoryOptions Defaults;
   ReplicaHistory History;
-  TimePoint Listed = Began + ReplicaHistoryOptions().MaxListingGap;
+  TimePoint Listed = Began + Defaults.MaxListingGap;
   History.onMembers({member("a", 1)}, Began, Began);
+  EXPECT_FALSE(History.knowsAll());
   History.onMembers({member("a", 1)}, Listed, Listed);
-  EXPECT_EQ(History.departed().size(), 1U);
-  Listed += ReplicaHistoryOptions().MaxListingGap + milliseconds(1);
+  // Nobody tells whether such a member still runs, for as long as that may be.
+  History.onSample(
+      sampleAt(Began + Defaults.UnlistedTimeout - milliseconds(1), 3));
+  EXPECT_FALSE(History.knowsAll());
+  History.onSample(sampleAt(Began + Defaults.UnlistedTimeout, 3));
+  EXPECT_TRUE(History.knowsAll());
+  Listed += Defaults.MaxListingGap + milliseconds(1);
   History.onMembers({member("a", 1)}, Listed, Listed);
-  EXPECT_EQ(History.departed(), (std::vector<DepartedReplica>{{}, {}}));
+  EXPECT_EQ(History.departed(),
+            (std::vector<DepartedReplica>{
+                {.Id = {}, .CoveredFrom = at(3), .VacantAt = Always},
+                {.Id = {}, .VacantAt = Always}}));
 }
 
 TEST(ReplicaHistory, MemberThatStartsAgainHasDeparted) {
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -139,6 +139,8 @@
     Options.Rules.RecordValidity = milliseconds(100);
     Options.Rules.RecordValidityMargin = milliseconds(10);
     Options.Grantors.StableListTime = Duration{0};
+    // All members are listed from the start.
+    Options.Replicas.UnlistedTimeout = milliseconds(1);
     this->Daemon = std::make_unique<SessionDaemon>(this->settings(), Options);
     this->DaemonThread =
         std::thread([this] { this->RunResult = this->Daemon->run(); });
@@ -166,13 +168,13 @@
 
   void registerMember(const SessionGroupMember &Each, bool Draining = false,
                       const std::string &Service = "ledger") {
-    this->Store.put("servers/" + Each.Id,
-                    R"({"service":")" + Service + R"(","addr":")" +
-                        toString(Each.Where) +
-                        R"(","zone":"a","version":"v1","slots":3,"state":")" +
-                        (Draining ? "draining" : "ready") +
-                        R"(","cold_left_ms":0,"seq":1,"db_role":")" +
-                        (Each.Primary ? "primary" : "replica") + R"("})");
+    this->Store.put(
+        "servers/" + Each.Id,
+        R"({"service":")" + Service + R"(","addr":")" + toString(Each.Where) +
+            R"(","zone":"a","version":"v1","slots":3,"state":")" +
+            (Draining ? "draining" : "ready") +
+            R"(","cold_left_ms":0,"seq":1,"born":1700000000000,"db_role":")" +
+            (Each.Primary ? "primary" : "replica") + R"("})");
   }
 
   void registerMembers() {
@@ -494,6 +496,43 @@
   this->expectServedWithCommit();
 }
 
+// A replica whose entry had ended, but which ran, went on confirming commits
+// and wasn't asked, so another one was promoted without them (review/8).
+TEST_F(SynchronousReplicaTest, UnlistedReplicaWithTheCommitIsWaitedFor) {
+  constexpr std::size_t Queries = 5;
+  this->runOnStandIns([this] {
+    this->Group.setReplicationPaused("m2", false);
+    this->Store.erase("servers/m3");
+    return 0;
+  });
+  this->awaitListing();
+  // Both replicas receive what the primary reports after the entry has ended.
+  this->writeUntilDone("booking", "kept");
+  this->writeUntilDone("booking", "kept");
+  this->runOnStandIns([this] {
+    this->Group.setReplicationPaused("m2", true);
+    return 0;
+  });
+  this->writeUntilDone("coat", "later");
+  std::size_t Before = this->runOnStandIns([this] {
+    this->Group.stop("m1");
+    return this->Group.statusCount("m3");
+  });
+  this->waitForPromotionOr(
+      [&] { return this->Group.statusCount("m3") >= Before + Queries; });
+  EXPECT_EQ(this->runOnStandIns([this] { return this->Store.promotions(); }),
+            0U);
+  this->runOnStandIns([this] {
+    for (const SessionGroupMember &Each : this->Group.members())
+      if (Each.Id == "m3")
+        this->registerMember(Each);
+    return 0;
+  });
+  this->expectServedWithCommit();
+  Caller Session("bookings");
+  EXPECT_EQ(Session.query("r", "READ coat").front(), "DATAROW later");
+}
+
 TEST_F(SessionDaemonTest, SingleInstanceServesWithoutTheStore) {
   this->runOnStandIns([this] {
     this->Store.setUnavailable(true);
--- a/tests/platform/SessionGroup.cpp
+++ b/tests/platform/SessionGroup.cpp
@@ -87,24 +87,47 @@
   auto Added = std::make_shared<Member>(this->Exec);
   Added->State.Id = Id;
   Added->State.Primary = this->Members.empty();
+  Status Listens = this->listen(Added, Where);
+  if (Listens)
+    this->Members.emplace(Id, Added);
+  return Listens;
+}
+
+Status SessionGroup::listen(const std::shared_ptr<Member> &At,
+                            const Endpoint &Where) {
   boost::system::error_code Failure;
-  asio::ip::tcp::endpoint At(asio::ip::make_address(Where.Address), Where.Port);
-  Added->Acceptor.open(At.protocol(), Failure);
-  Added->Acceptor.set_option(asio::socket_base::reuse_address(true), Failure);
-  Added->Acceptor.bind(At, Failure);
+  asio::ip::tcp::endpoint Bound(asio::ip::make_address(Where.Address),
+                                Where.Port);
+  At->Acceptor.open(Bound.protocol(), Failure);
+  At->Acceptor.set_option(asio::socket_base::reuse_address(true), Failure);
+  At->Acceptor.bind(Bound, Failure);
   if (!Failure)
-    Added->Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
+    At->Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
   if (Failure)
     return Error{.Kind = ErrorKind::Unavailable,
                  .Message = "can't listen on " + toString(Where),
                  .Remedy = "free the address or choose another one"};
-  Added->State.Where = {.Address = Where.Address,
-                        .Port = Added->Acceptor.local_endpoint().port()};
-  this->Members.emplace(Id, Added);
-  this->accept(Added);
+  At->State.Where = {.Address = Where.Address,
+                     .Port = At->Acceptor.local_endpoint().port()};
+  this->accept(At);
   return std::monostate{};
 }
 
+Status SessionGroup::start(const std::string &Id) {
+  const std::shared_ptr<Member> &At = this->Members.at(Id);
+  At->State.Down = false;
+  return this->listen(At, At->State.Where);
+}
+
+void SessionGroup::restartEmpty(const std::string &Id) {
+  Member &At = *this->Members.at(Id);
+  for (const auto &Open : At.Open)
+    Open->Lines->close();
+  At.Open.clear();
+  At.Held.clear();
+  At.State.Log.clear();
+}
+
 void SessionGroup::accept(const std::shared_ptr<Member> &At) {
   At->Acceptor.async_accept([this, At](const boost::system::error_code &Failure,
                                        asio::ip::tcp::socket Connected) {
--- a/tests/platform/SessionGroup.h
+++ b/tests/platform/SessionGroup.h
@@ -58,6 +58,12 @@
   /// unknown.
   bool promote(const std::string &Id);
   void stop(const std::string &Id);
+  /// Lets a member that was stopped listen again, with its log and role.
+  /// Errors: Unavailable if its address can't be bound.
+  Status start(const std::string &Id);
+  /// Closes all connections to a member and empties its log, as if its process
+  /// had ended and another one started.
+  void restartEmpty(const std::string &Id);
   /// Clearing it lets the member catch up.
   void setReplicationPaused(const std::string &Id, bool ReplicationPaused);
   /// While set, the member runs reads and writes but keeps their replies back.
@@ -109,6 +115,7 @@
   struct Member;
   struct Connection;
 
+  Status listen(const std::shared_ptr<Member> &At, const Endpoint &Where);
   void accept(const std::shared_ptr<Member> &At);
   void onLine(const std::shared_ptr<Connection> &From, std::string_view Line);
   void answerOrHold(const std::shared_ptr<Connection> &From,
