--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -868,14 +868,21 @@
   };
   Found = std::make_shared<ReplicaWatch>(
       this->Exec, Member,
-      ReplicaWatch::Hooks{.OnAddressAnswered = [Notify, Replica = Member.Id](
-                                                   bool InUse,
-                                                   TimePoint AskedAt,
-                                                   TimePoint AnsweredAt) {
-        Notify([&](ReplicaHistory &History) {
-          History.onAddressAnswered(Replica, InUse, AskedAt, AnsweredAt);
-        });
-      }});
+      ReplicaWatch::Hooks{
+          .OnConnected =
+              [Notify, Replica = Member.Id](TimePoint ConnectedAt) {
+                Notify([&](ReplicaHistory &History) {
+                  History.onConnected(Replica, ConnectedAt);
+                });
+              },
+          .OnAddressAnswered =
+              [Notify, Replica = Member.Id](bool InUse, TimePoint AskedAt,
+                                            TimePoint AnsweredAt) {
+                Notify([&](ReplicaHistory &History) {
+                  History.onAddressAnswered(Replica, InUse, AskedAt,
+                                            AnsweredAt);
+                });
+              }});
   return *Found;
 }
 
--- a/drivers/ReplicaWatch.cpp
+++ b/drivers/ReplicaWatch.cpp
@@ -80,6 +80,7 @@
         Self->QueryRunning = false;
         if (!Answer)
           return OnReply(std::nullopt);
+        Self->Callbacks.OnConnected(Self->ConnectedAt);
         auto Report =
             toOutcome([&] { return decodeMemberReport(Answer.value()); });
         if (!Report)
--- a/drivers/ReplicaWatch.h
+++ b/drivers/ReplicaWatch.h
@@ -19,6 +19,8 @@
 class ReplicaWatch : public std::enable_shared_from_this<ReplicaWatch> {
 public:
   struct Hooks {
+    /// The replica replied over a connection that was open from this time on.
+    std::function<void(TimePoint ConnectedAt)> OnConnected;
     /// No process listened at the address or, if InUse, another member did.
     std::function<void(bool InUse, TimePoint AskedAt, TimePoint AnsweredAt)>
         OnAddressAnswered;
--- a/failover/ReplicaHistory.cpp
+++ b/failover/ReplicaHistory.cpp
@@ -50,6 +50,12 @@
                          Listed.StartedAt == Each.Member.StartedAt;
       if (SameProcess && !Each.EndedAt)
         return true;
+      // An entry of an earlier process would be gone by now.
+      TimePoint Since =
+          std::max(Each.EndedAt.value_or(Now), this->GaplessSince);
+      if (SameProcess && Each.StartedAgain && Listed.StartedAt != 0 &&
+          *this->ListedAt - Since >= this->Options.EntryLifetime)
+        return true;
       bool SameAddress =
           Listed.Id != Each.Member.Id && Listed.Where == Each.Member.Where;
       if (SameAddress && Each.Member.Draining && !Each.StartedAgain)
@@ -76,6 +82,7 @@
   if (!this->ListedAt ||
       ListedAt - *this->ListedAt > this->Options.MaxListingGap) {
     this->addDeparture({.Member = {}, .NoticedAt = Now});
+    this->GaplessSince = ListedAt;
   }
   this->ListedAt = std::max(this->ListedAt.value_or(ListedAt), ListedAt);
   std::map<UpstreamId, RegisteredMember> Next;
@@ -93,6 +100,12 @@
   }
   this->updateDepartures(Registered, OtherAddresses, Now);
   this->Members = std::move(Next);
+  std::erase_if(this->Connections, [&](const auto &Each) {
+    return !this->Members.contains(Each.first) &&
+           std::ranges::none_of(this->Departures, [&](const Departure &Gone) {
+             return Gone.Member.Id == Each.first && isUnlisted(Gone);
+           });
+  });
 }
 
 bool ReplicaHistory::isUnlisted(const Departure &Each) {
@@ -100,6 +113,32 @@
          !Each.AddressReused;
 }
 
+void ReplicaHistory::onConnected(const UpstreamId &Id, TimePoint ConnectedAt) {
+  RegisteredMember Member;
+  auto Gone = std::ranges::find_if(this->Departures, [&](const auto &Each) {
+    return Each.Member.Id == Id && isUnlisted(Each);
+  });
+  if (auto Found = this->Members.find(Id); Found != this->Members.end())
+    Member = Found->second;
+  else if (Gone != this->Departures.end())
+    Member = Gone->Member;
+  else
+    return;
+  auto [Known, Added] = this->Connections.try_emplace(Id, ConnectedAt);
+  if (!Added && Known->second == ConnectedAt)
+    return;
+  Known->second = ConnectedAt;
+  // It runs again, without an entry.
+  if (Gone != this->Departures.end()) {
+    Gone->EndedAt.reset();
+    Gone->CoveredFrom.reset();
+  }
+  this->addDeparture({.Member = std::move(Member),
+                      .NoticedAt = ConnectedAt,
+                      .EndedAt = ConnectedAt,
+                      .StartedAgain = true});
+}
+
 void ReplicaHistory::onAddressAnswered(const UpstreamId &Id, bool InUse,
                                        TimePoint AskedAt,
                                        TimePoint AnsweredAt) {
--- a/failover/ReplicaHistory.h
+++ b/failover/ReplicaHistory.h
@@ -47,6 +47,9 @@
   /// After a longer gap between two lists, members may have come and gone
   /// unseen. Entries stay for three missed heartbeats at least.
   Duration MaxListingGap = std::chrono::milliseconds(2500);
+  /// After this time the entry of a process that has ended is gone or renewed
+  /// by the next one: four heartbeats.
+  Duration EntryLifetime = std::chrono::milliseconds(4800);
   /// How long a member that this process never knew may run without an entry.
   Duration UnlistedTimeout = std::chrono::seconds(15);
 };
@@ -68,6 +71,10 @@
   void onMembers(const std::vector<RegisteredMember> &Registered,
                  TimePoint ListedAt, TimePoint Now,
                  std::span<const Endpoint> OtherAddresses = {});
+  /// A member has replied over a connection that was open from ConnectedAt on,
+  /// so the same process has run since. Whether an earlier one ran under its
+  /// id isn't known.
+  void onConnected(const UpstreamId &Id, TimePoint ConnectedAt);
   /// The address of a departed replica was asked at AskedAt. The answer at
   /// AnsweredAt shows that no process listens there or, if InUse, another
   /// member does.
@@ -113,8 +120,12 @@
 
   ReplicaHistoryOptions Options;
   std::map<UpstreamId, RegisteredMember> Members;
+  /// Since when the connection of each member's newest reply was open.
+  std::map<UpstreamId, TimePoint> Connections;
   std::deque<Departure> Departures;
   std::optional<TimePoint> ListedAt;
+  /// The first list after the newest gap.
+  TimePoint GaplessSince;
 };
 
 } // namespace turmericpitch
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -98,6 +98,13 @@
           .ReaderInterval = MaxUnconfirmedMembers};
 }
 
+/// Entries end after three heartbeats without a write.
+ReplicaHistoryOptions replicaHistory(ReplicaHistoryOptions Options,
+                                     Duration Heartbeat) {
+  Options.EntryLifetime = 4 * Heartbeat;
+  return Options;
+}
+
 /// Number of files that the system lets this process open.
 std::size_t openFileLimit() {
   rlimit Limit{};
@@ -151,7 +158,8 @@
                   .Seed = std::random_device{}(),
                   .Rules = Options.Rules,
                   .GrantorSelection = Options.Grantors,
-                  .Replicas = Options.Replicas},
+                  .Replicas = replicaHistory(Options.Replicas,
+                                             this->Settings.MemberHeartbeat)},
                  this->Store, this->Instances, this->Dispatcher,
                  {.Own = [this] { return this->ownVersions(); },
                   .OnOther =
--- a/main/SessionDaemon.h
+++ b/main/SessionDaemon.h
@@ -15,6 +15,7 @@
 struct SessionDaemonOptions {
   PromotionRulesOptions Rules = {};
   GrantorMaintenanceOptions Grantors = {};
+  /// EntryLifetime is that of the settings' heartbeat.
   ReplicaHistoryOptions Replicas = {};
   ShareRightOptions LimitShares = {};
   /// Buffered log lines, which the daemon writes to standard output. Null if
--- a/tests/failover/SuccessorRulesTest.cpp
+++ b/tests/failover/SuccessorRulesTest.cpp
@@ -277,6 +277,35 @@
           .Id = B, .Ended = true, .CoveredFrom = at(5), .VacantAt = Always}));
 }
 
+// A replica that had started again without its log counted as a complete
+// report, as its entry still showed the earlier process.
+TEST(ReplicaHistory, NewConnectionMayLeadToAnotherProcess) {
+  ReplicaHistoryOptions Defaults;
+  ReplicaHistory History;
+  RegisteredMember Listed = member("b", 2);
+  Listed.StartedAt = 7;
+  History.onMembers({Listed}, Began, Began);
+  History.onConnected(B, Began);
+  History.onSample(sampleAt(Began, 5));
+  History.onConnected(B, Began);
+  ASSERT_EQ(History.departed().size(), 2U);
+  EXPECT_EQ(History.departed()[1].CoveredFrom, at(5));
+  TimePoint Again = Began + milliseconds(100);
+  History.onConnected(B, Again);
+  History.onSample(sampleAt(Began + milliseconds(50), 6));
+  ASSERT_EQ(History.departed().size(), 3U);
+  EXPECT_EQ(History.departed()[2],
+            (DepartedReplica{.Id = B, .Ended = true, .VacantAt = Always}));
+  // An entry that an earlier process wrote would have ended by then.
+  for (TimePoint Now = Again; Now < Again + Defaults.EntryLifetime;
+       Now += milliseconds(1000))
+    History.onMembers({Listed}, Now, Now);
+  EXPECT_EQ(History.departed().size(), 3U);
+  TimePoint Proven = Again + Defaults.EntryLifetime;
+  History.onMembers({Listed}, Proven, Proven);
+  EXPECT_EQ(std::ranges::count(History.departed(), B, &DepartedReplica::Id), 0);
+}
+
 // A member may join, confirm a commit and be gone while nothing is listed.
 TEST(ReplicaHistory, MembersMayHaveDepartedInAGap) {
   ReplicaHistoryOptions Defaults;
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -163,6 +163,7 @@
     Settings.Store = {.Address = ownAddress(), .Port = this->Store.port()};
     Settings.Promotions = Settings.Store;
     Settings.StopGracePeriod = this->StopGracePeriod;
+    Settings.MemberHeartbeat = this->MemberHeartbeat;
     return Settings;
   }
 
@@ -230,6 +231,7 @@
   std::thread DaemonThread;
   Status RunResult;
   Duration StopGracePeriod = std::chrono::seconds(6);
+  Duration MemberHeartbeat = milliseconds(100);
   std::vector<std::string> Failures;
   int NextId = 0;
 };
@@ -533,6 +535,44 @@
   EXPECT_EQ(Session.query("r", "READ coat").front(), "DATAROW later");
 }
 
+// A replica that had started again with an empty log, and whose entry was still
+// that of its earlier process, counted as a complete report (review/7).
+TEST_F(SynchronousReplicaTest, ReplicaThatStartedAgainIsNoCompleteReport) {
+  constexpr std::size_t Queries = 5;
+  // Its entry isn't renewed during the test.
+  this->killDaemon();
+  this->MemberHeartbeat = std::chrono::seconds(60);
+  this->startDaemon();
+  this->runOnStandIns([this] {
+    this->Group.setReplicationPaused("m2", false);
+    return 0;
+  });
+  // Both replicas receive what the primary reports after the last departure.
+  this->writeUntilDone("booking", "kept");
+  this->awaitListing();
+  this->writeUntilDone("booking", "kept");
+  this->writeUntilDone("booking", "kept");
+  this->runOnStandIns([this] {
+    this->Group.setReplicationPaused("m2", true);
+    return 0;
+  });
+  this->writeUntilDone("coat", "later");
+  std::size_t Before = this->runOnStandIns([this] {
+    this->Group.stop("m1");
+    this->Group.restartEmpty("m3");
+    return this->Group.statusCount("m3");
+  });
+  this->waitForPromotionOr(
+      [&] { return this->Group.statusCount("m3") >= Before + Queries; });
+  EXPECT_EQ(this->runOnStandIns([this] { return this->Store.promotions(); }),
+            0U);
+  // The former primary comes back with its log.
+  EXPECT_TRUE(this->runOnStandIns([this] { return this->Group.start("m1"); }));
+  this->expectServedWithCommit();
+  Caller Session("bookings");
+  EXPECT_EQ(Session.query("r", "READ coat").front(), "DATAROW later");
+}
+
 TEST_F(SessionDaemonTest, SingleInstanceServesWithoutTheStore) {
   this->runOnStandIns([this] {
     this->Store.setUnavailable(true);
