--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -1369,6 +1369,8 @@
   Search.BeganAt = BeganAt;
   Search.ClosedAt = this->closingSeenAt(F.Record, BeganAt);
   Search.ListedAt = this->membersListedAt(this->Clock.now());
+  if (State.Acknowledged && State.Acknowledged->Epoch == F.Record.Epoch)
+    Search.Acknowledged = State.Acknowledged->Entry;
   for (const auto &[Id, Pool] : State.Pools) {
     bool Former = Id == F.Record.Primary;
     auto Reply = F.Replies->find(Id);
@@ -1439,6 +1441,7 @@
                     .field("sync_replicas", Search.SynchronousReplicas)
                     .field("required", positionText(Assessment.Required))
                     .field("sampled", positionText(Search.Sampled))
+                    .field("acknowledged", positionText(Search.Acknowledged))
                     .field("missing", Missing)
                     .field("members", Standings)
                     .field("members_listed", needsMemberList(Search) ? 0 : 1)
--- a/drivers/StatementCall.h
+++ b/drivers/StatementCall.h
@@ -84,6 +84,9 @@
   /// Whether the client's statement itself, not only a setup step, was sent.
   bool StatementSent = false;
   TimePoint SentAt;
+  /// For a write: a position that the primary's log had reached before the
+  /// write was sent.
+  std::optional<TermPosition> PrecedingPosition;
   /// Number of times that the statement was sent to a member which did not
   /// prove that it left it unexecuted.
   std::uint32_t PossibleRuns = 0;
--- a/drivers/StatementDispatcher.cpp
+++ b/drivers/StatementDispatcher.cpp
@@ -566,6 +566,10 @@
   Call->StatementSent = true;
   ++Call->PossibleRuns;
   Call->SentAt = this->Clock.now();
+  Call->PrecedingPosition.reset();
+  if (Call->LastingEffect && this->Services[Service].SynchronousReplicas > 0)
+    if (auto Newest = this->newestSample(Service, Call->Epoch))
+      Call->PrecedingPosition = Newest->Reached;
   Call->Link->run(Session.Account, Line.value(),
                   [this, Call, Attempt = currentAttempt(*Call)](
                       Outcome<StatementReply> Reply) {
@@ -744,9 +748,19 @@
     this->releaseLink(Call);
   if (!Call->LastingEffect)
     return this->deliver(Call, std::move(Reply.value()));
+  this->recordAcknowledged(*Call);
   this->confirmOrHold(Call, std::move(Reply.value()));
 }
 
+void StatementDispatcher::recordAcknowledged(const StatementCall &Call) {
+  // A transaction may have written nothing, so its commit proves nothing.
+  if (!Call.PrecedingPosition || Call.Request.Kind == StatementKind::Commit)
+    return;
+  EpochPosition Proven{.Epoch = Call.Epoch, .Entry = *Call.PrecedingPosition};
+  auto &Known = this->Services[Call.Route.Service].Acknowledged;
+  Known = std::max(Known, std::optional(Proven));
+}
+
 void StatementDispatcher::confirmOrHold(const SharedCall &Call,
                                         StatementReply Reply) {
   const ServiceId &Service = Call->Route.Service;
--- a/drivers/StatementDispatcher.h
+++ b/drivers/StatementDispatcher.h
@@ -84,6 +84,9 @@
   /// Replicas that must have received a commit before it is acknowledged. Until
   /// the configuration is known, one is assumed.
   std::uint32_t SynchronousReplicas = 1;
+  /// A position that is known to be acknowledged: the primary's log had reached
+  /// it before a write was sent that has been acknowledged.
+  std::optional<EpochPosition> Acknowledged;
   /// Whether the queue is being served; prevents recursion.
   bool Serving = false;
 };
@@ -207,6 +210,8 @@
               Duration RetryAfter);
   void deliver(const SharedCall &Call, StatementReply Reply);
   void confirmOrHold(const SharedCall &Call, StatementReply Reply);
+  /// Records what the acknowledgement of a write proves.
+  void recordAcknowledged(const StatementCall &Call);
   void endTransaction(const SharedCall &Call, bool Failed);
   [[nodiscard]] bool holdsLease(const ServiceId &Service,
                                 std::uint64_t Epoch) const;
--- a/failover/SuccessorRules.cpp
+++ b/failover/SuccessorRules.cpp
@@ -47,7 +47,9 @@
 std::optional<TermPosition> requiredPosition(const SuccessorSearch &Search) {
   if (Search.SynchronousReplicas == 0)
     return std::max(Search.PrimaryPosition, Search.Sampled);
-  return Search.PrimaryPosition ? Search.PrimaryPosition : furthestLog(Search);
+  return std::max(Search.Acknowledged, Search.PrimaryPosition
+                                           ? Search.PrimaryPosition
+                                           : furthestLog(Search));
 }
 
 /// Whether replicas that drain may succeed.
--- a/failover/SuccessorRules.h
+++ b/failover/SuccessorRules.h
@@ -64,6 +64,9 @@
   std::optional<TermPosition> PrimaryPosition = std::nullopt;
   /// A position that the primary had reached when it was last sampled.
   std::optional<TermPosition> Sampled = std::nullopt;
+  /// A position that is known to have been acknowledged under the former
+  /// primary.
+  std::optional<TermPosition> Acknowledged = std::nullopt;
   /// When this search began, and when the record's closing was first seen.
   TimePoint BeganAt;
   TimePoint ClosedAt;
@@ -151,9 +154,9 @@
 /// all sets that an acknowledged commit may stand on if it contains the former
 /// primary, or all but SynchronousReplicas - 1 of the replicas. Until then the
 /// search waits, HolderTimeout at most. With the former primary's log known, a
-/// replica must reach its end, else the end of the furthest known log. The list
-/// of replicas must be newer than their reports, as one that has just joined
-/// may hold a commit.
+/// replica must reach its end, else the end of the furthest known log, and in
+/// any case what is known to have been acknowledged. The list of replicas must
+/// be newer than their reports, as one that has just joined may hold a commit.
 ///
 /// A replica that has departed counts until it is proven that it holds nothing
 /// that the known logs lack; see ReplicaHistory. One that runs without being
--- a/tests/failover/SuccessorRulesTest.cpp
+++ b/tests/failover/SuccessorRulesTest.cpp
@@ -179,6 +179,20 @@
   EXPECT_EQ(decide(Search), promote("b"));
 }
 
+// The promoter's own acknowledgements showed that the replica it promoted
+// lacked commits.
+TEST(SuccessorRules, AcknowledgedPositionIsNotPassedUnder) {
+  SuccessorSearch Search = search({replica("a", 5)});
+  Search.Acknowledged = at(6);
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), waitFor({}));
+  EXPECT_EQ(decide(Search, Options.HolderTimeout), promote("a"));
+  Search.Acknowledged = at(5);
+  EXPECT_EQ(decide(Search), promote("a"));
+  Search.Acknowledged = at(6);
+  Search.SynchronousReplicas = 0;
+  EXPECT_EQ(decide(Search), promote("a"));
+}
+
 TEST(SuccessorRules, MemberThatEndedIsNotPromoted) {
   SuccessorSearch Search = search({replica("a", 5), replica("b", 4)});
   Search.Replicas[0].Refused = true;
