--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -68,6 +68,8 @@
   std::string LoggedSearch;
   /// Members that refused the promotion order.
   std::set<UpstreamId> Refused;
+  /// Whether the newest order was certainly not sent.
+  bool OrderWithheld = false;
   /// Whether the old primary remains primary.
   bool KeepsOldPrimary = false;
   /// The term of the new primary.
@@ -1371,6 +1373,8 @@
   Search.ListedAt = this->membersListedAt(this->Clock.now());
   if (State.Acknowledged && State.Acknowledged->Epoch == F.Record.Epoch)
     Search.Acknowledged = State.Acknowledged->Entry;
+  if (F.WasOrdered && State.SynchronousReplicas > 0)
+    Search.Ordered = F.Record.Target;
   for (const auto &[Id, Pool] : State.Pools) {
     bool Former = Id == F.Record.Primary;
     auto Reply = F.Replies->find(Id);
@@ -1475,8 +1479,12 @@
       Search = this->successorSearch(F, BeganAt);
     }
     auto Ordered = F.Replies->find(F.Record.Target);
-    if (F.WasOrdered && Ordered != F.Replies->end() &&
-        Ordered->second.ReceivedAt >= BeganAt)
+    bool Replied = F.WasOrdered && Ordered != F.Replies->end() &&
+                   Ordered->second.ReceivedAt >= BeganAt;
+    // With synchronous replicas, the target may have lost its log since it was
+    // ordered, unless it has become primary.
+    if (Replied &&
+        (Search.SynchronousReplicas == 0 || Ordered->second.Report.Primary))
       co_return F.Record.Target;
     SuccessorDecision Decision =
         decideSuccessor(this->Options.Successor, Search, this->Clock.now());
@@ -1564,14 +1572,17 @@
     co_return false;
   Next.Stored = *Stored;
   F.Record = Next;
+  bool WasOrdered = F.WasOrdered;
   F.WasOrdered = true;
   TimePoint Latest = Began + this->Options.OrderValidity;
   PromotionOrder Order{.Service = Next.Service,
                        .Target = Target,
                        .Requester = this->Options.Self,
                        .FencingToken = Stored->Value};
-  std::function<bool()> InTime = [this, Latest] {
-    return this->Clock.now() < Latest;
+  bool Ended = false;
+  std::function<bool()> InTime = [this, Latest, &F, &Ended] {
+    Ended = !this->targetStillRuns(F);
+    return this->Clock.now() < Latest && !Ended;
   };
   auto Ordered = co_await this->Store.promote(
       Order, this->Options.OrderCallTimeout, InTime);
@@ -1587,10 +1598,27 @@
                     .field("outcome", Outcome));
   if (Ordered && !Ordered.value())
     F.Refused.insert(Target);
+  F.OrderWithheld = Ended;
+  if (Ended)
+    F.WasOrdered = WasOrdered;
   co_return true;
 }
 
+bool FailoverCoordinator::targetStillRuns(const Failover &F) const {
+  auto Reply = F.Replies->find(F.Record.Target);
+  if (Reply == F.Replies->end() || !Reply->second.ConnectedAt)
+    return true;
+  auto Watches = this->ReplicaWatches.find(F.Record.Service);
+  if (Watches == this->ReplicaWatches.end())
+    return false;
+  auto Watch = Watches->second.find(F.Record.Target);
+  return Watch != Watches->second.end() &&
+         Watch->second->isConnectedSince(*Reply->second.ConnectedAt);
+}
+
 Awaitable<bool> FailoverCoordinator::awaitPromotion(Failover &F) {
+  if (F.OrderWithheld)
+    co_return false;
   if (F.Refused.contains(F.Record.Target)) {
     F.WasOrdered = false;
     co_return false;
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -329,6 +329,9 @@
   /// The replicas that a search asks although they are not registered.
   [[nodiscard]] std::vector<RegisteredMember>
   unlistedReplicas(const ServiceId &Id) const;
+  /// Whether the process that reported its log to the failover's search still
+  /// runs, as far as its connection shows.
+  [[nodiscard]] bool targetStillRuns(const Failover &F) const;
   /// After a planned failover, demotes the former primary to a replica without
   /// waiting for its reply.
   void stepDownFormerPrimary(const Failover &F);
--- a/failover/SuccessorRules.cpp
+++ b/failover/SuccessorRules.cpp
@@ -77,7 +77,8 @@
 }
 
 /// The furthest replica that may be promoted and reaches Required; one that
-/// drains only if no other does.
+/// drains only if no other does. One whose promotion may have been requested
+/// comes first, as two promotions must not take effect.
 std::optional<UpstreamId>
 bestSuccessor(const SuccessorOptions &Options, const SuccessorSearch &Search,
               const std::optional<TermPosition> &Required, TimePoint Now) {
@@ -88,6 +89,8 @@
     if (standingOf(Options, Each, Required, MayDrain, Now) !=
         MemberStanding::Candidate)
       continue;
+    if (Each.Id == Search.Ordered)
+      return Each.Id;
     (Each.Draining ? Draining : Staying)
         .push_back({.Id = Each.Id,
                     .Received = Each.Report->Received,
--- a/failover/SuccessorRules.h
+++ b/failover/SuccessorRules.h
@@ -67,6 +67,9 @@
   /// A position that is known to have been acknowledged under the former
   /// primary.
   std::optional<TermPosition> Acknowledged = std::nullopt;
+  /// The member whose promotion an earlier promoter may have requested; empty
+  /// if none has.
+  UpstreamId Ordered = {};
   /// When this search began, and when the record's closing was first seen.
   TimePoint BeganAt;
   TimePoint ClosedAt;
--- a/tests/failover/SuccessorRulesTest.cpp
+++ b/tests/failover/SuccessorRulesTest.cpp
@@ -193,6 +193,15 @@
   EXPECT_EQ(decide(Search), promote("a"));
 }
 
+// A member whose promotion was ordered may have lost its log since.
+TEST(SuccessorRules, OrderedMemberComesFirstIfItReachesTheFurthestLog) {
+  SuccessorSearch Search = search({replica("a", 5), replica("b", 5)});
+  Search.Ordered = {"b"};
+  EXPECT_EQ(decide(Search), promote("b"));
+  Search.Replicas[1] = replica("b", 4);
+  EXPECT_EQ(decide(Search), promote("a"));
+}
+
 TEST(SuccessorRules, MemberThatEndedIsNotPromoted) {
   SuccessorSearch Search = search({replica("a", 5), replica("b", 4)});
   Search.Replicas[0].Refused = true;
--- a/tests/platform/RevisionStore.cpp
+++ b/tests/platform/RevisionStore.cpp
@@ -155,11 +155,15 @@
       return jsonReply(json::object{{"items", json::array{}}}, ConditionFailed);
   }
   ++this->Revision;
-  for (const json::value &Each : Request.at("writes").as_array())
+  for (const json::value &Each : Request.at("writes").as_array()) {
     this->Items[std::string(Each.at("key").as_string())] = {
         .Value = decodeBase64(std::string(Each.at("value").as_string())),
         .Revision = this->Revision,
         .Lease = Each.at("lease").to_number<std::uint64_t>()};
+    if (this->WriteHandler)
+      this->WriteHandler(
+          this->Items[std::string(Each.at("key").as_string())].Value);
+  }
   for (const json::value &Each : Request.at("remove").as_array())
     this->Items.erase(std::string(Each.as_string()));
   return jsonReply(json::object{{"revision", this->Revision}});
--- a/tests/platform/RevisionStore.h
+++ b/tests/platform/RevisionStore.h
@@ -7,6 +7,7 @@
 #include "tests/platform/SessionGroup.h"
 
 #include <boost/json.hpp>
+#include <functional>
 #include <map>
 
 namespace turmericpitch {
@@ -34,6 +35,10 @@
     auto Found = this->Items.find(Key);
     return Found == this->Items.end() ? "" : Found->second.Value;
   }
+  /// Calls Handler with each value that an instance writes, before the reply.
+  void onWrite(std::function<void(const std::string &Value)> Handler) {
+    this->WriteHandler = std::move(Handler);
+  }
   /// While unavailable, replies to each request with status 503.
   void setUnavailable(bool Unavailable) { this->Unavailable = Unavailable; }
   [[nodiscard]] std::uint16_t port() const { return this->Server.port(); }
@@ -80,6 +85,7 @@
   std::uint64_t HistoryFrom = 0;
   std::uint64_t KeyReads = 0;
   bool Unavailable = false;
+  std::function<void(const std::string &Value)> WriteHandler;
 };
 
 } // namespace turmericpitch
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -573,6 +573,33 @@
   EXPECT_EQ(Session.query("r", "READ coat").front(), "DATAROW later");
 }
 
+// A replica that lost its log between its report and the order was promoted.
+TEST_F(SynchronousReplicaTest, ReplicaThatEndsBeforeTheOrderIsNotPromoted) {
+  this->runOnStandIns([this] {
+    this->Group.setReplicationPaused("m2", false);
+    return 0;
+  });
+  this->writeUntilDone("booking", "kept");
+  this->awaitListing();
+  auto Target = std::make_shared<std::string>();
+  this->runOnStandIns([this, Target] {
+    this->Store.onWrite([this, Target](const std::string &Value) {
+      for (const char *Id : {"m2", "m3"})
+        if (Target->empty() && Value.find(R"("target":")" + std::string(Id)) !=
+                                   std::string::npos) {
+          *Target = Id;
+          this->Group.restartEmpty(Id);
+        }
+    });
+    this->Group.stop("m1");
+    return 0;
+  });
+  this->writeUntilDone("other", "two");
+  EXPECT_FALSE(Target->empty());
+  Caller Session("bookings");
+  EXPECT_EQ(Session.query("r", "READ booking").front(), "DATAROW kept");
+}
+
 TEST_F(SessionDaemonTest, SingleInstanceServesWithoutTheStore) {
   this->runOnStandIns([this] {
     this->Store.setUnavailable(true);
