--- a/tests/failover/SuccessorModel.h
+++ b/tests/failover/SuccessorModel.h
@@ -1,6 +1,7 @@
 // Model of a service with synchronous replicas, whose members drain, end, are
-// replaced and start again, and of a promoter that decides with the real
-// classes. Members and network are simulated.
+// replaced, start again and run without an entry in the store, and of a
+// promoter that decides with the real classes. Members and network are
+// simulated.
 #pragma once
 
 #include "core/RandomSource.h"
@@ -26,6 +27,13 @@
   TrustsReplacementsOfLostMembers,
   IgnoresNewStarts,
   PromotesBehindTheRunningPrimary,
+  CoversRunningReplicas,
+  IgnoresLogsOfUnlistedReplicas,
+  CoversUnknownReplicasAtOnce,
+  CoversTakenOverAddresses,
+  IgnoresNewConnections,
+  TrustsEntriesAtOnce,
+  IgnoresAcknowledgedPositions,
 };
 
 struct SuccessorModelOptions {
@@ -43,13 +51,18 @@
   int HandOvers = 0;
   int Kept = 0;
   int Waits = 0;
+  /// Entries that ended although their members ran.
+  int Unlisted = 0;
+  /// Replies of a process whose entry is that of an earlier one.
+  int StaleEntries = 0;
 };
 
 /// One randomized run. Not thread-safe.
 class SuccessorModel {
 public:
   SuccessorModel(std::uint64_t Seed, SuccessorModelOptions Options)
-      : Options(Options), Random(Seed) {}
+      : Options(Options), Random(Seed), History(historyOptions(Options.Fault)) {
+  }
 
   /// Runs some failovers one after the other; returns the first loss of an
   /// acknowledged commit.
@@ -68,6 +81,19 @@
     std::vector<Entry> Log;
     bool Running = true;
     bool Registered = true;
+    /// Since when it can't reach the store, or the member before it had no
+    /// entry.
+    std::optional<TimePoint> CutSince = std::nullopt;
+    /// When its newest entry ended.
+    TimePoint MissingSince;
+    /// Whether its process has had an entry, or was connected to.
+    bool Seen = true;
+    /// When a process that has started writes its entry.
+    std::optional<TimePoint> EntryDueAt = std::nullopt;
+    /// The start that its entry shows.
+    std::uint64_t EntryStartedAt = 1;
+    /// Whether it has ended without a trace at its address.
+    bool Dark = false;
     /// Whether another member has its address.
     bool Replaced = false;
     /// Whether the promoter has listed it since it started.
@@ -79,6 +105,8 @@
   [[nodiscard]] bool chance(std::uint32_t OneIn) {
     return this->Random.nextBelow(OneIn) == 0;
   }
+  [[nodiscard]] static ReplicaHistoryOptions
+  historyOptions(SuccessorFault Fault);
   [[nodiscard]] static TermPosition endOf(const Member &At);
   [[nodiscard]] std::uint32_t required() const;
   std::size_t addMember(std::uint16_t Port);
@@ -92,6 +120,17 @@
   void disturbEnded(std::size_t Index);
   /// Removes the entry of an ended member.
   void unregister(Member &Ended);
+  void cutFromStore();
+  /// Writes and ends the entries that are due.
+  void settleEntries();
+  void startAgain(Member &Former);
+  /// Lets time pass in which the promoter sees all.
+  void rest();
+  /// The connection of the promoter to a member that runs shows its process.
+  void connect(Member &To);
+  /// The promoter asks at the addresses of those that have departed.
+  void askDeparted();
+  void askDeparted(const UpstreamId &Id);
   void list();
   void sample();
   /// Lets the promoter find a successor of the primary that was lost or, if it
@@ -120,6 +159,16 @@
   std::optional<TimePoint> ListedAt;
   ReplicaHistory History;
   std::map<UpstreamId, LogReport> Reports;
+  /// The process of each member that the promoter is connected to.
+  struct Connection {
+    std::uint64_t StartedAt = 0;
+    TimePoint Since;
+  };
+  std::map<UpstreamId, Connection> Connections;
+  /// Whether all writes pass through the promoter; then members may be cut off
+  /// for longer than it waits.
+  bool ServesWrites = false;
+  std::optional<TermPosition> KnownAcknowledged;
   std::optional<TermPosition> PrimaryReport;
   /// A sample that has been asked for, or that arrived last.
   std::optional<PrimarySample> Asked;
--- a/tests/failover/SuccessorModelTest.cpp
+++ b/tests/failover/SuccessorModelTest.cpp
@@ -35,6 +35,8 @@
     Sum.HandOvers += Model.events().HandOvers;
     Sum.Kept += Model.events().Kept;
     Sum.Waits += Model.events().Waits;
+    Sum.Unlisted += Model.events().Unlisted;
+    Sum.StaleEntries += Model.events().StaleEntries;
   }
   // The search must actually cover these events.
   constexpr int Enough = static_cast<int>(Seeds);
@@ -44,6 +46,8 @@
   EXPECT_GT(Sum.HandOvers, Enough / 10);
   EXPECT_GT(Sum.Kept, Enough / 100);
   EXPECT_GT(Sum.Waits, Enough);
+  EXPECT_GT(Sum.Unlisted, Enough);
+  EXPECT_GT(Sum.StaleEntries, Enough / 10);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -98,7 +102,24 @@
                            {.Fault = SuccessorFault::IgnoresNewStarts}},
         SuccessorModelCase{
             "PromotesBehindTheRunningPrimary",
-            {.Fault = SuccessorFault::PromotesBehindTheRunningPrimary}}),
+            {.Fault = SuccessorFault::PromotesBehindTheRunningPrimary}},
+        SuccessorModelCase{"CoversRunningReplicas",
+                           {.Fault = SuccessorFault::CoversRunningReplicas}},
+        SuccessorModelCase{
+            "IgnoresLogsOfUnlistedReplicas",
+            {.Fault = SuccessorFault::IgnoresLogsOfUnlistedReplicas}},
+        SuccessorModelCase{
+            "CoversUnknownReplicasAtOnce",
+            {.Fault = SuccessorFault::CoversUnknownReplicasAtOnce}},
+        SuccessorModelCase{"CoversTakenOverAddresses",
+                           {.Fault = SuccessorFault::CoversTakenOverAddresses}},
+        SuccessorModelCase{"IgnoresNewConnections",
+                           {.Fault = SuccessorFault::IgnoresNewConnections}},
+        SuccessorModelCase{"TrustsEntriesAtOnce",
+                           {.Fault = SuccessorFault::TrustsEntriesAtOnce}},
+        SuccessorModelCase{
+            "IgnoresAcknowledgedPositions",
+            {.Fault = SuccessorFault::IgnoresAcknowledgedPositions}}),
     nameOf);
 
 } // namespace
