--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -1364,6 +1364,8 @@
 SuccessorSearch FailoverCoordinator::successorSearch(const Failover &F,
                                                      TimePoint BeganAt) {
   const ServiceState &State = this->Dispatcher.services().at(F.Record.Service);
+  // A member that has left the list since the last check counts as departed.
+  this->trackReplicas(F.Record.Service, State, this->Clock.now());
   SuccessorSearch Search;
   Search.Reason = F.Reason;
   Search.SynchronousReplicas = State.SynchronousReplicas;
--- a/tests/failover/SuccessorModel.cpp
+++ b/tests/failover/SuccessorModel.cpp
@@ -463,6 +463,9 @@
       if (this->chance(2))
         this->hear(Index, false);
     this->askDeparted();
+    // The reply to a question of before may still arrive.
+    if (this->Asked && this->chance(4))
+      this->sample();
     if (!Planned && this->chance(20)) {
       // It comes back with its log, and nobody else was promoted.
       break;
@@ -501,6 +504,7 @@
   // Some promoters start later than the service.
   bool Knows = this->chance(2);
   this->ServesWrites = this->chance(2);
+  this->SampleOdds = this->chance(2) ? 4 : 16;
   for (int Failover = 0; Failover < Failovers; ++Failover) {
     std::uint32_t Steps = this->Random.nextBelow(MaxStepsBetween);
     for (std::uint32_t Step = 0; Step < Steps; ++Step) {
@@ -511,7 +515,7 @@
       this->disturbReplicas();
       if (Knows && this->chance(4))
         this->list();
-      if (Knows && this->chance(4))
+      if (Knows && this->chance(this->SampleOdds))
         this->sample();
       if (Knows && this->chance(4))
         this->askDeparted();
--- a/tests/failover/SuccessorModel.h
+++ b/tests/failover/SuccessorModel.h
@@ -169,6 +169,8 @@
   /// for longer than it waits.
   bool ServesWrites = false;
   std::optional<TermPosition> KnownAcknowledged;
+  /// A sample is asked for, or arrives, in one of so many steps.
+  std::uint32_t SampleOdds = 4;
   std::optional<TermPosition> PrimaryReport;
   /// A sample that has been asked for, or that arrived last.
   std::optional<PrimarySample> Asked;
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -535,6 +535,52 @@
   EXPECT_EQ(Session.query("r", "READ coat").front(), "DATAROW later");
 }
 
+// While a search waited for a replica, its entry ended, and for a moment it was
+// neither registered nor departed (issue 57).
+TEST_F(SynchronousReplicaTest, ReplicaThatLeavesTheListIsStillWaitedFor) {
+  constexpr std::size_t Queries = 5;
+  this->runOnStandIns([this] {
+    this->Group.setReplicationPaused("m2", false);
+    return 0;
+  });
+  this->writeUntilDone("booking", "kept");
+  this->awaitListing();
+  this->writeUntilDone("booking", "kept");
+  this->runOnStandIns([this] {
+    this->Group.setReplicationPaused("m2", true);
+    return 0;
+  });
+  this->writeUntilDone("coat", "later");
+  std::size_t Before = this->runOnStandIns([this] {
+    this->Group.setSetupHeld("m3", true);
+    this->Group.stop("m1");
+    return this->Group.statusCount("m2");
+  });
+  this->waitForPromotionOr(
+      [&] { return this->Group.statusCount("m2") >= Before + Queries; });
+  this->runOnStandIns([this] {
+    this->Store.erase("servers/m3");
+    return 0;
+  });
+  this->awaitListing();
+  Before =
+      this->runOnStandIns([this] { return this->Group.statusCount("m2"); });
+  this->waitForPromotionOr(
+      [&] { return this->Group.statusCount("m2") >= Before + Queries; });
+  EXPECT_EQ(this->runOnStandIns([this] { return this->Store.promotions(); }),
+            0U);
+  this->runOnStandIns([this] {
+    this->Group.setSetupHeld("m3", false);
+    for (const SessionGroupMember &Each : this->Group.members())
+      if (Each.Id == "m3")
+        this->registerMember(Each);
+    return 0;
+  });
+  this->expectServedWithCommit();
+  Caller Session("bookings");
+  EXPECT_EQ(Session.query("r", "READ coat").front(), "DATAROW later");
+}
+
 // A replica that had started again with an empty log, and whose entry was still
 // that of its earlier process, counted as a complete report (review/7).
 TEST_F(SynchronousReplicaTest, ReplicaThatStartedAgainIsNoCompleteReport) {
