--- a/review/13/run.sh
+++ b/review/14/run.sh
@@ -4,7 +4,7 @@
 # TROUBLE=0: the settings file is written anew without a change.
 set -u
 cd "$(dirname "$0")/../.."
-case_folder=review/13
+case_folder=review/14
 record=$case_folder/record.txt
 daemon=target/turmericpitch-sessions
 work=$(mktemp -d)
