--- a/review/lab-3/Main.cpp
+++ b/review/lab-3/Main.cpp
@@ -71,7 +71,8 @@
       << "node: \"front-" << Daemon + 1 << "\"\nrole: \"entry\"\n"
       << "machine_class: \"front\"\nserves:\n  - \"front\"\nip: \"" << Ip
       << "\"\nzone: \"sfax-a\"\nregion: \"tn-sud\"\nzones:\n"
-      << "  sfax-a: \"tn-sud\"\n  sfax-b: \"tn-sud\"\nlisten:\n"
+      << "  sfax-a: \"tn-sud\"\n  sfax-b: \"tn-sud\"\n  gabes-c: "
+         "\"tn-sud\"\nlisten:\n"
       << "  front: \"" << Ip << ":" << Ports + 2 << "\"\n  ready: \"" << Ip
       << ":" << Ports + 3 << "\"\ninternal_ports:\n  - " << Ports << "\n  - "
       << Ports + 1 << "\nbootstrap: true\nlimits:\n  memory_mb: 520\n"
@@ -185,6 +186,7 @@
   constexpr std::chrono::milliseconds LagLength(7000);
   constexpr std::chrono::milliseconds BetweenLags(8000);
   constexpr std::chrono::milliseconds CutAfter(100);
+  constexpr std::chrono::milliseconds CrashAfter(400);
   constexpr std::chrono::milliseconds RollGap(1200);
   constexpr std::chrono::milliseconds CutRest(1800);
   constexpr std::chrono::milliseconds Rest(6000);
@@ -246,7 +248,9 @@
     return CouldNotRun;
   if (Trouble) {
     pauseFor(CutAfter);
-    Group.setCut(true);
+    Group.cutOrdered();
+    pauseFor(CrashAfter);
+    Group.crashOther();
     for (int Daemon = 0; Daemon < Daemons; ++Daemon) {
       if (Daemon == Orderer)
         continue;
@@ -261,7 +265,7 @@
     }
     Group.setLag(std::chrono::milliseconds(0));
     pauseFor(CutRest);
-    Group.setCut(false);
+    Group.heal();
   }
   pauseFor(Rest);
   Callers.stop();
--- a/review/lab-3/Members.cpp
+++ b/review/lab-3/Members.cpp
@@ -3,6 +3,7 @@
 #include "../lab-2/Sockets.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/json.hpp>
 #include <sstream>
 #include <thread>
@@ -19,6 +20,7 @@
 constexpr std::chrono::milliseconds StepDownAfter(1000);
 constexpr std::chrono::milliseconds Poll(10);
 constexpr int Conflict = 409;
+constexpr std::array<const char *, 3> Zones = {"sfax-a", "sfax-b", "gabes-c"};
 
 std::string takeWord(std::string &Rest) {
   std::size_t Blank = Rest.find(' ');
@@ -35,7 +37,7 @@
     Member &At = this->All[Id];
     At.Id = Id;
     At.Primary = Id == Ids.front();
-    At.Zone = At.Primary ? "sfax-a" : "sfax-b";
+    At.Zone = Zones.at(this->All.size() - 1);
     int Listener = listenAt("127.0.0.1", 0);
     At.Port = portOf(Listener);
     std::thread([this, &At, Listener] { this->accept(At, Listener); }).detach();
@@ -51,13 +53,22 @@
 void Members::accept(Member &At, int Listener) {
   while (true) {
     int Handle = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
-    if (Handle >= 0)
-      std::thread([this, &At, Handle] { this->serve(At, Handle); }).detach();
+    if (Handle < 0)
+      continue;
+    std::lock_guard Lock(this->Mutex);
+    if (At.Down) {
+      ::close(Handle);
+      continue;
+    }
+    At.Handles.insert(Handle);
+    std::thread([this, &At, Handle] { this->serve(At, Handle); }).detach();
   }
 }
 
-bool Members::isCut(const Member &At) const {
-  return this->Cut && At.Zone != "sfax-a";
+bool Members::isCut(const Member &At) const { return At.Zone == this->CutZone; }
+
+bool Members::canReach(const Member &At, const Member &Other) const {
+  return !At.Down && !Other.Down && this->isCut(At) == this->isCut(Other);
 }
 
 std::size_t Members::applied(const Member &At) {
@@ -96,6 +107,8 @@
     if (Reply.empty() || !sendAll(Handle, Reply) || !With.Open)
       break;
   }
+  std::lock_guard Lock(this->Mutex);
+  At.Handles.erase(Handle);
   ::close(Handle);
 }
 
@@ -204,7 +217,7 @@
 }
 
 void Members::follow(Member &At, const Member &Leader) {
-  if (&At == &Leader || this->isCut(At) != this->isCut(Leader))
+  if (&At == &Leader || !this->canReach(At, Leader))
     return;
   std::size_t Same = 0;
   while (Same < At.Entries.size() && Same < Leader.Entries.size() &&
@@ -225,7 +238,7 @@
     Member &Newest = this->leader();
     auto Now = Clock::now();
     for (auto &[Id, Each] : this->All) {
-      bool Reaches = this->isCut(Each) == this->isCut(Newest);
+      bool Reaches = this->canReach(Each, Newest);
       if (!Each.Primary && Reaches)
         this->follow(Each, Newest);
       if (&Each == &Newest || !Each.Primary || !Reaches)
@@ -248,11 +261,12 @@
           {"cold_left_ms", 0},
           {"seq", 1},
           {"db_role", Each.Primary ? "primary" : "replica"}});
-      if (!this->isCut(Each))
+      bool Beats = !this->isCut(Each) && !Each.Down;
+      if (Beats)
         Each.BeatAt = Now;
       if (Now - Each.BeatAt > 3 * Heartbeat)
         Entry = "";
-      if (Entry == Each.StoredEntry || (this->isCut(Each) && !Entry.empty()))
+      if (Entry == Each.StoredEntry || (!Beats && !Entry.empty()))
         continue;
       Each.StoredEntry = Entry;
       Changes["servers/" + Id] = Entry;
@@ -264,8 +278,10 @@
 
 int Members::promote(const std::string &Id) {
   std::lock_guard Lock(this->Mutex);
-  if (!this->All.contains(Id))
+  if (!this->All.contains(Id) || this->All.at(Id).Down)
     return Conflict;
+  if (this->Ordered.empty())
+    this->Ordered = Id;
   std::thread([this, Id] {
     std::this_thread::sleep_for(PromoteTime);
     std::lock_guard Later(this->Mutex);
@@ -288,10 +304,30 @@
     Each.Lag = Lag;
 }
 
-void Members::setCut(bool Cut) {
+void Members::cutOrdered() {
+  std::lock_guard Lock(this->Mutex);
+  this->CutZone = this->All.at(this->Ordered).Zone;
+  this->Log.write("zone " + this->CutZone + " is cut off");
+}
+
+void Members::crashOther() {
+  std::lock_guard Lock(this->Mutex);
+  for (auto &[Id, Each] : this->All) {
+    if (Id == this->Ordered || Each.Primary)
+      continue;
+    this->Log.write(Id + " crashes");
+    Each.Down = true;
+    for (int Handle : Each.Handles)
+      ::shutdown(Handle, SHUT_RDWR);
+  }
+}
+
+void Members::heal() {
   std::lock_guard Lock(this->Mutex);
-  this->Log.write(Cut ? "zone sfax-b is cut off" : "the cut ends");
-  this->Cut = Cut;
+  this->Log.write("the cut ends, and the member that crashed is back");
+  this->CutZone.clear();
+  for (auto &[Id, Each] : this->All)
+    Each.Down = false;
   this->Changed.notify_all();
 }
 
--- a/review/lab-3/Members.h
+++ b/review/lab-3/Members.h
@@ -1,5 +1,5 @@
-// Stand-in for the members of one service in two zones. Replicas can apply late
-// and the second zone can be cut off.
+// Stand-in for the members of one service, each in its own zone. Replicas can
+// apply late or crash, and a zone can be cut off.
 #pragma once
 
 #include "../lab-2/Store.h"
@@ -17,8 +17,8 @@
 };
 
 /// The members speak PROTOCOL.md's line protocol on a loopback address and keep
-/// their entries in the store. The first one is the primary and stands alone in
-/// the first zone; the others stand in the second. Thread-safe.
+/// their entries in the store. There are three, and the first one is the
+/// primary. Thread-safe.
 class Members {
 public:
   Members(Record &Log, std::string Service) : Log(Log), Service(Service) {}
@@ -28,8 +28,13 @@
   int promote(const std::string &Id);
   /// How much later replicas apply what they receive.
   void setLag(std::chrono::milliseconds Lag);
-  /// Cuts the second zone off from the first, the store and all daemons.
-  void setCut(bool Cut);
+  /// Cuts the zone of the member that was ordered first off from the other
+  /// members, the store and all daemons.
+  void cutOrdered();
+  /// Crashes the replica that wasn't ordered.
+  void crashOther();
+  /// Ends the cut and the crash.
+  void heal();
   /// The ids that were committed at a primary after a later term had begun.
   [[nodiscard]] std::set<std::string> committedLate();
   /// The ids that the newest primary's log holds.
@@ -41,6 +46,8 @@
     std::string Zone;
     std::uint16_t Port = 0;
     bool Primary = false;
+    bool Down = false;
+    std::set<int> Handles;
     std::uint64_t Term = 1;
     std::vector<LogEntry> Entries;
     int Running = 0;
@@ -69,6 +76,7 @@
   void tick(Store &Registry);
   void follow(Member &At, const Member &Leader);
   [[nodiscard]] bool isCut(const Member &At) const;
+  [[nodiscard]] bool canReach(const Member &At, const Member &Other) const;
   [[nodiscard]] static std::size_t applied(const Member &At);
   [[nodiscard]] static std::string position(const Member &At,
                                             std::size_t Count);
@@ -80,7 +88,8 @@
   std::condition_variable Changed;
   std::map<std::string, Member> All;
   std::set<std::string> Late;
-  bool Cut = false;
+  std::string CutZone;
+  std::string Ordered;
 };
 
 } // namespace lab
