--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -59,6 +59,9 @@
   FailoverReason Reason = FailoverReason::None;
   /// Whether an earlier promoter may have ordered a promotion already.
   bool WasOrdered = false;
+  /// The orders since the record was closed, those of earlier promoters
+  /// included.
+  PromotionOrders Orders;
   /// The newest sample of the primary's position when the failover began.
   std::optional<TermPosition> Sampled;
   /// The members' replies since the record was closed.
@@ -68,11 +71,11 @@
   std::string LoggedSearch;
   /// Members that refused the promotion order.
   std::set<UpstreamId> Refused;
-  /// Whether the newest order was certainly not sent.
-  bool OrderWithheld = false;
   /// Whether the old primary remains primary.
   bool KeepsOldPrimary = false;
-  /// The term of the new primary.
+  /// The new primary and the term that it leads; empty until its promotion is
+  /// in effect.
+  UpstreamId Successor;
   Term NewTerm;
 };
 
@@ -988,6 +991,9 @@
     PrimaryRecord First{.Service = Id,
                         .Epoch = firstEpoch(this->ListedAtRevision),
                         .Primary = *Primary};
+    auto Chosen =
+        std::ranges::find(Candidates, *Primary, &FirstPrimaryCandidate::Id);
+    First.KnownTerm = Chosen->Newest;
     co_await this->write(First, Revision{});
   }
   if (!Candidates.empty())
@@ -1154,26 +1160,28 @@
                     .field("reason", toString(Reason))
                     .field("phase", toString(From.Phase))
                     .field("outcome", Needed ? "begun" : "not_begun"));
+  if (Needed)
+    this->takeOver(F);
   bool Closed = Needed && co_await this->closeRecord(F);
-  bool Promoted = false;
   TimePoint GiveUpAt = this->Clock.now() + this->Options.SearchTimeout;
-  while (Closed && !Promoted && !F.KeepsOldPrimary &&
+  while (Closed && F.Successor.Value.empty() && !F.KeepsOldPrimary &&
          this->Clock.now() < GiveUpAt) {
     auto Target = co_await this->findSuccessor(F);
     if (!Target)
       break;
     if (!co_await this->orderPromotion(F, *Target))
       break;
-    Promoted = co_await this->awaitPromotion(F);
+    co_await this->awaitPromotion(F);
   }
   if (F.KeepsOldPrimary)
     this->NextFailoverAt[From.Service] =
         this->Clock.now() + this->Options.FailoverRetryPause;
+  bool Promoted = !F.Successor.Value.empty();
   if (Promoted || F.KeepsOldPrimary) {
     PrimaryRecord Next{.Service = F.Record.Service,
                        .Epoch = F.Record.Epoch + (Promoted ? 1 : 0),
-                       .Primary =
-                           Promoted ? F.Record.Target : F.Record.Primary};
+                       .Primary = Promoted ? F.Successor : F.Record.Primary,
+                       .KnownTerm = Promoted ? F.NewTerm : F.Record.KnownTerm};
     if (Promoted)
       this->stepDownFormerPrimary(F);
     co_await this->write(Next, F.Record.Stored);
@@ -1181,6 +1189,24 @@
   this->Activities.end(From.Service);
 }
 
+void FailoverCoordinator::takeOver(Failover &F) const {
+  // A copy from another instance lacks what the store has of the orders.
+  F.Record = *this->Leases.record(F.Record.Service);
+  F.Orders = PromotionOrders({.EffectTimeout = this->Options.PromotionTimeout});
+  auto Seen = this->UnfinishedRecords.find(F.Record.Service);
+  if (F.Record.Phase != PrimaryPhase::Ordered)
+    return;
+  TimePoint SeenAt = Seen == this->UnfinishedRecords.end()
+                         ? this->Clock.now()
+                         : Seen->second.SeenAt;
+  GivenOrder Order{.Target = F.Record.Target,
+                   .EndedAt = SeenAt + this->Options.OrderValidity +
+                              this->Options.OrderCallTimeout};
+  if (F.Record.KnownTerm != Term{})
+    Order.Before = F.Record.KnownTerm;
+  F.Orders.add(std::move(Order));
+}
+
 Awaitable<bool> FailoverCoordinator::isStillNeeded(PrimaryRecord From,
                                                    FailoverReason Reason) {
   ServiceId Id = From.Service;
@@ -1348,6 +1374,37 @@
                               std::move(NotAwaited), F.Replies);
 }
 
+std::vector<TermReport> FailoverCoordinator::termReports(const Failover &F) {
+  std::vector<TermReport> Reports;
+  for (const auto &[Id, Reply] : *F.Replies)
+    Reports.push_back({.Member = Id,
+                       .Leads = Reply.Report.Primary,
+                       .Newest = Reply.Report.Newest});
+  return Reports;
+}
+
+Term FailoverCoordinator::newestTerm(const Failover &F) {
+  Term Newest = F.Record.KnownTerm;
+  if (F.Sampled)
+    Newest = std::max(Newest, F.Sampled->WrittenIn);
+  for (const TermReport &Each : termReports(F))
+    Newest = std::max(Newest, Each.Newest);
+  return Newest;
+}
+
+bool FailoverCoordinator::noteIfInEffect(Failover &F,
+                                         const TermReport &Report) {
+  if (!F.Orders.isInEffect(Report))
+    return false;
+  F.Successor = Report.Member;
+  F.NewTerm = Report.Newest;
+  writeDecision(DecisionLine("promotion_in_effect")
+                    .field("service", F.Record.Service.Value)
+                    .field("member", Report.Member.Value)
+                    .field("term", Report.Newest.Value));
+  return true;
+}
+
 bool FailoverCoordinator::stillLeads(const Failover &F) {
   auto Former = F.Replies->find(F.Record.Primary);
   if (isPlanned(F.Reason) || F.WasOrdered || Former == F.Replies->end())
@@ -1471,6 +1528,9 @@
   TimePoint BeganAt = this->Clock.now();
   while (this->Clock.now() < BeganAt + this->Options.SearchTimeout) {
     co_await this->queryCandidates(F);
+    for (const TermReport &Each : termReports(F))
+      if (noteIfInEffect(F, Each))
+        co_return std::nullopt;
     if (stillLeads(F)) {
       F.KeepsOldPrimary = true;
       co_return std::nullopt;
@@ -1550,7 +1610,8 @@
 void FailoverCoordinator::stepDownFormerPrimary(const Failover &F) {
   const auto &Pools = this->Dispatcher.services().at(F.Record.Service).Pools;
   auto Former = Pools.find(F.Record.Primary);
-  if (!isPlanned(F.Reason) || Former == Pools.end())
+  if (!isPlanned(F.Reason) || Former == Pools.end() ||
+      F.Successor == F.Record.Primary)
     return;
   Former->second->stepDown(
       F.NewTerm, [Id = F.Record.Primary](
@@ -1568,6 +1629,7 @@
   PrimaryRecord Next = F.Record;
   Next.Phase = PrimaryPhase::Ordered;
   Next.Target = Target;
+  Next.KnownTerm = newestTerm(F);
   TimePoint Began = this->Clock.now();
   auto Stored = co_await this->write(Next, F.Record.Stored);
   if (!Stored)
@@ -1581,28 +1643,28 @@
                        .Target = Target,
                        .Requester = this->Options.Self,
                        .FencingToken = Stored->Value};
-  bool Ended = false;
-  std::function<bool()> InTime = [this, Latest, &F, &Ended] {
-    Ended = !this->targetStillRuns(F);
-    return this->Clock.now() < Latest && !Ended;
+  std::function<bool()> InTime = [this, Latest, &F] {
+    return this->Clock.now() < Latest && this->targetStillRuns(F);
   };
+  GivenOrder Given{.Target = Target, .Before = Next.KnownTerm};
   auto Ordered = co_await this->Store.promote(
       Order, this->Options.OrderCallTimeout, InTime);
-  std::string Outcome = "lost";
   if (Ordered)
-    Outcome = Ordered.value() ? "taken" : "member_not_running";
+    Given.Fate = Ordered.value() ? OrderFate::Taken : OrderFate::Refused;
   else if (Ordered.error().Kind != ErrorKind::OutcomeUnknown)
-    Outcome = "not_sent";
+    Given.Fate = OrderFate::NotSent;
+  Given.EndedAt = this->Clock.now();
   writeDecision(DecisionLine("promotion_ordered")
                     .field("service", Next.Service.Value)
                     .field("member", Target.Value)
                     .field("token", Stored->Value)
-                    .field("outcome", Outcome));
-  if (Ordered && !Ordered.value())
+                    .field("outcome", toString(Given.Fate)));
+  if (Given.Fate == OrderFate::Refused)
     F.Refused.insert(Target);
-  F.OrderWithheld = Ended;
-  if (Ended)
+  // What was certainly not sent changes nothing.
+  if (Given.Fate == OrderFate::NotSent)
     F.WasOrdered = WasOrdered;
+  F.Orders.add(std::move(Given));
   co_return true;
 }
 
@@ -1618,27 +1680,30 @@
          Watch->second->isConnectedSince(*Reply->second.ConnectedAt);
 }
 
-Awaitable<bool> FailoverCoordinator::awaitPromotion(Failover &F) {
-  if (F.OrderWithheld)
-    co_return false;
-  if (F.Refused.contains(F.Record.Target)) {
+Awaitable<void> FailoverCoordinator::awaitPromotion(Failover &F) {
+  if (F.Refused.contains(F.Record.Target))
     F.WasOrdered = false;
-    co_return false;
-  }
+  const GivenOrder *Order = F.Orders.decisive();
+  // A refused order changes nothing.
+  if (!Order || Order->Target != F.Record.Target)
+    co_return;
+  UpstreamId Target = Order->Target;
   TimePoint GiveUpAt = this->Clock.now() + this->Options.PromotionTimeout;
-  while (this->Clock.now() < GiveUpAt) {
+  TimePoint AskedAt;
+  do {
     const auto &Pools = this->Dispatcher.services().at(F.Record.Service).Pools;
-    auto Pool = Pools.find(F.Record.Target);
+    auto Pool = Pools.find(Target);
     if (Pool == Pools.end())
-      break;
+      co_return;
+    AskedAt = this->Clock.now();
     auto Report = co_await this->queryStatus(Pool->second);
-    if (Report && Report->Primary) {
-      F.NewTerm = Report->Newest;
-      co_return true;
-    }
+    if (Report && noteIfInEffect(F, {.Member = Target,
+                                     .Leads = Report->Primary,
+                                     .Newest = Report->Newest,
+                                     .AskedAt = AskedAt}))
+      co_return;
     co_await this->pause(this->Options.PollInterval);
-  }
-  co_return false;
+  } while (AskedAt < GiveUpAt);
 }
 
 } // namespace turmericpitch
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -12,6 +12,7 @@
 #include "failover/FirstPrimary.h"
 #include "failover/GrantorMaintenance.h"
 #include "failover/PrimaryMonitor.h"
+#include "failover/PromotionOrders.h"
 #include "failover/PromotionRules.h"
 #include "failover/RecordRepair.h"
 #include "failover/ReplicaBacklogMonitor.h"
@@ -309,6 +310,14 @@
   Awaitable<bool> hasSuccessor(PrimaryRecord Record);
   /// Whether the former primary has replied that it still leads.
   [[nodiscard]] static bool stillLeads(const Failover &F);
+  /// Takes over what the store has of the record and of earlier orders.
+  void takeOver(Failover &F) const;
+  /// What the members that have replied know of terms.
+  [[nodiscard]] static std::vector<TermReport> termReports(const Failover &F);
+  /// The newest term that is known to have begun.
+  [[nodiscard]] static Term newestTerm(const Failover &F);
+  /// Notes the new primary if a report shows it; returns whether it does.
+  static bool noteIfInEffect(Failover &F, const TermReport &Report);
   [[nodiscard]] SuccessorSearch successorSearch(const Failover &F,
                                                 TimePoint BeganAt);
   /// Logs candidates with new positions, and the decision when it or its
@@ -339,7 +348,8 @@
   Awaitable<void> awaitMemberList();
   Awaitable<std::optional<UpstreamId>> findSuccessor(Failover &F);
   Awaitable<bool> orderPromotion(Failover &F, UpstreamId Target);
-  Awaitable<bool> awaitPromotion(Failover &F);
+  /// Returns once the ordered promotion is in effect or won't be any more.
+  Awaitable<void> awaitPromotion(Failover &F);
   /// When the closing of a record was first seen here.
   TimePoint closingSeenAt(const PrimaryRecord &Record, TimePoint Now);
   /// Replaces the record that has the revision Expected. Returns the new
--- a/failover/LeaseMessages.h
+++ b/failover/LeaseMessages.h
@@ -23,7 +23,8 @@
 
 /// The report of an instance on one service.
 struct ServiceReport {
-  /// Without target, writer and attempt, which only a promoter needs.
+  /// Without target, term, writer and attempt, which only a promoter needs. It
+  /// reads the store first.
   PrimaryRecord Record;
   /// Maximum age of the read that showed the record.
   Duration Age{0};
--- a/failover/PrimaryLeases.cpp
+++ b/failover/PrimaryLeases.cpp
@@ -37,6 +37,9 @@
       Known.Grantors = Evidence.Grantors;
     }
     Known.GrantedAt = std::max(Known.GrantedAt, Evidence.GrantedAt);
+    // Copies that instances send each other lack what a promoter needs.
+    if (Current.Record.Writer.Value.empty())
+      Current.Record = Record;
     return false;
   }
   // The promoter that closed the record waits until leases from earlier reads
--- a/failover/PrimaryRecord.cpp
+++ b/failover/PrimaryRecord.cpp
@@ -61,7 +61,8 @@
                                       {"target", Record.Target.Value},
                                       {"writer", Record.Writer.Value},
                                       {"attempt", Record.Attempt},
-                                      {"closed", Record.ClosedFrom.Value}});
+                                      {"closed", Record.ClosedFrom.Value},
+                                      {"term", Record.KnownTerm.Value}});
 }
 
 Result<PrimaryRecord> decodePrimaryRecord(const KeyValueEntry &Entry) {
@@ -90,6 +91,7 @@
   auto Attempt = Number("attempt");
   // Absent in records of earlier versions.
   Record.ClosedFrom.Value = Number("closed").value_or(0);
+  Record.KnownTerm.Value = Number("term").value_or(0);
   auto Primary = Text("primary");
   auto Phase = Text("phase");
   auto Target = Text("target");
--- a/failover/PrimaryRecord.h
+++ b/failover/PrimaryRecord.h
@@ -4,6 +4,7 @@
 #include "core/Error.h"
 #include "core/Identifiers.h"
 #include "core/KeyValue.h"
+#include "core/LogPosition.h"
 
 #include <cstdint>
 #include <optional>
@@ -49,6 +50,10 @@
   std::uint64_t Attempt = 0;
   /// While it isn't open: the revision of the open record that was closed.
   Revision ClosedFrom = {};
+  /// The newest term that was known to have begun when the record was opened
+  /// or, since, a promotion was requested; 0 if none was known, as in records of
+  /// earlier versions.
+  Term KnownTerm = {};
   /// The revision of the record in the store.
   Revision Stored = {};
 
--- a/tests/failover/PrimaryLeasesTest.cpp
+++ b/tests/failover/PrimaryLeasesTest.cpp
@@ -71,5 +71,21 @@
   EXPECT_EQ(Leases.lease(Service)->Primary.Value, "m3");
 }
 
+// A promoter took a record over without the member that the one before it had
+// ordered, as a copy from another instance had arrived first (review/11).
+TEST(PrimaryLeases, StoredRecordCompletesACopyFromAnotherInstance) {
+  PrimaryLeases Leases;
+  PrimaryRecord Copy = record(1, PrimaryPhase::Ordered, 6);
+  Leases.onRecord(Copy, {.ReadSentAt = at(1000)});
+  PrimaryRecord Stored = Copy;
+  Stored.Target = {"m2"};
+  Stored.KnownTerm = {3};
+  Stored.Writer = {"front-1"};
+  EXPECT_FALSE(Leases.onRecord(Stored, {.ReadSentAt = at(1100)}));
+  EXPECT_EQ(*Leases.record(Service), Stored);
+  Leases.onRecord(Copy, {.ReadSentAt = at(1200)});
+  EXPECT_EQ(*Leases.record(Service), Stored);
+}
+
 } // namespace
 } // namespace turmericpitch
--- a/tests/failover/PrimaryRecordTest.cpp
+++ b/tests/failover/PrimaryRecordTest.cpp
@@ -13,6 +13,7 @@
                        .Target = {"m2"},
                        .Writer = {"front-1"},
                        .Attempt = 12,
+                       .KnownTerm = {3},
                        .Stored = {77}};
   KeyValueEntry Entry{.Key = primaryRecordKey(Record.Service),
                       .Value = encodePrimaryRecord(Record),
@@ -24,5 +25,17 @@
   EXPECT_FALSE(toOutcome([&] { return decodePrimaryRecord(Entry); }));
 }
 
+// Two builds run side by side during an upgrade.
+TEST(PrimaryRecord, RecordOfAnEarlierBuildTellsNoTerm) {
+  KeyValueEntry Entry{.Key = primaryRecordKey({"ledger"}),
+                      .Value = R"({"reign":4,"primary":"m1","phase":"open",)"
+                               R"("target":"","writer":"front-1",)"
+                               R"("attempt":12,"closed":0})",
+                      .Modified = {77}};
+  auto Decoded = toOutcome([&] { return decodePrimaryRecord(Entry); });
+  ASSERT_TRUE(Decoded);
+  EXPECT_EQ(Decoded.value().KnownTerm, Term{});
+}
+
 } // namespace
 } // namespace turmericpitch
--- /dev/null
+++ b/tests/failover/PromotionOrdersTest.cpp
@@ -0,0 +1,77 @@
+// What the orders for a promotion allow.
+#include "failover/PromotionOrders.h"
+
+#include <gtest/gtest.h>
+
+namespace turmericpitch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr PromotionOrdersOptions Options;
+const TimePoint Ordered{std::chrono::hours(1)};
+
+GivenOrder orderOf(const char *Target, OrderFate Fate) {
+  return {
+      .Target = {Target}, .Fate = Fate, .Before = Term{2}, .EndedAt = Ordered};
+}
+
+TermReport leader(const char *Member, std::uint64_t Newest) {
+  return {.Member = {Member}, .Leads = true, .Newest = {Newest}};
+}
+
+PromotionOrders ordered(std::vector<GivenOrder> All) {
+  PromotionOrders Orders;
+  for (GivenOrder &Each : All)
+    Orders.add(std::move(Each));
+  return Orders;
+}
+
+// A member that led an older term all along counted as promoted (review/6).
+TEST(PromotionOrders, OnlyANewerTermShowsAPromotion) {
+  PromotionOrders Orders = ordered({orderOf("b", OrderFate::Taken)});
+  EXPECT_FALSE(Orders.isInEffect(leader("b", 1)));
+  EXPECT_FALSE(Orders.isInEffect(leader("b", 2)));
+  EXPECT_TRUE(Orders.isInEffect(leader("b", 3)));
+  EXPECT_FALSE(Orders.isInEffect(leader("c", 3)));
+  EXPECT_FALSE(
+      Orders.isInEffect({.Member = {"b"}, .Leads = false, .Newest = {3}}));
+}
+
+TEST(PromotionOrders, RefusedAndUnsentOrdersShowNoPromotion) {
+  PromotionOrders Orders = ordered(
+      {orderOf("b", OrderFate::Refused), orderOf("b", OrderFate::NotSent)});
+  EXPECT_FALSE(Orders.decisive());
+  EXPECT_FALSE(Orders.isInEffect(leader("b", 3)));
+}
+
+// The platform changes nothing for the member that is primary already.
+TEST(PromotionOrders, PresentPrimaryShowsNoNewerTerm) {
+  PromotionOrders Orders = ordered({orderOf("b", OrderFate::Taken)});
+  TermReport Report = leader("b", 2);
+  Report.AskedAt = Ordered + Options.EffectTimeout - milliseconds(1);
+  EXPECT_FALSE(Orders.isInEffect(Report));
+  Report.AskedAt = Ordered + Options.EffectTimeout;
+  EXPECT_TRUE(Orders.isInEffect(Report));
+  // Without an answer, the order may not have arrived.
+  Orders = ordered({orderOf("b", OrderFate::Unknown)});
+  EXPECT_FALSE(Orders.isInEffect(Report));
+}
+
+TEST(PromotionOrders, NewestOrderThatMayHaveBeenTakenDecides) {
+  PromotionOrders Orders =
+      ordered({orderOf("b", OrderFate::Taken), orderOf("c", OrderFate::Unknown),
+               orderOf("a", OrderFate::Refused)});
+  ASSERT_TRUE(Orders.decisive());
+  EXPECT_EQ(Orders.decisive()->Target, UpstreamId{"c"});
+  EXPECT_FALSE(Orders.isInEffect(leader("b", 3)));
+  EXPECT_TRUE(Orders.isInEffect(leader("c", 3)));
+}
+
+TEST(PromotionOrders, OrderOfAnEarlierBuildTellsNoTerm) {
+  PromotionOrders Orders = ordered({{.Target = {"b"}}});
+  EXPECT_FALSE(Orders.isInEffect(leader("b", 3)));
+}
+
+} // namespace
+} // namespace turmericpitch
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -384,6 +384,58 @@
   EXPECT_EQ(Session.query("r", "READ booking").front(), "DATAROW two");
 }
 
+/// A former primary that another member has superseded unseen.
+class SupersededPrimaryTest : public SessionDaemonTest {
+protected:
+  void waitForPromotion(std::uint64_t Count = 1) {
+    auto Deadline = std::chrono::steady_clock::now() + TestTimeout;
+    while (this->runOnStandIns([this] { return this->Store.promotions(); }) <
+               Count &&
+           std::chrono::steady_clock::now() < Deadline)
+      std::this_thread::yield();
+  }
+  void expectNoSupersededCommit() {
+    EXPECT_EQ(
+        this->runOnStandIns([this] { return this->Group.supersededCommits(); }),
+        0U);
+  }
+};
+
+// A member that still led an older term counted as promoted before the order
+// took effect (review/6).
+TEST_F(SupersededPrimaryTest, OldLeaderIsNotPromotedBeforeItLeadsANewTerm) {
+  constexpr std::size_t Queries = 10;
+  this->runOnStandIns([this] {
+    this->Group.stop("m1");
+    return 0;
+  });
+  this->writeUntilDone("booking", "two");
+  std::uint64_t Before =
+      this->runOnStandIns([this] { return this->Store.promotions(); });
+  this->runOnStandIns([this] {
+    this->Group.setPromotionsDelayed(true);
+    this->Group.stop("m2");
+    this->Group.stop("m3");
+    return bool(this->Group.returnAsPrimary("m1"));
+  });
+  this->waitForPromotion(Before + 1);
+  auto Asked = [this] { return this->Group.statusCount("m1"); };
+  std::size_t Enough = this->runOnStandIns(Asked) + Queries;
+  auto Deadline = std::chrono::steady_clock::now() + TestTimeout;
+  while (this->runOnStandIns(Asked) < Enough &&
+         std::chrono::steady_clock::now() < Deadline)
+    Caller("bookings")
+        .query("early-" + std::to_string(this->NextId++),
+               "WRITE booking early");
+  this->expectNoSupersededCommit();
+  this->runOnStandIns([this] {
+    this->Group.setPromotionsDelayed(false);
+    return 0;
+  });
+  this->writeUntilDone("booking", "three");
+  this->expectNoSupersededCommit();
+}
+
 /// A service whose commits are acknowledged once one replica has received
 /// them. Replica m2 lags, so they stand on m1 and m3.
 class SynchronousReplicaTest : public SessionDaemonTest {
--- a/tests/platform/SessionGroup.cpp
+++ b/tests/platform/SessionGroup.cpp
@@ -205,7 +205,7 @@
       {.Member = State.Id, .Caller = From.Caller, .Id = Id, .Text = Text});
   if (Text.starts_with("AFTERLSN ")) {
     nextWord(Text);
-    if (isBehind(State, nextWord(Text)))
+    if (isBehind(State, nextWord(Text)) || State.ApplyDelay.count() > 0)
       Body = "ERROR LAGGING -\r\n";
   }
   if (!State.Refusal.empty() && isReadOrWrite(Text))
@@ -231,7 +231,9 @@
     std::uint64_t Term = State.Log.empty() ? 1 : State.Log.back().Term;
     return "DATAROW " + std::string(State.Primary ? "primary " : "replica ") +
            std::to_string(State.Term) + " " + std::to_string(Term) + "." +
-           std::to_string(State.Log.size()) + " 0 0 0 1\r\n" + Done;
+           std::to_string(State.Log.size()) + " 0 " +
+           std::to_string(State.ApplyDelay.count()) + " " +
+           std::to_string(State.Busy) + " 1\r\n" + Done;
   }
   if (Word == "ROLLBACK" || (Word == "COMMIT" && From.Failed)) {
     From.Pending.clear();
@@ -295,6 +297,7 @@
 void SessionGroup::append(Member &At, const std::string &Id,
                           const std::string &Item, const std::string &Data) {
   At.State.Log.push_back({.Term = At.State.Term, .Item = Item, .Data = Data});
+  this->SupersededCommits += At.State.Term < this->newestTerm() ? 1 : 0;
   this->Committed.insert(Id);
   this->replicate();
 }
@@ -321,19 +324,68 @@
 
 bool SessionGroup::promote(const std::string &Id) {
   auto Found = this->Members.find(Id);
-  if (Found == this->Members.end() || Found->second->State.Down)
+  if (Found == this->Members.end())
     return false;
-  if (Found->second->State.Primary)
-    return true;
+  const SessionGroupMember &Target = Found->second->State;
+  if (Target.RefusesPromotion || (Target.Down && !Target.CutOffByPromotion))
+    return false;
+  if (this->PromotionsDelayed)
+    this->DelayedPromotions.push_back(Id);
+  else
+    this->takeEffect(*Found->second);
+  return true;
+}
+
+void SessionGroup::takeEffect(Member &Promoted) {
+  SessionGroupMember &Target = Promoted.State;
+  std::uint64_t Newest = this->newestTerm();
+  if (Target.Primary && Target.Term == Newest)
+    return;
+  if (!Target.CutOffByPromotion)
+    for (auto &[Name, Each] : this->Members)
+      Each->State.Primary = false;
+  Target.Primary = true;
+  Target.Term = Newest + 1;
+  if (Target.CutOffByPromotion)
+    this->stop(Target.Id);
+  this->replicate();
+}
+
+void SessionGroup::setPromotionsDelayed(bool Delayed) {
+  this->PromotionsDelayed = Delayed;
+  if (Delayed)
+    return;
+  for (const std::string &Id : std::exchange(this->DelayedPromotions, {}))
+    this->takeEffect(*this->Members.at(Id));
+}
+
+Status SessionGroup::returnAsPrimary(const std::string &Id) {
+  this->Members.at(Id)->State.Primary = true;
+  return this->start(Id);
+}
+
+std::uint64_t SessionGroup::newestTerm() const {
   std::uint64_t Newest = 0;
-  for (auto &[Name, Each] : this->Members) {
+  for (const auto &[Name, Each] : this->Members)
     Newest = std::max(Newest, Each->State.Term);
-    Each->State.Primary = false;
-  }
-  Found->second->State.Primary = true;
-  Found->second->State.Term = Newest + 1;
-  this->replicate();
-  return true;
+  return Newest;
+}
+
+void SessionGroup::cutOffByPromotion(const std::string &Id) {
+  this->Members.at(Id)->State.CutOffByPromotion = true;
+}
+
+void SessionGroup::setRefusesPromotion(const std::string &Id, bool Refuses) {
+  this->Members.at(Id)->State.RefusesPromotion = Refuses;
+}
+
+void SessionGroup::setApplyDelay(const std::string &Id,
+                                 std::chrono::milliseconds Delay) {
+  this->Members.at(Id)->State.ApplyDelay = Delay;
+}
+
+void SessionGroup::setBusy(const std::string &Id, std::size_t Statements) {
+  this->Members.at(Id)->State.Busy = Statements;
 }
 
 void SessionGroup::stop(const std::string &Id) {
--- a/tests/platform/SessionGroup.h
+++ b/tests/platform/SessionGroup.h
@@ -6,6 +6,7 @@
 #include "drivers/LineConnection.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <set>
@@ -33,6 +34,16 @@
   std::size_t Statements = 0;
   /// The newest term known to the member.
   std::uint64_t Term = 1;
+  /// Whether the member is cut off as soon as it is promoted: nobody reaches
+  /// it, and the former primary doesn't notice that it leads.
+  bool CutOffByPromotion = false;
+  /// Whether the platform finds that the member doesn't run.
+  bool RefusesPromotion = false;
+  /// Time until all received entries are applied; until then, the member
+  /// refuses reads after a position.
+  std::chrono::milliseconds ApplyDelay{0};
+  /// Statements that it reports as running or queued.
+  std::size_t Busy = 0;
   /// A log entry: the term in which it was written, the item and its data.
   struct Entry {
     std::uint64_t Term = 1;
@@ -54,9 +65,30 @@
   /// primary.
   /// Errors: Unavailable if the address can't be bound.
   Status add(const std::string &Id, const Endpoint &Where);
-  /// Makes a member the primary of the next term; false if it is down or
-  /// unknown.
+  /// Makes a member the primary of the next term, unless it is the one that was
+  /// promoted last; false if it is down or unknown.
   bool promote(const std::string &Id);
+  /// While set, promotions are accepted but take no effect. Clearing it lets
+  /// them.
+  void setPromotionsDelayed(bool Delayed);
+  /// Lets a member that was stopped listen again as if it had been cut off: it
+  /// still leads its term.
+  /// Errors: Unavailable if its address can't be bound.
+  Status returnAsPrimary(const std::string &Id);
+  /// Lets a member be cut off as soon as it is promoted.
+  void cutOffByPromotion(const std::string &Id);
+  /// While set, the platform refuses to promote the member.
+  void setRefusesPromotion(const std::string &Id, bool Refuses);
+  /// Lets a member apply its log late.
+  void setApplyDelay(const std::string &Id, std::chrono::milliseconds Delay);
+  void setBusy(const std::string &Id, std::size_t Statements);
+  /// Number of writes that were committed at a former primary after another
+  /// member had been promoted.
+  [[nodiscard]] std::size_t supersededCommits() const {
+    return this->SupersededCommits;
+  }
+  /// The newest term that has begun.
+  [[nodiscard]] std::uint64_t newestTerm() const;
   void stop(const std::string &Id);
   /// Lets a member that was stopped listen again, with its log and role.
   /// Errors: Unavailable if its address can't be bound.
@@ -123,6 +155,7 @@
   std::string answer(Connection &From, const std::string &Id, std::string Text);
   std::string run(Connection &From, const std::string &Id,
                   const std::string &Text);
+  void takeEffect(Member &Promoted);
   void append(Member &At, const std::string &Id, const std::string &Item,
               const std::string &Data);
   /// Gives the primary's log to all replicas that receive.
@@ -134,6 +167,9 @@
   std::vector<Received> Statements;
   /// Statement ids of committed writes.
   std::multiset<std::string> Committed;
+  std::size_t SupersededCommits = 0;
+  bool PromotionsDelayed = false;
+  std::vector<std::string> DelayedPromotions;
   struct WaitingLine {
     std::shared_ptr<Connection> From;
     std::string Line;
