--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -57,8 +57,6 @@
 struct FailoverCoordinator::Failover {
   PrimaryRecord Record;
   FailoverReason Reason = FailoverReason::None;
-  /// Whether an earlier promoter may have ordered a promotion already.
-  bool WasOrdered = false;
   /// The orders since the record was closed, those of earlier promoters
   /// included.
   PromotionOrders Orders;
@@ -1148,7 +1146,6 @@
   Failover F;
   F.Record = From;
   F.Reason = Reason;
-  F.WasOrdered = From.Phase == PrimaryPhase::Ordered;
   if (auto Newest =
           this->Dispatcher.services().at(From.Service).Freshness.newest())
     F.Sampled = Newest->Reached;
@@ -1244,7 +1241,7 @@
       this->Clock.now() + this->Options.Successor.CatchUpTimeout;
   std::optional<TermPosition> Reached;
   while (this->Clock.now() < GiveUpAt) {
-    co_await this->queryMembers(Record.Service, {}, {}, Replies);
+    co_await this->queryMembers(Record.Service, {}, Replies);
     const auto &Pools = this->Dispatcher.services().at(Record.Service).Pools;
     for (const auto &[Id, Reply] : *Replies) {
       auto Pool = Pools.find(Id);
@@ -1307,9 +1304,10 @@
   co_return true;
 }
 
-Awaitable<void> FailoverCoordinator::queryMembers(
-    ServiceId Service, std::set<UpstreamId> Skipped,
-    std::set<UpstreamId> NotAwaited, std::shared_ptr<MemberReplies> Replies) {
+Awaitable<void>
+FailoverCoordinator::queryMembers(ServiceId Service,
+                                  std::set<UpstreamId> NotAwaited,
+                                  std::shared_ptr<MemberReplies> Replies) {
   auto Missing = std::make_shared<std::size_t>(0);
   auto HandlerFor = [&](const UpstreamId &Id, bool Awaited) {
     *Missing += Awaited ? 1 : 0;
@@ -1334,8 +1332,6 @@
   const ServiceState &State = this->Dispatcher.services().at(Service);
   const PrimaryRecord *Record = this->Leases.record(Service);
   for (const auto &[Id, Pool] : State.Pools) {
-    if (Skipped.contains(Id))
-      continue;
     auto Handler = HandlerFor(Id, !NotAwaited.contains(Id));
     bool IsPrimary = Record && Record->Primary == Id;
     if (State.SynchronousReplicas > 0 && !IsPrimary)
@@ -1353,7 +1349,6 @@
 
 Awaitable<void> FailoverCoordinator::queryCandidates(Failover &F) {
   const ServiceState &State = this->Dispatcher.services().at(F.Record.Service);
-  std::set<UpstreamId> Skipped;
   std::set<UpstreamId> NotAwaited = F.Refused;
   bool HasOthers = false;
   for (const auto &[Id, Pool] : State.Pools) {
@@ -1364,14 +1359,12 @@
       NotAwaited.insert(Id);
     HasOthers = HasOthers || !NotAwaited.contains(Id);
   }
-  if (F.WasOrdered)
-    Skipped.insert(F.Record.Primary);
   // Don't wait for a reply of a lost primary, unless it is the only member that
   // can reply.
   if (!isPlanned(F.Reason) && HasOthers)
     NotAwaited.insert(F.Record.Primary);
-  co_await this->queryMembers(F.Record.Service, std::move(Skipped),
-                              std::move(NotAwaited), F.Replies);
+  co_await this->queryMembers(F.Record.Service, std::move(NotAwaited),
+                              F.Replies);
 }
 
 std::vector<TermReport> FailoverCoordinator::termReports(const Failover &F) {
@@ -1405,19 +1398,6 @@
   return true;
 }
 
-bool FailoverCoordinator::stillLeads(const Failover &F) {
-  auto Former = F.Replies->find(F.Record.Primary);
-  if (isPlanned(F.Reason) || F.WasOrdered || Former == F.Replies->end())
-    return false;
-  // An order that nobody remembers may have made another member primary.
-  Term Newest;
-  for (const auto &[Id, Reply] : *F.Replies)
-    if (Reply.Report.Primary)
-      Newest = std::max(Newest, Reply.Report.Newest);
-  const MemberReport &Report = Former->second.Report;
-  return Report.Primary && Report.Newest == Newest;
-}
-
 SuccessorSearch FailoverCoordinator::successorSearch(const Failover &F,
                                                      TimePoint BeganAt) {
   const ServiceState &State = this->Dispatcher.services().at(F.Record.Service);
@@ -1432,8 +1412,9 @@
   Search.ListedAt = this->membersListedAt(this->Clock.now());
   if (State.Acknowledged && State.Acknowledged->Epoch == F.Record.Epoch)
     Search.Acknowledged = State.Acknowledged->Entry;
-  if (F.WasOrdered && State.SynchronousReplicas > 0)
-    Search.Ordered = F.Record.Target;
+  Search.Orders = F.Orders;
+  Search.FormerPrimary = F.Record.Primary;
+  Search.Terms = termReports(F);
   for (const auto &[Id, Pool] : State.Pools) {
     bool Former = Id == F.Record.Primary;
     auto Reply = F.Replies->find(Id);
@@ -1441,17 +1422,20 @@
     if (Former && Replied && isPlanned(F.Reason) &&
         Reply->second.Report.Primary)
       Search.PrimaryPosition = Reply->second.Report.Received;
-    // A lost primary that has become a replica may lead again.
-    if (Former && (!Replied || isPlanned(F.Reason)))
-      continue;
     ReplicaState Replica{.Id = Id,
                          .Draining = Pool->member().Draining,
                          .Refused = F.Refused.contains(Id)};
-    if (Replied)
+    if (Replied) {
       Replica.Report = {.Received = Reply->second.Report.Received,
                         .ApplyDelay = Reply->second.Report.ApplyDelay,
                         .ReceivedAt = Reply->second.ReceivedAt};
-    Search.Replicas.push_back(std::move(Replica));
+      Replica.Leads = Reply->second.Report.Primary;
+    }
+    if (Former && Replied)
+      Search.Former = Replica;
+    // A lost primary that has become a replica may lead again.
+    if (!Former || (Replied && !isPlanned(F.Reason)))
+      Search.Replicas.push_back(std::move(Replica));
   }
   auto History = this->ReplicaHistories.find(F.Record.Service);
   if (History == this->ReplicaHistories.end())
@@ -1495,6 +1479,7 @@
       assessSearch(this->Options.Successor, Search, this->Clock.now());
   std::string Standings = standingsText(Assessment);
   std::string_view Outcome = outcomeOf(Search, Decision);
+  const GivenOrder *Ordered = Search.Orders.decisive();
   std::string Shown = Missing + " " + Standings + " " + std::string(Outcome);
   if (Shown == F.LoggedSearch)
     return;
@@ -1508,6 +1493,7 @@
                     .field("missing", Missing)
                     .field("members", Standings)
                     .field("members_listed", needsMemberList(Search) ? 0 : 1)
+                    .field("ordered", Ordered ? Ordered->Target.Value : "none")
                     .field("outcome", Outcome));
 }
 
@@ -1531,23 +1517,11 @@
     for (const TermReport &Each : termReports(F))
       if (noteIfInEffect(F, Each))
         co_return std::nullopt;
-    if (stillLeads(F)) {
-      F.KeepsOldPrimary = true;
-      co_return std::nullopt;
-    }
     SuccessorSearch Search = this->successorSearch(F, BeganAt);
     if (needsMemberList(Search) && this->Versions.ListMembers) {
       co_await this->awaitMemberList();
       Search = this->successorSearch(F, BeganAt);
     }
-    auto Ordered = F.Replies->find(F.Record.Target);
-    bool Replied = F.WasOrdered && Ordered != F.Replies->end() &&
-                   Ordered->second.ReceivedAt >= BeganAt;
-    // With synchronous replicas, the target may have lost its log since it was
-    // ordered, unless it has become primary.
-    if (Replied &&
-        (Search.SynchronousReplicas == 0 || Ordered->second.Report.Primary))
-      co_return F.Record.Target;
     SuccessorDecision Decision =
         decideSuccessor(this->Options.Successor, Search, this->Clock.now());
     logSearch(F, Search, Decision);
@@ -1579,7 +1553,7 @@
 Awaitable<void>
 FailoverCoordinator::handOverIfBacklogged(PrimaryRecord Record) {
   auto Replies = std::make_shared<MemberReplies>();
-  co_await this->queryMembers(Record.Service, {}, {}, Replies);
+  co_await this->queryMembers(Record.Service, {}, Replies);
   const auto &Pools = this->Dispatcher.services().at(Record.Service).Pools;
   std::vector<MemberBacklog> Reports;
   for (const auto &[Id, Each] : *Replies) {
@@ -1636,8 +1610,6 @@
     co_return false;
   Next.Stored = *Stored;
   F.Record = Next;
-  bool WasOrdered = F.WasOrdered;
-  F.WasOrdered = true;
   TimePoint Latest = Began + this->Options.OrderValidity;
   PromotionOrder Order{.Service = Next.Service,
                        .Target = Target,
@@ -1661,9 +1633,6 @@
                     .field("outcome", toString(Given.Fate)));
   if (Given.Fate == OrderFate::Refused)
     F.Refused.insert(Target);
-  // What was certainly not sent changes nothing.
-  if (Given.Fate == OrderFate::NotSent)
-    F.WasOrdered = WasOrdered;
   F.Orders.add(std::move(Given));
   co_return true;
 }
@@ -1681,8 +1650,6 @@
 }
 
 Awaitable<void> FailoverCoordinator::awaitPromotion(Failover &F) {
-  if (F.Refused.contains(F.Record.Target))
-    F.WasOrdered = false;
   const GivenOrder *Order = F.Orders.decisive();
   // A refused order changes nothing.
   if (!Order || Order->Target != F.Record.Target)
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -298,18 +298,16 @@
   Awaitable<void> replace(PrimaryRecord From, FailoverReason Reason);
   Awaitable<bool> isStillNeeded(PrimaryRecord From, FailoverReason Reason);
   Awaitable<bool> closeRecord(Failover &F);
-  /// Queries the members of a service except those in Skipped, and its replicas
-  /// that run without being registered. Returns when all members but those in
-  /// NotAwaited have replied, or after ReportTimeout.
-  Awaitable<void> queryMembers(ServiceId Service, std::set<UpstreamId> Skipped,
+  /// Queries the members of a service and its replicas that run without being
+  /// registered. Returns when all members but those in NotAwaited have replied,
+  /// or after ReportTimeout.
+  Awaitable<void> queryMembers(ServiceId Service,
                                std::set<UpstreamId> NotAwaited,
                                std::shared_ptr<MemberReplies> Replies);
   Awaitable<void> queryCandidates(Failover &F);
   /// Whether a running primary of a service with synchronous replicas has a
   /// successor, so that the record need not be closed in vain.
   Awaitable<bool> hasSuccessor(PrimaryRecord Record);
-  /// Whether the former primary has replied that it still leads.
-  [[nodiscard]] static bool stillLeads(const Failover &F);
   /// Takes over what the store has of the record and of earlier orders.
   void takeOver(Failover &F) const;
   /// What the members that have replied know of terms.
--- a/failover/PrimaryRecord.h
+++ b/failover/PrimaryRecord.h
@@ -51,8 +51,8 @@
   /// While it isn't open: the revision of the open record that was closed.
   Revision ClosedFrom = {};
   /// The newest term that was known to have begun when the record was opened
-  /// or, since, a promotion was requested; 0 if none was known, as in records of
-  /// earlier versions.
+  /// or, since, a promotion was requested; 0 if none was known, as in records
+  /// of earlier versions.
   Term KnownTerm = {};
   /// The revision of the record in the store.
   Revision Stored = {};
--- a/failover/PromotionOrders.h
+++ b/failover/PromotionOrders.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -75,11 +76,20 @@
   /// The newest order that was taken or may have been, or nullptr; it tells who
   /// leads in the end. Valid until add().
   [[nodiscard]] const GivenOrder *decisive() const;
+  /// Whether the former primary may get writes again without a new order that
+  /// names it: no order was taken or may have been, it doesn't report that it
+  /// follows, and no member reports that it leads a newer term.
+  [[nodiscard]] bool mayKeep(const UpstreamId &Former,
+                             std::span<const TermReport> Reports) const;
   /// Whether a report shows that the decisive order is in effect: its target
   /// leads a term above all that were known before. If it leads an older one
   /// EffectTimeout after the order was taken, then it was the primary when the
   /// order arrived, as only then does the platform change nothing.
   [[nodiscard]] bool isInEffect(const TermReport &Report) const;
+  /// When an order that names this target may be given: earlier ones that name
+  /// another have taken effect by then, or never will, so that none of them
+  /// overtakes it.
+  [[nodiscard]] TimePoint nextOrderAt(const UpstreamId &Target) const;
 
 private:
   PromotionOrdersOptions Options;
--- a/failover/SuccessorRules.cpp
+++ b/failover/SuccessorRules.cpp
@@ -52,6 +52,39 @@
                                            : furthestLog(Search));
 }
 
+/// Whether the newest order that may have been taken names the member.
+bool isOrdered(const SuccessorSearch &Search, const UpstreamId &Id) {
+  const GivenOrder *Order = Search.Orders.decisive();
+  return Order && Order->Target == Id;
+}
+
+/// Whether the member that was ordered can be ordered again as it is. With
+/// synchronous replicas, it may have lost its log since, unless it leads.
+bool mayOrderAgain(const SuccessorSearch &Search, const ReplicaState &Each) {
+  return isOrdered(Search, Each.Id) && Each.Report &&
+         Each.Report->ReceivedAt >= Search.BeganAt && !Each.Refused &&
+         (Search.SynchronousReplicas == 0 || Each.Leads);
+}
+
+/// Whether the former primary can be ordered to lead again.
+bool mayOrderFormer(const SuccessorOptions &Options,
+                    const SuccessorSearch &Search, TimePoint Now) {
+  const auto &Former = Search.Former;
+  return Former && Former->Report && !Former->Refused &&
+         Now - Former->Report->ReceivedAt <= Options.ReportValidity;
+}
+
+/// Orders a member, or waits until earlier orders can't take effect any more.
+SuccessorDecision promotion(const SuccessorSearch &Search,
+                            const UpstreamId &Target, TimePoint Now,
+                            std::vector<UpstreamId> Missing = {}) {
+  if (Now < Search.Orders.nextOrderAt(Target))
+    return {.Action = SuccessorAction::Wait, .Missing = std::move(Missing)};
+  return {.Action = SuccessorAction::Promote,
+          .Target = Target,
+          .Missing = std::move(Missing)};
+}
+
 /// Whether replicas that drain may succeed.
 bool mayDrain(const SuccessorOptions &Options, const SuccessorSearch &Search,
               TimePoint Now) {
@@ -89,12 +122,13 @@
     if (standingOf(Options, Each, Required, MayDrain, Now) !=
         MemberStanding::Candidate)
       continue;
-    if (Each.Id == Search.Ordered)
+    if (isOrdered(Search, Each.Id))
       return Each.Id;
     (Each.Draining ? Draining : Staying)
         .push_back({.Id = Each.Id,
                     .Received = Each.Report->Received,
-                    .ApplyDelay = Each.Report->ApplyDelay});
+                    .ApplyDelay = Each.Report->ApplyDelay,
+                    .Former = Search.Former && Search.Former->Id == Each.Id});
   }
   auto Best = chooseSuccessor(Staying);
   return Best ? Best : chooseSuccessor(Draining);
@@ -106,8 +140,9 @@
 chooseSuccessor(std::span<const SuccessorCandidate> Candidates) {
   const SuccessorCandidate *Best = nullptr;
   for (const SuccessorCandidate &Each : Candidates)
-    if (!Best || std::tie(Each.Received, Each.ApplyDelay) >
-                     std::tie(Best->Received, Best->ApplyDelay))
+    if (!Best ||
+        std::tuple(Each.Received, !Each.Former, Each.ApplyDelay) >
+            std::tuple(Best->Received, !Best->Former, Best->ApplyDelay))
       Best = &Each;
   if (!Best)
     return std::nullopt;
@@ -170,6 +205,13 @@
 SuccessorDecision decideSuccessor(const SuccessorOptions &Options,
                                   const SuccessorSearch &Search,
                                   TimePoint Now) {
+  bool MayKeep = Search.Orders.mayKeep(Search.FormerPrimary, Search.Terms);
+  bool Leads = Search.Former && Search.Former->Leads;
+  if (Leads && !isPlanned(Search.Reason) && MayKeep)
+    return {.Action = SuccessorAction::KeepPrimary};
+  for (const ReplicaState &Each : Search.Replicas)
+    if (mayOrderAgain(Search, Each))
+      return promotion(Search, Each.Id, Now);
   bool Synchronous = Search.SynchronousReplicas > 0;
   bool CatchUpOver = Now - Search.BeganAt >= Options.CatchUpTimeout;
   std::optional<TermPosition> Furthest = furthestLog(Search);
@@ -190,8 +232,10 @@
     bool Keep = Search.Reason == FailoverReason::Backlog ||
                 (Synchronous && isPlanned(Search.Reason) &&
                  Search.PrimaryPosition.has_value());
-    if (Keep)
+    if (Keep && MayKeep)
       return {.Action = SuccessorAction::KeepPrimary};
+    if (Keep && mayOrderFormer(Options, Search, Now))
+      return promotion(Search, Search.Former->Id, Now);
     bool MayLose =
         !Synchronous || Now - Search.ClosedAt >= Options.HolderTimeout;
     if (MayLose)
@@ -200,10 +244,8 @@
     if (MayLose && !Best)
       Best = bestSuccessor(Options, Search, std::nullopt, Now);
   }
-  if (Best) {
-    Decision.Action = SuccessorAction::Promote;
-    Decision.Target = *Best;
-  }
+  if (Best)
+    return promotion(Search, *Best, Now, std::move(Decision.Missing));
   return Decision;
 }
 
--- a/failover/SuccessorRules.h
+++ b/failover/SuccessorRules.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "failover/PrimaryMonitor.h"
+#include "failover/PromotionOrders.h"
 #include "failover/ReplicaHistory.h"
 
 #include <cstdint>
@@ -32,10 +33,14 @@
   TermPosition Received;
   /// Time until all received entries are applied.
   Duration ApplyDelay{0};
+  /// Whether it is the former primary.
+  bool Former = false;
 };
 
-/// The candidate whose log is furthest ahead; among equals, the one with the
-/// longest apply delay, as a promotion ends it. Nothing without candidates.
+/// The candidate whose log is furthest ahead; among equals another one than the
+/// former primary, whose promotion shows no new term if it still leads, and the
+/// one with the longest apply delay, as a promotion ends it. Nothing without
+/// candidates.
 /// Pure; thread-safe.
 std::optional<UpstreamId>
 chooseSuccessor(std::span<const SuccessorCandidate> Candidates);
@@ -48,6 +53,8 @@
   bool Refused = false;
   /// Its newest report since the record was closed; empty without one.
   std::optional<LogReport> Report = std::nullopt;
+  /// Whether that report says that it is primary.
+  bool Leads = false;
 };
 
 /// What a promoter knows in its search for a successor. Immutable value.
@@ -56,7 +63,8 @@
   /// Number of replicas that must have received a commit before it is
   /// acknowledged.
   std::uint32_t SynchronousReplicas = 0;
-  /// All registered members but the former primary, draining ones included.
+  /// All registered members but the former primary, draining ones included. A
+  /// lost primary that has reported is among them.
   std::vector<ReplicaState> Replicas = {};
   std::vector<DepartedReplica> Departed = {};
   /// The end of the former primary's log, asked for after the record was
@@ -67,9 +75,13 @@
   /// A position that is known to have been acknowledged under the former
   /// primary.
   std::optional<TermPosition> Acknowledged = std::nullopt;
-  /// The member whose promotion an earlier promoter may have requested; empty
-  /// if none has.
-  UpstreamId Ordered = {};
+  /// The orders that were given since the record was closed.
+  PromotionOrders Orders = PromotionOrders();
+  UpstreamId FormerPrimary = {};
+  /// Its state; empty if it isn't registered or hasn't reported.
+  std::optional<ReplicaState> Former = std::nullopt;
+  /// What the members that have reported know of terms.
+  std::vector<TermReport> Terms = {};
   /// When this search began, and when the record's closing was first seen.
   TimePoint BeganAt;
   TimePoint ClosedAt;
@@ -166,6 +178,12 @@
 /// registered reports its log like the others, but can't succeed, as no
 /// statement could reach it.
 ///
+/// A lost primary that still leads is kept, and so is one that was to hand over
+/// when nobody can succeed it, but only by PromotionOrders::mayKeep(). Else one
+/// that was to hand over is ordered to lead again: if another member leads a
+/// newer term unseen, that begins a still newer one. A member is ordered only
+/// once no earlier order that names another one can still take effect.
+///
 /// Replicas that are draining succeed a lost primary only after CatchUpTimeout,
 /// and never one that still runs. Without synchronous replicas, CatchUpTimeout
 /// bounds the wait for what the primary had when last sampled. Pure;
--- a/tests/failover/PromotionOrdersTest.cpp
+++ b/tests/failover/PromotionOrdersTest.cpp
@@ -73,5 +73,45 @@
   EXPECT_FALSE(Orders.isInEffect(leader("b", 3)));
 }
 
+// A primary that was to hand over was kept although its successor had been
+// ordered (review/12), and so was one after another order was refused
+// (review/11).
+TEST(PromotionOrders, FormerPrimaryIsNotKeptOnceAnOrderMayHaveBeenTaken) {
+  std::vector<TermReport> Reports{leader("a", 2)};
+  EXPECT_TRUE(PromotionOrders().mayKeep({"a"}, Reports));
+  EXPECT_TRUE(ordered({orderOf("b", OrderFate::Refused),
+                       orderOf("b", OrderFate::NotSent)})
+                  .mayKeep({"a"}, Reports));
+  EXPECT_FALSE(ordered({orderOf("b", OrderFate::Taken),
+                        orderOf("c", OrderFate::Refused)})
+                   .mayKeep({"a"}, Reports));
+  EXPECT_FALSE(
+      ordered({orderOf("b", OrderFate::Unknown)}).mayKeep({"a"}, Reports));
+  // An order of another promoter, whose target isn't known.
+  EXPECT_FALSE(ordered({GivenOrder{}}).mayKeep({"a"}, Reports));
+}
+
+// An order that nobody remembers may have made another member primary.
+TEST(PromotionOrders, FormerPrimaryIsNotKeptBesideANewerLeader) {
+  std::vector<TermReport> Reports{leader("a", 2), leader("b", 1)};
+  EXPECT_TRUE(PromotionOrders().mayKeep({"a"}, Reports));
+  Reports[1] = leader("b", 3);
+  EXPECT_FALSE(PromotionOrders().mayKeep({"a"}, Reports));
+  Reports = {leader("b", 1)};
+  EXPECT_FALSE(PromotionOrders().mayKeep({"a"}, Reports));
+  EXPECT_TRUE(PromotionOrders().mayKeep({"a"}, {}));
+  Reports = {{.Member = {"a"}, .Leads = false, .Newest = {2}}};
+  EXPECT_FALSE(PromotionOrders().mayKeep({"a"}, Reports));
+}
+
+TEST(PromotionOrders, NoOrderIsGivenWhileAnotherMayTakeEffect) {
+  PromotionOrders Orders = ordered(
+      {orderOf("b", OrderFate::Taken), orderOf("c", OrderFate::Refused)});
+  EXPECT_EQ(Orders.nextOrderAt({"a"}), Ordered + Options.EffectTimeout);
+  EXPECT_LT(Orders.nextOrderAt({"b"}), Ordered);
+  EXPECT_EQ(ordered({{.Target = {}, .EndedAt = Ordered}}).nextOrderAt({}),
+            Ordered + Options.EffectTimeout);
+}
+
 } // namespace
 } // namespace turmericpitch
--- a/tests/failover/SuccessorRulesTest.cpp
+++ b/tests/failover/SuccessorRulesTest.cpp
@@ -193,10 +193,59 @@
   EXPECT_EQ(decide(Search), promote("a"));
 }
 
+SuccessorDecision keepPrimary() {
+  return {.Action = SuccessorAction::KeepPrimary};
+}
+
+/// A hand-over for backlog from a, which has replied.
+SuccessorSearch backlog(std::vector<ReplicaState> Replicas) {
+  SuccessorSearch Search = search(std::move(Replicas), 0);
+  Search.Reason = FailoverReason::Backlog;
+  Search.FormerPrimary = {"a"};
+  Search.Former = replica("a", 9);
+  Search.Former->Leads = true;
+  Search.Former->Report->ReceivedAt = Began + Options.CatchUpTimeout;
+  Search.PrimaryPosition = at(9);
+  Search.Terms = {{.Member = {"a"}, .Leads = true, .Newest = {1}}};
+  return Search;
+}
+
+// No replica answered after the order was taken (review/12).
+TEST(SuccessorRules, HandOverThatWasOrderedEndsWithANewOrder) {
+  SuccessorSearch Search = backlog({replica("b", {}), replica("c", {})});
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), keepPrimary());
+  Search.Orders.add({.Target = {"b"}, .Fate = OrderFate::Taken});
+  EXPECT_EQ(decide(Search), waitFor({}));
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), promote("a"));
+  // Its order may still take effect.
+  Search.Orders.add(
+      {.Target = {"b"}, .Fate = OrderFate::Taken, .EndedAt = Began});
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), waitFor({}));
+}
+
+TEST(SuccessorRules, LostPrimaryThatLeadsIsKeptOnlyWithoutOrders) {
+  SuccessorSearch Search = backlog({replica("b", 9), replica("a", 9)});
+  Search.Reason = FailoverReason::Lost;
+  EXPECT_EQ(decide(Search), keepPrimary());
+  // Another member's promotion shows a newer term at once.
+  Search.Orders.add({.Target = {"c"}, .Fate = OrderFate::Taken});
+  EXPECT_EQ(decide(Search), promote("b"));
+  Search.Replicas[0] = replica("b", 8);
+  EXPECT_EQ(decide(Search), promote("a"));
+}
+
+TEST(SuccessorRules, OrderedMemberThatRepliesIsOrderedAgain) {
+  SuccessorSearch Search = search({replica("b", 4), replica("c", 9)}, 0);
+  Search.Orders.add({.Target = {"b"}, .Fate = OrderFate::Unknown});
+  EXPECT_EQ(decide(Search), promote("b"));
+  Search.Replicas[0].Refused = true;
+  EXPECT_EQ(decide(Search), promote("c"));
+}
+
 // A member whose promotion was ordered may have lost its log since.
 TEST(SuccessorRules, OrderedMemberComesFirstIfItReachesTheFurthestLog) {
   SuccessorSearch Search = search({replica("a", 5), replica("b", 5)});
-  Search.Ordered = {"b"};
+  Search.Orders.add({.Target = {"b"}});
   EXPECT_EQ(decide(Search), promote("b"));
   Search.Replicas[1] = replica("b", 4);
   EXPECT_EQ(decide(Search), promote("a"));
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -401,6 +401,51 @@
   }
 };
 
+// A hand-over for backlog, whose order was taken, kept the old primary when no
+// replica answered; its writes were lost (review/12).
+TEST_F(SupersededPrimaryTest, HandOverWhoseOrderWasTakenDoesNotKeepIt) {
+  constexpr std::size_t MoreThanSlots = 4;
+  this->runOnStandIns([this] {
+    this->Group.cutOffByPromotion("m2");
+    this->Group.setApplyDelay("m2", milliseconds(7000));
+    this->Group.setApplyDelay("m3", milliseconds(6000));
+    this->Group.setBusy("m1", MoreThanSlots);
+    return 0;
+  });
+  // Reads that no replica can serve show the backlog.
+  Caller Session("fittings");
+  auto Deadline = std::chrono::steady_clock::now() + TestTimeout;
+  while (this->runOnStandIns([this] { return this->Store.promotions(); }) ==
+             0 &&
+         std::chrono::steady_clock::now() < Deadline) {
+    std::string Id = "backlog-" + std::to_string(this->NextId++);
+    Session.query(Id + "w", "WRITE booking one");
+    Session.query(Id + "r", "READ booking");
+  }
+  this->runOnStandIns([this] {
+    this->Group.stop("m3");
+    return 0;
+  });
+  this->writeUntilDone("booking", "two");
+  this->expectNoSupersededCommit();
+}
+
+// An answer 409 to a later order made the promoter forget that an earlier one
+// was taken, and it kept the old primary (review/11).
+TEST_F(SupersededPrimaryTest, RefusedOrderDoesNotUndoAnEarlierOne) {
+  this->runOnStandIns([this] {
+    this->Group.cutOffByPromotion("m2");
+    this->Group.setRefusesPromotion("m3", true);
+    this->Group.stop("m1");
+    return 0;
+  });
+  this->waitForPromotion();
+  EXPECT_TRUE(this->runOnStandIns(
+      [this] { return bool(this->Group.returnAsPrimary("m1")); }));
+  this->writeUntilDone("booking", "two");
+  this->expectNoSupersededCommit();
+}
+
 // A member that still led an older term counted as promoted before the order
 // took effect (review/6).
 TEST_F(SupersededPrimaryTest, OldLeaderIsNotPromotedBeforeItLeadsANewTerm) {
