--- a/core/YamlReader.cpp
+++ b/core/YamlReader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace turmericpitch {
 
@@ -190,6 +191,23 @@
   return *Parsed;
 }
 
+std::optional<double> YamlReader::figure(const std::string &Key) {
+  YAML::Node Value = this->find(Key);
+  if (!Value.IsDefined() || Value.IsNull())
+    return std::nullopt;
+  std::string Text = Value.IsScalar() ? Value.Scalar() : "";
+  bool Flag = false;
+  if (Value.IsScalar() && YAML::convert<bool>::decode(Value, Flag))
+    return std::nullopt;
+  if (Text.starts_with('+'))
+    Text.erase(0, 1);
+  auto Parsed = parseNumber<double>(Text);
+  if (Parsed && std::isfinite(*Parsed))
+    return Parsed;
+  this->problem(Key, "wrong type", "write it as a number");
+  return std::nullopt;
+}
+
 bool YamlReader::flag(const std::string &Key, std::optional<bool> Default) {
   auto Value = this->scalar(Key, !Default, "true or false");
   if (!Value)
@@ -282,6 +300,14 @@
   return {YAML::Node(YAML::NodeType::Map), this->pathOf(Key), this->Problems};
 }
 
+YamlReader YamlReader::mappingOrEmpty(const std::string &Key) {
+  const YAML::Node &ConstNode = this->Node;
+  if (!this->has(Key) || !ConstNode[Key].IsNull())
+    return this->mapping(Key);
+  this->KnownKeys.push_back(Key);
+  return {YAML::Node(YAML::NodeType::Map), this->pathOf(Key), this->Problems};
+}
+
 void YamlReader::finish() {
   if (!this->Node.IsMap())
     return;
--- a/core/YamlReader.h
+++ b/core/YamlReader.h
@@ -83,6 +83,9 @@
   /// Reads a number in [Min, Max]. Returns Min after a problem.
   double fraction(const std::string &Key, double Min, double Max,
                   std::optional<double> Default = std::nullopt);
+  /// Reads a number, whole or with a fraction, or true or false. Nothing if it
+  /// is true or false, absent or empty, and after a problem.
+  std::optional<double> figure(const std::string &Key);
   /// Reads true or false. Returns false after a problem.
   bool flag(const std::string &Key, std::optional<bool> Default = std::nullopt);
   /// Reads a whole number with a unit: us, ms, s, min or h. Returns Bounds.Min
@@ -99,6 +102,8 @@
   /// Returns a reader for a nested mapping; an absent key means an empty
   /// mapping.
   YamlReader mapping(const std::string &Key);
+  /// The same; an empty key means an empty mapping, too.
+  YamlReader mappingOrEmpty(const std::string &Key);
 
   [[nodiscard]] bool has(const std::string &Key) const;
   /// Adds a problem at Key, or at the mapping itself if it has no such key.
--- a/main/SessionDaemon.cpp
+++ b/main/SessionDaemon.cpp
@@ -134,7 +134,8 @@
 
 struct SessionDaemon::Components {
   explicit Components(InstanceSettings Settings, SessionDaemonOptions Options)
-      : Settings(std::move(Settings)), Log(Options.Log),
+      : Settings(std::move(Settings)),
+        ReadSettings(std::move(Options.ReadSettings)), Log(Options.Log),
         Store(this->Loop.get_executor(),
               {.Store = this->Settings.Store,
                .Promotions = this->Settings.Promotions}),
@@ -214,6 +215,9 @@
   /// can make grow.
   void setTableGauges() const;
   void awaitSignal();
+  /// Reads the settings again. The times among them apply at once; what else
+  /// has changed applies at the next start. Keeps them if they can't be read.
+  void reloadSettings();
   Awaitable<void> pause(Duration Length);
   /// Like pause(), but returns early once the process is stopping.
   Awaitable<void> pauseUnlessStopping(Duration Length);
@@ -285,6 +289,7 @@
   }
 
   InstanceSettings Settings;
+  std::function<Outcome<InstanceSettings>()> ReadSettings;
   /// Null if log lines are written directly.
   BoundedLog *Log = nullptr;
   asio::io_context Loop{1};
@@ -974,7 +979,36 @@
   }
 }
 
+void SessionDaemon::Components::reloadSettings() {
+  if (!this->ReadSettings)
+    return;
+  auto Read = this->ReadSettings();
+  if (!Read) {
+    writeWarning("event=settings_refused reason=\"" + Read.error().Message +
+                 "\"");
+    processMetrics().count("settings_reloads_total", "refused");
+    return;
+  }
+  InstanceSettings Next = this->Settings;
+  Next.StopGracePeriod = Read.value().StopGracePeriod;
+  Next.ConfigurationApplyTimeout = Read.value().ConfigurationApplyTimeout;
+  bool Changed = Next != this->Settings;
+  // Addresses, names and capacities are fixed once the process serves.
+  bool AtNextStart = Next != Read.value();
+  this->Settings = std::move(Next);
+  this->ConfigurationCopy.setOptions(
+      configurationFollowing(this->Settings.ConfigurationApplyTimeout));
+  processMetrics().count("settings_reloads_total", "taken");
+  writeDecision(DecisionLine("reload")
+                    .field("outcome", Changed ? "changed" : "unchanged")
+                    .field("grace_ms", this->Settings.StopGracePeriod /
+                                           std::chrono::milliseconds(1))
+                    .field("at_next_start", AtNextStart ? 1 : 0));
+}
+
 Awaitable<void> SessionDaemon::Components::stop() {
+  // The file may have changed without a signal.
+  this->reloadSettings();
   StopSchedule Schedule(BootClock().now(), this->Settings.StopGracePeriod);
   this->Stopping = true;
   this->Sessions.stopAt(Schedule);
@@ -1002,7 +1036,7 @@
         if (Failure)
           return;
         if (Signal == SIGHUP)
-          writeDecision(DecisionLine("reload").field("outcome", "unchanged"));
+          this->reloadSettings();
         else if (!this->Stopping)
           this->spawn(this->stop());
         this->awaitSignal();
--- a/main/SessionDaemon.h
+++ b/main/SessionDaemon.h
@@ -8,6 +8,7 @@
 #include "limits/ShareRight.h"
 #include "platform/InstanceSettings.h"
 
+#include <functional>
 #include <memory>
 
 namespace turmericpitch {
@@ -18,6 +19,9 @@
   /// EntryLifetime is that of the settings' heartbeat.
   ReplicaHistoryOptions Replicas = {};
   ShareRightOptions LimitShares = {};
+  /// Reads the settings again, at SIGHUP and when the process is asked to stop.
+  /// Not set if they can't change.
+  std::function<Outcome<InstanceSettings>()> ReadSettings = {};
   /// Buffered log lines, which the daemon writes to standard output. Null if
   /// log lines are written directly.
   BoundedLog *Log = nullptr;
--- a/main/SessionMain.cpp
+++ b/main/SessionMain.cpp
@@ -16,23 +16,21 @@
 /// is not given.
 constexpr const char *SettingsVariable = "TURMERICPITCH_BOOT";
 
-std::optional<InstanceSettings> loadSettings(const std::string &Path) {
+Outcome<InstanceSettings> loadSettings(const std::string &Path) {
   std::ifstream File(Path);
-  if (!File) {
-    std::cerr << "can't read the settings file '" << Path
-              << "'\nremedy: give its path with --settings or in "
-              << SettingsVariable << "\n";
-    return std::nullopt;
-  }
+  if (!File)
+    return Error{.Kind = ErrorKind::BadRequest,
+                 .Message = "can't read the settings file '" + Path + "'",
+                 .Remedy = std::string("give its path with --settings or in ") +
+                           SettingsVariable};
   std::stringstream Text;
   Text << File.rdbuf();
-  auto Settings =
-      toOutcome([&] { return decodeInstanceSettings(Text.str(), Path); });
-  if (Settings)
-    return std::move(Settings.value());
-  std::cerr << Settings.error().Message
-            << "\nremedy: " << Settings.error().Remedy << "\n";
-  return std::nullopt;
+  return toOutcome([&] { return decodeInstanceSettings(Text.str(), Path); });
+}
+
+int report(const Error &Failure, int Code) {
+  std::cerr << Failure.Message << "\nremedy: " << Failure.Remedy << "\n";
+  return Code;
 }
 
 int runSessions(int ArgumentCount, const char *const *Arguments) {
@@ -49,20 +47,21 @@
       std::cout << Options.help();
       return ExitSuccess;
     }
-    auto Settings = loadSettings(Parsed["settings"].as<std::string>());
+    std::string Path = Parsed["settings"].as<std::string>();
+    auto Settings = loadSettings(Path);
     if (!Settings)
-      return ExitUsage;
+      return report(Settings.error(), ExitUsage);
     if (Parsed.count("check") > 0)
       return ExitSuccess;
     static BoundedLog Log;
     bufferLogIn(Log);
-    SessionDaemonOptions Daemon{.Rules = {}, .Log = &Log};
-    Status Finished = SessionDaemon(*Settings, Daemon).run();
+    SessionDaemonOptions Daemon;
+    Daemon.ReadSettings = [Path] { return loadSettings(Path); };
+    Daemon.Log = &Log;
+    Status Finished = SessionDaemon(Settings.value(), Daemon).run();
     if (Finished)
       return ExitSuccess;
-    std::cerr << Finished.error().Message
-              << "\nremedy: " << Finished.error().Remedy << "\n";
-    return ExitUnavailable;
+    return report(Finished.error(), ExitUnavailable);
   } catch (const cxxopts::exceptions::exception &Failure) {
     std::cerr << Failure.what() << "\n" << Options.help();
     return ExitUsage;
--- a/membership/CopyFollower.h
+++ b/membership/CopyFollower.h
@@ -80,6 +80,7 @@
   CopyFollower(CopyFollowerOptions Options, std::uint64_t Seed)
       : Options(Options), Random(Seed) {}
 
+  void setOptions(const CopyFollowerOptions &Next) { this->Options = Next; }
   /// Records that this instance holds a version, wherever it came from.
   void onHeld(std::uint64_t Version);
   /// Records that the store holds something newer that can't be used. Until a
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -7,6 +7,7 @@
 #include "tests/platform/RevisionStore.h"
 #include "tests/support/OwnAddress.h"
 
+#include <atomic>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -141,6 +142,7 @@
     Options.Grantors.StableListTime = Duration{0};
     // All members are listed from the start.
     Options.Replicas.UnlistedTimeout = milliseconds(1);
+    Options.ReadSettings = this->ReadSettings;
     this->Daemon = std::make_unique<SessionDaemon>(this->settings(), Options);
     this->DaemonThread =
         std::thread([this] { this->RunResult = this->Daemon->run(); });
@@ -232,6 +234,7 @@
   Status RunResult;
   Duration StopGracePeriod = std::chrono::seconds(6);
   Duration MemberHeartbeat = milliseconds(100);
+  std::function<Outcome<InstanceSettings>()> ReadSettings;
   std::vector<std::string> Failures;
   int NextId = 0;
 };
@@ -1000,5 +1003,56 @@
       this->runOnStandIns([this] { return this->Group.holds("m1", "40cm"); }));
 }
 
+// A process read its settings at its start alone, and one whose settings had
+// become unreadable by its next start would end there (review/14).
+TEST_F(SessionDaemonTest, SettingsAreReadAgainWhileTheProcessServes) {
+  this->killDaemon();
+  std::atomic<bool> Readable = true;
+  this->ReadSettings = [&]() -> Outcome<InstanceSettings> {
+    if (!Readable)
+      return Error{.Kind = ErrorKind::BadRequest,
+                   .Message = "half written",
+                   .Remedy = "write it whole"};
+    InstanceSettings Next = this->settings();
+    // Nothing that arrives after a request to stop can be finished in time.
+    Next.StopGracePeriod = milliseconds(500);
+    return Next;
+  };
+  this->startDaemon();
+  this->writeUntilDone("again", "1");
+  auto SignalAndWait = [](const std::string &Outcome) {
+    auto Count = [&] {
+      return processMetrics().counterValue("settings_reloads_total", Outcome);
+    };
+    auto Before = Count();
+    kill(getpid(), SIGHUP);
+    auto Deadline = std::chrono::steady_clock::now() + TestTimeout;
+    while (Count() == Before && std::chrono::steady_clock::now() < Deadline)
+      std::this_thread::yield();
+    EXPECT_EQ(Count(), Before + 1);
+  };
+  SignalAndWait("taken");
+  Readable = false;
+  SignalAndWait("refused");
+  this->writeUntilDone("again", "2");
+  Caller Running("bookings");
+  Caller Waiting("bookings");
+  this->runOnStandIns([this] {
+    this->Group.holdStatements(true);
+    return 0;
+  });
+  Running.sendQuery("w1", "WRITE hat 58cm");
+  while (this->runOnStandIns([this] { return this->Group.heldStatements(); }) ==
+         0) {
+  }
+  kill(getpid(), SIGTERM);
+  while (Caller("bookings").StartupReply.starts_with("READY")) {
+  }
+  EXPECT_TRUE(
+      Waiting.query("w2", "WRITE coat 40cm").front().starts_with("ERROR BUSY"));
+  this->DaemonThread.join();
+  this->DaemonThread = std::thread([] {});
+}
+
 } // namespace
 } // namespace turmericpitch
