Write a record's term only where it is known

The field is left out then, so the older line of the corpus holds as it is; records with a term have a line of their own.

--- a/failover/PrimaryRecord.cpp
+++ b/failover/PrimaryRecord.cpp
@@ -55,14 +55,16 @@
 }
 
 std::string encodePrimaryRecord(const PrimaryRecord &Record) {
-  return json::serialize(json::object{{"reign", Record.Epoch},
-                                      {"primary", Record.Primary.Value},
-                                      {"phase", toString(Record.Phase)},
-                                      {"target", Record.Target.Value},
-                                      {"writer", Record.Writer.Value},
-                                      {"attempt", Record.Attempt},
-                                      {"closed", Record.ClosedFrom.Value},
-                                      {"term", Record.KnownTerm.Value}});
+  json::object Object{{"reign", Record.Epoch},
+                      {"primary", Record.Primary.Value},
+                      {"phase", toString(Record.Phase)},
+                      {"target", Record.Target.Value},
+                      {"writer", Record.Writer.Value},
+                      {"attempt", Record.Attempt},
+                      {"closed", Record.ClosedFrom.Value}};
+  if (Record.KnownTerm != Term{})
+    Object["term"] = Record.KnownTerm.Value;
+  return json::serialize(Object);
 }
 
 Result<PrimaryRecord> decodePrimaryRecord(const KeyValueEntry &Entry) {
--- a/tests/compatibility/FormatCorpusTest.cpp
+++ b/tests/compatibility/FormatCorpusTest.cpp
@@ -156,6 +156,15 @@
   ASSERT_TRUE(Decoded);
   EXPECT_EQ(Decoded.value(), Record);
 
+  Record.KnownTerm = {4};
+  EXPECT_EQ(encodePrimaryRecord(Record), stored("primary_record_term"));
+  Decoded = toOutcome([&] {
+    return decodePrimaryRecord(
+        entry(primaryRecordKey(Record.Service), "primary_record_term"));
+  });
+  ASSERT_TRUE(Decoded);
+  EXPECT_EQ(Decoded.value(), Record);
+
   GrantorSet Set{
       .Current = {{.Id = {"front-1"},
                    .PeerEndpoint = {.Address = "10.1.0.8", .Port = 7440}}},
