Take figures with a fraction from the configuration, members and their reports

Callers would see NODB for a route whose time-out is 2500.5 or 2500.0 ms, as the route was skipped; with such a tx_idle_ms the whole configuration was refused, and a member whose entry says 5.0 slots was not used. A reported lag of 12.5 ms made the whole report unreadable, so that the member could not be promoted.

Counts, versions and positions stay whole.

--- a/drivers/Json.cpp
+++ b/drivers/Json.cpp
@@ -1,6 +1,7 @@
 #include "drivers/Json.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace turmericpitch {
 
@@ -8,7 +9,7 @@
 
 constexpr std::size_t MaximumDepth = 16;
 constexpr double MaximumDecimal = 1e12;
-constexpr std::uint64_t MaximumMilliseconds = 1000ULL * 3600 * 24 * 365;
+constexpr double MaximumMilliseconds = 1000.0 * 3600 * 24 * 365;
 
 Error badJson(std::string Message) {
   return {.Kind = ErrorKind::BadRequest,
@@ -65,6 +66,12 @@
     return Value->as_uint64();
   if (Value && Value->is_int64() && Value->as_int64() >= 0)
     return static_cast<std::uint64_t>(Value->as_int64());
+  constexpr double FirstInexact = 1ULL << 53U;
+  if (Value && Value->is_double()) {
+    double Whole = std::floor(Value->as_double());
+    if (Whole == Value->as_double() && Whole >= 0 && Whole < FirstInexact)
+      return static_cast<std::uint64_t>(Whole);
+  }
   if (Value || !Default)
     this->problem(Key, Value ? "must be a non-negative whole number"
                              : "missing whole number");
@@ -115,19 +122,21 @@
 }
 
 std::optional<Duration> JsonReader::milliseconds(std::string_view Key) {
-  if (!this->find(Key))
+  constexpr double MicrosecondsPerMillisecond = 1000;
+  auto Count = this->decimal(Key);
+  if (!Count)
     return std::nullopt;
-  std::uint64_t Count = this->number(Key);
-  if (Count > MaximumMilliseconds)
+  if (*Count > MaximumMilliseconds)
     this->problem(Key, "must be at most one year, in milliseconds");
-  return std::chrono::milliseconds(std::min(Count, MaximumMilliseconds));
+  return Duration(static_cast<Duration::rep>(
+      std::min(*Count, MaximumMilliseconds) * MicrosecondsPerMillisecond));
 }
 
 Duration JsonReader::requiredMilliseconds(std::string_view Key,
                                           std::optional<Duration> Default) {
   auto Length = this->milliseconds(Key);
-  if (!Length && !Default)
-    this->problem(Key, "missing whole number");
+  if (!Length && !Default && !this->find(Key))
+    this->problem(Key, "missing number");
   return Length.value_or(Default.value_or(Duration{0}));
 }
 
--- a/drivers/Json.h
+++ b/drivers/Json.h
@@ -30,7 +30,8 @@
   explicit JsonReader(const boost::json::object &Object) : Object(Object) {}
 
   /// A missing field without a default is recorded as an error. This holds for
-  /// text(), number() and flag().
+  /// text(), number() and flag(). JSON doesn't tell 5 from 5.0, so both are
+  /// whole numbers.
   std::string text(std::string_view Key,
                    std::optional<std::string> Default = std::nullopt);
   std::uint64_t number(std::string_view Key,
@@ -42,8 +43,8 @@
   std::optional<double> decimal(std::string_view Key);
   bool flag(std::string_view Key, std::optional<bool> Default = std::nullopt);
   std::vector<std::string> texts(std::string_view Key);
-  /// A whole number of milliseconds, at most one year; std::nullopt if the key
-  /// is absent.
+  /// A number of milliseconds, with or without a fraction, at most one year;
+  /// std::nullopt if the key is absent.
   std::optional<Duration> milliseconds(std::string_view Key);
   /// The same for a field that may not be absent unless Default is set.
   Duration requiredMilliseconds(std::string_view Key,
--- a/tests/platform/SessionLinesTest.cpp
+++ b/tests/platform/SessionLinesTest.cpp
@@ -198,6 +198,12 @@
   EXPECT_EQ(Report.value().Received.WrittenIn.Value, 2U);
   EXPECT_EQ(Report.value().ApplyDelay, std::chrono::milliseconds(12));
   EXPECT_EQ(Report.value().StatementCount, 2U);
+  Reply.Rows = {"replica 3 2.1209 0 12.5 2 17"};
+  Report = toOutcome([&] { return decodeMemberReport(Reply); });
+  ASSERT_TRUE(Report);
+  EXPECT_EQ(Report.value().ApplyDelay, std::chrono::microseconds(12'500));
+  Reply.Rows = {"replica 3 2.1209 0 -1 2 17"};
+  EXPECT_FALSE(toOutcome([&] { return decodeMemberReport(Reply); }));
   Reply.Rows = {"leader 3 2.1209 0 12 2 17"};
   EXPECT_FALSE(toOutcome([&] { return decodeMemberReport(Reply); }));
   Reply.Rows = {"replica 3 2.1209 0 soon 2 17"};
--- a/tests/platform/StoreCallsTest.cpp
+++ b/tests/platform/StoreCallsTest.cpp
@@ -180,6 +180,44 @@
   EXPECT_FALSE(toOutcome([] { return decodeRouteTable("{}"); }));
 }
 
+// A figure with a fraction, or a whole one written with a point, made a route
+// unknown, a member unused or the whole configuration refused.
+TEST(StoredObjects, TakesEachFigureThatThePlatformAllows) {
+  for (const char *Figure : {"2500", "2500.0", "2500.5", "2.5e3"}) {
+    std::string Number = Figure;
+    auto Table = toOutcome([&] {
+      return decodeRouteTable(
+          R"({"version":7.0,"routes":[)"
+          R"({"name":"b","host":"y","kind":"primary","service":"s",)"
+          R"("timeout_ms":)" +
+          Number + R"(,"latency_goal_ms":)" + Number +
+          R"(,"max_staleness_ms":)" + Number +
+          R"(,"priority":1.0}],"services":[{"name":"s","max_conns":60.0,)"
+          R"("sync_replicas":1.0}],"limits":{"tx_idle_ms":)" +
+          Number + "}}");
+    });
+    ASSERT_TRUE(Table) << Figure << ": " << Table.error().Message;
+    EXPECT_EQ(Table.value().Version, 7U);
+    ASSERT_TRUE(Table.value().Routes.contains("y")) << Figure;
+    Duration Expected = std::chrono::milliseconds(2500);
+    if (Number == "2500.5")
+      Expected += std::chrono::microseconds(500);
+    EXPECT_EQ(Table.value().Routes.at("y").StatementTimeout, Expected);
+    EXPECT_EQ(Table.value().TransactionIdleTimeout, Expected);
+    EXPECT_EQ(Table.value().Services.at({"s"}).SynchronousReplicas, 1U);
+  }
+  auto Member = toOutcome([] {
+    return decodeMemberEntry(
+        entry(R"({"service":"ledger","addr":"10.1.0.9:8080","zone":"a",)"
+              R"("version":"v1","slots":5.0,"state":"ready",)"
+              R"("cold_left_ms":0.5,"db_role":"primary","seq":4.0,)"
+              R"("born":1.7e12})"));
+  });
+  ASSERT_TRUE(Member) << Member.error().Message;
+  EXPECT_EQ(Member.value().Slots, 5U);
+  EXPECT_EQ(Member.value().StartedAt, 1'700'000'000'000U);
+}
+
 TEST(RouteTable, RefusesOlderVersions) {
   RouteController Routes;
   EXPECT_FALSE(Routes.loaded());
