--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -1037,7 +1037,8 @@
   if (!Stored)
     co_return this->Activities.end(Next.Service);
   Next.Stored = *Stored;
-  co_await this->replace(Next, FailoverReason::Lost);
+  constexpr bool OrdersSettled = true;
+  co_await this->replace(Next, FailoverReason::Lost, OrdersSettled);
 }
 
 Awaitable<std::optional<MemberReport>>
@@ -1142,7 +1143,8 @@
 }
 
 Awaitable<void> FailoverCoordinator::replace(PrimaryRecord From,
-                                             FailoverReason Reason) {
+                                             FailoverReason Reason,
+                                             bool OrdersSettled) {
   Failover F;
   F.Record = From;
   F.Reason = Reason;
@@ -1158,7 +1160,7 @@
                     .field("phase", toString(From.Phase))
                     .field("outcome", Needed ? "begun" : "not_begun"));
   if (Needed)
-    this->takeOver(F);
+    this->takeOver(F, OrdersSettled);
   bool Closed = Needed && co_await this->closeRecord(F);
   TimePoint GiveUpAt = this->Clock.now() + this->Options.SearchTimeout;
   while (Closed && F.Successor.Value.empty() && !F.KeepsOldPrimary &&
@@ -1186,7 +1188,7 @@
   this->Activities.end(From.Service);
 }
 
-void FailoverCoordinator::takeOver(Failover &F) const {
+void FailoverCoordinator::takeOver(Failover &F, bool OrdersSettled) const {
   // A copy from another instance lacks what the store has of the orders.
   F.Record = *this->Leases.record(F.Record.Service);
   F.Orders = PromotionOrders({.EffectTimeout = this->Options.PromotionTimeout});
@@ -1196,9 +1198,10 @@
   TimePoint SeenAt = Seen == this->UnfinishedRecords.end()
                          ? this->Clock.now()
                          : Seen->second.SeenAt;
-  GivenOrder Order{.Target = F.Record.Target,
-                   .EndedAt = SeenAt + this->Options.OrderValidity +
-                              this->Options.OrderCallTimeout};
+  GivenOrder Order{.Target = F.Record.Target};
+  if (!OrdersSettled)
+    Order.EndedAt =
+        SeenAt + this->Options.OrderValidity + this->Options.OrderCallTimeout;
   if (F.Record.KnownTerm != Term{})
     Order.Before = F.Record.KnownTerm;
   F.Orders.add(std::move(Order));
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -295,7 +295,10 @@
   /// Writes a record in place of one that can't be decoded, and finds the
   /// primary by a failover.
   Awaitable<void> replaceUnreadable(PrimaryRecord Next);
-  Awaitable<void> replace(PrimaryRecord From, FailoverReason Reason);
+  /// OrdersSettled: whether each order that was given before has taken effect
+  /// or can't any more.
+  Awaitable<void> replace(PrimaryRecord From, FailoverReason Reason,
+                          bool OrdersSettled = false);
   Awaitable<bool> isStillNeeded(PrimaryRecord From, FailoverReason Reason);
   Awaitable<bool> closeRecord(Failover &F);
   /// Queries the members of a service and its replicas that run without being
@@ -309,7 +312,7 @@
   /// successor, so that the record need not be closed in vain.
   Awaitable<bool> hasSuccessor(PrimaryRecord Record);
   /// Takes over what the store has of the record and of earlier orders.
-  void takeOver(Failover &F) const;
+  void takeOver(Failover &F, bool OrdersSettled) const;
   /// What the members that have replied know of terms.
   [[nodiscard]] static std::vector<TermReport> termReports(const Failover &F);
   /// The newest term that is known to have begun.
--- a/failover/RecordRepair.cpp
+++ b/failover/RecordRepair.cpp
@@ -52,7 +52,8 @@
       .Service = Id,
       .Epoch = std::max(Before.Epoch, firstEpoch(Lost.Stored)) + LostEpochs,
       .Primary = Before.Primary,
-      .Phase = PrimaryPhase::Closing,
+      // What was lost may have announced an order.
+      .Phase = PrimaryPhase::Ordered,
       .ClosedFrom = Lost.Stored,
       .Stored = Lost.Stored};
 }
--- a/failover/RecordRepair.h
+++ b/failover/RecordRepair.h
@@ -31,8 +31,8 @@
 };
 
 /// Tracks unreadable records, and decides when and by what they are replaced:
-/// by a closed record, so that a failover finds out which member is the
-/// primary. Pure; not thread-safe.
+/// by a closed record that leaves open whom an order named, so that a failover
+/// finds out which member is the primary. Pure; not thread-safe.
 class RecordRepair {
 public:
   explicit RecordRepair(RecordRepairOptions Options = {}) : Options(Options) {}
--- a/failover/RecordVerification.cpp
+++ b/failover/RecordVerification.cpp
@@ -88,7 +88,7 @@
     if (!Certain) {
       // A promotion may have been ordered, and epochs that nobody knows may
       // have begun. This record's epoch and the next one must differ from them.
-      Next.Phase = Complete ? PrimaryPhase::Ordered : PrimaryPhase::Closing;
+      Next.Phase = PrimaryPhase::Ordered;
       Next.ClosedFrom = positionInHistory(this->Era, 0);
       Next.Epoch += Complete ? UnknownEpochs : ForgottenEpochs;
     }
--- a/failover/RecordVerification.h
+++ b/failover/RecordVerification.h
@@ -29,7 +29,7 @@
   /// that may have led to a promotion are known.
   Complete,
   /// Promises may be forgotten, but none is still in use and no order is on its
-  /// way. The members themselves tell which of them is primary.
+  /// way. A failover finds out which member is the primary.
   Unknown,
 };
 
--- a/tests/failover/LeaseRulesTest.cpp
+++ b/tests/failover/LeaseRulesTest.cpp
@@ -216,7 +216,9 @@
   EXPECT_EQ(this->Verification.status(at(3999)), VerificationStatus::Waiting);
   EXPECT_EQ(this->Verification.status(at(4000)), VerificationStatus::Unknown);
   auto Records = this->verified(at(4000));
-  EXPECT_EQ(Records[0].Phase, PrimaryPhase::Closing);
+  // So may have been an order.
+  EXPECT_EQ(Records[0].Phase, PrimaryPhase::Ordered);
+  EXPECT_EQ(Records[0].Target, UpstreamId{});
   EXPECT_GT(Records[0].Epoch, 1000U);
 }
 
--- a/tests/failover/RecordRepairTest.cpp
+++ b/tests/failover/RecordRepairTest.cpp
@@ -36,7 +36,10 @@
   EXPECT_FALSE(Repair.replacement(Ledger, 1, at(0) + Wait));
   auto Next = Repair.replacement(Ledger, 0, at(0) + Wait);
   ASSERT_TRUE(Next);
-  EXPECT_EQ(Next->Phase, PrimaryPhase::Closing);
+  // The lost record may have announced an order, of whom isn't known.
+  EXPECT_EQ(Next->Phase, PrimaryPhase::Ordered);
+  EXPECT_EQ(Next->Target, UpstreamId{});
+  EXPECT_EQ(Next->KnownTerm, Term{});
   EXPECT_EQ(Next->Primary, UpstreamId{"m1"});
   EXPECT_EQ(Next->Stored, Revision{9});
   EXPECT_GT(Next->Epoch, 1000U);
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -449,6 +449,24 @@
   this->expectNoSupersededCommit();
 }
 
+// A record that another writer had overwritten was taken for one without an
+// order, and the old primary was kept.
+TEST_F(SupersededPrimaryTest, UnreadableRecordMayHideAnOrder) {
+  this->runOnStandIns([this] {
+    this->Group.cutOffByPromotion("m2");
+    this->Group.stop("m1");
+    return 0;
+  });
+  this->waitForPromotion();
+  EXPECT_TRUE(this->runOnStandIns([this] {
+    this->Store.put("turmericpitch/primary/of/ledger", "[[");
+    this->Group.stop("m3");
+    return bool(this->Group.returnAsPrimary("m1"));
+  }));
+  this->writeUntilDone("booking", "two");
+  this->expectNoSupersededCommit();
+}
+
 // A member that still led an older term counted as promoted before the order
 // took effect (review/6).
 TEST_F(SupersededPrimaryTest, OldLeaderIsNotPromotedBeforeItLeadsANewTerm) {
