--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -75,6 +75,8 @@
   /// in effect.
   UpstreamId Successor;
   Term NewTerm;
+  /// The end of its log before the first write of that term.
+  LogPosition StartedAfter;
 };
 
 FailoverCoordinator::FailoverCoordinator(Executor Exec,
@@ -1180,7 +1182,12 @@
     PrimaryRecord Next{.Service = F.Record.Service,
                        .Epoch = F.Record.Epoch + (Promoted ? 1 : 0),
                        .Primary = Promoted ? F.Successor : F.Record.Primary,
-                       .KnownTerm = Promoted ? F.NewTerm : F.Record.KnownTerm};
+                       .KnownTerm = Promoted ? F.NewTerm : F.Record.KnownTerm,
+                       .TermStarts = F.Record.TermStarts};
+    if (Promoted)
+      Next.TermStarts = withTermStart(
+          std::move(Next.TermStarts),
+          {.NewTerm = F.NewTerm, .PrecedingPosition = F.StartedAfter});
     if (Promoted)
       this->stepDownFormerPrimary(F);
     co_await this->write(Next, F.Record.Stored);
@@ -1375,7 +1382,8 @@
   for (const auto &[Id, Reply] : *F.Replies)
     Reports.push_back({.Member = Id,
                        .Leads = Reply.Report.Primary,
-                       .Newest = Reply.Report.Newest});
+                       .Newest = Reply.Report.Newest,
+                       .Received = Reply.Report.Received});
   return Reports;
 }
 
@@ -1394,6 +1402,7 @@
     return false;
   F.Successor = Report.Member;
   F.NewTerm = Report.Newest;
+  F.StartedAfter = Report.Received.Position;
   writeDecision(DecisionLine("promotion_in_effect")
                     .field("service", F.Record.Service.Value)
                     .field("member", Report.Member.Value)
@@ -1416,6 +1425,7 @@
   if (State.Acknowledged && State.Acknowledged->Epoch == F.Record.Epoch)
     Search.Acknowledged = State.Acknowledged->Entry;
   Search.Orders = F.Orders;
+  Search.TermStarts = F.Record.TermStarts;
   Search.FormerPrimary = F.Record.Primary;
   Search.Terms = termReports(F);
   for (const auto &[Id, Pool] : State.Pools) {
@@ -1670,6 +1680,7 @@
     if (Report && noteIfInEffect(F, {.Member = Target,
                                      .Leads = Report->Primary,
                                      .Newest = Report->Newest,
+                                     .Received = Report->Received,
                                      .AskedAt = AskedAt}))
       co_return;
     co_await this->pause(this->Options.PollInterval);
--- a/failover/PrimaryRecord.cpp
+++ b/failover/PrimaryRecord.cpp
@@ -21,6 +21,32 @@
                     "instance runs"};
 }
 
+/// The starts of terms, or nothing if they aren't such a list.
+std::optional<std::vector<TermStart>> decodeStarts(const json::value &Value) {
+  std::vector<TermStart> Starts;
+  const json::array *List = Value.if_array();
+  if (!List || List->size() > MaxTermStarts)
+    return std::nullopt;
+  for (const json::value &Each : *List) {
+    const json::array *Pair = Each.if_array();
+    if (!Pair || Pair->size() != 2)
+      return std::nullopt;
+    boost::system::error_code BadTerm;
+    boost::system::error_code BadPosition;
+    TermStart Next{.NewTerm = {Pair->at(0).to_number<std::uint64_t>(BadTerm)},
+                   .PrecedingPosition = {
+                       Pair->at(1).to_number<std::uint64_t>(BadPosition)}};
+    if (BadTerm || BadPosition)
+      return std::nullopt;
+    if (!Starts.empty() &&
+        (Starts.back().NewTerm >= Next.NewTerm ||
+         Starts.back().PrecedingPosition > Next.PrecedingPosition))
+      return std::nullopt;
+    Starts.push_back(Next);
+  }
+  return Starts;
+}
+
 } // namespace
 
 std::string_view toString(PrimaryPhase Phase) {
@@ -39,6 +65,27 @@
   return std::max<std::uint64_t>(1, ListedAt.Value);
 }
 
+std::vector<TermStart> withTermStart(std::vector<TermStart> Starts,
+                                     const TermStart &Next) {
+  // A member that was primary already began no term.
+  if (!Starts.empty() && Starts.back().NewTerm >= Next.NewTerm)
+    return Starts;
+  std::erase_if(Starts, [&](const TermStart &Each) {
+    return Each.PrecedingPosition > Next.PrecedingPosition;
+  });
+  Starts.push_back(Next);
+  if (Starts.size() > MaxTermStarts)
+    Starts.erase(Starts.begin());
+  return Starts;
+}
+
+bool endsDiscarded(std::span<const TermStart> Starts, const TermPosition &End) {
+  auto Next = std::ranges::find_if(Starts, [&](const TermStart &Each) {
+    return Each.NewTerm > End.WrittenIn;
+  });
+  return Next != Starts.end() && End.Position > Next->PrecedingPosition;
+}
+
 std::string primaryRecordKey(const ServiceId &Service) {
   return std::string(PrimaryRecordPrefix) + std::string(ServicePart) +
          Service.Value;
@@ -64,6 +111,13 @@
                       {"closed", Record.ClosedFrom.Value}};
   if (Record.KnownTerm != Term{})
     Object["term"] = Record.KnownTerm.Value;
+  if (!Record.TermStarts.empty()) {
+    json::array Starts;
+    for (const TermStart &Each : Record.TermStarts)
+      Starts.push_back(
+          json::array{Each.NewTerm.Value, Each.PrecedingPosition.Value});
+    Object["starts"] = std::move(Starts);
+  }
   return json::serialize(Object);
 }
 
@@ -98,6 +152,12 @@
   auto Phase = Text("phase");
   auto Target = Text("target");
   auto Writer = Text("writer");
+  if (const json::value *Starts = Object.if_contains("starts")) {
+    auto Decoded = decodeStarts(*Starts);
+    if (!Decoded)
+      return boost::leaf::new_error(malformed(Entry.Key));
+    Record.TermStarts = std::move(*Decoded);
+  }
   // A later epoch must be greater.
   if (!Epoch || *Epoch == UINT64_MAX || !Attempt || !Primary || !Phase ||
       !Target || !Writer || Failure)
--- a/failover/PrimaryRecord.h
+++ b/failover/PrimaryRecord.h
@@ -8,8 +8,10 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace turmericpitch {
 
@@ -54,6 +56,10 @@
   /// or, since, a promotion was requested; 0 if none was known, as in records
   /// of earlier versions.
   Term KnownTerm = {};
+  /// Where the newest terms began in the log, oldest first; what an older log
+  /// holds beyond was discarded. Empty if that isn't known, as in records of
+  /// earlier versions.
+  std::vector<TermStart> TermStarts = {};
   /// The revision of the record in the store.
   Revision Stored = {};
 
@@ -67,6 +73,16 @@
 /// one. Thread-safe.
 std::uint64_t firstEpoch(Revision ListedAt);
 
+/// Starts with one more term that began with a promotion. Starts that the
+/// promoted log lacks are left out, and the oldest ones beyond MaxTermStarts.
+/// Pure; thread-safe.
+std::vector<TermStart> withTermStart(std::vector<TermStart> Starts,
+                                     const TermStart &Next);
+inline constexpr std::size_t MaxTermStarts = 8;
+/// Whether a log with this last entry holds entries that the promotion to a
+/// newer term has discarded. Pure; thread-safe.
+bool endsDiscarded(std::span<const TermStart> Starts, const TermPosition &End);
+
 /// The key of a service's record. Thread-safe.
 std::string primaryRecordKey(const ServiceId &Service);
 /// The service whose record a key holds; nothing for another key. Thread-safe.
--- a/failover/PromotionOrders.h
+++ b/failover/PromotionOrders.h
@@ -50,6 +50,8 @@
   bool Leads = false;
   /// The newest term that it knows; its own if it leads.
   Term Newest;
+  /// The end of its log.
+  TermPosition Received = {};
   /// When the member was asked; nothing if that isn't known.
   std::optional<TimePoint> AskedAt = std::nullopt;
 
--- a/failover/SuccessorRules.cpp
+++ b/failover/SuccessorRules.cpp
@@ -12,10 +12,10 @@
 std::optional<TermPosition> furthestLog(const SuccessorSearch &Search) {
   std::optional<TermPosition> Furthest;
   for (const ReplicaState &Each : Search.Replicas)
-    if (Each.Report)
+    if (Each.Report && !endsDiscarded(Search.TermStarts, Each.Report->Received))
       Furthest = std::max(Furthest, std::optional(Each.Report->Received));
   for (const DepartedReplica &Each : Search.Departed)
-    if (Each.Report)
+    if (Each.Report && !endsDiscarded(Search.TermStarts, Each.Report->Received))
       Furthest = std::max(Furthest, std::optional(Each.Report->Received));
   return Furthest;
 }
@@ -93,18 +93,22 @@
 }
 
 MemberStanding standingOf(const SuccessorOptions &Options,
+                          const SuccessorSearch &Search,
                           const ReplicaState &Each,
                           const std::optional<TermPosition> &Required,
-                          bool MayDrain, TimePoint Now) {
+                          TimePoint Now) {
   if (!Each.Report)
     return MemberStanding::Silent;
   if (Each.Refused)
     return MemberStanding::Refused;
   if (Now - Each.Report->ReceivedAt > Options.ReportValidity)
     return MemberStanding::Outdated;
+  if (endsDiscarded(Search.TermStarts, Each.Report->Received) &&
+      Now - Search.ClosedAt < Options.HolderTimeout)
+    return MemberStanding::Discarded;
   if (Required && Each.Report->Received < *Required)
     return MemberStanding::Behind;
-  if (Each.Draining && !MayDrain)
+  if (Each.Draining && !mayDrain(Options, Search, Now))
     return MemberStanding::Draining;
   return MemberStanding::Candidate;
 }
@@ -115,23 +119,28 @@
 std::optional<UpstreamId>
 bestSuccessor(const SuccessorOptions &Options, const SuccessorSearch &Search,
               const std::optional<TermPosition> &Required, TimePoint Now) {
-  bool MayDrain = mayDrain(Options, Search, Now);
   std::vector<SuccessorCandidate> Staying;
   std::vector<SuccessorCandidate> Draining;
+  std::vector<SuccessorCandidate> Discarded;
   for (const ReplicaState &Each : Search.Replicas) {
-    if (standingOf(Options, Each, Required, MayDrain, Now) !=
+    if (standingOf(Options, Search, Each, Required, Now) !=
         MemberStanding::Candidate)
       continue;
     if (isOrdered(Search, Each.Id))
       return Each.Id;
-    (Each.Draining ? Draining : Staying)
+    bool Cut = endsDiscarded(Search.TermStarts, Each.Report->Received);
+    (Cut             ? Discarded
+     : Each.Draining ? Draining
+                     : Staying)
         .push_back({.Id = Each.Id,
                     .Received = Each.Report->Received,
                     .ApplyDelay = Each.Report->ApplyDelay,
                     .Former = Search.Former && Search.Former->Id == Each.Id});
   }
-  auto Best = chooseSuccessor(Staying);
-  return Best ? Best : chooseSuccessor(Draining);
+  for (const auto *Group : {&Staying, &Draining})
+    if (auto Best = chooseSuccessor(*Group))
+      return Best;
+  return chooseSuccessor(Discarded);
 }
 
 } // namespace
@@ -161,6 +170,8 @@
     return "behind";
   case MemberStanding::Draining:
     return "draining";
+  case MemberStanding::Discarded:
+    return "discarded";
   case MemberStanding::Departed:
     return "departed";
   case MemberStanding::Covered:
@@ -176,12 +187,10 @@
 SearchAssessment assessSearch(const SuccessorOptions &Options,
                               const SuccessorSearch &Search, TimePoint Now) {
   SearchAssessment Result{.Required = requiredPosition(Search)};
-  bool MayDrain = mayDrain(Options, Search, Now);
   for (const ReplicaState &Each : Search.Replicas)
     Result.Members.push_back(
         {.Id = Each.Id,
-         .Standing =
-             standingOf(Options, Each, Result.Required, MayDrain, Now)});
+         .Standing = standingOf(Options, Search, Each, Result.Required, Now)});
   std::optional<TermPosition> Furthest = furthestLog(Search);
   for (const DepartedReplica &Each : Search.Departed)
     Result.Members.push_back({.Id = Each.Id,
--- a/failover/SuccessorRules.h
+++ b/failover/SuccessorRules.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "failover/PrimaryMonitor.h"
+#include "failover/PrimaryRecord.h"
 #include "failover/PromotionOrders.h"
 #include "failover/ReplicaHistory.h"
 
@@ -75,6 +76,8 @@
   /// A position that is known to have been acknowledged under the former
   /// primary.
   std::optional<TermPosition> Acknowledged = std::nullopt;
+  /// Where the newest terms began; see PrimaryRecord.
+  std::vector<TermStart> TermStarts = {};
   /// The orders that were given since the record was closed.
   PromotionOrders Orders = PromotionOrders();
   UpstreamId FormerPrimary = {};
@@ -124,6 +127,8 @@
   /// Its log does not reach the required position.
   Behind,
   Draining,
+  /// Its log ends with entries that an earlier promotion has discarded.
+  Discarded,
   /// It departed, and may have confirmed commits that no known log holds.
   Departed,
   /// It departed, and the furthest known log holds all that it confirmed.
@@ -184,6 +189,10 @@
 /// newer term unseen, that begins a still newer one. A member is ordered only
 /// once no earlier order that names another one can still take effect.
 ///
+/// A log whose end an earlier promotion has discarded isn't compared by its
+/// length, as callers have read a state without that end since. It succeeds
+/// only if no other log is known for HolderTimeout.
+///
 /// Replicas that are draining succeed a lost primary only after CatchUpTimeout,
 /// and never one that still runs. Without synchronous replicas, CatchUpTimeout
 /// bounds the wait for what the primary had when last sampled. Pure;
--- a/tests/compatibility/FormatCorpusTest.cpp
+++ b/tests/compatibility/FormatCorpusTest.cpp
@@ -165,6 +165,16 @@
   ASSERT_TRUE(Decoded);
   EXPECT_EQ(Decoded.value(), Record);
 
+  Record.TermStarts = {{.NewTerm = {2}, .PrecedingPosition = {92}},
+                       {.NewTerm = {4}, .PrecedingPosition = {140}}};
+  EXPECT_EQ(encodePrimaryRecord(Record), stored("primary_record_starts"));
+  Decoded = toOutcome([&] {
+    return decodePrimaryRecord(
+        entry(primaryRecordKey(Record.Service), "primary_record_starts"));
+  });
+  ASSERT_TRUE(Decoded);
+  EXPECT_EQ(Decoded.value(), Record);
+
   GrantorSet Set{
       .Current = {{.Id = {"front-1"},
                    .PeerEndpoint = {.Address = "10.1.0.8", .Port = 7440}}},
--- a/tests/failover/SuccessorRulesTest.cpp
+++ b/tests/failover/SuccessorRulesTest.cpp
@@ -242,6 +242,24 @@
   EXPECT_EQ(decide(Search), promote("c"));
 }
 
+// Callers had read a state without the end of this log since (review/9).
+TEST(SuccessorRules, DiscardedLogSucceedsOnlyIfNoOtherIsKnown) {
+  SuccessorSearch Search = search({replica("b", 95), replica("c", 90)}, 0);
+  EXPECT_EQ(decide(Search), promote("b"));
+  Search.TermStarts = {{.NewTerm = {2}, .PrecedingPosition = {92}}};
+  EXPECT_EQ(decide(Search), promote("c"));
+  EXPECT_EQ(assessSearch(Options, Search, Began).Members,
+            (std::vector<MemberAssessment>{
+                {.Id = {"b"}, .Standing = MemberStanding::Discarded},
+                {.Id = {"c"}, .Standing = MemberStanding::Candidate}}));
+  Search.Sampled = {.WrittenIn = {2}, .Position = {93}};
+  EXPECT_EQ(decide(Search), waitFor({}));
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), promote("c"));
+  Search.Replicas[1].Report.reset();
+  EXPECT_EQ(decide(Search, Options.CatchUpTimeout), waitFor({}));
+  EXPECT_EQ(decide(Search, Options.HolderTimeout), promote("b"));
+}
+
 // A member whose promotion was ordered may have lost its log since.
 TEST(SuccessorRules, OrderedMemberComesFirstIfItReachesTheFurthestLog) {
   SuccessorSearch Search = search({replica("a", 5), replica("b", 5)});
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -449,6 +449,34 @@
   this->expectNoSupersededCommit();
 }
 
+// A log whose end a promotion had discarded was promoted when the new primary
+// was lost in turn, as it was longer than the other one (review/9).
+TEST_F(SupersededPrimaryTest, DiscardedLogIsNotPromotedWhileAnotherIsKnown) {
+  this->runOnStandIns([this] {
+    this->Group.setReplicationPaused("m3", true);
+    return 0;
+  });
+  this->writeUntilDone("booking", "kept");
+  this->runOnStandIns([this] {
+    this->Group.setReplicationPaused("m2", true);
+    return 0;
+  });
+  this->writeUntilDone("booking", "discarded");
+  this->runOnStandIns([this] {
+    this->Group.stop("m1");
+    return 0;
+  });
+  this->writeUntilDone("coat", "one");
+  EXPECT_TRUE(this->runOnStandIns([this] {
+    this->Group.setReplicationPaused("m1", true);
+    this->Group.stop("m2");
+    return bool(this->Group.start("m1"));
+  }));
+  this->writeUntilDone("coat", "two");
+  Caller Session("bookings");
+  EXPECT_NE(Session.query("r", "READ booking").front(), "DATAROW discarded");
+}
+
 // A record that another writer had overwritten was taken for one without an
 // order, and the old primary was kept.
 TEST_F(SupersededPrimaryTest, UnreadableRecordMayHideAnOrder) {
