--- a/drivers/FailoverCoordinator.cpp
+++ b/drivers/FailoverCoordinator.cpp
@@ -51,6 +51,22 @@
   return Incomplete ? "given_up" : "promotes";
 }
 
+/// Marks that an order is given. Orders of one instance are given one after the
+/// other, over all services, as each must arrive before those with higher
+/// tokens.
+class OrderInProgress {
+public:
+  explicit OrderInProgress(bool &Ordering) : Ordering(Ordering) {
+    this->Ordering = true;
+  }
+  ~OrderInProgress() { this->Ordering = false; }
+  OrderInProgress(const OrderInProgress &) = delete;
+  OrderInProgress &operator=(const OrderInProgress &) = delete;
+
+private:
+  bool &Ordering;
+};
+
 } // namespace
 
 /// A failover in progress.
@@ -1542,9 +1558,12 @@
       F.KeepsOldPrimary = true;
       co_return std::nullopt;
     }
-    if (Decision.Action == SuccessorAction::Promote)
+    bool Promotes = Decision.Action == SuccessorAction::Promote;
+    if (Promotes && !this->Ordering)
       co_return Decision.Target;
-    co_await this->pause(this->Options.PollInterval);
+    // An order for another service is on its way, with a lower token.
+    co_await this->pause(Promotes ? this->Options.PollInterval / 8
+                                  : this->Options.PollInterval);
   }
   co_return std::nullopt;
 }
@@ -1613,6 +1632,7 @@
 
 Awaitable<bool> FailoverCoordinator::orderPromotion(Failover &F,
                                                     UpstreamId Target) {
+  OrderInProgress InProgress(this->Ordering);
   PrimaryRecord Next = F.Record;
   Next.Phase = PrimaryPhase::Ordered;
   Next.Target = Target;
--- a/drivers/FailoverCoordinator.h
+++ b/drivers/FailoverCoordinator.h
@@ -427,6 +427,8 @@
   std::string Promoter;
   TimePoint PromoterSeenAt;
   bool Writing = false;
+  /// Whether an order for a promotion is being given.
+  bool Ordering = false;
   bool Stopping = false;
   bool StoreLost = false;
   RandomSource Random;
--- a/tests/platform/RevisionStore.cpp
+++ b/tests/platform/RevisionStore.cpp
@@ -2,7 +2,7 @@
 
 #include "core/Digest.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace turmericpitch {
@@ -41,11 +41,14 @@
 RevisionStore::RevisionStore(Executor Exec, Endpoint Listen,
                              SessionGroup &Group)
     : Exec(Exec), Group(Group),
-      Server(Exec, {.Listen = std::move(Listen)}, [this] {
-        return [this](HttpRequest Request) {
-          return this->handle(std::move(Request));
-        };
-      }) {}
+      Server(Exec, {.Listen = std::move(Listen)},
+             [this] {
+               return [this](HttpRequest Request) {
+                 return this->handle(std::move(Request));
+               };
+             }),
+      PromotionsReleased(this->Exec,
+                         boost::asio::steady_timer::time_point::max()) {}
 
 Status RevisionStore::start() { return this->Server.start(); }
 
@@ -60,6 +63,12 @@
 }
 
 Awaitable<HttpReply> RevisionStore::handle(HttpRequest Request) {
+  bool Promotes = Request.Target == "/promote";
+  this->PromotionRequests += Promotes ? 1 : 0;
+  boost::system::error_code Ignored;
+  while (Promotes && this->PromotionsHeld)
+    co_await this->PromotionsReleased.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
   HttpReply Reply = this->answer(Request);
   Reply.Fields.push_back(
       {.Name = "Store-Era", .Value = std::to_string(this->Era)});
--- a/tests/platform/RevisionStore.h
+++ b/tests/platform/RevisionStore.h
@@ -6,6 +6,7 @@
 #include "drivers/HttpServer.h"
 #include "tests/platform/SessionGroup.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <functional>
 #include <map>
@@ -52,6 +53,16 @@
   /// Number of reads of single keys since the start.
   [[nodiscard]] std::uint64_t keyReads() const { return this->KeyReads; }
   [[nodiscard]] std::uint64_t promotions() const { return this->Promotions; }
+  /// While set, requests for promotions wait.
+  void setPromotionsHeld(bool Held) {
+    this->PromotionsHeld = Held;
+    this->PromotionsReleased.cancel();
+  }
+  /// Number of requests for promotions that have arrived, waiting ones
+  /// included.
+  [[nodiscard]] std::uint64_t promotionRequests() const {
+    return this->PromotionRequests;
+  }
 
 private:
   struct Item {
@@ -82,6 +93,9 @@
   Contents Copy;
   std::uint64_t Leases = 0;
   std::uint64_t Promotions = 0;
+  std::uint64_t PromotionRequests = 0;
+  bool PromotionsHeld = false;
+  boost::asio::steady_timer PromotionsReleased;
   std::uint64_t HistoryFrom = 0;
   std::uint64_t KeyReads = 0;
   bool Unavailable = false;
--- a/tests/platform/SessionDaemonTest.cpp
+++ b/tests/platform/SessionDaemonTest.cpp
@@ -530,6 +530,54 @@
   this->expectNoSupersededCommit();
 }
 
+// An order that one lost packet held up arrived after one with a higher token
+// that the same instance had given for another service.
+TEST_F(SupersededPrimaryTest, OrdersOfOneInstanceAreGivenOneAfterTheOther) {
+  constexpr std::size_t Queries = 20;
+  auto Requests = [this] {
+    return this->runOnStandIns(
+        [this] { return this->Store.promotionRequests(); });
+  };
+  auto Deadline = std::chrono::steady_clock::now() + TestTimeout;
+  auto WaitFor = [&](const auto &Condition) {
+    while (!Condition() && std::chrono::steady_clock::now() < Deadline)
+      std::this_thread::yield();
+  };
+  this->runOnStandIns([this] {
+    for (const char *Id : {"a1", "a2"})
+      EXPECT_TRUE(this->Archive.add(Id, {.Address = ownAddress(), .Port = 0}));
+    for (const SessionGroupMember &Each : this->Archive.members())
+      this->registerMember(Each, false, "archive");
+    return 0;
+  });
+  WaitFor([this] {
+    return this->runOnStandIns([this] {
+      return !this->Store.value("turmericpitch/primary/of/archive").empty();
+    });
+  });
+  this->runOnStandIns([this] {
+    this->Store.setPromotionsHeld(true);
+    this->Group.stop("m1");
+    this->Archive.stop("a1");
+    return 0;
+  });
+  WaitFor([&] { return Requests() > 0; });
+  auto Asked = [this] {
+    return this->runOnStandIns([this] {
+      return this->Group.statusCount("m2") + this->Archive.statusCount("a2");
+    });
+  };
+  std::size_t Enough = Asked() + Queries;
+  WaitFor([&] { return Asked() >= Enough || Requests() > 1; });
+  EXPECT_EQ(Requests(), 1U);
+  this->runOnStandIns([this] {
+    this->Store.setPromotionsHeld(false);
+    return 0;
+  });
+  WaitFor([&] { return Requests() > 1; });
+  this->writeUntilDone("booking", "two");
+}
+
 /// A service whose commits are acknowledged once one replica has received
 /// them. Replica m2 lags, so they stand on m1 and m3.
 class SynchronousReplicaTest : public SessionDaemonTest {
