Take an order that was answered with 503 for one whose outcome isn't known

PROTOCOL.md says that nothing was done after a 503 of the store; of the call that promotes a member it says no such thing. Since an order that was certainly not sent counts for nothing, and a 503 was among these, so a former primary could have been kept after it. Before it could not.

Change: decodePromotion() tells such an answer as an unknown outcome; 429 remains a refusal ("additional calls receive 429"). By reading; the unit test names both.

--- a/tests/platform/StoreCallsTest.cpp
+++ b/tests/platform/StoreCallsTest.cpp
@@ -125,6 +125,9 @@
   ASSERT_EQ(Order.Fields.size(), 2U);
   EXPECT_EQ(Order.Fields[1].Value, "41");
   EXPECT_FALSE(decodePromotion(reply(409)).value());
+  EXPECT_EQ(decodePromotion(reply(429)).error().Kind, ErrorKind::Overloaded);
+  EXPECT_EQ(decodePromotion(reply(503)).error().Kind,
+            ErrorKind::OutcomeUnknown);
 }
 
 KeyValueEntry entry(std::string Value) {
